--- a/pebbleshelf/brain.py
+++ b/bitternpath/brain.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from random import Random
 
-from pebbleshelf import messages as m
+from bitternpath import messages as m
 
 GAIN = 0.15  # what a payoff equal to the threshold adds, as a share of a neuron's mean excitatory weight
 KEEP = 0.95  # the paper's alpha: how much of the threshold T one payoff leaves
--- a/pebbleshelf/simhost.py
+++ b/bitternpath/simhost.py
@@ -12,8 +12,8 @@
 
 import orjson
 
-from pebbleshelf import messages as m
-from pebbleshelf.brain import Dispatcher
+from bitternpath import messages as m
+from bitternpath.brain import Dispatcher
 
 EFFECTS = {"pure": m.Effect.SAFE, "token": m.Effect.KEYED, "side_effect": m.Effect.UNSAFE}
 ENDS = {
@@ -184,7 +184,7 @@
         try:
             answer = host.reply(line)
         except Malformed as error:
-            print(f"pebbleshelf: {error}", file=sys.stderr)
+            print(f"bitternpath: {error}", file=sys.stderr)
             return 1
         sys.stdout.buffer.write(answer + b"\n")
         sys.stdout.buffer.flush()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from pebbleshelf import Dispatcher
-from pebbleshelf import messages as m
+from bitternpath import Dispatcher
+from bitternpath import messages as m
 
 
 def job_class(name: str = "job", effect: m.Effect = m.Effect.SAFE, **more: Any) -> m.JobClass:
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -7,7 +7,7 @@
 import pytest
 from helpers import entry
 
-from pebbleshelf import brain
+from bitternpath import brain
 
 
 class Dense:
--- a/tests/test_strain.py
+++ b/tests/test_strain.py
@@ -4,7 +4,7 @@
 
 from helpers import Talk, entry, finals, job_class, sends
 
-from pebbleshelf import messages as m
+from bitternpath import messages as m
 
 
 def teach(talk: Talk, run: float, rounds: int = 30, wait: float = 0.0, job: str = "job") -> None:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -30,7 +30,7 @@
 def talk(*lines: Any, hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
     text = "".join((line if isinstance(line, str) else json.dumps(line)) + "\n" for line in lines)
     return subprocess.run(
-        [sys.executable, "-m", "pebbleshelf.simhost"],
+        [sys.executable, "-m", "bitternpath.simhost"],
         input=text,
         capture_output=True,
         text=True,
@@ -85,7 +85,7 @@
     for bad in ("{", "[]", '{"time":1}', batch(6.0, short), batch(6.0, odd)):
         run = talk(batch(5.0, *START), bad)
         assert run.returncode != 0
-        assert len(run.stderr.splitlines()) == 1 and run.stderr.startswith("pebbleshelf: malformed")
+        assert len(run.stderr.splitlines()) == 1 and run.stderr.startswith("bitternpath: malformed")
 
 
 def test_impossible_settings_are_named() -> None:
