--- a/bitternpath/__init__.py
+++ b/bitternpath/__init__.py
@@ -1,5 +1,6 @@
-"""bitternpath: the decisions of a dispatcher that pushes jobs to workers."""
+"""bitternpath: a dispatcher that pushes jobs to workers, and the node round it."""
 
 from bitternpath.brain import Dispatcher
 
-__all__ = ["Dispatcher"]
+__all__ = ["Dispatcher", "__version__"]
+__version__ = "0.1.0"
--- /dev/null
+++ b/bitternpath/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real node: consumers and providers on sockets, round the decision module."""
--- /dev/null
+++ b/bitternpath/net/broker.py
@@ -0,0 +1,390 @@
+"""The core: invocations, their calls, and the traffic with the decision module.
+
+It knows no HTTP and decides nothing about workers, retries or refusals. Whatever happens is appended to a
+batch; the first event of a batch schedules one drain, which hands the batch to the module in one go and
+then carries out all that came back.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from functools import partial
+from time import monotonic, time
+from typing import Any, Protocol
+
+from bitternpath import messages as m
+from bitternpath.net.roster import Listing, Provider, Roster
+
+log = logging.getLogger(__name__)
+
+ANSWER_AHEAD = 20.0  # ms before the consumer's deadline at which its calls time out
+LAST_MOMENT = 8.0  # ms before the deadline at which the broker answers where the module has not
+
+
+class Consumer(Protocol):
+    """The side that waits for the answer of one invocation; exactly one of these is called, once."""
+
+    def served(self, result: bytes) -> None: ...
+
+    def rejected(self, retry_after: float) -> None: ...
+
+    def failed(self) -> None: ...
+
+
+class Invoker(Protocol):
+    """The side that carries calls to providers. What becomes of them it tells by `Broker.ended`."""
+
+    def start(self, call: InvokerCall, provider: Provider) -> None: ...
+
+    def give_up(self, call: InvokerCall) -> None: ...
+
+
+class Later(Protocol):
+    """The part of a reactor that the broker needs."""
+
+    def callLater(self, delay: float, callable: Callable[..., object], *args: Any) -> Any: ...
+
+
+class Clock:
+    """Monotonic milliseconds, anchored once to Unix time so that a provider's start compares."""
+
+    def __init__(self) -> None:
+        self._anchor = (time() - monotonic()) * 1000.0
+
+    def __call__(self) -> float:
+        return self._anchor + monotonic() * 1000.0
+
+
+class State(Enum):
+    """What a provider reports of a call."""
+
+    STARTED = "started"
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+    RETURNED = "returned"
+    LOST = "lost"
+
+
+ENDS = {
+    State.DONE: m.How.OK,
+    State.FAILED: m.How.ERROR,
+    State.RETURNED: m.How.FULL,
+    State.LOST: m.How.RESET,
+}
+
+
+@dataclass(slots=True, eq=False)
+class InvokerCall:
+    """One attempt of an invocation at a provider."""
+
+    invocation: Invocation
+    number: int
+    provider: str
+    sent: float
+    expires: float
+    over: bool = False  # its outcome is known; what comes later is passed over
+    accepted: bool = False  # the provider has taken the job: its connection no longer matters
+    returned: bool = False  # ended by a call-back that handed it back
+    timer: Any = None
+    carrier: Any = None  # the invoker's own
+
+    @property
+    def id(self) -> str:
+        return self.invocation.id
+
+
+@dataclass(slots=True, eq=False)
+class Invocation:
+    """A request that was taken and is owed one answer."""
+
+    id: str
+    job_class: str
+    deadline: float
+    consumer: Consumer
+    payload: object  # what the invoker sends on; nothing here looks inside
+    key: int | None = None
+    hint: float | None = None
+    slots: float = 1.0
+    memory: float = 0.0
+    repeat: bool = False
+    answered: bool = False
+    calls: list[InvokerCall] = field(default_factory=list)
+    timer: Any = None
+
+
+@dataclass(slots=True)
+class Arrived:
+    invocation: Invocation
+
+
+@dataclass(slots=True)
+class Left:
+    invocation: Invocation
+
+
+@dataclass(slots=True)
+class Ended:
+    call: InvokerCall
+    how: m.How
+    result: bytes = b""
+
+
+@dataclass(slots=True)
+class Noted:
+    call: InvokerCall
+    share: float | None
+
+
+@dataclass(slots=True)
+class Listed:
+    listing: Listing
+    kind: m.ListKind
+
+
+@dataclass(slots=True)
+class Due:
+    label: str
+
+
+Event = Arrived | Left | Ended | Noted | Listed | Due
+
+
+class Broker:
+    """Between consumers, providers and the module."""
+
+    def __init__(
+        self,
+        later: Later,
+        clock: Clock,
+        roster: Roster,
+        invoker: Invoker,
+        handle: Callable[[float, m.Event], list[m.Action]],
+    ) -> None:
+        self.later, self.clock, self.roster, self.invoker, self.handle = later, clock, roster, invoker, handle
+        self.live: dict[str, Invocation] = {}  # unanswered, or answered with calls still out
+        self.waiting = 0  # invocations that are owed an answer
+        self.counts: Counter[str] = Counter()
+        self.idle: Callable[[], None] = lambda: None  # called whenever nothing is owed any more
+        self._batch: list[Event] = []
+        self._scheduled = False
+
+    # ---- what the sides tell
+
+    def knows(self, invocation: str) -> bool:
+        return invocation in self.live
+
+    def invoke(self, invocation: Invocation) -> None:
+        self.live[invocation.id] = invocation
+        self.waiting += 1
+        left = invocation.deadline - LAST_MOMENT - self.clock()
+        invocation.timer = self.later.callLater(max(left, 0.0) / 1000.0, self._last_moment, invocation)
+        self._append(Arrived(invocation))
+
+    def withdraw(self, invocation: Invocation) -> None:
+        """The consumer has gone: nobody waits for an answer."""
+        if not invocation.answered:
+            self._append(Left(invocation))
+
+    def ended(self, call: InvokerCall, how: m.How, result: bytes = b"") -> None:
+        """The end of a call; the first one told counts."""
+        if not call.over:
+            self._append(Ended(call, how, result))
+
+    def news(self, invocation: str, provider: str, state: State, share: float | None, result: bytes) -> None:
+        """What a provider reports of a call, in any order, perhaps again, perhaps of one unknown here."""
+        found = self.live.get(invocation)
+        calls = [c for c in found.calls if c.provider == provider] if found else []
+        if not calls or calls[-1].over:
+            return
+        call = calls[-1]
+        call.accepted = True
+        if state is State.STARTED or state is State.RUNNING:
+            self._append(Noted(call, share if state is State.RUNNING else None))
+            return
+        how = ENDS[state]
+        if state is State.RETURNED:
+            # The report that an earlier call there was handed back may have come again: it proves nothing.
+            if any(c.returned for c in calls[:-1]):
+                how = m.How.RESET
+            call.returned = True
+        self._append(Ended(call, how, result))
+
+    def listed(self, listing: Listing, at_start: bool = False) -> None:
+        whole = m.ListKind.WHOLE if listing.complete else m.ListKind.CHANGES
+        self._append(Listed(listing, m.ListKind.AT_START if at_start else whole))
+
+    # ---- the loop
+
+    def _append(self, event: Event) -> None:
+        self._batch.append(event)
+        if not self._scheduled:
+            self._scheduled = True
+            self.later.callLater(0, self.drain)
+
+    def drain(self) -> None:
+        """Hand the gathered batch to the module, then carry out all its actions."""
+        batch, self._batch, self._scheduled = self._batch, [], False
+        now, actions = self.clock(), list[m.Action]()
+        for event in batch:
+            try:
+                told = self._translate(event, now)
+                if told is not None:
+                    actions += self.handle(now, told)
+            except Exception:
+                log.exception("event failed", extra={"kv": {"kind": type(event).__name__}})
+                self.counts["exceptions"] += 1
+                self._abandon(event)
+        for action in actions:
+            try:
+                self._carry_out(action)
+            except Exception:
+                log.exception("action failed", extra={"kv": {"kind": type(action).__name__}})
+                self.counts["exceptions"] += 1
+        if not self.waiting and not self._batch:
+            self.idle()
+
+    def _abandon(self, event: Event) -> None:
+        """An event could not be handled: nobody may wait in vain for what it concerned."""
+        invocation: Invocation | None = None
+        if isinstance(event, Arrived | Left):
+            invocation = event.invocation
+        elif isinstance(event, Ended | Noted):
+            invocation = event.call.invocation
+        elif isinstance(event, Due):
+            # The module sets its alarms anew when they ring; one that failed has to ring again all the same.
+            self.later.callLater(0.1, self._append, Due(event.label))
+        if invocation is not None and not invocation.answered:
+            self._answer(invocation, invocation.consumer.failed, "failed")
+            self._append(Left(invocation))
+
+    def _translate(self, event: Event, now: float) -> m.Event | None:
+        """The event in the module's words; None where it has become void."""
+        match event:
+            case Arrived(i):
+                remaining = max(i.deadline - ANSWER_AHEAD - now, 1.0)
+                return m.Request(
+                    i.id, i.job_class, remaining, None, i.key, i.hint, i.slots, i.memory, i.repeat
+                )
+            case Left(i):
+                self._close(i)
+                return m.Withdrawn(i.id)
+            case Ended(call, how, result):
+                return self._call_over(call, how, result, now)
+            case Noted(call, share):
+                return None if call.over else m.JobNote(call.id, call.number, call.provider, share)
+            case Listed(listing, kind):
+                return m.WorkerList(kind, [_entry(p) for p in listing.members])
+            case Due(label):
+                return m.Alarm(label)
+
+    def _call_over(self, call: InvokerCall, how: m.How, result: bytes, now: float) -> m.Event | None:
+        if call.over:
+            return None
+        self._finish(call)
+        self.counts[how.value] += 1
+        invocation = call.invocation
+        if how is m.How.OK and not invocation.answered:
+            self._answer(invocation, partial(invocation.consumer.served, result), "served")
+        final = invocation.answered
+        self._forget(invocation)
+        return m.Outcome(call.id, call.number, call.provider, how, now - call.sent, final)
+
+    def _finish(self, call: InvokerCall) -> None:
+        call.over = True
+        if call.timer is not None and call.timer.active():
+            call.timer.cancel()
+        call.timer = None
+
+    def _close(self, invocation: Invocation) -> None:
+        """Nothing is owed any more."""
+        if not invocation.answered:
+            invocation.answered = True
+            self.waiting -= 1
+        if invocation.timer is not None and invocation.timer.active():
+            invocation.timer.cancel()
+        invocation.timer = None
+        self._forget(invocation)
+
+    def _forget(self, invocation: Invocation) -> None:
+        if invocation.answered and all(call.over for call in invocation.calls):
+            self.live.pop(invocation.id, None)
+
+    def _answer(self, invocation: Invocation, how: Callable[[], None], word: str) -> None:
+        self._close(invocation)
+        self.counts[word] += 1
+        how()
+
+    def _last_moment(self, invocation: Invocation) -> None:
+        """The module should have answered by now."""
+        if not invocation.answered:
+            log.warning("answered without the module", extra={"kv": {"id": invocation.id}})
+            self._answer(invocation, invocation.consumer.failed, "failed")
+            self._append(Left(invocation))
+
+    # ---- actions
+
+    def _carry_out(self, action: m.Action) -> None:
+        match action:
+            case m.Send(id, worker, timeout):
+                self._send(id, worker, timeout)
+            case m.Refuse(id, retry_after):
+                if (owed := self._owed(id)) is not None:
+                    self._answer(owed, partial(owed.consumer.rejected, retry_after), "rejected")
+            case m.Fail(id):
+                if (owed := self._owed(id)) is not None:
+                    self._answer(owed, owed.consumer.failed, "failed")
+            case m.Cancel(id, number):
+                invocation = self.live.get(id)
+                if invocation is not None and number < len(invocation.calls):
+                    call = invocation.calls[number]
+                    if not call.over:
+                        self.invoker.give_up(call)
+                        self._append(Ended(call, m.How.CANCELLED))
+            case m.Wake(label, delay):
+                self.later.callLater(delay / 1000.0, self._append, Due(label))
+            case _:
+                log.debug("not possible here", extra={"kv": {"action": type(action).__name__}})
+
+    def _owed(self, id: str) -> Invocation | None:
+        invocation = self.live.get(id)
+        return invocation if invocation is not None and not invocation.answered else None
+
+    def _send(self, id: str, worker: str, timeout: float) -> None:
+        invocation = self.live.get(id)
+        if invocation is None:
+            return
+        now = self.clock()
+        until = invocation.deadline - ANSWER_AHEAD
+        expires = min(now + timeout, until) if timeout > 0 else until
+        call = InvokerCall(invocation, len(invocation.calls), worker, now, expires)
+        invocation.calls.append(call)
+        provider = self.roster.serving(worker)
+        if invocation.answered or timeout < 0 or provider is None:
+            self._append(Ended(call, m.How.NOT_SENT))
+            return
+        self.counts["calls"] += 1
+        call.timer = self.later.callLater(max(expires - now, 0.0) / 1000.0, self._expired, call)
+        self.invoker.start(call, provider)
+
+    def _expired(self, call: InvokerCall) -> None:
+        call.timer = None
+        if not call.over:
+            self.invoker.give_up(call)
+            self._append(Ended(call, m.How.TIMEOUT))
+
+
+def _entry(provider: Provider) -> m.Entry:
+    return m.Entry(
+        provider.id,
+        provider.zone,
+        provider.kind,
+        provider.cell,
+        provider.state,
+        provider.size,
+        provider.up_since,
+    )
--- /dev/null
+++ b/bitternpath/net/buffer.py
@@ -0,0 +1,36 @@
+"""The one buffer of a connection."""
+
+from __future__ import annotations
+
+COMPACT_FROM = 4096  # consumed bytes at the front that are worth moving the rest for
+
+
+class Buffer:
+    """A bytearray that grows as it needs; what was taken is dropped from its front in place."""
+
+    __slots__ = ("_data", "_start")
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+        self._start = 0
+
+    def __len__(self) -> int:
+        return len(self._data) - self._start
+
+    def append(self, data: bytes) -> None:
+        if self._start >= COMPACT_FROM or self._start == len(self._data):
+            del self._data[: self._start]
+            self._start = 0
+        self._data += data
+
+    def find(self, what: bytes, start: int = 0) -> int:
+        """Where `what` begins at or after `start`, counted from the first byte not taken; -1 if nowhere."""
+        at = self._data.find(what, self._start + start)
+        return at if at < 0 else at - self._start
+
+    def take(self, count: int) -> bytes:
+        """Remove and return the first `count` bytes, or all where there are fewer."""
+        end = min(self._start + count, len(self._data))
+        taken = bytes(memoryview(self._data)[self._start : end])
+        self._start = end
+        return taken
--- /dev/null
+++ b/bitternpath/net/config.py
@@ -0,0 +1,81 @@
+"""What a node is told at its start: a JSON file and the environment."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import ujson
+
+from bitternpath import messages as m
+from bitternpath.net.roster import Listing, listing_from
+from bitternpath.settings import settings_from
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text says why, in one line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: Listing
+    settings: m.Settings
+    dial_timeout: float  # ms
+    idle_timeout: float  # ms after which a provider closes an idle connection
+
+
+def address(text: str) -> Address:
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ValueError(f"not an address: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def load(environ: Mapping[str, str], path: str | None = None) -> Config:
+    """Read the file that `path` or PROXY_CONFIG names; the other PROXY_ variables win over its values."""
+    path = path or environ.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigError("no configuration: set PROXY_CONFIG or give --config")
+    try:
+        told = ujson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from error
+    except ValueError as error:
+        raise ConfigError(f"{path}: not JSON: {error}") from error
+    try:
+        return _config(told, environ)
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error.args[0]} is missing") from error
+    except (ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(f"{path}: {' '.join(str(error).split())}") from error
+
+
+def _config(told: dict[str, Any], environ: Mapping[str, str]) -> Config:
+    conf = told["settings"]
+    allowed, limits = conf.get("allowed") or {}, told.get("limits") or {}
+    known = told.get("known")
+    config = Config(
+        name=str(environ.get("PROXY_NAME") or told.get("name") or "node"),
+        listen=address(environ.get("PROXY_LISTEN") or told["listen"]),
+        discovery=address(environ.get("PROXY_DISCOVERY") or told["discovery"]),
+        seed=int(str(told.get("seed") or "0"), 16),
+        sockets=int(limits.get("sockets") or 1024),
+        known=listing_from(known) if known else Listing(0, True, ()),
+        settings=settings_from(conf),
+        dial_timeout=float(allowed.get("dialTimeout") or 1000.0),
+        idle_timeout=float(allowed.get("connIdle") or 10_000.0),
+    )
+    if config.sockets < 64:
+        raise ValueError(f"limits.sockets: at least 64 are needed, not {config.sockets}")
+    if config.dial_timeout < 0 or config.idle_timeout < 0:
+        raise ValueError("allowed.dialTimeout and allowed.connIdle must not be negative")
+    return config
--- /dev/null
+++ b/bitternpath/net/http1.py
@@ -0,0 +1,289 @@
+"""HTTP/1.1 messages out of bytes and back. Pure: nothing here knows of sockets or time."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+from bitternpath.net.buffer import Buffer
+
+HEAD_LIMIT = 16 * 1024
+BODY_LIMIT = 64 * 1024
+LINE_LIMIT = 1024  # a chunk's size line
+
+Headers = dict[bytes, bytes]
+
+_TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+_TARGET = re.compile(rb"/[\x21-\x7e\x80-\xff]*")
+_REQUEST = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) (\S+) HTTP/1\.([01])")
+_STATUS = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: .*)?")
+_DIGITS = re.compile(rb"[0-9]{1,12}")
+_HEX = re.compile(rb"[0-9A-Fa-f]{1,8}")
+_CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+
+
+class HttpError(Exception):
+    """Input that cannot be read as a message; `status` is what a server answers."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+@dataclass(slots=True)
+class Message:
+    """What requests and answers share. Header names are in lower case."""
+
+    headers: Headers = field(default_factory=dict)
+    body: bytes = b""
+    keep_alive: bool = True
+
+
+@dataclass(slots=True)
+class Request(Message):
+    method: bytes = b"GET"
+    target: bytes = b"/"
+
+    @property
+    def path(self) -> bytes:
+        return self.target.partition(b"?")[0]
+
+
+@dataclass(slots=True)
+class Response(Message):
+    status: int = 200
+
+
+class _Body:
+    """The state of a body that is being read."""
+
+    __slots__ = ("left", "limit", "mode", "size")
+
+    def __init__(self, mode: str, left: int, limit: int | None) -> None:
+        self.mode = mode  # "length", "close", or of chunks: "size", "chunk", "end", "trailer"; "done"
+        self.left, self.limit, self.size = left, limit, 0
+        if mode == "length":
+            self.count(left)
+            self.mode = "length" if left else "done"
+
+    def count(self, more: int) -> None:
+        self.size += more
+        if self.limit is not None and self.size > self.limit:
+            raise HttpError(413, "body too large")
+
+    def read(self, buffer: Buffer) -> bytes:
+        """All of the body that the buffer holds now."""
+        pieces = []
+        while self.mode != "done":
+            if self.mode in ("length", "chunk"):
+                piece = buffer.take(self.left)
+                self.left -= len(piece)
+                pieces.append(piece)
+                if self.left:
+                    break
+                self.mode = "done" if self.mode == "length" else "end"
+            elif self.mode == "close":
+                pieces.append(buffer.take(len(buffer)))
+                self.count(len(pieces[-1]))
+                break
+            elif not self._line(buffer):
+                break
+        return b"".join(pieces)
+
+    def _line(self, buffer: Buffer) -> bool:
+        """Read one line of the chunk framing; False while it is not whole."""
+        at = buffer.find(b"\n")
+        if at < 0 or at > LINE_LIMIT:
+            if max(at, len(buffer)) > LINE_LIMIT:
+                raise HttpError(400, "chunk line too long")
+            return False
+        line = _line_of(buffer.take(at + 1)[:-1])
+        if self.mode == "size":
+            size = line.partition(b";")[0].rstrip(b" \t")
+            if not _HEX.fullmatch(size):
+                raise HttpError(400, "bad chunk size")
+            self.left = int(size, 16)
+            self.count(self.left)
+            self.mode = "chunk" if self.left else "trailer"
+        elif self.mode == "end":
+            if line:
+                raise HttpError(400, "chunk longer than its size")
+            self.mode = "size"
+        elif not line:
+            self.mode = "done"
+        else:
+            self.count(len(line))
+        return True
+
+
+class Reader:
+    """Takes the messages of one direction of one connection out of its buffer, one by one."""
+
+    def __init__(self, body_limit: int | None = BODY_LIMIT) -> None:
+        self.buffer = Buffer()
+        self.body_limit = body_limit
+        self._seen = self._head_size = 0  # bytes known to hold no line's end; bytes of head taken
+        self._lines: list[bytes] = []
+        self._message: Message | None = None
+        self._body: _Body | None = None
+        self._parts: list[bytes] = []
+
+    @property
+    def begun(self) -> bool:
+        """Whether part of a message has been read."""
+        return self._message is not None or bool(self._lines) or len(self.buffer) > 0
+
+    def feed(self, data: bytes) -> None:
+        self.buffer.append(data)
+
+    def head(self) -> Message | None:
+        """The message whose body comes next, as soon as its head is whole."""
+        if self._message is None:
+            lines = self._head_lines()
+            if lines is not None:
+                self._message, self._body = self.start(lines)
+        return self._message
+
+    def piece(self) -> bytes:
+        """What has come of the body since the last call, for bodies that never end."""
+        return self._body.read(self.buffer) if self._body else b""
+
+    def awaited(self) -> Message | None:
+        """The message whose head has come but not all of its body."""
+        return self._message
+
+    @property
+    def ended(self) -> bool:
+        """Whether the body that `piece` reads has ended."""
+        return self._body is not None and self._body.mode == "done"
+
+    def next(self) -> Message | None:
+        """The next whole message, or None until more is fed."""
+        message, body = self.head(), self._body
+        if message is None or body is None:
+            return None
+        piece = body.read(self.buffer)
+        if piece:
+            self._parts.append(piece)
+        return self._finish(message) if body.mode == "done" else None
+
+    def end(self) -> Message | None:
+        """The peer has closed: the message that this ends, if it is one whose end is the close."""
+        if self._message is not None and self._body is not None and self._body.mode == "close":
+            return self._finish(self._message)
+        return None
+
+    def _finish(self, message: Message) -> Message:
+        message.body = b"".join(self._parts)
+        self._message, self._body, self._parts = None, None, []
+        return message
+
+    def _head_lines(self) -> list[bytes] | None:
+        """The lines of the head once it is whole. A line may end in LF alone; empty ones may lead."""
+        buffer = self.buffer
+        while (at := buffer.find(b"\n", self._seen)) >= 0:
+            line, self._seen = _line_of(buffer.take(at + 1)[:-1]), 0
+            self._head_size += at + 1
+            if self._head_size > HEAD_LIMIT:
+                break
+            if line:
+                self._lines.append(line)
+            elif self._lines:
+                lines, self._lines, self._head_size = self._lines, [], 0
+                return lines
+        self._seen = len(buffer)
+        if self._head_size + len(buffer) > HEAD_LIMIT:
+            raise HttpError(431, "head too large")
+        return None
+
+    def start(self, lines: list[bytes]) -> tuple[Message, _Body]:
+        raise NotImplementedError
+
+    def _framed(self, headers: Headers, otherwise: str, minor: bytes) -> _Body:
+        coding, length = headers.get(b"transfer-encoding"), headers.get(b"content-length")
+        if coding is not None:
+            if length is not None or minor == b"0":
+                raise HttpError(400, "conflicting lengths")
+            if coding.lower() != b"chunked":
+                raise HttpError(501, "unknown transfer coding")
+            return _Body("size", 0, self.body_limit)
+        if length is None:
+            return _Body(otherwise, 0, self.body_limit)
+        sizes = {int(v) if _DIGITS.fullmatch(v) else -1 for v in re.split(rb"[ \t]*,[ \t]*", length)}
+        if len(sizes) != 1 or -1 in sizes:
+            raise HttpError(400, "conflicting or bad lengths")
+        return _Body("length", sizes.pop(), self.body_limit)
+
+
+class RequestReader(Reader):
+    def start(self, lines: list[bytes]) -> tuple[Message, _Body]:
+        match = _REQUEST.fullmatch(lines[0])
+        if match is None:
+            raise HttpError(400, "bad request line")
+        method, target, minor = match.groups()
+        if not _TARGET.fullmatch(target):
+            raise HttpError(400, "bad target")
+        headers = _headers(lines[1:])
+        if method in (b"POST", b"PUT", b"PATCH") and not headers.keys() & {
+            b"content-length",
+            b"transfer-encoding",
+        }:
+            raise HttpError(411, "length required")
+        body = self._framed(headers, "length", minor)
+        return Request(headers, b"", _keeps(headers, minor), method, target), body
+
+
+class ResponseReader(Reader):
+    def start(self, lines: list[bytes]) -> tuple[Message, _Body]:
+        match = _STATUS.fullmatch(lines[0])
+        if match is None:
+            raise HttpError(400, "bad status line")
+        minor, status = match[1], int(match[2])
+        headers = _headers(lines[1:])
+        bare = status < 200 or status in (204, 304)
+        body = _Body("length", 0, None) if bare else self._framed(headers, "close", minor)
+        keep = _keeps(headers, minor) and body.mode != "close"
+        return Response(headers, b"", keep, status), body
+
+
+def _line_of(line: bytes) -> bytes:
+    line = line.removesuffix(b"\r")
+    if _CONTROL.search(line):
+        raise HttpError(400, "control character")
+    return line
+
+
+def _headers(lines: list[bytes]) -> Headers:
+    headers: Headers = {}
+    for line in lines:
+        name, colon, value = line.partition(b":")
+        if not colon or not _TOKEN.fullmatch(name):
+            raise HttpError(400, "bad header")
+        name, value = name.lower(), value.strip(b" \t")
+        headers[name] = headers[name] + b"," + value if name in headers else value
+    return headers
+
+
+def _keeps(headers: Headers, minor: bytes) -> bool:
+    options = {option.strip().lower() for option in headers.get(b"connection", b"").split(b",")}
+    return b"close" not in options and (minor == b"1" or b"keep-alive" in options)
+
+
+def request(method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes = b"") -> bytes:
+    lines = [b"%b %b HTTP/1.1" % (method, target), *(b"%b: %b" % header for header in headers)]
+    if body or method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def response(
+    status: int, body: bytes = b"", headers: tuple[tuple[bytes, bytes], ...] = (), keep_alive: bool = True
+) -> bytes:
+    lines = [b"HTTP/1.1 %d %b" % (status, HTTPStatus(status).phrase.encode())]
+    if status != 204:
+        lines.append(b"Content-Length: %d" % len(body))
+    lines += [b"%b: %b" % header for header in headers]
+    if not keep_alive:
+        lines.append(b"Connection: close")
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- /dev/null
+++ b/bitternpath/net/node.py
@@ -0,0 +1,116 @@
+"""One node: its parts put together, its start and its end."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import signal
+from random import Random
+from typing import Any
+
+from bitternpath.brain import Dispatcher
+from bitternpath.net.broker import Broker, Clock
+from bitternpath.net.config import Config
+from bitternpath.net.consumers import NEW_ONES_ARRIVE, Listener
+from bitternpath.net.providers import Pool
+from bitternpath.net.roster import Listing, Roster, Watch
+from bitternpath.net.sockets import Sockets
+
+log = logging.getLogger(__name__)
+
+REPORT_EVERY = 10.0  # s between lines with the counts so far
+LAST_WORDS = 0.1  # s for the last answers and DELETEs to leave
+
+
+class Node:
+    def __init__(self, config: Config, reactor: Any) -> None:
+        self.config, self.reactor = config, reactor
+        self.clock = Clock()
+        self.roster = Roster(config.known)
+        self.sockets = Sockets(config.sockets)
+        self.pool = Pool(
+            reactor, self.clock, self.roster, self.sockets, config.dial_timeout, config.idle_timeout
+        )
+        self.module = Dispatcher(config.settings, config.seed, self.clock())
+        self.broker = Broker(reactor, self.clock, self.roster, self.pool, self.module.handle)
+        self.pool.broker = self.broker
+        self.watch = Watch(reactor, self.roster, *config.discovery, Random(config.seed ^ 0x5EED))
+        self.listener = Listener(
+            reactor, self.clock, self.broker, self.sockets, config.settings.classes, self._ready
+        )
+        self.roster.tell = self._listed
+        self._may_end = self._ending = False
+
+    def _ready(self) -> bool:
+        return self.watch.spoke or bool(self.roster.providers)
+
+    def _listed(self, listing: Listing) -> None:
+        self.pool.listed(listing)
+        self.broker.listed(listing)
+
+    def start(self) -> None:
+        known = Listing(self.roster.revision, True, tuple(self.roster.providers.values()))
+        self.pool.listed(known)
+        self.broker.listed(known, at_start=True)
+        self.listener.listen(*self.config.listen)
+        self.pool.run()
+        self.watch.start()
+        self.reactor.callLater(REPORT_EVERY, self._report)
+        log.info("listening", extra={"kv": {"name": self.config.name, "providers": len(known.members)}})
+
+    def _report(self) -> None:
+        self.reactor.callLater(REPORT_EVERY, self._report)
+        kv: dict[str, object] = {"waiting": self.broker.waiting, "calls_out": len(self.broker.live)}
+        kv |= {"consumers": self.sockets.consumers, "providers": self.sockets.providers}
+        kv |= {key.replace(" ", "_"): n for key, n in sorted((self.broker.counts + self.pool.counts).items())}
+        log.info("counts", extra={"kv": kv})
+
+    def stop(self) -> None:
+        """Answer all that was taken, then end."""
+        if self.listener.stopping:
+            return
+        log.info("stopping", extra={"kv": {"waiting": self.broker.waiting}})
+        self.listener.stop()
+        self.reactor.callLater(NEW_ONES_ARRIVE + 2 * LAST_WORDS, self._close_when_idle)
+
+    def _close_when_idle(self) -> None:
+        self._may_end = True
+        self.broker.idle = self._end_if_idle
+        self._end_if_idle()
+
+    def _end_if_idle(self) -> None:
+        # Connections that hold part of a request are waited for: it may be whole, and so taken, any moment.
+        if self._ending or self.broker.waiting or self.broker.live:
+            return
+        if any(connection.reader.begun for connection in self.listener.connections):
+            self.reactor.callLater(LAST_WORDS, self._end_if_idle)
+            return
+        self._ending = True
+        self.reactor.callLater(LAST_WORDS, self._end)
+
+    def _end(self) -> None:
+        if self.broker.waiting:
+            self._ending = False
+            return
+        self._report()
+        log.info("stopped")
+        self.watch.stop()
+        self.reactor.stop()
+
+
+def serve(config: Config) -> int:
+    from twisted.internet import reactor as installed
+
+    reactor: Any = installed
+    node = Node(config, reactor)
+
+    def on_signal(number: int, frame: object) -> None:
+        reactor.callFromThread(node.stop)
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    node.start()
+    gc.collect()
+    gc.freeze()  # what is there now stays: collections need not look at it again
+    reactor.run(installSignalHandlers=False)
+    return 0
--- /dev/null
+++ b/bitternpath/net/providers.py
@@ -0,0 +1,352 @@
+"""Invoker calls: connections to providers, kept and reused, and the requests on them."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter, deque
+from typing import Any
+
+from twisted.internet.interfaces import IPullProducer
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from bitternpath import messages as m
+from bitternpath.net import http1
+from bitternpath.net.broker import Broker, Clock, InvokerCall
+from bitternpath.net.roster import Listing, Provider, Roster
+from bitternpath.net.sockets import Sockets, dial
+
+log = logging.getLogger(__name__)
+
+IDLE_SHARE = 0.6  # of the time after which a provider closes idle connections: ours go earlier
+SWEEP = 0.5  # s between looks for connections that have been idle too long
+WORD_WITHIN = 1.0  # s for the answer to a DELETE, and for one that a call no longer waits for
+DELETES, DELETES_EACH = 32, 2  # at once in all and at one provider; more are not sent
+
+PASSED_ON = (b"x-call-class", b"x-route-hash", b"x-again", b"x-call-info", b"content-type")
+
+
+class Exchange:
+    """One request on a connection and what waits for its answer."""
+
+    __slots__ = ("call", "data", "written")
+
+    def __init__(self, data: bytes, call: InvokerCall | None = None) -> None:
+        self.data, self.call = data, call
+        self.written = False  # the last byte has gone to the system
+
+
+@implementer(IPullProducer)
+class Connection(Protocol):
+    """A connection to a provider. It carries one request at a time."""
+
+    transport: Any
+
+    def __init__(self, pool: Pool, line: Line) -> None:
+        self.pool, self.line = pool, line
+        self.reader = http1.ResponseReader()
+        self.exchange: Exchange | None = None
+        self.idle_since = 0.0
+        self.timer: Any = None
+        self.open = False
+
+    def connectionMade(self) -> None:
+        self.open = True
+        self.transport.setTcpNoDelay(True)
+
+    def carry(self, exchange: Exchange) -> None:
+        self.exchange = exchange
+        # As a producer it hears when all has been written: only then may the request have been received.
+        self.transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:
+        exchange = self.exchange
+        if exchange is not None and exchange.data:
+            data, exchange.data = exchange.data, b""
+            self.transport.write(data)
+            return
+        if exchange is not None:
+            exchange.written = True
+        self.transport.unregisterProducer()
+
+    def stopProducing(self) -> None:
+        """The connection is going down; connectionLost tells the rest."""
+
+    def answer_within(self, seconds: float) -> None:
+        if self.open and self.timer is None:
+            self.timer = self.pool.reactor.callLater(seconds, self.abort)
+
+    def dataReceived(self, data: bytes) -> None:
+        self.reader.feed(data)
+        try:
+            message = self.reader.next()
+            while isinstance(message, http1.Response) and message.status < 200:
+                message = self.reader.next()
+        except http1.HttpError as error:
+            log.warning("bad answer", extra={"kv": {"from": self.line.address, "why": error}})
+            self.abort()
+            return
+        if message is None:
+            return
+        exchange = self.exchange
+        if exchange is None or not exchange.written:  # an answer to nothing
+            self.abort()
+            return
+        self._answered(exchange, message)
+
+    def _answered(self, exchange: Exchange, message: http1.Message) -> None:
+        self.exchange = None
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if not message.keep_alive or self.reader.begun:
+            self.abort()
+        self.pool.answered(self, exchange, message)
+
+    def abort(self) -> None:
+        """Close now, whatever is under way."""
+        if self.open:
+            self.open = False
+            if self.exchange is None:
+                self.transport.loseConnection()
+            else:
+                self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.open = False
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        exchange, self.exchange = self.exchange, None
+        message = self.reader.end() if exchange is not None and exchange.written else None
+        if exchange is not None and message is not None:
+            self.pool.answered(self, exchange, message)
+            exchange = None
+        self.pool.lost(self, exchange)
+
+
+class Line:
+    """The connections to one address and the exchanges that wait for one."""
+
+    __slots__ = ("address", "deletes", "dials", "idle", "waiting")
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.idle: list[Connection] = []  # the last used at the end
+        self.waiting: deque[Exchange] = deque()
+        self.dials = self.deletes = 0
+
+
+class Pool:
+    """The invoker: calls go out on the connection used last, or on a new one."""
+
+    broker: Broker
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        roster: Roster,
+        sockets: Sockets,
+        dial_timeout: float,
+        idle_timeout: float,
+    ) -> None:
+        self.reactor, self.clock, self.roster, self.sockets = reactor, clock, roster, sockets
+        self.dial_timeout = dial_timeout / 1000.0
+        self.idle_for = idle_timeout * IDLE_SHARE
+        self.lines: dict[str, Line] = {}
+        self.deletes = 0
+        self.counts: Counter[str] = Counter()
+        self._started: dict[str, float] = {}  # provider: when its process last started
+
+    def run(self) -> None:
+        self.reactor.callLater(SWEEP, self._sweep)
+
+    # ---- what the broker asks
+
+    def start(self, call: InvokerCall, provider: Provider) -> None:
+        exchange = Exchange(b"", call)
+        call.carrier = exchange
+        self._queue(provider.host_port, exchange)
+
+    def give_up(self, call: InvokerCall) -> None:
+        """Before the 202 by closing the connection, after it by a DELETE."""
+        exchange = call.carrier
+        if call.accepted:
+            self._delete(call)
+        if isinstance(exchange, Connection):
+            if not call.accepted:
+                exchange.abort()
+            else:
+                exchange.answer_within(WORD_WITHIN)
+            return
+        for line in self.lines.values():
+            if exchange in line.waiting:
+                line.waiting.remove(exchange)
+
+    def _delete(self, call: InvokerCall) -> None:
+        provider = self.roster.providers.get(call.provider)
+        if provider is None:
+            return
+        line = self.lines.get(provider.host_port)
+        if line is None or line.deletes >= DELETES_EACH or self.deletes >= DELETES:
+            self.counts["deletes_left_out"] += 1
+            return
+        headers = [(b"Host", provider.host_port.encode()), (b"X-Call-Id", call.id.encode())]
+        exchange = Exchange(http1.request(b"DELETE", b"/jobs/" + call.id.encode(), headers))
+        line.deletes += 1
+        self.deletes += 1
+        self.reactor.callLater(WORD_WITHIN, self._delete_over, line, exchange)
+        self._queue(provider.host_port, exchange)
+
+    def _delete_over(self, line: Line, exchange: Exchange) -> None:
+        """The place of a DELETE is free again after a fixed time, answered or not."""
+        line.deletes -= 1
+        self.deletes -= 1
+        if exchange in line.waiting:
+            line.waiting.remove(exchange)
+
+    # ---- connections
+
+    def _queue(self, address: str, exchange: Exchange) -> None:
+        line = self.lines.get(address)
+        if line is None:
+            line = self.lines[address] = Line(address)
+        while line.idle:
+            connection = line.idle.pop()
+            if connection.open:
+                self._carry(connection, exchange)
+                return
+        line.waiting.append(exchange)
+        if line.dials < len(line.waiting) and not self._dial(line):
+            line.waiting.remove(exchange)
+            self._unsent(exchange)
+
+    def _dial(self, line: Line) -> bool:
+        if self.sockets.providers_full() and not self._close_oldest_idle():
+            self.counts["no_socket"] += 1
+            return False
+        host, _, port = line.address.rpartition(":")
+        if not port.isdigit():
+            return False
+        self.sockets.providers += 1
+        self.counts["dials"] += 1
+        line.dials += 1
+        dialled = dial(self.reactor, host, int(port), self.dial_timeout, Connection(self, line))
+        dialled.addCallbacks(self._dialled, self._not_dialled, errbackArgs=(line,))
+        dialled.addErrback(lambda failure: log.error("dial", extra={"kv": {"why": failure.getTraceback()}}))
+        return True
+
+    def _dialled(self, connection: Connection) -> None:
+        connection.line.dials -= 1
+        self._free(connection, connection.line)
+
+    def _not_dialled(self, failure: Failure, line: Line) -> None:
+        line.dials -= 1
+        self.sockets.providers -= 1
+        log.debug("dial failed", extra={"kv": {"to": line.address, "why": failure.getErrorMessage()}})
+        self.counts["dials_failed"] += 1
+        # The exchange that has waited longest is the one that this dial was for.
+        while len(line.waiting) > line.dials:
+            self._unsent(line.waiting.popleft())
+
+    def _unsent(self, exchange: Exchange) -> None:
+        """No byte of it was written: it never ran."""
+        if exchange.call is not None:
+            self.broker.ended(exchange.call, m.How.NO_CONNECTION)
+
+    def _carry(self, connection: Connection, exchange: Exchange) -> None:
+        call = exchange.call
+        if call is None:
+            connection.answer_within(WORD_WITHIN)
+        else:
+            call.carrier = connection
+            exchange.data = self._request(call, connection.line.address)
+        connection.carry(exchange)
+
+    def _request(self, call: InvokerCall, address: str) -> bytes:
+        message = call.invocation.payload
+        assert isinstance(message, http1.Request)
+        left = max(int(call.expires - self.clock()), 1)
+        headers = [
+            (b"Host", address.encode()),
+            (b"X-Call-Id", call.id.encode()),
+            (b"X-Budget-Ms", b"%d" % left),
+            *((name, message.headers[name]) for name in PASSED_ON if name in message.headers),
+        ]
+        return http1.request(message.method, message.target, headers, message.body)
+
+    def _free(self, connection: Connection, line: Line) -> None:
+        """A connection can carry something: what waits, or nothing for a while."""
+        while line.waiting and connection.open:
+            exchange = line.waiting.popleft()
+            call = exchange.call
+            if call is not None and call.over:
+                continue
+            if call is not None and self.roster.serving(call.provider) is None:
+                self._unsent(exchange)  # its drain was told while the call waited for a connection
+                continue
+            self._carry(connection, exchange)
+            return
+        if connection.open:
+            connection.idle_since = self.clock()
+            line.idle.append(connection)
+
+    def answered(self, connection: Connection, exchange: Exchange, message: http1.Message) -> None:
+        call = exchange.call
+        if call is not None and isinstance(message, http1.Response):
+            call.carrier = None
+            if not call.accepted:
+                self._outcome(call, message)
+        self._free(connection, connection.line)
+
+    def _outcome(self, call: InvokerCall, message: http1.Response) -> None:
+        if message.status == 202:
+            call.accepted = True
+        elif message.status in (503, 504) and message.headers.get(b"x-rejected") == b"1":
+            self.broker.ended(call, m.How.FULL)
+        else:
+            self.broker.ended(call, m.How.ERROR)
+
+    def lost(self, connection: Connection, exchange: Exchange | None) -> None:
+        self.sockets.providers -= 1
+        if connection in connection.line.idle:
+            connection.line.idle.remove(connection)
+        call = exchange.call if exchange is not None else None
+        if exchange is not None and call is not None:
+            call.carrier = None
+            if not call.accepted:
+                self.broker.ended(call, m.How.RESET if exchange.written else m.How.NO_CONNECTION)
+
+    def _close_oldest_idle(self) -> bool:
+        idle = [line.idle[0] for line in self.lines.values() if line.idle]
+        if not idle:
+            return False
+        oldest = min(idle, key=lambda connection: connection.idle_since)
+        oldest.line.idle.remove(oldest)
+        oldest.abort()
+        return True
+
+    def _sweep(self) -> None:
+        self.reactor.callLater(SWEEP, self._sweep)
+        due = self.clock() - self.idle_for
+        for line in self.lines.values():
+            while line.idle and line.idle[0].idle_since <= due:
+                line.idle.pop(0).abort()
+        known = {provider.host_port for provider in self.roster.providers.values()}
+        for line in [line for line in self.lines.values() if line.address not in known]:
+            if not (line.idle or line.waiting or line.dials or line.deletes):
+                del self.lines[line.address]
+
+    def listed(self, listing: Listing) -> None:
+        """Connections to a process that is gone or has started anew are of no more use."""
+        for provider in listing.members:
+            before = self._started.get(provider.id, provider.up_since)
+            self._started[provider.id] = provider.up_since
+            if provider.state is m.State.GONE or provider.up_since > before:
+                self.close_idle(provider.host_port)
+
+    def close_idle(self, address: str) -> None:
+        line = self.lines.get(address)
+        while line is not None and line.idle:
+            line.idle.pop().abort()
--- /dev/null
+++ b/bitternpath/net/sockets.py
@@ -0,0 +1,46 @@
+"""Connections out, and how many sockets the node holds against its limit."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.interfaces import IAddress
+from twisted.internet.protocol import Factory, Protocol
+
+# Besides consumers and providers: standard streams, the poller, the reactor's wakers, the listener and its
+# spare descriptor, discovery, and sockets that the system has not let go of yet.
+RESERVED = 24
+FOR_PROVIDERS = 0.4  # the share of the rest that consumers and call-backs leave to provider connections
+
+
+class Sockets:
+    """Counts sockets by side, so that neither can take the other's last ones."""
+
+    def __init__(self, limit: int) -> None:
+        self.total = max(limit - RESERVED, 8)
+        self.for_consumers = int(self.total * (1 - FOR_PROVIDERS))
+        self.consumers = self.providers = 0
+
+    def consumers_full(self) -> bool:
+        return self.consumers >= self.for_consumers
+
+    def providers_full(self) -> bool:
+        return self.providers >= self.total - self.for_consumers
+
+
+class _Dialled(Factory):
+    noisy = False
+
+    def __init__(self, protocol: Protocol) -> None:
+        self.made = protocol
+
+    def buildProtocol(self, addr: IAddress | None) -> Protocol:
+        return self.made
+
+
+def dial(reactor: Any, host: str, port: int, timeout: float, protocol: Protocol) -> Deferred[Any]:
+    """Connect `protocol`; fires with it once the connection is up, fails after `timeout` seconds."""
+    factory: Any = _Dialled(protocol)
+    return TCP4ClientEndpoint(reactor, host, port, timeout).connect(factory)
--- /dev/null
+++ b/tests/test_http1.py
@@ -0,0 +1,135 @@
+"""Tables for the parsers: every case is fed whole and byte by byte."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from bitternpath.net.buffer import COMPACT_FROM, Buffer
+from bitternpath.net.http1 import (
+    BODY_LIMIT,
+    HEAD_LIMIT,
+    HttpError,
+    Message,
+    Reader,
+    RequestReader,
+    Response,
+    ResponseReader,
+    request,
+    response,
+)
+from bitternpath.net.http1 import Request as Req
+
+POST = b"POST /a?b=1 HTTP/1.1\r\n"
+CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+def fed(reader: Reader, data: bytes, step: int) -> Iterator[Message]:
+    for at in range(0, len(data), step):
+        reader.feed(data[at : at + step])
+        while (message := reader.next()) is not None:
+            yield message
+
+
+GOOD = [
+    ("bare", b"GET /ready HTTP/1.1\r\n\r\n", [(b"GET", b"/ready", b"", True)]),
+    ("line feeds alone", b"GET / HTTP/1.1\nA: b\n\n", [(b"GET", b"/", b"", True)]),
+    ("empty lines lead", b"\r\n\r\nGET / HTTP/1.1\r\n\r\n", [(b"GET", b"/", b"", True)]),
+    ("length", POST + b"Content-Length: 3\r\n\r\nabc", [(b"POST", b"/a?b=1", b"abc", True)]),
+    ("length zero", POST + b"content-length: 0\r\n\r\n", [(b"POST", b"/a?b=1", b"", True)]),
+    ("same length twice", POST + b"Content-Length: 1\r\nContent-Length: 1\r\n\r\nx", [(b"POST", b"/a?b=1", b"x", True)]),
+    ("chunks", CHUNKED + b"2;x=y\r\nab\r\nA\r\n0123456789\r\n0\r\nT: v\r\n\r\n", [(b"POST", b"/a?b=1", b"ab0123456789", True)]),
+    ("no chunk", CHUNKED + b"0\r\n\r\n", [(b"POST", b"/a?b=1", b"", True)]),
+    ("close", b"GET / HTTP/1.1\r\nConnection: x, Close\r\n\r\n", [(b"GET", b"/", b"", False)]),
+    ("old", b"GET / HTTP/1.0\r\n\r\n", [(b"GET", b"/", b"", False)]),
+    ("old but kept", b"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", [(b"GET", b"/", b"", True)]),
+    (
+        "back to back",
+        CHUNKED + b"1\r\nz\r\n0\r\n\r\n" + POST + b"Content-Length: 2\r\n\r\nhiGET /x HTTP/1.1\r\n\r\n",
+        [(b"POST", b"/a?b=1", b"z", True), (b"POST", b"/a?b=1", b"hi", True), (b"GET", b"/x", b"", True)],
+    ),
+    ("largest body", POST + b"Content-Length: %d\r\n\r\n" % BODY_LIMIT + b"x" * BODY_LIMIT, [(b"POST", b"/a?b=1", b"x" * BODY_LIMIT, True)]),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("step", [1, 7, 1 << 20])
+@pytest.mark.parametrize(("data", "want"), [c[1:] for c in GOOD], ids=[c[0] for c in GOOD])
+def test_requests(data: bytes, want: list[tuple[object, ...]], step: int) -> None:
+    reader = RequestReader()
+    got = [m for m in fed(reader, data, step) if isinstance(m, Req)]
+    assert [(m.method, m.target, m.body, m.keep_alive) for m in got] == want
+    assert not reader.begun
+
+
+BAD = [
+    (400, b"nonsense\r\n\r\n"),
+    (400, b"GET  / HTTP/1.1\r\n\r\n"),
+    (400, b"GET / HTTP/2.0\r\n\r\n"),
+    (400, b"GET http://a/ HTTP/1.1\r\n\r\n"),
+    (400, b"GET / HTTP/1.1\r\nA : b\r\n\r\n"),
+    (400, b"GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n"),
+    (400, b"GET / HTTP/1.1\r\nA: b\rc\r\n\r\n"),
+    (400, b"GET / HTTP/1.1\r\nA: \x00\r\n\r\n"),
+    (400, POST + b"Content-Length: -1\r\n\r\n"),
+    (400, POST + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab"),
+    (400, POST + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"),
+    (400, CHUNKED + b"g\r\n"),
+    (400, CHUNKED + b"-1\r\n"),
+    (400, CHUNKED + b"1\r\nab\r\n"),
+    (400, CHUNKED + b"1" * 2000),
+    (411, POST + b"\r\n"),
+    (413, POST + b"Content-Length: %d\r\n\r\n" % (BODY_LIMIT + 1)),
+    (413, CHUNKED + b"%x\r\n" % (BODY_LIMIT + 1)),
+    (413, CHUNKED + (b"8000\r\n" + b"x" * 0x8000 + b"\r\n") * 3),
+    (431, POST + b"A: " + b"x" * HEAD_LIMIT),
+    (431, POST + b"A: b\r\n" * (HEAD_LIMIT // 6)),
+    (501, POST + b"Transfer-Encoding: gzip, chunked\r\n\r\n"),
+]
+
+
+@pytest.mark.parametrize("step", [1, 1 << 20])
+@pytest.mark.parametrize(("status", "data"), BAD)
+def test_what_is_malformed(status: int, data: bytes, step: int) -> None:
+    with pytest.raises(HttpError) as error:
+        list(fed(RequestReader(), data, step))
+    assert error.value.status == status
+
+
+ANSWERS = [
+    (b"HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\nok", [(202, b"ok", True)]),
+    (b"HTTP/1.1 204\r\n\r\nHTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", [(204, b"", True), (503, b"", True)]),
+    (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+     [(100, b"", True), (200, b"a", True)]),
+    (b"HTTP/1.1 200 OK\r\n\r\nup to the end", [(200, b"up to the end", False)]),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("step", [1, 1 << 20])
+@pytest.mark.parametrize(("data", "want"), ANSWERS)
+def test_answers(data: bytes, want: list[tuple[object, ...]], step: int) -> None:
+    reader = ResponseReader()
+    got: list[Message | None] = list(fed(reader, data, step))
+    got.append(reader.end())
+    assert [(m.status, m.body, m.keep_alive) for m in got if isinstance(m, Response)] == want
+
+
+@pytest.mark.parametrize("step", [1, 1 << 20])
+def test_what_is_written_reads_back(step: int) -> None:
+    (asked,) = fed(RequestReader(), request(b"POST", b"/x?y", [(b"Host", b"h")], b"body"), step)
+    assert isinstance(asked, Req) and (asked.target, asked.body, asked.headers[b"host"]) == (
+        b"/x?y",
+        b"body",
+        b"h",
+    )
+    (told,) = fed(ResponseReader(), response(429, b"no", ((b"Retry-After", b"1"),), False), step)
+    assert isinstance(told, Response) and (told.status, told.body, told.keep_alive) == (429, b"no", False)
+
+
+def test_the_buffer_gives_back_what_it_took_in_and_does_not_keep_it() -> None:
+    buffer = Buffer()
+    for k in range(100):
+        buffer.append(bytes([k]) * COMPACT_FROM)
+        assert buffer.find(bytes([k])) == 0
+        assert buffer.take(COMPACT_FROM) == bytes([k]) * COMPACT_FROM
+    assert len(buffer) == 0 and len(buffer._data) <= 2 * COMPACT_FROM
