Refuse jobs that no worker can end before their deadline

Clients' last tries came with some 30 ms left; ClassLine-late jobs skip the limit in Dispatcher.pick, and settle_by was the deadline itself, so they took 120 to 240 ms of a worker each for answers nobody awaited.

Now a late job goes only where its wait and running time fit before the deadline, and a held one is refused once the least running time no longer fits.

Ruled out: the node's own time (0.5 ms a call) and exceptions.

--- a/bitternpath/brain.py
+++ b/bitternpath/brain.py
@@ -150,7 +150,9 @@
         self.end_by += self.spec.aim + self.spec.stretch * (request.hint or line.work)
         begin_by = self.end_by - min(line.pace.values(), default=0.0) * self.size
         # In overload what would end late for nothing is turned away early: it would take others' place.
-        self.settle_by = self.deadline if self.spec.late_worth else min(begin_by, self.deadline)
+        # So is what would end after the deadline: no place that comes up then could still serve it.
+        least = min(line.pace.values(), default=0.0) * self.size
+        self.settle_by = self.deadline - least if self.spec.late_worth else min(begin_by, self.deadline)
 
 
 class ClassLine:
@@ -314,6 +316,7 @@
         # The usual wait, where the last sends to a worker were likely others'; it drains when no job begins.
         usual = (1 - 1 / self.set.dispatchers) ** UNSEEN * max(self.mean_wait - (now - self.begun_at), 0.0)
         late = job.spec.late_worth > 0 and max(kinds.values(), default=0.0) < 0
+        left, paces = job.deadline - now, job.line.pace
         best, best_score = None, 0.0
         for places in ([int(rand() * n) for _ in range(min(many, n))], range(n)):
             for k in places:
@@ -323,6 +326,8 @@
                 age, own = now - w.wait_at, w.own_queue(self.mean_run)
                 # A queue drains since it was seen, but others send. What is late may go where none was.
                 limit = kinds.get(w.kind, 0.0)
+                if late and max(w.wait - age, 0.0) + own + paces.get(w.kind, 0.0) * job.size > left:
+                    continue  # it would end after the deadline, for nothing
                 if not late and max(w.wait - age, usual if limit > 0 else 0.0) + own > max(limit, 0.0):
                     continue
                 fade = LOOK_LASTS * run / (LOOK_LASTS * run + age)
--- a/tests/test_strain.py
+++ b/tests/test_strain.py
@@ -126,3 +126,27 @@
     for worker in talk.d.workers.values():
         worker.wait = 0.0
     assert sends(talk.ask("slow kind"))
+
+
+def test_a_job_that_no_worker_can_end_before_its_deadline_is_refused_at_once() -> None:
+    """Clients' last tries came with 30 ms left and took workers' time for answers that nobody awaited."""
+    talk = Talk(job_class(late_worth=0.5), tells_start=True)
+    teach(talk, 300.0)
+    acts = talk.ask("hopeless", remaining=100.0)
+    assert not sends(acts) and len(finals(acts)) == 1
+    assert sends(talk.ask("late but served", remaining=3000.0))
+
+
+def test_a_held_job_is_given_up_when_its_running_time_no_longer_fits() -> None:
+    """It was held to the last moment, though no place that came up by then could serve it."""
+    talk = Talk(job_class(late_worth=0.5), workers=1, tells_start=True)
+    teach(talk, 300.0)
+    (send,) = sends(talk.ask("running"))
+    talk.say(m.JobNote("running", 0, send.worker))
+    (extra,) = sends(talk.ask("turned away", remaining=5000.0))
+    talk.end("turned away", extra.worker, m.How.FULL, after=1.0)
+    assert not finals(talk.ask("held", remaining=700.0))
+    start = talk.now
+    while not finals(talk.sweep(talk.d.pause)):
+        assert talk.now < start + 700.0
+    assert talk.now <= start + 410.0
