--- a/bitternpath/net/consumers.py
+++ b/bitternpath/net/consumers.py
@@ -211,6 +211,12 @@
         self.port = self.reactor.listenTCP(port, self, backlog=1024, interface=host)
         self.port.numberAccepts = BURST
 
+    @property
+    def address(self) -> str:
+        """Where it listens; the port may have been left to the system."""
+        where = self.port.getHost()
+        return f"{where.host}:{where.port}"
+
     def buildProtocol(self, addr: IAddress | None) -> Protocol:
         return ConsumerConnection(self)
 
--- a/bitternpath/net/node.py
+++ b/bitternpath/net/node.py
@@ -56,7 +56,8 @@
         self.pool.run()
         self.watch.start()
         self.reactor.callLater(REPORT_EVERY, self._report)
-        log.info("listening", extra={"kv": {"name": self.config.name, "providers": len(known.members)}})
+        kv = {"name": self.config.name, "address": self.listener.address, "providers": len(known.members)}
+        log.info("listening", extra={"kv": kv})
 
     def _report(self) -> None:
         self.reactor.callLater(REPORT_EVERY, self._report)
--- a/bitternpath/net/roster.py
+++ b/bitternpath/net/roster.py
@@ -87,6 +87,8 @@
                 self.providers.pop(provider.id, None)
             else:
                 self.providers[provider.id] = provider
+        kv = {"revision": listing.revision, "whole": listing.complete, "lines": len(listing.members)}
+        log.info("roster", extra={"kv": kv})
         self.tell(listing)
 
     def serving(self, provider: str) -> Provider | None:
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,221 @@
+"""A node as a process of its own, with a discovery and providers on loopback that do as a test says."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import queue
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from http.client import HTTPConnection, HTTPResponse
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+
+SETTINGS: dict[str, Any] = {
+    "allowed": {"cancel": True, "connIdle": 10000.0, "dialTimeout": 250.0, "maxRetryAfter": 2000.0,
+                "secondCopies": True, "tryLimit": 6},
+    "balancers": 3,
+    "classes": [
+        {"name": "lookup", "aim": 5000.0, "effect": "pure", "giveUp": 9000.0, "lateWorth": 0.5},
+        {"name": "reminder", "aim": 5000.0, "effect": "side_effect", "giveUp": 9000.0, "lateWorth": 0.5},
+    ],
+    "familyInfo": {"tellsStart": True, "progress": 1000.0},
+    "kinds": ["standard"],
+    "locality": "a",
+    "rules": {"coldFrom": 0.2, "drainGrace": 2e3, "fall": 6e4, "tipMultiple": 4.0, "warmWithin": 9e5},
+    "tick": 2.0,
+}  # fmt: skip
+
+Behaviour = Callable[["Provider", BaseHTTPRequestHandler, str], None]
+
+
+def done(provider: Provider, handler: BaseHTTPRequestHandler, id: str) -> None:
+    accept(provider, handler, id)
+    provider.tell(id, "done", result=f"made by {provider.id}")
+
+
+def accept(provider: Provider, handler: BaseHTTPRequestHandler, id: str) -> None:
+    reply(handler, 202)
+
+
+def reject(provider: Provider, handler: BaseHTTPRequestHandler, id: str) -> None:
+    reply(handler, 503, "X-Rejected: 1")
+
+
+def reset(provider: Provider, handler: BaseHTTPRequestHandler, id: str) -> None:
+    handler.close_connection = True
+
+
+def silent(provider: Provider, handler: BaseHTTPRequestHandler, id: str) -> None:
+    provider.rig.over.wait(30)
+    handler.close_connection = True
+
+
+def reply(handler: BaseHTTPRequestHandler, status: int, *headers: str) -> None:
+    lines = [f"HTTP/1.1 {status} x", "Content-Length: 0", *headers]
+    handler.wfile.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+
+
+class Server:
+    """An HTTP server on a port of the system's choosing."""
+
+    def __init__(self, handle: Callable[[BaseHTTPRequestHandler], None]) -> None:
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_POST(self) -> None:
+                with contextlib.suppress(OSError):
+                    handle(self)
+
+            do_GET = do_DELETE = do_POST
+
+            def log_message(self, *args: Any) -> None: ...
+
+        self.http = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.http.daemon_threads = True
+        self.address = f"127.0.0.1:{self.http.server_address[1]}"
+        threading.Thread(target=self.http.serve_forever, args=(0.01,), daemon=True).start()
+
+
+class Provider:
+    def __init__(self, rig: Rig, id: str, does: Behaviour, up_since: float = 0.0) -> None:
+        self.rig, self.id, self.does, self.up_since, self.phase = rig, id, does, up_since, "up"
+        self.got: list[tuple[str, str, bytes]] = []  # method, target, body
+        self.got_event = threading.Event()
+        self.deleted = threading.Event()
+        self.server = Server(self.handle)
+
+    def handle(self, handler: BaseHTTPRequestHandler) -> None:
+        body = handler.rfile.read(int(handler.headers.get("Content-Length", 0)))
+        self.got.append((handler.command, handler.path, body))
+        if handler.command == "DELETE":
+            reply(handler, 200)
+            self.deleted.set()
+            return
+        self.got_event.set()
+        self.does(self, handler, handler.headers["X-Call-Id"])
+
+    @property
+    def posts(self) -> int:
+        return sum(method == "POST" for method, _, _ in self.got)
+
+    def tell(self, id: str, state: str, **more: Any) -> int:
+        news = {"id": id, "from": self.id, "state": state, **more}
+        return self.rig.send("POST", "/_jobs/news", json.dumps(news).encode())[0]
+
+    def row(self) -> dict[str, Any]:
+        return {"id": self.id, "host_port": self.server.address, "locality": "a", "flavor": "standard",
+                "cell": 0, "phase": self.phase, "size": 1.0, "up_since_ms": self.up_since}  # fmt: skip
+
+
+class Rig:
+    def __init__(self, path: Path, *providers: tuple[Behaviour, float], sockets: int = 256) -> None:
+        self.over = threading.Event()
+        self.revision = 1
+        self.changes: queue.Queue[dict[str, Any]] = queue.Queue()
+        self.watched: queue.Queue[str] = queue.Queue()
+        self.providers = [Provider(self, f"s-{k}", does, up) for k, (does, up) in enumerate(providers)]
+        discovery = Server(self.watch)
+        conf = {
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "8c1f",
+            "limits": {"sockets": sockets}, "known": self.listing(), "settings": SETTINGS,
+        }  # fmt: skip
+        (path / "config.json").write_text(json.dumps(conf))
+        env = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "bitternpath"],
+            env={**env, "PROXY_CONFIG": str(path / "config.json")},
+            cwd=Path(__file__).parent.parent,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        self.log: list[str] = []
+        assert self.process.stderr is not None
+        for line in self.process.stderr:
+            self.log.append(line)
+            if "event=listening" in line:
+                break
+        self.address = next(p.split("=")[1] for p in self.log[-1].split() if p.startswith("address="))
+        threading.Thread(target=self.log.extend, args=(self.process.stderr,), daemon=True).start()
+
+    def listing(self) -> dict[str, Any]:
+        return {"revision": self.revision, "complete": True, "members": [p.row() for p in self.providers]}
+
+    def watch(self, handler: BaseHTTPRequestHandler) -> None:
+        """Tell changes as they come; None among them ends the watch."""
+        self.watched.put(handler.path)
+        handler.wfile.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        line: dict[str, Any] | None = self.listing()
+        while line is not None:
+            data = json.dumps(line).encode() + b"\n"
+            handler.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
+            line = self.changes.get()
+        handler.close_connection = True
+
+    def change(self, provider: Provider, phase: str) -> None:
+        """Tell it, and wait until the node has taken it in."""
+        provider.phase = phase
+        self.revision += 1
+        self.changes.put({"revision": self.revision, "complete": False, "members": [provider.row()]})
+        until(lambda: any(f"event=roster revision={self.revision} " in line for line in self.log))
+
+    def open(self, **headers: str) -> HTTPConnection:
+        return HTTPConnection(self.address, timeout=20)
+
+    def send(
+        self, method: str, path: str, body: bytes = b"", **headers: str
+    ) -> tuple[int, bytes, HTTPResponse]:
+        connection = self.open()
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        connection.request(method, path, body, named)
+        answer = connection.getresponse()
+        data = answer.read()
+        connection.close()
+        return answer.status, data, answer
+
+    def invoke(
+        self, id: str, path: str = "/lookup", budget: int = 9000, body: bytes = b"b"
+    ) -> tuple[int, bytes, HTTPResponse]:
+        return self.send("POST", path, body, X_Call_Id=id, X_Budget_Ms=str(budget))
+
+    def raw(self, data: bytes) -> bytes:
+        host, _, port = self.address.rpartition(":")
+        with socket.create_connection((host, int(port)), 20) as sock:
+            sock.sendall(data)
+            return sock.recv(4096)
+
+    def close(self) -> None:
+        self.over.set()
+        self.changes.put(None)  # type: ignore[arg-type]
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait(20)
+
+    def terminate(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+
+def until(true: Callable[[], object]) -> None:
+    """Wait until something holds; only a hang ends it otherwise."""
+    for _ in range(2000):
+        if true():
+            return
+        time.sleep(0.01)
+    raise AssertionError("it never came true")
+
+
+@contextlib.contextmanager
+def running(path: Path, *providers: Behaviour | tuple[Behaviour, float], sockets: int = 256) -> Iterator[Rig]:
+    rig = Rig(path, *[p if isinstance(p, tuple) else (p, 0.0) for p in providers], sockets=sockets)
+    try:
+        yield rig
+    finally:
+        rig.close()
+    assert not [line for line in rig.log if "trace=" in line]
--- /dev/null
+++ b/tests/test_broker.py
@@ -0,0 +1,162 @@
+"""The core on a clock of its own: no sockets, no waiting."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from twisted.internet.task import Clock as Reactor
+
+from bitternpath import messages as m
+from bitternpath.brain import Dispatcher
+from bitternpath.net.broker import Broker, Invocation, InvokerCall, State
+from bitternpath.net.roster import Listing, Provider, Roster
+
+
+class Desk:
+    """A broker between a consumer and an invoker that write down what they are told."""
+
+    def __init__(self, effect: m.Effect = m.Effect.UNSAFE, providers: int = 2, handle: Any = None) -> None:
+        self.reactor = Reactor()
+        rows = (Provider(f"s{k}", f"h:{k}", "z", "k", 0, m.State.SERVING, 1.0, 0.0) for k in range(providers))
+        listing = Listing(1, True, tuple(rows))
+        self.calls: list[InvokerCall] = []
+        self.given_up: list[InvokerCall] = []
+        self.answers: list[tuple[Any, ...]] = []
+        spec = m.JobClass("job", effect, 80.0, 5000.0, late_worth=0.5, window=5000.0)
+        module = Dispatcher(
+            m.Settings((spec,), second_copies=True, try_limit=6, tells_start=True), 1, self.now()
+        )
+        self.broker = Broker(self.reactor, self.now, Roster(listing), self, handle or module.handle)  # type: ignore[arg-type]
+        self.broker.listed(listing, at_start=True)
+        self.pass_time(1.0)
+
+    def now(self) -> float:
+        return self.reactor.seconds() * 1000.0 + 1e6
+
+    def pass_time(self, ms: float) -> None:
+        for _ in range(int(ms)):
+            self.reactor.advance(0.001)
+
+    def invoke(self, id: str = "a", budget: float = 1000.0) -> Invocation:
+        invocation = Invocation(id, "job", self.now() + budget, self, None)
+        self.broker.invoke(invocation)
+        self.pass_time(1.0)
+        return invocation
+
+    def news(self, state: State, provider: str, id: str = "a", result: bytes = b"") -> None:
+        self.broker.news(id, provider, state, None, result)
+        self.pass_time(1.0)
+
+    def start(self, call: InvokerCall, provider: Provider) -> None:
+        self.calls.append(call)
+
+    def give_up(self, call: InvokerCall) -> None:
+        self.given_up.append(call)
+
+    def served(self, result: bytes) -> None:
+        self.answers.append(("served", result))
+
+    def rejected(self, retry_after: float) -> None:
+        self.answers.append(("rejected",))
+
+    def failed(self) -> None:
+        self.answers.append(("failed",))
+
+
+@pytest.mark.parametrize("effect", list(m.Effect))
+def test_a_silent_provider_costs_an_answer_before_the_deadline(effect: m.Effect) -> None:
+    desk = Desk(effect, providers=1)
+    desk.invoke(budget=500.0)
+    desk.pass_time(480.0)
+    assert desk.answers == [] and len(desk.calls) == 1
+    desk.pass_time(19.0)
+    assert len(desk.answers) == 1 and desk.given_up == desk.calls
+    assert not desk.broker.live and not desk.broker.waiting
+
+
+def test_an_invocation_with_next_to_no_time_left_is_still_the_modules_to_answer() -> None:
+    # Guards: the last-moment timer was due before the drain, and 'failed' was said without asking the module.
+    desk = Desk(m.Effect.SAFE, providers=0)
+    desk.invoke(budget=3.0)
+    assert desk.answers == [("rejected",)]
+
+
+@pytest.mark.parametrize("state", [State.DONE, State.FAILED, State.LOST])
+def test_the_first_end_of_a_call_counts(state: State) -> None:
+    desk = Desk()
+    desk.invoke()
+    provider = desk.calls[0].provider
+    desk.news(state, provider, result=b"r")
+    for again in State:
+        desk.news(again, provider, result=b"other")
+    desk.broker.ended(desk.calls[0], m.How.RESET)
+    desk.pass_time(2000.0)
+    assert desk.answers == [("served", b"r") if state is State.DONE else ("failed",)]
+    assert len(desk.calls) == 1
+
+
+def test_news_from_a_provider_that_has_no_call_changes_nothing() -> None:
+    desk = Desk()
+    desk.invoke()
+    other = {"s0": "s1", "s1": "s0"}[desk.calls[0].provider]
+    desk.news(State.DONE, other, result=b"r")
+    desk.news(State.DONE, "s9", id="b")
+    assert desk.answers == [] and not desk.calls[0].over
+
+
+def test_a_job_handed_back_goes_on_but_a_repeat_of_that_news_proves_nothing() -> None:
+    # Guards: a late copy of 'returned' for the first call must not count as proof for a second one there.
+    desk = Desk(providers=1)
+    desk.invoke(budget=4000.0)
+    desk.news(State.RETURNED, "s0")
+    desk.pass_time(1500.0)
+    assert len(desk.calls) == 2
+    desk.news(State.RETURNED, "s0")
+    assert desk.answers == [("failed",)] and len(desk.calls) == 2
+
+
+def test_a_call_not_sent_because_its_provider_drains_goes_elsewhere() -> None:
+    desk = Desk()
+    serving = desk.broker.roster.providers
+    drained = serving.pop("s0")
+    for k in range(8):
+        desk.invoke(f"a{k}")
+    assert len(desk.calls) == 8 and not any(call.provider == drained.id for call in desk.calls)
+
+
+def test_a_consumer_that_has_gone_has_its_calls_given_up_and_no_answer() -> None:
+    desk = Desk()
+    desk.broker.withdraw(desk.invoke())
+    desk.pass_time(2.0)
+    assert desk.given_up == desk.calls and desk.answers == []
+    assert not desk.broker.live and not desk.broker.waiting
+
+
+def test_an_exception_in_the_module_costs_one_failed_answer_and_no_more() -> None:
+    # Guards: an exception must not lose the invocation, the rest of the batch, or the module's alarms.
+    heard: list[m.Event] = []
+
+    def handle(now: float, event: m.Event) -> list[m.Action]:
+        heard.append(event)
+        if isinstance(event, m.Alarm) and heard.count(event) == 1:
+            raise RuntimeError("alarm")
+        if isinstance(event, m.Request):
+            if event.id == "bad":
+                raise RuntimeError("request")
+            return [m.Refuse(event.id), m.Wake("sweep", 5.0)]
+        return []
+
+    desk = Desk(handle=handle)
+    desk.broker.invoke(Invocation("bad", "job", desk.now() + 500.0, desk, None))
+    desk.invoke("good")
+    assert sorted(desk.answers) == [("failed",), ("rejected",)]
+    desk.pass_time(200.0)
+    assert heard.count(m.Alarm("sweep")) == 2 and m.Withdrawn("bad") in heard
+
+
+def test_an_invocation_that_the_module_forgets_is_answered_all_the_same() -> None:
+    desk = Desk(handle=lambda now, event: [])
+    desk.invoke(budget=100.0)
+    desk.pass_time(99.0)
+    assert desk.answers == [("failed",)] and not desk.broker.waiting
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,174 @@
+"""The node as a process, on real loopback sockets."""
+
+from __future__ import annotations
+
+import contextlib
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+from rig import Provider, Rig, accept, done, reject, reply, reset, running, silent, until
+
+from bitternpath.net.http1 import BODY_LIMIT, HEAD_LIMIT
+
+JOB = b"POST /lookup HTTP/1.1\r\nX-Call-Id: x\r\n"
+
+
+def test_rule_1_what_was_taken_is_answered_once_before_its_deadline(tmp_path: Path) -> None:
+    with running(tmp_path, silent) as rig:
+        status, body, _ = rig.invoke("a", "/reminder", budget=600)
+        assert (status, body) == (500, b"")
+        assert rig.providers[0].posts == 1
+
+
+def test_rule_2_what_may_have_run_is_not_sent_again(tmp_path: Path) -> None:
+    with running(tmp_path, reset, reset, reset) as rig:
+        assert rig.invoke("a", "/reminder")[0] == 500
+        assert sum(p.posts for p in rig.providers) == 1
+
+
+def test_rule_2_what_never_ran_goes_to_another_provider(tmp_path: Path) -> None:
+    with running(tmp_path, reject, done) as rig:
+        for k in range(6):
+            assert rig.invoke(f"a{k}", "/reminder")[:2] == (200, b"made by s-1")
+        assert rig.providers[0].posts >= 1
+
+
+def test_rule_3_nothing_new_goes_to_a_provider_told_to_drain(tmp_path: Path) -> None:
+    with running(tmp_path, done, done) as rig:
+        draining = rig.providers[0]
+        rig.change(draining, "draining")
+        before = draining.posts
+        for k in range(20):
+            assert rig.invoke(f"a{k}")[1] == b"made by s-1"
+        assert draining.posts == before
+
+
+def test_rule_4_a_provider_that_just_came_up_is_not_pushed_over(tmp_path: Path) -> None:
+    with running(tmp_path, done, done, (done, time.time() * 1000)) as rig, ThreadPoolExecutor(8) as pool:
+        assert {r[0] for r in pool.map(rig.invoke, [f"a{k}" for k in range(40)])} == {200}
+        assert rig.providers[2].posts <= 1  # its first gaps are minutes long with these figures
+
+
+def test_sigterm_answers_what_was_taken_and_ends_with_0(tmp_path: Path) -> None:
+    with running(tmp_path, accept) as rig, ThreadPoolExecutor(4) as pool:
+        provider = rig.providers[0]
+        first = pool.submit(rig.invoke, "first")
+        until(lambda: provider.posts == 1)
+        rig.terminate()
+        until(lambda: rig.send("GET", "/ready")[0] == 503)
+        second = pool.submit(rig.invoke, "second")
+        until(lambda: provider.posts == 2)
+        for id in ("first", "second"):
+            assert provider.tell(id, "done", result=id) == 204
+        assert first.result()[:2] == (200, b"first")
+        assert second.result()[:2] == (200, b"second")
+        assert second.result()[2].getheader("Connection") == "close"
+        assert rig.process.wait(20) == 0
+
+
+def test_call_backs_may_come_early_again_or_for_nothing(tmp_path: Path) -> None:
+    def early(provider: Provider, handler: object, id: str) -> None:
+        for state in ("started", "running", "done", "done", "failed"):
+            provider.tell(id, state, share=0.5, result="first")
+        reply(handler, 202)  # type: ignore[arg-type]
+
+    with running(tmp_path, early) as rig:
+        for k in range(3):
+            assert rig.invoke(f"a{k}", "/reminder")[:2] == (200, b"first")
+        assert rig.providers[0].tell("never seen", "done") == 204
+        assert rig.providers[0].posts == 3
+
+
+def test_what_a_consumer_sends_reaches_the_provider_unaltered(tmp_path: Path) -> None:
+    with running(tmp_path, done) as rig:
+        body = bytes(range(256)) * 256
+        assert rig.invoke("a", "/lookup/x%20y?b=%2F&c", body=body)[0] == 200
+        assert rig.providers[0].got == [("POST", "/lookup/x%20y?b=%2F&c", body)]
+
+
+def test_a_job_whose_consumer_has_gone_is_given_up(tmp_path: Path) -> None:
+    with running(tmp_path, accept) as rig:
+        connection = rig.open()
+        connection.request("POST", "/lookup", b"", {"X-Call-Id": "a", "X-Budget-Ms": "9000"})
+        until(lambda: rig.providers[0].posts)
+        rig.providers[0].tell("a", "started")
+        connection.close()
+        assert rig.providers[0].deleted.wait(20)
+        assert rig.providers[0].got[-1][:2] == ("DELETE", "/jobs/a")
+
+
+def test_a_provider_that_cannot_be_reached_costs_nothing_but_time(tmp_path: Path) -> None:
+    with running(tmp_path, done, done) as rig:
+        rig.providers[0].server.http.server_close()
+        for k in range(6):
+            assert rig.invoke(f"a{k}", "/reminder")[:2] == (200, b"made by s-1")
+
+
+def test_a_broken_watch_is_opened_again_from_where_it_was(tmp_path: Path) -> None:
+    with running(tmp_path, done) as rig:
+        assert rig.watched.get(timeout=20).endswith("index=1")
+        rig.revision = 7
+        rig.changes.put(rig.listing())
+        rig.changes.put(None)  # type: ignore[arg-type]
+        assert rig.watched.get(timeout=20) == "/v1/endpoints?stream=1&index=7"
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory: pytest.TempPathFactory) -> object:
+    with running(tmp_path_factory.mktemp("node"), done) as rig:
+        yield rig
+
+
+@pytest.mark.parametrize(
+    ("status", "data"),
+    [
+        (200, b"GET /ready HTTP/1.1\r\n\r\n"),
+        (400, b"nonsense\r\n\r\n"),
+        (400, JOB + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab"),
+        (400, JOB.replace(b"X-Call-Id: x\r\n", b"") + b"Content-Length: 0\r\n\r\n"),
+        (400, JOB + b"X-Budget-Ms: soon\r\nContent-Length: 0\r\n\r\n"),
+        (400, JOB + b"X-Call-Class: reminder\r\nContent-Length: 0\r\n\r\n"),
+        (400, b"POST /_jobs/news HTTP/1.1\r\nContent-Length: 2\r\n\r\n[]"),
+        (400, b'POST /_jobs/news HTTP/1.1\r\nContent-Length: 17\r\n\r\n{"id":1,"from":2}'),
+        (404, b"POST /elsewhere HTTP/1.1\r\nContent-Length: 0\r\n\r\n"),
+        (405, b"GET /lookup HTTP/1.1\r\n\r\n"),
+        (405, b"POST /ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n"),
+        (405, b"GET /_jobs/news HTTP/1.1\r\n\r\n"),
+        (411, JOB + b"\r\n"),
+        (413, JOB + b"Content-Length: %d\r\n\r\n" % (BODY_LIMIT + 1)),
+        (431, JOB + b"A: " + b"a" * HEAD_LIMIT),
+        (100, JOB + b"Expect: 100-continue\r\nContent-Length: 1\r\n\r\n"),
+    ],
+)
+def test_status_of_an_answer(shared: Rig, status: int, data: bytes) -> None:
+    assert shared.raw(data).startswith(b"HTTP/1.1 %d " % status)
+
+
+def test_more_connections_than_sockets_do_no_harm(tmp_path: Path) -> None:
+    # Guards: at the limit idle connections go and accepting waits, so that calls still find sockets.
+    with running(tmp_path, done, sockets=64) as rig, contextlib.ExitStack() as stack:
+        for _ in range(100):
+            connection = stack.enter_context(contextlib.closing(rig.open()))
+            connection.connect()
+        for k in range(5):
+            assert rig.invoke(f"a{k}")[0] == 200
+        fds = Path(f"/proc/{rig.process.pid}/fd")
+        assert len(list(fds.iterdir())) <= 64
+
+
+def test_requests_back_to_back_are_answered_in_turn(tmp_path: Path) -> None:
+    with running(tmp_path, done) as rig:
+        sock = rig.open()
+        sock.connect()
+        one = JOB.replace(b": x", b": %d") + b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"
+        assert sock.sock is not None
+        sock.sock.sendall(b"".join(one % k for k in range(3)) + b"GET /ready HTTP/1.1\r\n\r\n")
+        data = b""
+        while data.count(b"HTTP/1.1 200") < 4:
+            got = sock.sock.recv(4096)
+            assert got
+            data += got
+        assert data.count(b"made by s-0") == 3
+        sock.close()
