Keep room for call-backs and wait for a provider connection when sockets are short

Waiting invocations held every socket of the listener, so the call-backs that would have ended them could not be accepted (Listener._make_room), until their deadlines. Lines at fault: sockets.py FOR_PROVIDERS = 0.4 as well, 40 sockets that providers hardly use (30 at once).

Now a quarter of the listener's sockets is left to call-backs: an invocation beyond the rest is rejected unsent, with the module's Retry-After, and its connection closes. While accepting is paused, answers close their connections, and connections idle for under 0.5 s are spared (closing fresh ones cut off requests, seen in the new test). A call that finds no socket waits for one of its provider's own connections, at most dialTimeout; before, 12 of 60 calls in the test failed as 'no connection' and the module left out the only provider.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# build: a virtual environment with what requirements.txt pins; test, lint, run; sim: the simulator's adapter
+PYTHON = .venv/bin/python
+
+.PHONY: build test lint format run sim check-config clean
+
+build: .venv/built
+
+.venv/built: requirements.txt
+	python3 -m venv .venv
+	.venv/bin/pip -q install -r requirements.txt
+	touch $@
+
+test: build
+	$(PYTHON) -m pytest
+
+lint: build
+	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
+	.venv/bin/mypy
+
+format: build
+	.venv/bin/ruff check --fix .
+	.venv/bin/ruff format .
+
+# PROXY_CONFIG names the configuration, see README.md
+run: build
+	$(PYTHON) -m bitternpath serve
+
+check-config: build
+	$(PYTHON) -m bitternpath check-config
+
+sim: build
+	$(PYTHON) -m bitternpath.simhost
+
+clean:
+	rm -rf .venv .ci-venv .pytest_cache .ruff_cache .mypy_cache .hypothesis
--- a/bitternpath/brain.py
+++ b/bitternpath/brain.py
@@ -261,15 +261,20 @@
             self.send(job, worker)
         elif not can or self.now + self.margin > job.settle_by:
             ran = any(t.ran for t in job.tries) and not job.line.harmless
-            self.acts.append(m.Fail(job.id) if ran else m.Refuse(job.id, self.advice(job)))
+            self.acts.append(m.Fail(job.id) if ran else m.Refuse(job.id, self.advice(job.line)))
             self.close(job)
         else:
             return False
         return True
 
-    def advice(self, job: Job) -> float:
+    def retry_after(self, now: float, job_class: str) -> float:
+        """The advice for a request that the node itself has no room for."""
+        self.now = now
+        return self.advice(self.lines[job_class])
+
+    def advice(self, line: ClassLine) -> float:
         """When the client may come again: a place where its job ends in time should be free by then."""
-        line, now, longest = job.line, self.now, self.set.max_retry_after
+        now, longest = self.now, self.set.max_retry_after
         bears = line.spec.aim + line.spec.stretch * line.work - min(line.pace.values(), default=0.0)
         waits = [
             max(w.wait - (now - w.wait_at), w.out_until - now, w.full_until - now, w.next_cold - now, 0.0)
--- a/bitternpath/net/consumers.py
+++ b/bitternpath/net/consumers.py
@@ -24,7 +24,9 @@
 MESSAGE_WITHIN = 30.0  # s that a message may take to arrive once it has begun
 NEW_ONES_ARRIVE = 0.5  # s after the signal to stop during which connections may still be new
 PENDING_LIMIT = 2 * http1.BODY_LIMIT  # bytes read ahead of the answer that is due
-BURST = 16  # connections accepted at a time
+BURST = 8  # connections accepted at a time, or closed to make room
+SPARED = 500.0  # ms: connections idle for less are not closed to make room
+LOOK_AGAIN = 0.1  # s between looks for such connections
 ID_LIMIT = 200
 
 _ID = re.compile(rb"[\x21-\x7e]{1,%d}" % ID_LIMIT)
@@ -145,7 +147,7 @@
         self.invocation = None
         if not self.open:
             return
-        keep = self.keep_alive and not self.listener.stopping
+        keep = self.keep_alive and not self.listener.stopping and self.listener.accepting
         self.transport.write(http1.response(status, body, headers, keep))
         self.idle_since = self.listener.clock()
         if not keep:
@@ -198,14 +200,16 @@
         sockets: Sockets,
         classes: tuple[m.JobClass, ...],
         is_ready: Callable[[], bool],
+        retry_after: Callable[[float, str], float],
     ) -> None:
         self.reactor, self.clock, self.broker, self.sockets = reactor, clock, broker, sockets
         self.classes = {c.name.encode(): c for c in classes}
-        self.is_ready = is_ready
+        self.is_ready, self.retry_after = is_ready, retry_after
         self.connections: dict[ConsumerConnection, None] = {}
         self.stopping = False
         self.port: Any = None
         self.accepting = True
+        self._looking = False  # a look for idle connections is due
 
     def listen(self, host: str, port: int) -> None:
         self.port = self.reactor.listenTCP(port, self, backlog=1024, interface=host)
@@ -228,21 +232,37 @@
     def left(self, connection: ConsumerConnection) -> None:
         if self.connections.pop(connection, connection) is None:
             self.sockets.consumers -= 1
-        if not self.accepting and not self.sockets.consumers_full():
-            self.accepting = True
+        self._accept(not self.sockets.consumers_full())
+
+    def _accept(self, on: bool) -> None:
+        if on == self.accepting:
+            return
+        self.accepting = on
+        if on:
             self.port.startReading()
+        else:
+            log.warning("accepting paused", extra={"kv": {"connections": len(self.connections)}})
+            self.port.stopReading()
 
     def _make_room(self) -> None:
-        """Near the limit the connection idle for longest goes; at it nothing more is accepted."""
-        if not self.sockets.consumers_full():
+        """At the limit nothing more is accepted until those idle for longest have gone.
+
+        One idle for a moment only is spared: its request may be on the way."""
+        self._accept(not self.sockets.consumers_full())
+        if self.accepting or self._looking:
             return
+        before = self.clock() - SPARED
         idle = [connection for connection in self.connections if connection.idle]
-        if len(idle) > 1:
-            min(idle, key=lambda connection: connection.idle_since).close()
-        elif self.accepting and self.port is not None:
-            log.warning("accepting paused", extra={"kv": {"connections": len(self.connections)}})
-            self.accepting = False
-            self.port.stopReading()
+        idle.sort(key=lambda connection: connection.idle_since)
+        for connection in idle[:BURST]:
+            if connection.idle_since <= before:
+                connection.close()
+        self._looking = True
+        self.reactor.callLater(LOOK_AGAIN, self._look_again)
+
+    def _look_again(self) -> None:
+        self._looking = False
+        self._make_room()
 
     # ---- requests
 
@@ -286,6 +306,11 @@
             connection.answer(400, b"X-Budget-Ms is malformed")
         elif self.broker.knows(id.decode()):
             connection.answer(409, b"X-Call-Id is in use")
+        elif self.broker.waiting >= self.sockets.invocations:
+            # Those that wait need sockets for their call-backs; the connection goes, to make room.
+            connection.keep_alive = False
+            connection.rejected(self.retry_after(self.clock(), spec.name))
+            self.broker.counts["no_room"] += 1
         else:
             key = headers.get(b"x-route-hash", b"")
             info = figures(headers[b"x-call-info"]) if b"x-call-info" in headers else {}
--- a/bitternpath/net/node.py
+++ b/bitternpath/net/node.py
@@ -36,7 +36,13 @@
         self.pool.broker = self.broker
         self.watch = Watch(reactor, self.roster, *config.discovery, Random(config.seed ^ 0x5EED))
         self.listener = Listener(
-            reactor, self.clock, self.broker, self.sockets, config.settings.classes, self._ready
+            reactor,
+            self.clock,
+            self.broker,
+            self.sockets,
+            config.settings.classes,
+            self._ready,
+            self.module.retry_after,
         )
         self.roster.tell = self._listed
         self._may_end = self._ending = False
--- a/bitternpath/net/providers.py
+++ b/bitternpath/net/providers.py
@@ -128,13 +128,14 @@
 class Line:
     """The connections to one address and the exchanges that wait for one."""
 
-    __slots__ = ("address", "deletes", "dials", "idle", "waiting")
+    __slots__ = ("address", "busy", "deletes", "dials", "idle", "waiting")
 
     def __init__(self, address: str) -> None:
         self.address = address
         self.idle: list[Connection] = []  # the last used at the end
         self.waiting: deque[Exchange] = deque()
         self.dials = self.deletes = 0
+        self.busy = 0  # connections that carry something
 
 
 class Pool:
@@ -218,7 +219,14 @@
                 self._carry(connection, exchange)
                 return
         line.waiting.append(exchange)
-        if line.dials < len(line.waiting) and not self._dial(line):
+        if line.dials >= len(line.waiting) or self._dial(line):
+            return
+        # No socket is left. One of this line's may become free in the time that a dial might have taken.
+        wait = self.dial_timeout if line.busy else 0.0
+        self.reactor.callLater(wait, self._waited, line, exchange)
+
+    def _waited(self, line: Line, exchange: Exchange) -> None:
+        if exchange in line.waiting:
             line.waiting.remove(exchange)
             self._unsent(exchange)
 
@@ -256,6 +264,7 @@
             self.broker.ended(exchange.call, m.How.NO_CONNECTION)
 
     def _carry(self, connection: Connection, exchange: Exchange) -> None:
+        connection.line.busy += 1
         call = exchange.call
         if call is None:
             connection.answer_within(WORD_WITHIN)
@@ -293,6 +302,7 @@
             line.idle.append(connection)
 
     def answered(self, connection: Connection, exchange: Exchange, message: http1.Message) -> None:
+        connection.line.busy -= 1
         call = exchange.call
         if call is not None and isinstance(message, http1.Response):
             call.carrier = None
@@ -312,8 +322,11 @@
         self.sockets.providers -= 1
         if connection in connection.line.idle:
             connection.line.idle.remove(connection)
-        call = exchange.call if exchange is not None else None
-        if exchange is not None and call is not None:
+        if exchange is None:
+            return
+        connection.line.busy -= 1
+        call = exchange.call
+        if call is not None:
             call.carrier = None
             if not call.accepted:
                 self.broker.ended(call, m.How.RESET if exchange.written else m.How.NO_CONNECTION)
--- a/bitternpath/net/sockets.py
+++ b/bitternpath/net/sockets.py
@@ -12,7 +12,8 @@
 # Besides consumers and providers: standard streams, the poller, the reactor's wakers, the listener and its
 # spare descriptor, discovery, and sockets that the system has not let go of yet.
 RESERVED = 24
-FOR_PROVIDERS = 0.4  # the share of the rest that consumers and call-backs leave to provider connections
+FOR_PROVIDERS = 0.25  # the share of the rest that consumers and call-backs leave to provider connections
+FOR_CALL_BACKS = 0.25  # the share of the listener's that invocations leave to call-backs
 
 
 class Sockets:
@@ -21,6 +22,7 @@
     def __init__(self, limit: int) -> None:
         self.total = max(limit - RESERVED, 8)
         self.for_consumers = int(self.total * (1 - FOR_PROVIDERS))
+        self.invocations = int(self.for_consumers * (1 - FOR_CALL_BACKS))  # that may wait at once
         self.consumers = self.providers = 0
 
     def consumers_full(self) -> bool:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,6 +11,7 @@
 from rig import Provider, Rig, accept, done, reject, reply, reset, running, silent, until
 
 from bitternpath.net.http1 import BODY_LIMIT, HEAD_LIMIT
+from bitternpath.net.sockets import Sockets
 
 JOB = b"POST /lookup HTTP/1.1\r\nX-Call-Id: x\r\n"
 
@@ -158,6 +159,24 @@
         assert len(list(fds.iterdir())) <= 64
 
 
+def test_more_invocations_than_sockets_leave_room_for_the_call_backs(tmp_path: Path) -> None:
+    # Guards: waiting invocations held every socket of the listener, so that no call-back could end one.
+    with running(tmp_path, accept, sockets=64) as rig, ThreadPoolExecutor(60) as pool:
+        room = Sockets(64).invocations
+        asked = [pool.submit(rig.invoke, f"a{k}", body=b"a%d" % k) for k in range(60)]
+        until(lambda: sum(answer.done() for answer in asked) >= 60 - room)
+        rejected = [answer.result()[2] for answer in asked if answer.done()]
+        assert {(r.status, r.getheader("Connection")) for r in rejected} == {(503, "close")}
+        assert all(0 < float(r.getheader("Retry-After") or 0) <= 2 for r in rejected)
+        told: set[bytes] = set()
+        while not all(answer.done() for answer in asked):
+            for _, _, id in rig.providers[0].got:
+                if id not in told:
+                    told.add(id)
+                    assert rig.providers[0].tell(id.decode(), "done", result="r") == 204
+        assert sum(answer.result()[:2] == (200, b"r") for answer in asked) == room == len(told)
+
+
 def test_requests_back_to_back_are_answered_in_turn(tmp_path: Path) -> None:
     with running(tmp_path, done) as rig:
         sock = rig.open()
