Send late jobs only where no wait is known

Dispatcher.pick let a late job pass every limit, so late jobs filled the workers' queues and made the next ones late too.

--- a/bitternpath/brain.py
+++ b/bitternpath/brain.py
@@ -329,11 +329,12 @@
                 if w.out_until > now or w.next_cold > now or (w.full_until > now and not w.room):
                     continue
                 age, own = now - w.wait_at, w.own_queue(self.mean_run)
-                # A queue drains since it was seen, but others send. What is late may go where none was.
-                limit = kinds.get(w.kind, 0.0)
-                if late and max(w.wait - age, 0.0) + own + paces.get(w.kind, 0.0) * job.size > left:
-                    continue  # it would end after the deadline, for nothing
-                if not late and max(w.wait - age, usual if limit > 0 else 0.0) + own > max(limit, 0.0):
+                # A queue drains since it was seen, but others send. What is late goes where none is known and
+                # it can end before its deadline: anywhere else it would make others late as well.
+                limit, seen = kinds.get(w.kind, 0.0), max(w.wait - age, 0.0)
+                if late and (seen + own > 0.0 or paces.get(w.kind, 0.0) * job.size > left):
+                    continue
+                if not late and max(seen, usual if limit > 0 else 0.0) + own > max(limit, 0.0):
                     continue
                 fade = LOOK_LASTS * run / (LOOK_LASTS * run + age)
                 wait = self.mean_wait + (w.wait - self.mean_wait) * fade + own
--- a/tests/test_strain.py
+++ b/tests/test_strain.py
@@ -150,3 +150,16 @@
     while not finals(talk.sweep(talk.d.pause)):
         assert talk.now < start + 700.0
     assert talk.now <= start + 410.0
+
+
+def test_a_late_job_does_not_queue_where_a_wait_is_known() -> None:
+    """Late jobs went to any worker, however long its queue, and made those late that were still in time."""
+    talk = Talk(job_class(late_worth=0.5, stretch=0.0, aim=200.0), workers=1, tells_start=True)
+    teach(talk, 300.0)
+    (send,) = sends(talk.ask("running", remaining=5000.0))
+    talk.say(m.JobNote("running", 0, send.worker))
+    assert sends(talk.ask("next"))  # none is known to wait yet
+    assert not sends(talk.ask("held")) and not sends(talk.sweep(100.0))
+    talk.end("running", "w0", m.How.OK, after=50.0)
+    talk.say(m.JobNote("next", 0, "w0"))
+    assert sends(talk.end("next", "w0", m.How.OK, after=400.0) + talk.sweep(400.0))
