Bound what the listener accepts at once, and spare fresh connections at the end

Checked in Twisted's tcp.Port.doRead: numberAccepts grows by 20 each time it is used up, so a burst could overshoot the listener's share by more than the reserved descriptors. The listener's port now keeps to 8. After SIGTERM a connection that came up less than 0.1 s ago is no longer closed with the idle ones: its request may be on the way. Tests of configuration, commands, log lines and the roster.

--- a/bitternpath/net/consumers.py
+++ b/bitternpath/net/consumers.py
@@ -11,6 +11,7 @@
 import ujson
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.internet.tcp import Port
 from twisted.python.failure import Failure
 
 from bitternpath import messages as m
@@ -24,8 +25,10 @@
 MESSAGE_WITHIN = 30.0  # s that a message may take to arrive once it has begun
 NEW_ONES_ARRIVE = 0.5  # s after the signal to stop during which connections may still be new
 PENDING_LIMIT = 2 * http1.BODY_LIMIT  # bytes read ahead of the answer that is due
+BACKLOG = 1024
 BURST = 8  # connections accepted at a time, or closed to make room
 SPARED = 500.0  # ms: connections idle for less are not closed to make room
+FRESH = 100.0  # ms: at the end, connections idle for less are not closed, for the same reason
 LOOK_AGAIN = 0.1  # s between looks for such connections
 ID_LIMIT = 200
 
@@ -187,6 +190,12 @@
             self.listener.reactor.callLater(0, self.advance)
 
 
+class _Port(Port):
+    """Accepts a few connections at a time. Twisted's own rule lets that number grow past the socket limit."""
+
+    numberAccepts = property(lambda self: BURST, lambda self, value: None)
+
+
 class Listener(Factory):
     """All connections to the node's address."""
 
@@ -212,8 +221,9 @@
         self._looking = False  # a look for idle connections is due
 
     def listen(self, host: str, port: int) -> None:
-        self.port = self.reactor.listenTCP(port, self, backlog=1024, interface=host)
-        self.port.numberAccepts = BURST
+        factory: Any = self
+        self.port = _Port(port, factory, BACKLOG, host, self.reactor)
+        self.port.startListening()
 
     @property
     def address(self) -> str:
@@ -251,15 +261,15 @@
         self._accept(not self.sockets.consumers_full())
         if self.accepting or self._looking:
             return
-        before = self.clock() - SPARED
-        idle = [connection for connection in self.connections if connection.idle]
-        idle.sort(key=lambda connection: connection.idle_since)
-        for connection in idle[:BURST]:
-            if connection.idle_since <= before:
-                connection.close()
+        self._close_idle_since(self.clock() - SPARED, BURST)
         self._looking = True
         self.reactor.callLater(LOOK_AGAIN, self._look_again)
 
+    def _close_idle_since(self, before: float, most: int | None = None) -> None:
+        idle = [c for c in self.connections if c.idle and c.idle_since <= before]
+        for connection in sorted(idle, key=lambda c: c.idle_since)[:most]:
+            connection.close()
+
     def _look_again(self) -> None:
         self._looking = False
         self._make_room()
@@ -337,6 +347,5 @@
         self.reactor.callLater(NEW_ONES_ARRIVE, self._close_idle)
 
     def _close_idle(self) -> None:
-        for connection in [connection for connection in self.connections if connection.idle]:
-            connection.close()
-        self.reactor.callLater(0.1, self._close_idle)
+        self._close_idle_since(self.clock() - FRESH)
+        self.reactor.callLater(LOOK_AGAIN, self._close_idle)
--- a/bitternpath/net/providers.py
+++ b/bitternpath/net/providers.py
@@ -5,6 +5,7 @@
 import logging
 from collections import Counter, deque
 from typing import Any
+from urllib.parse import quote
 
 from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import Protocol, connectionDone
@@ -194,7 +195,7 @@
             self.counts["deletes_left_out"] += 1
             return
         headers = [(b"Host", provider.host_port.encode()), (b"X-Call-Id", call.id.encode())]
-        exchange = Exchange(http1.request(b"DELETE", b"/jobs/" + call.id.encode(), headers))
+        exchange = Exchange(http1.request(b"DELETE", b"/jobs/" + quote(call.id, safe="").encode(), headers))
         line.deletes += 1
         self.deletes += 1
         self.reactor.callLater(WORD_WITHIN, self._delete_over, line, exchange)
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,84 @@
+"""Configuration, command line, log lines and the list of providers."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from rig import SETTINGS
+
+from bitternpath import messages as m
+from bitternpath.net.logs import KeyValueFormatter
+from bitternpath.net.roster import Roster, listing_from
+
+GOOD: dict[str, Any] = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": SETTINGS}
+
+
+def command(*arguments: str) -> subprocess.CompletedProcess[str]:
+    env = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
+    return subprocess.run(
+        [sys.executable, "-m", "bitternpath", *arguments],
+        cwd=Path(__file__).parent.parent, env=env, capture_output=True, text=True, check=False,
+    )  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        "{",
+        "[]",
+        {"listen": "nowhere"},
+        {"discovery": None},
+        {"seed": "xyz"},
+        {"limits": {"sockets": 8}},
+        {"settings": {}},
+        {"settings": {**SETTINGS, "rules": {"coldFrom": 0.0}}},
+        {"known": {"members": []}},
+        {"known": {"revision": 1, "members": [{"id": "a", "phase": "odd"}]}},
+    ],
+)
+def test_a_bad_configuration_ends_in_one_line_and_2(tmp_path: Path, wrong: Any) -> None:
+    file = tmp_path / "config.json"
+    file.write_text(wrong if isinstance(wrong, str) else json.dumps(GOOD | wrong))
+    run = command("check-config", "--config", str(file))
+    assert run.returncode == 2
+    assert len(run.stderr.splitlines()) == 1 and run.stderr.startswith(f"bitternpath: {file}: ")
+
+
+def test_commands(tmp_path: Path) -> None:
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(GOOD))
+    assert command("check-config", "--config", str(file)).returncode == 0
+    assert command("version").stdout.startswith("bitternpath ")
+    without = command()
+    assert without.returncode == 2 and len(without.stderr.splitlines()) == 1
+
+
+def test_a_log_line_is_pairs_on_one_line() -> None:
+    record = logging.LogRecord("bitternpath.net.x", logging.INFO, "", 1, "it %s", ("is",), None)
+    record.kv = {"plain": 1, "spaced": 'a "b"\nc'}
+    line = KeyValueFormatter().format(record)
+    assert line.endswith(' level=info part=x event="it is" plain=1 spaced="a \\"b\\"\\nc"')
+
+
+def test_the_list_takes_changes_in_order_and_whole_lists_always() -> None:
+    def listing(revision: int, complete: bool, **phases: str) -> Any:
+        rows = [{"id": id, "host_port": "h:1", "phase": phase} for id, phase in phases.items()]
+        return listing_from({"revision": revision, "complete": complete, "members": rows})
+
+    roster = Roster(listing(3, True, a="up", b="up"))
+    heard: list[int] = []
+    roster.tell = lambda listing: heard.append(listing.revision)
+    roster.take(listing(4, False, a="draining", b="removed", c="up"))
+    assert roster.serving("a") is None and roster.serving("b") is None and roster.serving("c")
+    assert roster.providers["a"].state is m.State.DRAINING and "b" not in roster.providers
+    roster.take(listing(4, False, b="up"))  # an old line that came again
+    assert roster.serving("b") is None
+    roster.take(listing(2, True, b="up"))
+    assert list(roster.providers) == ["b"] and heard == [4, 2]
