Answer at once where a handler or the start of a call raises

Read through for what an exception leaves behind: one in Pool.start left its invocation to the deadline, one in Listener.serve let Twisted drop the connection without an answer. Both are logged and answered 'failed' now. The end after SIGTERM looks once more at what is owed before it stops, and Node loses a flag nobody read.

--- a/bitternpath/net/broker.py
+++ b/bitternpath/net/broker.py
@@ -373,7 +373,12 @@
             return
         self.counts["calls"] += 1
         call.timer = self.later.callLater(max(expires - now, 0.0) / 1000.0, self._expired, call)
-        self.invoker.start(call, provider)
+        try:
+            self.invoker.start(call, provider)
+        except Exception:
+            log.exception("call failed to start", extra={"kv": {"id": id, "provider": worker}})
+            self.counts["exceptions"] += 1
+            self._append(Ended(call, m.How.RESET))  # how far it got is not known
 
     def _expired(self, call: InvokerCall) -> None:
         call.timer = None
--- a/bitternpath/net/consumers.py
+++ b/bitternpath/net/consumers.py
@@ -118,7 +118,13 @@
             if not isinstance(message, http1.Request):
                 break
             self.keep_alive = message.keep_alive
-            self.listener.serve(self, message)
+            try:
+                self.listener.serve(self, message)
+            except Exception:
+                log.exception("request failed", extra={"kv": {"target": message.target.decode("latin-1")}})
+                self.keep_alive = False
+                self.answer(500)
+                return
             self.begun_at = self.listener.clock()
         self._watch_time()
 
--- a/bitternpath/net/node.py
+++ b/bitternpath/net/node.py
@@ -45,7 +45,7 @@
             self.module.retry_after,
         )
         self.roster.tell = self._listed
-        self._may_end = self._ending = False
+        self._ending = False
 
     def _ready(self) -> bool:
         return self.watch.spoke or bool(self.roster.providers)
@@ -81,23 +81,23 @@
         self.reactor.callLater(NEW_ONES_ARRIVE + 2 * LAST_WORDS, self._close_when_idle)
 
     def _close_when_idle(self) -> None:
-        self._may_end = True
         self.broker.idle = self._end_if_idle
         self._end_if_idle()
 
     def _end_if_idle(self) -> None:
         # Connections that hold part of a request are waited for: it may be whole, and so taken, any moment.
-        if self._ending or self.broker.waiting or self.broker.live:
-            return
-        if any(connection.reader.begun for connection in self.listener.connections):
-            self.reactor.callLater(LAST_WORDS, self._end_if_idle)
-            return
-        self._ending = True
-        self.reactor.callLater(LAST_WORDS, self._end)
+        if not self._ending and not self._owes():
+            self._ending = True
+            self.reactor.callLater(LAST_WORDS, self._end)
+
+    def _owes(self) -> bool:
+        begun = any(connection.reader.begun for connection in self.listener.connections)
+        return begun or bool(self.broker.waiting or self.broker.live)
 
     def _end(self) -> None:
-        if self.broker.waiting:
-            self._ending = False
+        self._ending = False
+        if self._owes():
+            self.reactor.callLater(LAST_WORDS, self._end_if_idle)
             return
         self._report()
         log.info("stopped")
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -155,6 +155,15 @@
     assert heard.count(m.Alarm("sweep")) == 2 and m.Withdrawn("bad") in heard
 
 
+def test_a_call_that_fails_to_start_may_have_run_and_is_answered_at_once() -> None:
+    # Guards: an exception in the invoker must not leave its invocation waiting for the deadline.
+    desk = Desk()
+    desk.start = lambda call, provider: 1 / 0  # type: ignore[method-assign, assignment, return-value]
+    desk.invoke(budget=4000.0)
+    desk.pass_time(2.0)
+    assert desk.answers == [("failed",)] and not desk.broker.live
+
+
 def test_an_invocation_that_the_module_forgets_is_answered_all_the_same() -> None:
     desk = Desk(handle=lambda now, event: [])
     desk.invoke(budget=100.0)
