Tests of the pool: what proves that a call never ran, drains told during a dial, fresh processes

The pool on a transport of the test's own: a break before and after the last byte, rejections with and without X-Rejected, nonsense, a drain told while a call waits for its connection, connections to a process that has started anew, and a freed connection that takes a waiting call. No change to the program.

--- /dev/null
+++ b/tests/test_providers.py
@@ -0,0 +1,129 @@
+"""The pool without sockets: what proves that a call never ran, and which connections are used."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from twisted.internet.task import Clock as Reactor
+from twisted.internet.testing import StringTransport
+
+from bitternpath import messages as m
+from bitternpath.net.broker import Invocation, InvokerCall
+from bitternpath.net.http1 import Request
+from bitternpath.net.providers import Connection, Pool
+from bitternpath.net.roster import Listing, Provider, Roster
+from bitternpath.net.sockets import Sockets
+
+ROW = Provider("s0", "127.0.0.1:1", "z", "k", 0, m.State.SERVING, 1.0, 5.0)
+ACCEPTED = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+
+
+class Wire(StringTransport):  # type: ignore[misc]
+    """A transport that the test lets write, as the system would."""
+
+    def registerProducer(self, producer: Any, streaming: bool) -> None:
+        super().registerProducer(producer, streaming)
+        producer.resumeProducing()
+
+    def setTcpNoDelay(self, on: bool) -> None: ...
+
+    def written(self) -> None:
+        if self.producer is not None:
+            self.producer.resumeProducing()
+
+
+class Bench:
+    """A pool whose connections the test makes and breaks."""
+
+    def __init__(self) -> None:
+        self.ends: list[m.How] = []
+        self.roster = Roster(Listing(1, True, (ROW,)))
+        clock: Any = lambda: 1e6  # noqa: E731
+        self.pool = Pool(Reactor(), clock, self.roster, Sockets(64), 250.0, 10_000.0)
+        self.pool.broker = self  # type: ignore[assignment]
+        self.pool._dial = self.dial  # type: ignore[method-assign]
+        self.pool.listed(Listing(1, True, (ROW,)))
+
+    def dial(self, line: Any) -> bool:
+        line.dials += 1
+        return True
+
+    def ended(self, call: InvokerCall, how: m.How) -> None:
+        self.ends.append(how)
+
+    def call(self) -> InvokerCall:
+        payload = Request({}, b"body", True, b"POST", b"/job")
+        call = InvokerCall(Invocation("a", "job", 2e6, self, payload), 0, "s0", 1e6, 2e6)  # type: ignore[arg-type]
+        self.pool.start(call, ROW)
+        return call
+
+    def connect(self) -> tuple[Connection, Wire]:
+        connection, wire = Connection(self.pool, self.pool.lines[ROW.host_port]), Wire()
+        connection.makeConnection(wire)
+        self.pool._dialled(connection)
+        return connection, wire
+
+
+@pytest.mark.parametrize(
+    ("written", "answer", "want"),
+    [
+        (False, b"", [m.How.NO_CONNECTION]),  # a break before the last byte is written: never ran
+        (True, b"", [m.How.RESET]),
+        (True, ACCEPTED[:20], [m.How.RESET]),
+        (True, ACCEPTED, []),  # call-backs tell the rest
+        (True, b"HTTP/1.1 503 x\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", [m.How.FULL]),
+        (True, b"HTTP/1.1 504 x\r\nX-Rejected: 1\r\n\r\n", [m.How.FULL]),
+        (True, b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", [m.How.ERROR]),
+        (True, b"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", [m.How.ERROR]),
+        (True, b"nonsense\r\n\r\n", [m.How.RESET]),
+        (False, b"HTTP/1.1 503 x\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", [m.How.NO_CONNECTION]),
+    ],
+)
+def test_what_becomes_of_a_call_when_its_connection_ends(
+    written: bool, answer: bytes, want: list[m.How]
+) -> None:
+    bench = Bench()
+    bench.call()
+    connection, wire = bench.connect()
+    assert wire.value().endswith(b"Content-Length: 4\r\n\r\nbody")
+    if written:
+        wire.written()
+    connection.dataReceived(answer)
+    connection.connectionLost()
+    assert bench.ends == want
+    assert bench.pool.lines[ROW.host_port].busy == 0
+
+
+def test_a_call_whose_provider_drains_while_it_dials_is_not_sent() -> None:
+    # Guards: the drain was told between the module's choice and the first byte.
+    bench = Bench()
+    bench.call()
+    bench.roster.take(Listing(2, False, (replace(ROW, state=m.State.DRAINING),)))
+    _, wire = bench.connect()
+    assert bench.ends == [m.How.NO_CONNECTION] and wire.value() == b""
+
+
+def test_connections_to_a_process_that_has_started_anew_are_closed() -> None:
+    # Guards: the next call on one would have ended as a reset, which costs jobs that must not run twice.
+    bench = Bench()
+    bench.call()
+    connection, wire = bench.connect()
+    wire.written()
+    connection.dataReceived(ACCEPTED)
+    line = bench.pool.lines[ROW.host_port]
+    assert line.idle == [connection]
+    bench.pool.listed(Listing(2, False, (replace(ROW, up_since=9.0),)))
+    assert wire.disconnecting and not line.idle
+
+
+def test_a_freed_connection_takes_the_call_that_waits_for_a_dial() -> None:
+    bench = Bench()
+    bench.call()
+    connection, wire = bench.connect()
+    wire.written()
+    bench.call()
+    wire.clear()
+    connection.dataReceived(ACCEPTED)
+    assert wire.value().startswith(b"POST /job HTTP/1.1\r\n") and not bench.pool.lines[ROW.host_port].waiting
