A half-sent request no longer holds up the end after SIGTERM

Node._owes waited for any connection that held part of a request, up to the 30 s that a message may take, past the SIGKILL that may come 3.7 s after SIGTERM. Such a request has not been taken; one begun 2 s ago is let go.

--- a/bitternpath/net/node.py
+++ b/bitternpath/net/node.py
@@ -19,6 +19,7 @@
 log = logging.getLogger(__name__)
 
 REPORT_EVERY = 10.0  # s between lines with the counts so far
+HALF_SENT = 2000.0  # ms: a request that has begun to arrive so long ago does not hold up the end
 LAST_WORDS = 0.1  # s for the last answers and DELETEs to leave
 
 
@@ -91,7 +92,8 @@
             self.reactor.callLater(LAST_WORDS, self._end)
 
     def _owes(self) -> bool:
-        begun = any(connection.reader.begun for connection in self.listener.connections)
+        since = self.clock() - HALF_SENT
+        begun = any(c.reader.begun and c.begun_at > since for c in self.listener.connections)
         return begun or bool(self.broker.waiting or self.broker.live)
 
     def _end(self) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -69,6 +69,17 @@
         assert rig.process.wait(20) == 0
 
 
+def test_a_half_sent_request_does_not_hold_up_the_end(tmp_path: Path) -> None:
+    # Guards: the node waited 30 s for the rest of it, and would have been killed meanwhile.
+    with running(tmp_path, done) as rig:
+        connection = rig.open()
+        connection.connect()
+        connection.send(JOB)
+        rig.terminate()
+        assert rig.process.wait(20) == 0
+        connection.close()
+
+
 def test_call_backs_may_come_early_again_or_for_nothing(tmp_path: Path) -> None:
     def early(provider: Provider, handler: object, id: str) -> None:
         for state in ("started", "running", "done", "done", "failed"):
