Give cold workers a least pace while jobs are held

A trace of Dispatcher.permit showed gaps of 65 to 515 s for workers just back: the rate is what warm workers of the kind carried lately (kind_done), and that had decayed over the loss.

Also: the test of an unreachable provider closed a listening socket under its server's thread, and failed once. The new test fails on the module before.

--- a/bitternpath/brain.py
+++ b/bitternpath/brain.py
@@ -22,6 +22,9 @@
 SETTLED = 1e-3  # q is settled when no neuron moves by more
 OVERDUE = 0.5  # of the aim: a job that has not begun by then scores its long time early
 SILENT = 1.0  # of the aim: a worker not heard from for so long after a send leaves the usable set
+COLD_FLOOR = (
+    0.5  # of the rules' multiple: the work of one slot that all dispatchers count on a worker to bear
+)
 COLD_RATE = 0.7  # of its present share of what a warm worker of its kind gets: the pace of a cold one
 
 
@@ -245,7 +248,11 @@
         done, at = self.kind_done.get(worker.kind) or min(self.kind_done.values(), default=(0.0, 0.0))
         warm = sum(w.kind == worker.kind and w.warm_at <= self.now for w in self.workers.values())
         rate = done * 0.5 ** ((self.now - at) / self.memory) * 0.7 / self.memory / max(warm, 1)
-        gap = work / (COLD_RATE * share * rate) if rate else self.set.fall_span * self.set.dispatchers
+        if rate and self.held:  # little was carried of late for want of workers, not of jobs
+            rate = max(rate, COLD_FLOOR * self.set.fall_multiple / self.set.dispatchers)
+        gap = self.set.fall_span * self.set.dispatchers
+        if rate and work:
+            gap = work / (COLD_RATE * share * rate)
         worker.next_cold = min(self.now + gap * luck, worker.warm_at)
 
     def on_request(self, event: m.Request) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -113,6 +113,7 @@
 
 def test_a_provider_that_cannot_be_reached_costs_nothing_but_time(tmp_path: Path) -> None:
     with running(tmp_path, done, done) as rig:
+        rig.providers[0].server.http.shutdown()
         rig.providers[0].server.http.server_close()
         for k in range(6):
             assert rig.invoke(f"a{k}", "/reminder")[:2] == (200, b"made by s-1")
--- a/tests/test_strain.py
+++ b/tests/test_strain.py
@@ -163,3 +163,15 @@
     talk.end("running", "w0", m.How.OK, after=50.0)
     talk.say(m.JobNote("next", 0, "w0"))
     assert sends(talk.end("next", "w0", m.How.OK, after=400.0) + talk.sweep(400.0))
+
+
+def test_workers_that_come_back_after_an_outage_get_jobs_though_little_was_carried_lately() -> None:
+    """A cold worker's pace follows what warm ones carried lately: after an outage it got next to nothing."""
+    for seed in range(5):
+        talk = Talk(workers=1, tells_start=True, warm_within=20_000.0, cold_share=0.2, seed=seed)
+        teach(talk, 100.0)
+        talk.say(m.WorkerList(m.ListKind.CHANGES, [entry("w0", state=m.State.GONE)]))
+        talk.sweep(40_000.0)  # nothing is carried for long
+        talk.ask("held")
+        talk.say(m.WorkerList(m.ListKind.CHANGES, [entry("cold", up_since=talk.now)]))
+        assert talk.d.workers["cold"].next_cold - talk.now < 1000.0
