SIGHUP reads the configuration again and moves the watch on discovery

Nothing handled SIGHUP (net/node.py: serve), so its default ended the process.

The file is read whole or not at all; a bad one costs a log line. The watch opens at the new address from the revision in hand and the old one is dropped when the new one speaks; a wait or dial under way is left off. The silence alarm belongs to each watch now, so that the old one's cannot end the new one's. The longest pause before a watch is opened again is 1 s (3 s before): what discovery has to tell counts 4 s after SIGHUP. PROXY_DISCOVERY holds at the start only. Sockets and connection times change at once, the rest is named in the log.

--- a/bitternpath/cli.py
+++ b/bitternpath/cli.py
@@ -9,7 +9,7 @@
 from importlib import metadata
 
 from bitternpath import __version__
-from bitternpath.net.config import ConfigError, load
+from bitternpath.net.config import Config, ConfigError, load, reload
 
 
 def parser() -> argparse.ArgumentParser:
@@ -46,4 +46,8 @@
     from bitternpath.net import logs, node  # the reactor is not needed to look at a configuration
 
     logs.start(options.log_level)
-    return node.serve(config)
+
+    def read_again(running: Config) -> Config:
+        return reload(running, os.environ, options.config)
+
+    return node.serve(config, read_again)
--- a/bitternpath/net/config.py
+++ b/bitternpath/net/config.py
@@ -3,18 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
 import ujson
 
 from bitternpath import messages as m
-from bitternpath.net.roster import Listing, listing_from
+from bitternpath.net.roster import Address, Listing, listing_from
 from bitternpath.settings import settings_from
 
-Address = tuple[str, int]
-
 
 class ConfigError(Exception):
     """The configuration cannot be used; the text says why, in one line."""
@@ -25,6 +23,7 @@
     name: str
     listen: Address
     discovery: Address
+    discovery_in_file: Address | None  # which PROXY_DISCOVERY wins over at the start
     seed: int
     sockets: int
     known: Listing
@@ -55,18 +54,29 @@
         return _config(told, environ)
     except KeyError as error:
         raise ConfigError(f"{path}: {error.args[0]} is missing") from error
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError, OverflowError) as error:
         raise ConfigError(f"{path}: {' '.join(str(error).split())}") from error
 
 
+def reload(running: Config, environ: Mapping[str, str], path: str | None = None) -> Config:
+    """Read the file again. PROXY_DISCOVERY holds at the start: what the file says anew wins over it."""
+    told = load(environ, path)
+    filed = told.discovery_in_file
+    if filed is None or filed == running.discovery_in_file:
+        filed = running.discovery
+    return replace(told, discovery=filed)
+
+
 def _config(told: dict[str, Any], environ: Mapping[str, str]) -> Config:
     conf = told["settings"]
     allowed, limits = conf.get("allowed") or {}, told.get("limits") or {}
-    known = told.get("known")
+    known, filed = told.get("known"), told.get("discovery")
+    discovery_in_file = address(filed) if filed else None
     config = Config(
         name=str(environ.get("PROXY_NAME") or told.get("name") or "node"),
         listen=address(environ.get("PROXY_LISTEN") or told["listen"]),
         discovery=address(environ.get("PROXY_DISCOVERY") or told["discovery"]),
+        discovery_in_file=discovery_in_file,
         seed=int(str(told.get("seed") or "0"), 16),
         sockets=int(limits.get("sockets") or 1024),
         known=listing_from(known) if known else Listing(0, True, ()),
--- a/bitternpath/net/node.py
+++ b/bitternpath/net/node.py
@@ -5,12 +5,14 @@
 import gc
 import logging
 import signal
+from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 from typing import Any
 
 from bitternpath.brain import Dispatcher
 from bitternpath.net.broker import Broker, Clock
-from bitternpath.net.config import Config
+from bitternpath.net.config import Config, ConfigError
 from bitternpath.net.consumers import NEW_ONES_ARRIVE, Listener
 from bitternpath.net.providers import Pool
 from bitternpath.net.roster import Listing, Roster, Watch
@@ -20,6 +22,7 @@
 
 REPORT_EVERY = 10.0  # s between lines with the counts so far
 HALF_SENT = 2000.0  # ms: a request that has begun to arrive so long ago does not hold up the end
+AT_START_ONLY = ("listen", "settings")  # the module and the listener are made from these
 LAST_WORDS = 0.1  # s for the last answers and DELETEs to leave
 
 
@@ -35,7 +38,7 @@
         self.module = Dispatcher(config.settings, config.seed, self.clock())
         self.broker = Broker(reactor, self.clock, self.roster, self.pool, self.module.handle)
         self.pool.broker = self.broker
-        self.watch = Watch(reactor, self.roster, *config.discovery, Random(config.seed ^ 0x5EED))
+        self.watch = Watch(reactor, self.roster, config.discovery, Random(config.seed ^ 0x5EED))
         self.listener = Listener(
             reactor,
             self.clock,
@@ -73,6 +76,24 @@
         kv |= {key.replace(" ", "_"): n for key, n in sorted((self.broker.counts + self.pool.counts).items())}
         log.info("counts", extra={"kv": kv})
 
+    def reload(self, read: Callable[[Config], Config]) -> None:
+        """Take in the configuration as it is now, all of it or nothing."""
+        before = self.config
+        try:
+            now = self.config = read(before)
+        except ConfigError as error:
+            log.error("reload failed", extra={"kv": {"why": error, "kept": "the configuration in use"}})
+            return
+        self.sockets.resize(now.sockets)
+        self.pool.set_times(now.dial_timeout, now.idle_timeout)
+        self.watch.move(now.discovery)
+        kv: dict[str, object] = {"discovery": f"{now.discovery[0]}:{now.discovery[1]}"}
+        if changed := [key for key in AT_START_ONLY if getattr(before, key) != getattr(now, key)]:
+            kv["needs_restart"] = ",".join(changed)
+            # What was asked for stays different from what runs: say so again after the next reload.
+            self.config = replace(now, **{key: getattr(before, key) for key in changed})
+        log.info("reloaded", extra={"kv": kv})
+
     def stop(self) -> None:
         """Answer all that was taken, then end."""
         if self.listener.stopping:
@@ -107,7 +128,7 @@
         self.reactor.stop()
 
 
-def serve(config: Config) -> int:
+def serve(config: Config, read_again: Callable[[Config], Config]) -> int:
     from twisted.internet import reactor as installed
 
     reactor: Any = installed
@@ -116,6 +137,10 @@
     def on_signal(number: int, frame: object) -> None:
         reactor.callFromThread(node.stop)
 
+    def on_hangup(number: int, frame: object) -> None:
+        reactor.callFromThread(node.reload, read_again)
+
+    signal.signal(signal.SIGHUP, on_hangup)
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
     node.start()
--- a/bitternpath/net/providers.py
+++ b/bitternpath/net/providers.py
@@ -154,13 +154,16 @@
         idle_timeout: float,
     ) -> None:
         self.reactor, self.clock, self.roster, self.sockets = reactor, clock, roster, sockets
-        self.dial_timeout = dial_timeout / 1000.0
-        self.idle_for = idle_timeout * IDLE_SHARE
+        self.set_times(dial_timeout, idle_timeout)
         self.lines: dict[str, Line] = {}
         self.deletes = 0
         self.counts: Counter[str] = Counter()
         self._started: dict[str, float] = {}  # provider: when its process last started
 
+    def set_times(self, dial_timeout: float, idle_timeout: float) -> None:
+        self.dial_timeout = dial_timeout / 1000.0
+        self.idle_for = idle_timeout * IDLE_SHARE
+
     def run(self) -> None:
         self.reactor.callLater(SWEEP, self._sweep)
 
--- a/bitternpath/net/roster.py
+++ b/bitternpath/net/roster.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import ujson
+from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
@@ -19,8 +20,11 @@
 log = logging.getLogger(__name__)
 
 SILENCE = 5.0  # s without a line, where one is due every 2 s: the watch is dead
-CONNECT_WITHIN = 2.0  # s
-FIRST_PAUSE, LONGEST_PAUSE = 0.1, 3.0  # s before a watch is opened again
+CONNECT_WITHIN = 1.0  # s; discovery's agent is on the node's own machine
+# s before a watch is opened again. The agent answers at no cost, and what it has to tell counts within 4 s.
+FIRST_PAUSE, LONGEST_PAUSE = 0.1, 1.0
+
+Address = tuple[str, int]
 
 PHASES = {"up": m.State.SERVING, "draining": m.State.DRAINING, "removed": m.State.GONE}
 
@@ -98,22 +102,30 @@
 
 
 class _WatchProtocol(Protocol):
-    """One open watch."""
+    """One watch: being opened, open, or dropped."""
 
-    transport: Any
+    transport: Any = None
 
-    def __init__(self, watch: Watch) -> None:
-        self.watch = watch
+    def __init__(self, watch: Watch, address: Address) -> None:
+        self.watch, self.address = watch, address
         self.reader = ResponseReader(body_limit=None)
         self.line = bytearray()
+        self.alarm: Any = None
+        self.dropped = False
 
     def connectionMade(self) -> None:
-        host = b"%b:%d" % (self.watch.host.encode(), self.watch.port)
+        if self.dropped:
+            self.transport.abortConnection()
+            return
+        self.alarm = self.watch.reactor.callLater(SILENCE, self._silent)
+        host = b"%b:%d" % (self.address[0].encode(), self.address[1])
         target = b"/v1/endpoints?stream=1&index=%d" % self.watch.roster.revision
         self.transport.write(request(b"GET", target, [(b"Host", host)]))
 
     def dataReceived(self, data: bytes) -> None:
-        self.watch.heard()
+        if self.dropped:
+            return
+        self.alarm.reset(SILENCE)
         self.reader.feed(data)
         try:
             head = self.reader.head()
@@ -125,68 +137,97 @@
             *lines, rest = self.line.split(b"\n")
             self.line = rest
             for line in lines:
-                if line.strip():
-                    self.watch.roster.take(listing_from(ujson.loads(line)))
-            self.watch.pause = FIRST_PAUSE
+                told = listing_from(ujson.loads(line)) if line.strip() else None
+                self.watch.granted(self)
+                if told is not None:
+                    self.watch.roster.take(told)
             if self.reader.ended:
                 raise HttpError(400, "the watch ended")
         except (HttpError, ValueError, KeyError, TypeError, AttributeError) as error:
             log.warning("watch broken", extra={"kv": {"why": repr(error)}})
-            self.drop()
+            self.transport.abortConnection()
+
+    def _silent(self) -> None:
+        log.warning("watch silent", extra={"kv": {"seconds": SILENCE}})
+        self.alarm = None
+        self.transport.abortConnection()
 
     def drop(self) -> None:
+        """Close it; nothing more is heard of it."""
+        self.dropped = True
         if self.transport is not None:
             self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self.watch.lost(reason.getErrorMessage())
+        if self.alarm is not None:
+            self.alarm.cancel()
+            self.alarm = None
+        if not self.dropped:
+            self.watch.lost(self, reason.getErrorMessage())
 
 
 class Watch:
-    """Keeps a watch open on discovery."""
+    """Keeps a watch open on discovery. When discovery moves, the old one is kept until the new one speaks."""
 
-    def __init__(self, reactor: Any, roster: Roster, host: str, port: int, random: Random) -> None:
-        self.reactor, self.roster, self.host, self.port, self.random = reactor, roster, host, port, random
+    def __init__(self, reactor: Any, roster: Roster, address: Address, random: Random) -> None:
+        self.reactor, self.roster, self.address, self.random = reactor, roster, address, random
         self.pause = FIRST_PAUSE
         self.spoke = False  # discovery has answered at least once
-        self._protocol: _WatchProtocol | None = None
-        self._alarm: Any = None
+        self._current: _WatchProtocol | None = None  # has spoken
+        self._opening: _WatchProtocol | None = None  # has not, or is still being dialled
+        self._dial: Deferred[Any] | None = None
+        self._again: Any = None  # the timer of the next attempt
         self._stopped = False
 
     def start(self) -> None:
+        """Open a watch, whatever was under way to open one."""
+        self._leave_off()
         if self._stopped:
             return
-        dialled = dial(self.reactor, self.host, self.port, CONNECT_WITHIN, _WatchProtocol(self))
-        dialled.addCallbacks(self._connected, lambda failure: self.lost(failure.getErrorMessage()))
-        dialled.addErrback(lambda failure: log.error("watch", extra={"kv": {"why": failure.getTraceback()}}))
-
-    def _connected(self, protocol: _WatchProtocol) -> None:
-        self._protocol = protocol
-        self._alarm = self.reactor.callLater(SILENCE, self._silent)
-
-    def _silent(self) -> None:
-        log.warning("watch silent", extra={"kv": {"seconds": SILENCE}})
-        self._alarm = None
-        if self._protocol is not None:
-            self._protocol.drop()
-
-    def heard(self) -> None:
+        opening = self._opening = _WatchProtocol(self, self.address)
+        self._dial = dial(self.reactor, *self.address, CONNECT_WITHIN, opening)
+        self._dial.addErrback(lambda failure: self.lost(opening, failure.getErrorMessage()))
+
+    def move(self, address: Address) -> None:
+        if address != self.address:
+            self.address, self.pause = address, FIRST_PAUSE
+            self.start()
+
+    def _leave_off(self) -> None:
+        opening, self._opening = self._opening, None
+        if opening is not None:
+            opening.drop()
+        if self._dial is not None:
+            self._dial.cancel()
+        if self._again is not None and self._again.active():
+            self._again.cancel()
+        self._dial = self._again = None
+
+    def granted(self, protocol: _WatchProtocol) -> None:
+        """A watch has told something: it takes the place of the one before."""
         self.spoke = True
-        if self._alarm is not None and self._alarm.active():
-            self._alarm.reset(SILENCE)
-
-    def lost(self, why: str) -> None:
-        self._protocol = None
-        if self._alarm is not None and self._alarm.active():
-            self._alarm.cancel()
-        if self._stopped:
+        if protocol is self._opening:
+            before, self._current = self._current, protocol
+            self._opening, self.pause = None, FIRST_PAUSE
+            if before is not None:
+                before.drop()
+
+    def lost(self, protocol: _WatchProtocol, why: str) -> None:
+        if protocol is self._current:
+            self._current = None
+        elif protocol is self._opening:
+            self._opening = None
+        if self._stopped or protocol.dropped or self._opening is not None:
+            return  # where another is being opened, that goes on
+        if self._again is not None and self._again.active():
             return
         wait = self.pause * (0.5 + self.random.random())
         self.pause = min(2 * self.pause, LONGEST_PAUSE)
         log.info("watch lost", extra={"kv": {"why": why, "again_in": wait}})
-        self.reactor.callLater(wait, self.start)
+        self._again = self.reactor.callLater(wait, self.start)
 
     def stop(self) -> None:
         self._stopped = True
-        if self._protocol is not None:
-            self._protocol.drop()
+        self._leave_off()
+        if self._current is not None:
+            self._current.drop()
--- a/bitternpath/net/sockets.py
+++ b/bitternpath/net/sockets.py
@@ -20,10 +20,13 @@
     """Counts sockets by side, so that neither can take the other's last ones."""
 
     def __init__(self, limit: int) -> None:
+        self.consumers = self.providers = 0
+        self.resize(limit)
+
+    def resize(self, limit: int) -> None:
         self.total = max(limit - RESERVED, 8)
         self.for_consumers = int(self.total * (1 - FOR_PROVIDERS))
         self.invocations = int(self.for_consumers * (1 - FOR_CALL_BACKS))  # that may wait at once
-        self.consumers = self.providers = 0
 
     def consumers_full(self) -> bool:
         return self.consumers >= self.for_consumers
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -115,23 +115,50 @@
                 "cell": 0, "phase": self.phase, "size": 1.0, "up_since_ms": self.up_since}  # fmt: skip
 
 
+class Discovery:
+    """Tells the rig's list, then changes as they come; None among them ends the watch."""
+
+    def __init__(self, rig: Rig) -> None:
+        self.rig = rig
+        self.changes: queue.Queue[dict[str, Any] | None] = queue.Queue()
+        self.watched: queue.Queue[str] = queue.Queue()
+        self.left = threading.Event()
+        self.server = Server(self.watch)
+        self.address = self.server.address
+
+    def watch(self, handler: BaseHTTPRequestHandler) -> None:
+        self.watched.put(handler.path)
+        handler.wfile.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        threading.Thread(target=self._until_left, args=(handler,), daemon=True).start()
+        line: dict[str, Any] | None = self.rig.listing()
+        while line is not None:
+            data = json.dumps(line).encode() + b"\n"
+            handler.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
+            line = self.changes.get()
+        handler.close_connection = True
+
+    def _until_left(self, handler: BaseHTTPRequestHandler) -> None:
+        with contextlib.suppress(OSError):
+            handler.connection.recv(1)
+        self.left.set()
+
+
 class Rig:
     def __init__(self, path: Path, *providers: tuple[Behaviour, float], sockets: int = 256) -> None:
         self.over = threading.Event()
         self.revision = 1
-        self.changes: queue.Queue[dict[str, Any]] = queue.Queue()
-        self.watched: queue.Queue[str] = queue.Queue()
         self.providers = [Provider(self, f"s-{k}", does, up) for k, (does, up) in enumerate(providers)]
-        discovery = Server(self.watch)
-        conf = {
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "8c1f",
+        self.discovery = Discovery(self)
+        self.conf = {
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "8c1f",
             "limits": {"sockets": sockets}, "known": self.listing(), "settings": SETTINGS,
         }  # fmt: skip
-        (path / "config.json").write_text(json.dumps(conf))
+        self.file = path / "config.json"
+        self.file.write_text(json.dumps(self.conf))
         env = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
         self.process = subprocess.Popen(
             [sys.executable, "-m", "bitternpath"],
-            env={**env, "PROXY_CONFIG": str(path / "config.json")},
+            env={**env, "PROXY_CONFIG": str(self.file), "PROXY_DISCOVERY": self.discovery.address},
             cwd=Path(__file__).parent.parent,
             stderr=subprocess.PIPE,
             text=True,
@@ -148,23 +175,14 @@
     def listing(self) -> dict[str, Any]:
         return {"revision": self.revision, "complete": True, "members": [p.row() for p in self.providers]}
 
-    def watch(self, handler: BaseHTTPRequestHandler) -> None:
-        """Tell changes as they come; None among them ends the watch."""
-        self.watched.put(handler.path)
-        handler.wfile.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        line: dict[str, Any] | None = self.listing()
-        while line is not None:
-            data = json.dumps(line).encode() + b"\n"
-            handler.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
-            line = self.changes.get()
-        handler.close_connection = True
-
     def change(self, provider: Provider, phase: str) -> None:
         """Tell it, and wait until the node has taken it in."""
         provider.phase = phase
         self.revision += 1
-        self.changes.put({"revision": self.revision, "complete": False, "members": [provider.row()]})
-        until(lambda: any(f"event=roster revision={self.revision} " in line for line in self.log))
+        self.discovery.changes.put(
+            {"revision": self.revision, "complete": False, "members": [provider.row()]}
+        )
+        until(lambda: self.logged(f"event=roster revision={self.revision} "))
 
     def open(self, **headers: str) -> HTTPConnection:
         return HTTPConnection(self.address, timeout=20)
@@ -193,11 +211,21 @@
 
     def close(self) -> None:
         self.over.set()
-        self.changes.put(None)  # type: ignore[arg-type]
+        self.discovery.changes.put(None)
         if self.process.poll() is None:
             self.process.kill()
         self.process.wait(20)
 
+    def logged(self, what: str) -> list[str]:
+        return [line for line in self.log if what in line]
+
+    def reload(self, text: str, says: str = "event=reloaded") -> None:
+        """Replace the configuration file, send SIGHUP, and wait for the node's word on it."""
+        before = len(self.logged(says))
+        self.file.write_text(text)
+        self.process.send_signal(signal.SIGHUP)
+        until(lambda: len(self.logged(says)) > before)
+
     def terminate(self) -> None:
         self.process.send_signal(signal.SIGTERM)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import contextlib
+import json
+import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
-from rig import Provider, Rig, accept, done, reject, reply, reset, running, silent, until
+from rig import Discovery, Provider, Rig, accept, done, reject, reply, reset, running, silent, until
 
 from bitternpath.net.http1 import BODY_LIMIT, HEAD_LIMIT
 from bitternpath.net.sockets import Sockets
@@ -121,11 +123,57 @@
 
 def test_a_broken_watch_is_opened_again_from_where_it_was(tmp_path: Path) -> None:
     with running(tmp_path, done) as rig:
-        assert rig.watched.get(timeout=20).endswith("index=1")
+        assert rig.discovery.watched.get(timeout=20).endswith("index=1")
         rig.revision = 7
-        rig.changes.put(rig.listing())
-        rig.changes.put(None)  # type: ignore[arg-type]
-        assert rig.watched.get(timeout=20) == "/v1/endpoints?stream=1&index=7"
+        rig.discovery.changes.put(rig.listing())
+        rig.discovery.changes.put(None)
+        assert rig.discovery.watched.get(timeout=20) == "/v1/endpoints?stream=1&index=7"
+
+
+def test_sighup_moves_the_watch_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    # Guards: SIGHUP ended the process, and PROXY_DISCOVERY would have kept the watch at the old address.
+    with running(tmp_path, done, done) as rig:
+        old = rig.discovery
+        rig.revision = 5
+        old.changes.put(rig.listing())
+        until(lambda: rig.logged("event=roster revision=5 "))
+        good = json.dumps(rig.conf)
+        for bad in (
+            "{",
+            json.dumps(rig.conf | {"discovery": "nowhere"}),
+            json.dumps(rig.conf | {"settings": {}}),
+        ):
+            rig.reload(bad, "reload failed")
+        assert len(rig.logged("reload failed")) == 3 and not old.left.is_set()
+        rig.reload(good)
+        assert not old.left.is_set() and old.watched.qsize() == 1  # nothing has moved
+        new = rig.discovery = Discovery(rig)
+        rig.reload(json.dumps(rig.conf | {"discovery": new.address, "listen": "127.0.0.1:1"}))
+        assert rig.logged("needs_restart=listen")
+        assert new.watched.get(timeout=20).endswith("index=5")
+        assert old.left.wait(20)
+        assert rig.invoke("a")[0] == 200
+        rig.change(rig.providers[0], "draining")
+        assert rig.invoke("b")[1] == b"made by s-1"
+        rig.terminate()
+        rig.process.send_signal(signal.SIGHUP)
+        assert rig.process.wait(20) == 0
+
+
+def test_sighup_while_a_watch_cannot_be_opened(tmp_path: Path) -> None:
+    # Guards: the wait before the next attempt at the address before must not hold up the move, and the
+    # list in hand serves meanwhile.
+    with running(tmp_path, done) as rig:
+        until(lambda: rig.logged("event=roster "))  # the first watch has spoken
+        nowhere = json.dumps(rig.conf | {"discovery": "127.0.0.1:9"})
+        rig.reload(nowhere)
+        until(lambda: len(rig.logged('event="watch lost"')) >= 3)
+        assert not rig.discovery.left.is_set()  # the old watch is kept until another speaks
+        assert rig.invoke("a")[0] == 200
+        new = Discovery(rig)
+        rig.reload(nowhere)
+        rig.reload(json.dumps(rig.conf | {"discovery": new.address}))
+        assert new.watched.get(timeout=20).endswith("index=1") and rig.discovery.left.wait(20)
 
 
 @pytest.fixture(scope="module")
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -14,6 +14,7 @@
 from rig import SETTINGS
 
 from bitternpath import messages as m
+from bitternpath.net.config import load, reload
 from bitternpath.net.logs import KeyValueFormatter
 from bitternpath.net.roster import Roster, listing_from
 
@@ -60,6 +61,25 @@
     assert without.returncode == 2 and len(without.stderr.splitlines()) == 1
 
 
+@pytest.mark.parametrize(
+    ("environ", "start", "then", "want"),
+    [
+        ({}, "h:1", "h:2", ("h", 2)),
+        ({"PROXY_DISCOVERY": "h:1"}, "h:1", "h:2", ("h", 2)),  # the environment must not pin the old one
+        ({"PROXY_DISCOVERY": "h:7"}, "h:1", "h:1", ("h", 7)),  # the file says nothing new
+        ({"PROXY_DISCOVERY": "h:7"}, "h:1", None, ("h", 7)),
+    ],
+)
+def test_where_discovery_is_after_a_reload(
+    tmp_path: Path, environ: dict[str, str], start: str, then: str | None, want: tuple[str, int]
+) -> None:
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(GOOD | {"discovery": start}))
+    running = load(environ, str(file))
+    file.write_text(json.dumps(GOOD | {"discovery": then}))
+    assert reload(running, environ, str(file)).discovery == want
+
+
 def test_a_log_line_is_pairs_on_one_line() -> None:
     record = logging.LogRecord("bitternpath.net.x", logging.INFO, "", 1, "it %s", ("is",), None)
     record.kv = {"plain": 1, "spaced": 'a "b"\nc'}
