Learn when providers really close idle connections, and fail what they cannot use untried

(b) providers answer 400 to requests with an empty X-Budget-Ms, which Listener._invoke took for none; Pool._outcome made each an ERROR, so a lookup went to six providers, each of which was taught to be bad. Now a close in good order of an idle connection halves its age into the longest time for reuse, which doubles in 10 s; a 4xx ends the invocation as failed, and to the module as withdrawn. Also: headers that frame or name a request count once (two ids were joined into one that no client sent), chunk lines need CR LF, targets are ASCII, an id is not taken again within 10 s.

--- a/bitternpath/net/broker.py
+++ b/bitternpath/net/broker.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import logging
-from collections import Counter
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -22,6 +22,7 @@
 log = logging.getLogger(__name__)
 
 ANSWER_AHEAD = 10.0  # ms before the consumer's deadline at which its calls time out
+REMEMBERED = 10_000.0  # ms for which the id of an invocation is not taken again: longer than any runs
 LAST_MOMENT = 4.0  # ms before the deadline at which the broker answers where the module has not
 
 
@@ -134,6 +135,11 @@
     result: bytes = b""
 
 
+@dataclass(slots=True)
+class Unusable:
+    call: InvokerCall
+
+
 @dataclass(slots=True)
 class Noted:
     call: InvokerCall
@@ -151,7 +157,7 @@
     label: str
 
 
-Event = Arrived | Left | Ended | Noted | Listed | Due
+Event = Arrived | Left | Ended | Unusable | Noted | Listed | Due
 
 
 class Broker:
@@ -167,6 +173,7 @@
     ) -> None:
         self.later, self.clock, self.roster, self.invoker, self.handle = later, clock, roster, invoker, handle
         self.live: dict[str, Invocation] = {}  # unanswered, or answered with calls still out
+        self._taken: OrderedDict[str, float] = OrderedDict()  # when, the oldest first
         self.answer_by = float("inf")  # what arrives from now on is answered by then, whatever its deadline
         self.waiting = 0  # invocations that are owed an answer
         self.counts: Counter[str] = Counter()
@@ -177,14 +184,19 @@
     # ---- what the sides tell
 
     def knows(self, invocation: str) -> bool:
-        return invocation in self.live
+        """Whether an invocation of that id is under way or was of late."""
+        return invocation in self.live or invocation in self._taken
 
     def invoke(self, invocation: Invocation) -> None:
+        now = self.clock()
+        while self._taken and next(iter(self._taken.values())) < now - REMEMBERED:
+            self._taken.popitem(last=False)
+        self._taken[invocation.id] = now
         self.live[invocation.id] = invocation
         self.waiting += 1
         # Where next to nothing is left, the module still has its say first.
         last = min(invocation.deadline, self.answer_by) - LAST_MOMENT
-        left = max(last - self.clock(), LAST_MOMENT)
+        left = max(last - now, LAST_MOMENT)
         invocation.timer = self.later.callLater(left / 1000.0, self._last_moment, invocation)
         self._append(Arrived(invocation))
 
@@ -198,6 +210,11 @@
         if not call.over:
             self._append(Ended(call, how, result))
 
+    def unusable(self, call: InvokerCall) -> None:
+        """A provider can make nothing of the invocation: that is the consumer's fault, and no other could."""
+        if not call.over:
+            self._append(Unusable(call))
+
     def news(self, invocation: str, provider: str, state: State, share: float | None, result: bytes) -> None:
         """What a provider reports of a call, in any order, perhaps again, perhaps of one unknown here."""
         found = self.live.get(invocation)
@@ -256,7 +273,7 @@
         invocation: Invocation | None = None
         if isinstance(event, Arrived | Left):
             invocation = event.invocation
-        elif isinstance(event, Ended | Noted):
+        elif isinstance(event, Ended | Unusable | Noted):
             invocation = event.call.invocation
         elif isinstance(event, Due):
             # The module sets its alarms anew when they ring; one that failed has to ring again all the same.
@@ -278,6 +295,11 @@
                 return m.Withdrawn(i.id)
             case Ended(call, how, result):
                 return self._call_over(call, how, result, now)
+            case Unusable(call):
+                if not call.over and not call.invocation.answered:
+                    self._answer(call.invocation, call.invocation.consumer.failed, "failed")
+                # To the module it is as if the consumer had gone: the provider did nothing wrong.
+                return self._call_over(call, m.How.CANCELLED, b"", now)
             case Noted(call, share):
                 return None if call.over else m.JobNote(call.id, call.number, call.provider, share)
             case Listed(listing, kind):
--- a/bitternpath/net/consumers.py
+++ b/bitternpath/net/consumers.py
@@ -375,12 +375,12 @@
     def _invoke(self, connection: ConsumerConnection, message: http1.Request) -> None:
         headers, name = message.headers, message.path.split(b"/", 2)[1]
         spec = self.classes[name]
-        id, budget = headers.get(b"x-call-id", b""), headers.get(b"x-budget-ms", b"")
+        id, budget = headers.get(b"x-call-id", b""), headers.get(b"x-budget-ms")
         if not _ID.fullmatch(id):
             connection.answer(400, b"X-Call-Id is missing or malformed")
         elif headers.get(b"x-call-class", name) != name:
             connection.answer(400, b"X-Call-Class differs from the path")
-        elif budget and not _BUDGET.fullmatch(budget):
+        elif budget is not None and not _BUDGET.fullmatch(budget):
             connection.answer(400, b"X-Budget-Ms is malformed")
         elif self.broker.knows(id.decode()):
             connection.answer(409, b"X-Call-Id is in use")
@@ -395,7 +395,7 @@
             invocation = Invocation(
                 id.decode(),
                 spec.name,
-                connection.begun_at + (float(budget) if budget else spec.give_up),
+                connection.begun_at + (spec.give_up if budget is None else float(budget)),
                 connection,
                 message,
                 int(key, 16) % 2**53 if _KEY.fullmatch(key) else None,
--- a/bitternpath/net/http1.py
+++ b/bitternpath/net/http1.py
@@ -15,11 +15,17 @@
 Headers = dict[bytes, bytes]
 
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
-_TARGET = re.compile(rb"/[\x21-\x7e\x80-\xff]*")
+_TARGET = re.compile(rb"/[\x21\x22\x24-\x7e]*")  # what any server can read: ASCII, and no fragment
 _REQUEST = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) (\S+) HTTP/1\.([01])")
 _STATUS = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: .*)?")
 _DIGITS = re.compile(rb"[0-9]{1,12}")
 _HEX = re.compile(rb"[0-9A-Fa-f]{1,8}")
+_VALUE = re.compile(rb"[\t\x20-\x7e]*")
+# Those that say where a message ends, what it is and whose: given twice, each reader may take another one.
+ONCE = frozenset(
+    b"content-length transfer-encoding host content-type x-call-id x-call-class x-route-hash x-budget-ms"
+    b" x-again x-call-info".split()
+)
 _CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
@@ -98,7 +104,10 @@
             if max(at, len(buffer)) > LINE_LIMIT:
                 raise HttpError(400, "chunk line too long")
             return False
-        line = _line_of(buffer.take(at + 1)[:-1])
+        ended = buffer.take(at + 1)
+        if not ended.endswith(b"\r\n"):
+            raise HttpError(400, "chunk line without CR LF")
+        line = _line_of(ended[:-1])
         if self.mode == "size":
             size = line.partition(b";")[0].rstrip(b" \t")
             if not _HEX.fullmatch(size):
@@ -210,10 +219,9 @@
             return _Body("size", 0, self.body_limit)
         if length is None:
             return _Body(otherwise, 0, self.body_limit)
-        sizes = {int(v) if _DIGITS.fullmatch(v) else -1 for v in re.split(rb"[ \t]*,[ \t]*", length)}
-        if len(sizes) != 1 or -1 in sizes:
-            raise HttpError(400, "conflicting or bad lengths")
-        return _Body("length", sizes.pop(), self.body_limit)
+        if not _DIGITS.fullmatch(length):
+            raise HttpError(400, "bad length")
+        return _Body("length", int(length), self.body_limit)
 
 
 class RequestReader(Reader):
@@ -261,6 +269,8 @@
         if not colon or not _TOKEN.fullmatch(name):
             raise HttpError(400, "bad header")
         name, value = name.lower(), value.strip(b" \t")
+        if name in ONCE and (name in headers or not _VALUE.fullmatch(value)):
+            raise HttpError(400, "header repeated or not in ASCII")
         headers[name] = headers[name] + b"," + value if name in headers else value
     return headers
 
--- a/bitternpath/net/providers.py
+++ b/bitternpath/net/providers.py
@@ -7,6 +7,7 @@
 from typing import Any
 from urllib.parse import quote
 
+from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
@@ -21,6 +22,9 @@
 log = logging.getLogger(__name__)
 
 IDLE_SHARE = 0.6  # of the time after which a provider closes idle connections: ours go earlier
+# Providers may close idle connections far earlier than the settings say; what crosses such a close is lost.
+# Ours are used again within half the shortest time seen; every look for idle ones lengthens that a little.
+EARLY_SHARE, LONGER = 0.5, 1.035  # the latter doubles it in 10 s
 SWEEP = 0.5  # s between looks for connections that have been idle too long
 WORD_WITHIN = 1.0  # s for the answer to a DELETE, and for one that a call no longer waits for
 DELETES, DELETES_EACH = 32, 2  # at once in all and at one provider; more are not sent
@@ -115,6 +119,13 @@
                 self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
+        if (
+            self.open
+            and self.exchange is None
+            and self.idle_since
+            and isinstance(reason.value, ConnectionDone)
+        ):
+            self.pool.closed_by_provider(self.pool.clock() - self.idle_since)
         self.open = False
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
@@ -162,7 +173,11 @@
 
     def set_times(self, dial_timeout: float, idle_timeout: float) -> None:
         self.dial_timeout = dial_timeout / 1000.0
-        self.idle_for = idle_timeout * IDLE_SHARE
+        self.idle_for = self.reuse_for = idle_timeout * IDLE_SHARE
+
+    def closed_by_provider(self, idle: float) -> None:
+        self.counts["closed_by_provider"] += 1
+        self.reuse_for = min(self.reuse_for, EARLY_SHARE * idle)
 
     def run(self) -> None:
         self.reactor.callLater(SWEEP, self._sweep)
@@ -217,9 +232,12 @@
         line = self.lines.get(address)
         if line is None:
             line = self.lines[address] = Line(address)
+        since = self.clock() - self.reuse_for
         while line.idle:
             connection = line.idle.pop()
-            if connection.open:
+            if connection.idle_since < since:
+                connection.abort()
+            elif connection.open:
                 self._carry(connection, exchange)
                 return
         line.waiting.append(exchange)
@@ -319,6 +337,9 @@
             call.accepted = True
         elif message.status in (503, 504) and message.headers.get(b"x-rejected") == b"1":
             self.broker.ended(call, m.How.FULL)
+        elif 400 <= message.status < 500:
+            self.counts["unusable"] += 1
+            self.broker.unusable(call)
         else:
             self.broker.ended(call, m.How.ERROR)
 
@@ -346,7 +367,8 @@
 
     def _sweep(self) -> None:
         self.reactor.callLater(SWEEP, self._sweep)
-        due = self.clock() - self.idle_for
+        self.reuse_for = min(self.reuse_for * LONGER, self.idle_for)
+        due = self.clock() - self.reuse_for
         for line in self.lines.values():
             while line.idle and line.idle[0].idle_since <= due:
                 line.idle.pop(0).abort()
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -24,9 +24,8 @@
         self.given_up: list[InvokerCall] = []
         self.answers: list[tuple[Any, ...]] = []
         spec = m.JobClass("job", effect, 80.0, 5000.0, late_worth=0.5, window=5000.0)
-        module = Dispatcher(
-            m.Settings((spec,), second_copies=True, try_limit=6, tells_start=True), 1, self.now()
-        )
+        settings = m.Settings((spec,), second_copies=True, try_limit=6, tells_start=True)
+        module = self.module = Dispatcher(settings, 1, self.now())
         self.broker = Broker(self.reactor, self.now, Roster(listing), self, handle or module.handle)  # type: ignore[arg-type]
         self.broker.listed(listing, at_start=True)
         self.pass_time(1.0)
@@ -180,3 +179,29 @@
     assert desk.answers == []
     desk.pass_time(10.0)
     assert desk.answers == [("failed",)]
+
+
+@pytest.mark.parametrize("effect", list(m.Effect))
+def test_what_a_provider_cannot_use_fails_without_another_try_or_a_lesson(effect: m.Effect) -> None:
+    # Guards: each answer of that kind was an error, tried on every provider and held against each of them.
+    desk = Desk(effect, providers=4)
+    nets = [line.net for line in desk.module.lines.values()]
+    desk.invoke()
+    before = [(net.a[:], net.b[:], net.up, net.down) for net in nets]
+    desk.broker.unusable(desk.calls[0])
+    desk.broker.ended(desk.calls[0], m.How.RESET)
+    desk.pass_time(50.0)
+    assert desk.answers == [("failed",)] and len(desk.calls) == 1 and not desk.broker.live
+    assert before == [(net.a[:], net.b[:], net.up, net.down) for net in nets]
+    assert all(worker.n == 0 and worker.waiting == 0 for worker in desk.module.workers.values())
+
+
+def test_an_id_is_not_taken_again_soon_after_its_answer() -> None:
+    # Guards: the same id a moment later would have run a second time what must run once.
+    desk = Desk()
+    desk.invoke("a")
+    desk.news(State.DONE, desk.calls[0].provider)
+    assert desk.broker.knows("a") and not desk.broker.live and not desk.broker.knows("b")
+    desk.pass_time(11_000.0)
+    desk.invoke("b")
+    assert not desk.broker.knows("a") and desk.broker.knows("b")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -102,6 +102,18 @@
         assert rig.providers[0].got == [("POST", "/lookup/x%20y?b=%2F&c", body)]
 
 
+def test_the_id_of_an_open_invocation_is_refused_to_others_and_the_first_is_not_disturbed(
+    tmp_path: Path,
+) -> None:
+    with running(tmp_path, accept) as rig, ThreadPoolExecutor(1) as pool:
+        first = pool.submit(rig.invoke, "a", "/reminder")
+        until(lambda: rig.providers[0].posts)
+        assert rig.invoke("a", "/reminder")[0] == 409
+        assert rig.providers[0].tell("a", "done", result="r") == 204
+        assert first.result()[:2] == (200, b"r") and len(rig.providers[0].got) == 1
+        assert rig.invoke("a", "/reminder")[0] == 409 and len(rig.providers[0].got) == 1
+
+
 def test_a_job_whose_consumer_has_gone_is_given_up(tmp_path: Path) -> None:
     with running(tmp_path, accept) as rig:
         connection = rig.open()
@@ -190,6 +202,8 @@
         (400, JOB + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab"),
         (400, JOB.replace(b"X-Call-Id: x\r\n", b"") + b"Content-Length: 0\r\n\r\n"),
         (400, JOB + b"X-Budget-Ms: soon\r\nContent-Length: 0\r\n\r\n"),
+        (400, JOB + b"X-Budget-Ms:\r\nContent-Length: 0\r\n\r\n"),
+        (400, JOB + b"X-Budget-Ms: -5\r\nContent-Length: 0\r\n\r\n"),
         (400, JOB + b"X-Call-Class: reminder\r\nContent-Length: 0\r\n\r\n"),
         (400, b"POST /_jobs/news HTTP/1.1\r\nContent-Length: 2\r\n\r\n[]"),
         (400, b'POST /_jobs/news HTTP/1.1\r\nContent-Length: 17\r\n\r\n{"id":1,"from":2}'),
--- a/tests/test_providers.py
+++ b/tests/test_providers.py
@@ -38,9 +38,10 @@
     """A pool whose connections the test makes and breaks."""
 
     def __init__(self) -> None:
-        self.ends: list[m.How] = []
+        self.ends: list[m.How | str] = []
+        self.now = 1e6
         self.roster = Roster(Listing(1, True, (ROW,)))
-        clock: Any = lambda: 1e6  # noqa: E731
+        clock: Any = lambda: self.now  # noqa: E731
         self.pool = Pool(Reactor(), clock, self.roster, Sockets(64), 250.0, 10_000.0)
         self.pool.broker = self  # type: ignore[assignment]
         self.pool._dial = self.dial  # type: ignore[method-assign]
@@ -53,6 +54,9 @@
     def ended(self, call: InvokerCall, how: m.How) -> None:
         self.ends.append(how)
 
+    def unusable(self, call: InvokerCall) -> None:
+        self.ends.append("unusable")
+
     def call(self) -> InvokerCall:
         payload = Request({}, b"body", True, b"POST", b"/job")
         call = InvokerCall(Invocation("a", "job", 2e6, self, payload), 0, "s0", 1e6, 2e6)  # type: ignore[arg-type]
@@ -77,12 +81,13 @@
         (True, b"HTTP/1.1 504 x\r\nX-Rejected: 1\r\n\r\n", [m.How.FULL]),
         (True, b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", [m.How.ERROR]),
         (True, b"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", [m.How.ERROR]),
+        (True, b"HTTP/1.1 400 x\r\nContent-Length: 0\r\n\r\n", ["unusable"]),
         (True, b"nonsense\r\n\r\n", [m.How.RESET]),
         (False, b"HTTP/1.1 503 x\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", [m.How.NO_CONNECTION]),
     ],
 )
 def test_what_becomes_of_a_call_when_its_connection_ends(
-    written: bool, answer: bytes, want: list[m.How]
+    written: bool, answer: bytes, want: list[m.How | str]
 ) -> None:
     bench = Bench()
     bench.call()
@@ -127,3 +132,29 @@
     wire.clear()
     connection.dataReceived(ACCEPTED)
     assert wire.value().startswith(b"POST /job HTTP/1.1\r\n") and not bench.pool.lines[ROW.host_port].waiting
+
+
+@pytest.mark.parametrize(("idle", "kept"), [(400.0, True), (600.0, False)])
+def test_providers_that_close_early_have_their_connections_used_again_only_while_fresh(
+    idle: float, kept: bool
+) -> None:
+    # Guards: connections idle for longer than providers really allow were used again, and the calls reset.
+    bench = Bench()
+    pair = []
+    for _ in range(2):
+        bench.call()
+        pair.append(bench.connect())
+    for connection, wire in pair:
+        wire.written()
+        connection.dataReceived(ACCEPTED)
+    line = bench.pool.lines[ROW.host_port]
+    assert len(line.idle) == 2
+    bench.now += 1000.0
+    pair[0][
+        0
+    ].connectionLost()  # in good order: the provider holds idle ones for 1 s, not for the 10 s it says
+    bench.now += idle - 1000.0
+    wire = pair[1][1]
+    wire.clear()
+    bench.call()
+    assert wire.value().startswith(b"POST") == kept and line.dials == (0 if kept else 1)
