Keep the workers' queues short and hold at the node what can wait

At fault: Dispatcher.pick let each job into any queue that it could bear itself, so a reschedule (bears 1.3 s) stood before reminders (0.2 s).

Now no queue is longer than the class bears that bears least.

--- a/bitternpath/brain.py
+++ b/bitternpath/brain.py
@@ -170,6 +170,10 @@
         self.pace: dict[str, float] = {}  # running time of late on each kind of machine, at size 1
         self.ended, self.patience = 0, 0.0  # jobs ended; the longest time that a client gave a try
 
+    def bears(self) -> float:
+        """How long its usual job can wait and still end in time."""
+        return self.spec.aim + self.spec.stretch * self.work - min(self.pace.values(), default=0.0)
+
 
 class Dispatcher:
     """One dispatcher; instances share nothing."""
@@ -282,7 +286,6 @@
     def advice(self, line: ClassLine) -> float:
         """When the client may come again: a place where its job ends in time should be free by then."""
         now, longest = self.now, self.set.max_retry_after
-        bears = line.spec.aim + line.spec.stretch * line.work - min(line.pace.values(), default=0.0)
         waits = [
             max(w.wait - (now - w.wait_at), w.out_until - now, w.full_until - now, w.next_cold - now, 0.0)
             + w.own_queue(self.mean_run)
@@ -290,7 +293,7 @@
         ]
         running = sum(w.n - w.waiting for w in line.net.workers)
         ahead = len(self.held) * self.mean_run / max(running, 1)  # held jobs go first
-        wait = min(waits, default=longest) - max(bears, 0.0) + ahead
+        wait = min(waits, default=longest) - max(line.bears(), 0.0) + ahead
         return min(max(wait, self.pause), longest)
 
     def send(self, job: Job, worker: Worker) -> None:
@@ -329,6 +332,8 @@
         usual = (1 - 1 / self.set.dispatchers) ** UNSEEN * max(self.mean_wait - (now - self.begun_at), 0.0)
         late = job.spec.late_worth > 0 and max(kinds.values(), default=0.0) < 0
         left, paces = job.deadline - now, job.line.pace
+        # No queue grows longer than the hastiest class bears: what can wait is held here, out of the way.
+        longest = min(line.bears() for line in self.lines.values())
         best, best_score = None, 0.0
         for places in ([int(rand() * n) for _ in range(min(many, n))], range(n)):
             for k in places:
@@ -338,7 +343,7 @@
                 age, own = now - w.wait_at, w.own_queue(self.mean_run)
                 # A queue drains since it was seen, but others send. What is late goes where none is known and
                 # it can end before its deadline: anywhere else it would make others late as well.
-                limit, seen = kinds.get(w.kind, 0.0), max(w.wait - age, 0.0)
+                limit, seen = min(kinds.get(w.kind, 0.0), longest), max(w.wait - age, 0.0)
                 if late and (seen + own > 0.0 or paces.get(w.kind, 0.0) * job.size > left):
                     continue
                 if not late and max(seen, usual if limit > 0 else 0.0) + own > max(limit, 0.0):
--- a/tests/test_strain.py
+++ b/tests/test_strain.py
@@ -175,3 +175,13 @@
         talk.ask("held")
         talk.say(m.WorkerList(m.ListKind.CHANGES, [entry("cold", up_since=talk.now)]))
         assert talk.d.workers["cold"].next_cold - talk.now < 1000.0
+
+
+def test_what_can_wait_is_held_while_queues_are_longer_than_the_hastiest_class_bears() -> None:
+    """Jobs with much time queued deep at the workers, and all with little time came late behind them."""
+    talk = Talk(job_class("long", aim=3000.0), job_class("quick", aim=100.0, stretch=0.0), workers=2)
+    for worker in talk.d.workers.values():
+        worker.wait, worker.wait_at = 800.0, talk.now
+    assert not sends(talk.ask("a", "long"))
+    assert not sends(talk.sweep(600.0))
+    assert [s.id for s in sends(talk.sweep(250.0))] == ["a"]
