Compare all workers of a small fleet, queue by earnings, and let late jobs wait their turn

At fault in Dispatcher.pick: a sample drawn with replacement, so of 10 workers a pick saw 65%; the score counted waits beside the jobs in flight (the design says q / (1 + own jobs in flight)); jobs of 730 ms queued as deep as those of 90; late jobs went beside running ones. In Job: any try with less time than others was taken for a client's later try; a probe on sockets showed first tries with 150 to 200 ms refused for that.

--- a/bitternpath/brain.py
+++ b/bitternpath/brain.py
@@ -14,9 +14,9 @@
 KEEP = 0.95  # the paper's alpha: how much of the threshold T one payoff leaves
 PAYOFF_CAP = 4.0  # no payoff counts for more than this multiple of T, nor a failure for more than its mirror
 FULL_REST = 2.0  # mean running times for which a worker that turned a job away is held to be full
-LOOK_LASTS = 2.0  # mean running times in which half of what was seen of a queue fades to what is usual
+CHANCE = 0.5  # of the usual running time: with less left before the deadline a job is not worth a try
 SAMPLE = 24  # workers compared for a job, and besides four times a dispatcher's share of the fleet
-UNSEEN = 4  # sends: an unseen queue is as usual with the chance that so many in a row were others'
+UNSEEN = 2  # sends: an unseen queue is as usual with the chance that so many in a row were others'
 EXPLORE = 0.05  # share of jobs that go to a random usable worker
 SLOW, QUICK = 0.02, 0.1  # weight of one job in means that last and in means that follow the day
 SETTLED = 1e-3  # q is settled when no neuron moves by more
@@ -140,7 +140,7 @@
 class Job:
     """A request and its attempts."""
 
-    def __init__(self, request: m.Request, line: ClassLine, now: float) -> None:
+    def __init__(self, request: m.Request, line: ClassLine, now: float, marked: bool) -> None:
         self.id, self.request, self.line, self.spec = request.id, request, line, line.spec
         self.deadline, self.open = now + request.remaining, True
         self.tries: list[Attempt] = []
@@ -149,8 +149,8 @@
         self.size = request.hint / line.hint if request.hint else 1.0  # 1 is the mean
         # A client's earlier tries have used up some of the aim, as the time that it still gives us shows.
         line.patience = max(line.patience, request.remaining)
-        self.end_by = now + request.remaining - line.patience
-        self.end_by += self.spec.aim + self.spec.stretch * (request.hint or line.work)
+        used = line.patience - request.remaining if request.repeat or not marked else 0.0
+        self.end_by = now - used + self.spec.aim + self.spec.stretch * (request.hint or line.work)
         begin_by = self.end_by - min(line.pace.values(), default=0.0) * self.size
         # In overload what would end late for nothing is turned away early: it would take others' place.
         # So is what would end after the deadline: no place that comes up then could still serve it.
@@ -170,6 +170,10 @@
         self.pace: dict[str, float] = {}  # running time of late on each kind of machine, at size 1
         self.ended, self.patience = 0, 0.0  # jobs ended; the longest time that a client gave a try
 
+    def earns(self) -> float:
+        """Worth per time on a worker."""
+        return self.spec.value / self.run if self.run else 0.0
+
     def bears(self) -> float:
         """How long its usual job can wait and still end in time."""
         return self.spec.aim + self.spec.stretch * self.work - min(self.pace.values(), default=0.0)
@@ -260,7 +264,7 @@
         worker.next_cold = min(self.now + gap * luck, worker.warm_at)
 
     def on_request(self, event: m.Request) -> None:
-        job = self.jobs[event.id] = Job(event, self.lines[event.job_class], self.now)
+        job = self.jobs[event.id] = Job(event, self.lines[event.job_class], self.now, self.set.marks_retry)
         if not self.place(job):
             self.held.append(job)
 
@@ -321,36 +325,40 @@
         return all(w is not worker and w.group[group] == worker.group[group] for w in ran)
 
     def pick(self, job: Job) -> Worker | None:
-        """The usable worker of a sample with the highest q / (1 + own jobs in flight + jobs waited for)."""
+        """The usable worker with the highest q / (1 + own jobs in flight), of a sample in large fleets."""
         net, rand, now = job.line.net, self.random.random, self.now
         workers, q, n = net.workers, net.q, len(net.workers)
         many = 1 if rand() < EXPLORE else SAMPLE + 4 * n // self.set.dispatchers
-        run = max(job.line.run, self.set.tick)
-        # A worker is usable if the job can still end there in time, on a machine of that kind.
-        kinds = {kind: job.end_by - now - pace * job.size for kind, pace in job.line.pace.items()}
+        # A worker is usable if the job can still end there in time, on a machine of that kind, and has a fair
+        # chance to end before the client gives it up.
+        kinds = {
+            kind: min(job.end_by - pace * job.size, job.deadline - CHANCE * pace * job.size) - now
+            for kind, pace in job.line.pace.items()
+        }
         # The usual wait, where the last sends to a worker were likely others'; it drains when no job begins.
         usual = (1 - 1 / self.set.dispatchers) ** UNSEEN * max(self.mean_wait - (now - self.begun_at), 0.0)
         late = job.spec.late_worth > 0 and max(kinds.values(), default=0.0) < 0
         left, paces = job.deadline - now, job.line.pace
-        # No queue grows longer than the hastiest class bears: what can wait is held here, out of the way.
-        longest = min(line.bears() for line in self.lines.values())
+        # No queue grows longer than the hastiest class bears, and by jobs that earn less for their time even
+        # less: what has to wait is held here, out of the way.
+        lines = self.lines.values()
+        share = job.line.earns() / max(max(line.earns() for line in lines), 1e-9) if job.line.run else 1.0
+        longest = share * min(line.bears() for line in lines)
         best, best_score = None, 0.0
-        for places in ([int(rand() * n) for _ in range(min(many, n))], range(n)):
+        for places in ([int(rand() * n) for _ in range(many if many < n else 0)], range(n)):
             for k in places:
                 w = workers[k]
                 if w.out_until > now or w.next_cold > now or (w.full_until > now and not w.room):
                     continue
                 age, own = now - w.wait_at, w.own_queue(self.mean_run)
-                # A queue drains since it was seen, but others send. What is late goes where none is known and
-                # it can end before its deadline: anywhere else it would make others late as well.
+                # A queue drains since it was seen, but others send. What is late goes where none is likely,
+                # no own job is out and it can end before its deadline: else others would be late as well.
                 limit, seen = min(kinds.get(w.kind, 0.0), longest), max(w.wait - age, 0.0)
-                if late and (seen + own > 0.0 or paces.get(w.kind, 0.0) * job.size > left):
+                if late and (max(seen, usual) > 0.0 or w.n or paces.get(w.kind, 0.0) * job.size > left):
                     continue
                 if not late and max(seen, usual if limit > 0 else 0.0) + own > max(limit, 0.0):
                     continue
-                fade = LOOK_LASTS * run / (LOOK_LASTS * run + age)
-                wait = self.mean_wait + (w.wait - self.mean_wait) * fade + own
-                score = q[k] / (1 + w.n + wait / run) * (1 + 0.01 * rand())
+                score = q[k] / (1 + w.n) * (1 + 0.01 * rand())
                 if score > best_score and (not job.tries or self.allowed(job, w)):
                     best, best_score = w, score
             if best is not None:
