--- a/bitternpath/brain.py
+++ b/bitternpath/brain.py
@@ -42,6 +42,7 @@
         self.faults: dict[str, tuple[int, float, float]] = {}
         self.warm_at = self.up + warm_within if self.up else 0.0
         self.wait = self.wait_at = 0.0  # how long a job there had waited to begin, and when that was seen
+        self.called_off: list[float] = []  # when jobs that nobody waits for any more should end
         self.waiting = self.room = 0  # own jobs not begun; sends allowed while it is held to be full
 
     def broken(self, line: ClassLine, now: float) -> bool:
@@ -49,6 +50,11 @@
         kept = [name for name, fault in self.faults.items() if fault[1 if line.harmless else 2] > now]
         return len(kept) > 1 or self.faults.get(line.spec.name, (0, 0.0, 0.0))[1] > now
 
+    def load(self, now: float) -> int:
+        """Own jobs there, those too that were called off: workers finish what they have."""
+        self.called_off = [end for end in self.called_off if end > now]
+        return self.n + len(self.called_off)
+
     def own_queue(self, run: float) -> float:
         """How long own jobs that have not begun keep the slots busy that own jobs have there."""
         return self.waiting * run / max(self.n - self.waiting, 1)
@@ -142,9 +148,8 @@
     def __init__(self, job: Job, n: int, worker: Worker, now: float) -> None:
         self.job, self.n, self.worker, self.sent = job, n, worker, now
         self.out = self.ran = True  # still out; may have run
-        self.lost = False  # will likely never begin: it does not count as in flight
         self.begun: float | None = None
-        self.scored = False
+        self.lost = self.scored = False  # will likely never begin, and so does not count as in flight
 
 
 class Job:
@@ -355,8 +360,7 @@
         share = job.line.earns() / max(max(line.earns() for line in lines), 1e-9) if job.line.run else 1.0
         longest = share * min(line.bears() for line in lines)
         broken = [w for w in workers if w.faults and w.broken(job.line, now)]
-        if 2 * len(broken) > n:  # hardly the workers' fault
-            broken = []
+        broken = broken if 2 * len(broken) <= n else []  # else it is hardly the workers' fault
         best, best_score = None, 0.0
         for places in ([int(rand() * n) for _ in range(many if many < n else 0)], range(n)):
             for k in places:
@@ -367,12 +371,12 @@
                 age, own = now - w.wait_at, w.own_queue(self.mean_run)
                 # A queue drains since it was seen, but others send. What is late goes where none is likely,
                 # no own job is out and it can end before its deadline: else others would be late as well.
-                limit, seen = min(kinds.get(w.kind, 0.0), longest), max(w.wait - age, 0.0)
-                if late and (max(seen, usual) > 0.0 or w.n or paces.get(w.kind, 0.0) * job.size > left):
+                limit, seen, load = min(kinds.get(w.kind, 0.0), longest), max(w.wait - age, 0.0), w.load(now)
+                if late and (max(seen, usual) + load > 0.0 or paces.get(w.kind, 0.0) * job.size > left):
                     continue
                 if not late and max(seen, usual if limit > 0 else 0.0) + own > max(limit, 0.0):
                     continue
-                score = q[k] / (1 + w.n) * (1 + 0.01 * rand())
+                score = q[k] / (1 + load) * (1 + 0.01 * rand())
                 if score > best_score and (not job.tries or self.allowed(job, w)):
                     best, best_score = w, score
             if best is not None:
@@ -391,7 +395,7 @@
     def begin(self, attempt: Attempt, since: float) -> None:
         if attempt.begun is not None:
             return
-        self.find_again(attempt)
+        self.lose(attempt, False)
         attempt.begun, worker = max(self.now - since, attempt.sent), attempt.worker
         worker.waiting -= self.set.tells_start
         worker.wait, worker.wait_at, self.begun_at = attempt.begun - attempt.sent, self.now, self.now
@@ -417,8 +421,8 @@
         attempt = self.find(event.id, event.attempt)
         if attempt is None or not attempt.out:
             return
-        job, worker = attempt.job, attempt.worker
-        self.find_again(attempt)
+        job, worker, lost = attempt.job, attempt.worker, attempt.lost
+        self.lose(attempt, False)
         attempt.out = False
         del self.out[attempt]
         worker.n -= 1
@@ -434,6 +438,9 @@
                 self.score(attempt, event.elapsed)
         else:
             worker.waiting -= self.set.tells_start and attempt.begun is None
+        if event.how is m.How.CANCELLED and not lost:
+            begins = attempt.begun or self.now + max(worker.wait - (self.now - worker.wait_at), 0.0)
+            worker.called_off.append(begins + job.line.run * job.size)
         if event.how not in (m.How.OK, m.How.CANCELLED):
             if event.how is m.How.ERROR and sum(t.ran for t in job.tries) == 1:
                 self.fault(worker, job.line)  # if it failed elsewhere too, the job may itself be the cause
@@ -484,18 +491,11 @@
         rest = FAULTY * 2**before * (0.5 + self.random.random())
         worker.faults[line.spec.name] = min(before + 1, MOST_FAULTS), self.now + rest, self.now + 2 * rest
 
-    def lose(self, attempt: Attempt) -> None:
-        """The job will likely never begin: it holds no place there, nor does it tell of a queue."""
-        attempt.lost, worker = True, attempt.worker
-        worker.n -= 1
-        worker.waiting -= self.set.tells_start
-
-    def find_again(self, attempt: Attempt) -> None:
-        """It has begun or ended after all."""
-        if attempt.lost:
-            attempt.lost, worker = False, attempt.worker
-            worker.n += 1
-            worker.waiting += self.set.tells_start
+    def lose(self, attempt: Attempt, lost: bool = True) -> None:
+        """Lost jobs will likely never begin: they hold no place, nor do they tell of a queue."""
+        change, attempt.lost = attempt.lost - lost, lost
+        attempt.worker.n += change
+        attempt.worker.waiting += change * self.set.tells_start
 
     def on_withdrawn(self, event: m.Withdrawn) -> None:
         if event.id in self.jobs:
--- a/tests/test_strain.py
+++ b/tests/test_strain.py
@@ -315,3 +315,14 @@
             for send in sends(acts):
                 acts = talk.end(name, send.worker, m.How.ERROR, n)
     assert all(sends(talk.ask(f"good{k}")) for k in range(4))
+
+
+def test_a_job_called_off_counts_as_load_until_it_should_have_ended() -> None:
+    """Workers finish what they have: one whose jobs had been called off passed for idle."""
+    talk = Talk(workers=2)
+    teach(talk, 300.0)
+    (send,) = sends(talk.ask("gone"))
+    talk.say(m.Withdrawn("gone"))
+    talk.end("gone", send.worker, m.How.CANCELLED, after=1.0)
+    worker = talk.d.workers[send.worker]
+    assert worker.n == 0 and worker.load(talk.now) == 1 and worker.load(talk.now + 400.0) == 0
