Split the node by concern, and give operators a checked settings file, click and structlog

Need: several protocols are to plug into one core; net/ held core, HTTP and configuration in one place, logs and the command line were our own code, and operators had no settings besides the platform's file. Change: core/ (broker, invocations, roster: no protocol, no I/O), http/ (front, invoker, watch), net/ (buffer, sockets), config/ (platform file, operator file, passwords, logs), cli/ (one module a sub-command), node.py. The broker picks the invoker by the provider's protocol, the roster keeps providers of several sources apart, and the module learns which classes and how many places a provider has. deploy/operator.toml: typed by msgspec, every key also a variable and a flag, check-config says where each came from; reload all or nothing. Logs by structlog with a bound on lines per event. Nothing is on; deploy's run line is as it was.

--- a/bitternpath/brain.py
+++ b/bitternpath/brain.py
@@ -35,7 +35,7 @@
     def __init__(self, entry: m.Entry, warm_within: float = 0.0) -> None:
         self.name, self.kind, self.up = entry.worker, entry.kind, entry.up_since or 0.0
         self.group = {m.Group.ALL: "", m.Group.ZONE: entry.zone, m.Group.CELL: str(entry.cell)}
-        self.n = self.strikes = 0  # own jobs in flight, silences in a row
+        self.n = self.strikes = self.slots = 0  # own jobs in flight, silences in a row, places (0: not told)
         self.heard = self.out_until = self.full_until = self.next_cold = 0.0
         self.shy_until = self.last_begun = 0.0  # no unsafe jobs until; when the last that has begun was sent
         # By class: faults not made up for by a job that ended well, until when any and unsafe jobs stay away.
@@ -253,8 +253,11 @@
                 # At a random point of the first gap: all dispatchers hear of it at about the same time.
                 self.permit(worker, max(line.run for line in self.lines.values()), self.random.random())
             for line in self.lines.values():
-                if line.spec.kind in (None, worker.kind):
+                served = entry.classes is None or line.spec.name in entry.classes
+                if served and line.spec.kind in (None, worker.kind):
                     line.net.join(worker)
+        if entry.state is m.State.SERVING:
+            self.workers[entry.worker].slots = entry.slots
 
     def retire(self, worker: Worker) -> None:
         """Draining or gone: it gets nothing more (well before the grace ends); what is out there runs on."""
@@ -366,7 +369,7 @@
             for k in places:
                 w = workers[k]
                 out = max(w.next_cold, w.out_until if job.line.harmless else w.shy_until)
-                if out > now or (w.full_until > now and not w.room) or w in broken:
+                if out > now or (w.full_until > now and not w.room) or w in broken or 0 < w.slots <= w.n:
                     continue
                 age, own = now - w.wait_at, w.own_queue(self.mean_run)
                 # A queue drains since it was seen, but others send. What is late goes where none is likely,
@@ -383,7 +386,7 @@
                 return best
         if any(w.out_until <= now for w in workers):
             return None  # else all are suspect: better a silent worker than none
-        warm = [w for w in workers if w.next_cold <= now and self.allowed(job, w)]
+        warm = [w for w in workers if w.next_cold <= now and not 0 < w.slots <= w.n and self.allowed(job, w)]
         return self.random.choice(warm) if warm else None
 
     def on_note(self, event: m.JobNote | m.StreamBegun) -> None:
--- /dev/null
+++ b/bitternpath/cli/__init__.py
@@ -0,0 +1,35 @@
+"""The command line.
+
+Exit codes: 0 all went well; 1 it ran and something was wrong; 2 the command or the configuration is wrong.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Sequence
+from typing import Any
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the command line; the exit code."""
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    if not given and "_BITTERNPATH_COMPLETE" not in os.environ:
+        # The platform's own start, as light as it can be: a restarting node is waited for.
+        from bitternpath.cli.run import run
+
+        return run(None, None, {})
+    import click
+
+    from bitternpath.cli.top import top
+
+    try:
+        code: Any = top.main(given, prog_name="bitternpath", standalone_mode=False)
+    except click.exceptions.Exit as ended:
+        code = ended.exit_code
+    except click.Abort:
+        code = 1
+    except click.ClickException as error:
+        error.show()
+        code = error.exit_code
+    return int(code or 0)
--- /dev/null
+++ b/bitternpath/cli/check_config.py
@@ -0,0 +1,38 @@
+"""`bitternpath check-config`: what a node would run with."""
+
+from __future__ import annotations
+
+import os
+from typing import Any
+
+import click
+
+from bitternpath.cli.options import given, settings_options
+from bitternpath.cli.run import fault
+from bitternpath.config.load import load_all
+from bitternpath.config.platform import ConfigError
+
+
+@click.command(
+    epilog="""\b
+Examples:
+  bitternpath check-config --config node.json
+  bitternpath check-config --config node.json --operator-file operator.toml
+"""
+)
+@settings_options
+def command(config: str | None, operator_file: str | None, **flags: Any) -> None:
+    """Read the configuration and print every setting and where it came from.
+
+    Ends with 0 where it is good, with 2 and one line where it is not.
+    """
+    try:
+        loaded = load_all(os.environ, config, operator_file, given(flags))
+    except ConfigError as error:
+        click.get_current_context().exit(fault(error))
+    platform = loaded.platform
+    click.echo(
+        f"{platform.name}: listens on {platform.listen[0]}:{platform.listen[1]}, configuration is good"
+    )
+    for line in loaded.operator.lines():
+        click.echo(line)
--- /dev/null
+++ b/bitternpath/cli/options.py
@@ -0,0 +1,36 @@
+"""The options that `serve` and `check-config` share; one for each key of the operator file."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import click
+
+from bitternpath.config.operator import flag, keys, meant, variable
+
+
+def settings_options(function: Callable[..., Any]) -> Callable[..., Any]:
+    """Adds `--config`, `--operator-file` and a flag for every key; they arrive as `config`, `operator_file`
+    and the keys' names with underscores."""
+    for path, hint in reversed(list(keys())):
+        function = click.option(
+            flag(path),
+            path.replace(".", "__"),
+            metavar="VALUE",
+            default=None,
+            help=f"{meant(hint).description} [{variable(path)}]",
+        )(function)
+    function = click.option(
+        "--operator-file",
+        metavar="FILE",
+        help="the operators' TOML file; else BITTERNPATH_OPERATOR_FILE names it",
+    )(function)
+    return click.option(
+        "--config", metavar="FILE", help="the platform's JSON file; else PROXY_CONFIG names it"
+    )(function)
+
+
+def given(flags: dict[str, str | None]) -> dict[str, str]:
+    """The flags that were given, by key."""
+    return {name.replace("__", "."): text for name, text in flags.items() if text is not None}
--- /dev/null
+++ b/bitternpath/cli/run.py
@@ -0,0 +1,34 @@
+"""Running a node, without what only the command line needs."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Mapping
+
+from bitternpath.config.load import Loaded, load_all, reload_all
+from bitternpath.config.platform import ConfigError
+
+
+def fault(error: Exception) -> int:
+    """One line on standard error, and the exit code of a wrong configuration."""
+    print(f"bitternpath: {error}", file=sys.stderr)
+    return 2
+
+
+def run(config: str | None, operator_file: str | None, flags: Mapping[str, str]) -> int:
+    """Run a node until it is told to stop; the exit code."""
+    try:
+        loaded = load_all(os.environ, config, operator_file, flags)
+    except ConfigError as error:
+        return fault(error)
+    from bitternpath import node  # the reactor is not needed to find a fault in a configuration
+    from bitternpath.config import logs
+
+    told = loaded.operator.settings.log
+    logs.start(told.level, told.format, told.per_second)
+
+    def read_again(running: Loaded) -> Loaded:
+        return reload_all(running, os.environ, config, operator_file, flags)
+
+    return node.serve(loaded, read_again)
--- /dev/null
+++ b/bitternpath/cli/serve.py
@@ -0,0 +1,27 @@
+"""`bitternpath serve`: run a node."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import click
+
+from bitternpath.cli.options import given, settings_options
+from bitternpath.cli.run import run
+
+
+@click.command(
+    epilog="""\b
+Examples:
+  PROXY_CONFIG=node.json bitternpath serve
+  bitternpath serve --config node.json --log-format json
+  bitternpath serve --config node.json --amqp-listen 127.0.0.1:5672
+"""
+)
+@settings_options
+def command(config: str | None, operator_file: str | None, **flags: Any) -> None:
+    """Run a node. A flag wins over the environment, that over the operator file, that over the default.
+
+    Ends with 0 after SIGTERM, once all that was taken is answered; with 2 where the configuration is wrong.
+    """
+    click.get_current_context().exit(run(config, operator_file, given(flags)))
--- /dev/null
+++ b/bitternpath/cli/top.py
@@ -0,0 +1,56 @@
+"""The tree of commands. Each sub-command is a module that is imported when it is called."""
+
+from __future__ import annotations
+
+from importlib import import_module
+
+import click
+
+COMMANDS = {  # in the order in which --help names them
+    "serve": "Run a node (the default).",
+    "check-config": "Read the configuration, print every setting and where it came from, and end.",
+    "user": "Make password hashes for the operator file.",
+    "completion": "Print the completion script of a shell.",
+    "version": "Print the version.",
+}
+
+EPILOG = """\b
+Examples:
+  bitternpath serve --config node.json
+  bitternpath serve --config node.json --amqp-listen 127.0.0.1:5672
+  bitternpath check-config --config node.json --operator-file operator.toml
+  bitternpath user hash reminders
+
+\b
+Exit codes:
+  0  all went well
+  1  it ran and something was wrong
+  2  the command or the configuration is wrong, in one line
+"""
+
+
+class Commands(click.Group):
+    """Sub-commands that cost nothing until they are called."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return list(COMMANDS)
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name not in COMMANDS:
+            return None
+        made: click.Command = import_module(f"bitternpath.cli.{name.replace('-', '_')}").command
+        return made
+
+    def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        with formatter.section("Commands"):
+            formatter.write_dl(list(COMMANDS.items()))
+
+
+@click.group(cls=Commands, invoke_without_command=True, epilog=EPILOG)
+@click.pass_context
+def top(ctx: click.Context) -> None:
+    """A node that takes jobs and passes each to one of many workers."""
+    if ctx.invoked_subcommand is None:
+        from bitternpath.cli.run import run
+
+        ctx.exit(run(None, None, {}))
--- /dev/null
+++ b/bitternpath/config/operator.py
@@ -0,0 +1,272 @@
+"""The operators' settings: a TOML file, environment variables and flags; flag > environment > file > default.
+
+Typed and bound-checked by msgspec: it converts what tomllib read, and strings from the environment and flags,
+into the same types, and refuses unknown keys. Everything is off by default. All or nothing: the first fault
+ends the reading with one line that names where it stands, the key, the value, and what is allowed.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+from typing import Annotated, Any, Literal, get_args, get_origin, get_type_hints
+
+import msgspec
+from msgspec import Meta, Struct
+
+from bitternpath.config.platform import ConfigError
+
+PREFIX = "BITTERNPATH_"
+FILE_VARIABLE = "BITTERNPATH_OPERATOR_FILE"
+
+
+class Log(Struct, frozen=True, forbid_unknown_fields=True):
+    """How the node logs, to standard error."""
+
+    level: Annotated[
+        Literal["debug", "info", "warning", "error"],
+        Meta(description="the least severe lines written"),
+    ] = "info"
+    format: Annotated[Literal["kv", "json"], Meta(description="key=value pairs, or JSON for machines")] = "kv"
+    per_second: Annotated[
+        int, Meta(ge=1, le=1_000_000, description="lines of one event in a second, at most")
+    ] = 50
+
+
+class User(Struct, frozen=True, forbid_unknown_fields=True):
+    """Somebody who may connect over AMQP."""
+
+    # scrypt:N:r:p:salt:hash with the last two in hex, as `bitternpath user hash` prints it
+    password: Annotated[
+        str,
+        Meta(pattern=r"^scrypt:[0-9]{1,7}:[0-9]{1,2}:[0-9]{1,2}:([0-9a-f]{2}){8,64}:([0-9a-f]{2}){16,64}$"),
+    ]
+    vhosts: list[str] = msgspec.field(default_factory=lambda: ["/"])
+
+
+class Amqp(Struct, frozen=True, forbid_unknown_fields=True):
+    """AMQP 0-9-1. Off, and not imported, while `listen` is empty."""
+
+    listen: Annotated[
+        str,
+        Meta(
+            pattern=r"^$|^[^\s:]+:[0-9]{1,5}$",
+            title="HOST:PORT, or empty",
+            description="where it listens; empty: off, port 0: any",
+        ),
+    ] = ""
+    vhosts: Annotated[list[str], Meta(description="virtual hosts that a connection may open")] = (
+        msgspec.field(default_factory=lambda: ["/"])
+    )
+    users: Annotated[
+        dict[str, User],
+        Meta(
+            description="who may connect; none: guest/guest, from loopback only. As a flag or variable: JSON"
+        ),
+    ] = msgspec.field(default_factory=dict)
+    requeue_unstarted: Annotated[
+        list[str],
+        Meta(description="classes whose subscribers requeue only what they have not begun: it never ran"),
+    ] = msgspec.field(default_factory=list)
+    heartbeat: Annotated[
+        int, Meta(ge=0, le=3600, description="seconds between heartbeats that the node asks for; 0: none")
+    ] = 60
+    max_connections: Annotated[
+        int, Meta(ge=1, le=65536, description="connections at once; as many sockets are kept for them")
+    ] = 256
+    max_waiting: Annotated[
+        int, Meta(ge=1, le=1_000_000, description="invocations of all publishers that wait for their answers")
+    ] = 1000
+    publisher_waiting: Annotated[
+        int, Meta(ge=1, le=1_000_000, description="the same of one connection; it is not read while at it")
+    ] = 256
+    channel_max: Annotated[int, Meta(ge=1, le=2047, description="channels of one connection")] = 64
+    frame_max: Annotated[int, Meta(ge=4096, le=1 << 20, description="bytes of a frame")] = 131072
+    prefetch_cap: Annotated[
+        int, Meta(ge=1, le=1000, description="places of a subscriber at most, and where its prefetch is 0")
+    ] = 16
+    subscribers: Annotated[int, Meta(ge=1, le=4096, description="consumers of one connection")] = 64
+    reply_queues: Annotated[int, Meta(ge=1, le=4096, description="private queues of one connection")] = 16
+    reply_queue_bytes: Annotated[
+        int, Meta(ge=65536, le=1 << 28, description="bytes that wait in one private queue")
+    ] = 1 << 20
+    unread_bytes: Annotated[
+        int, Meta(ge=262144, le=1 << 30, description="bytes written for a peer that it has not taken yet")
+    ] = 4 << 20
+
+
+class Operator(Struct, frozen=True, forbid_unknown_fields=True):
+    """All sections."""
+
+    log: Log = Log()
+    amqp: Amqp = Amqp()
+
+
+# What a running node cannot change; a reload names those that differ.
+AT_START_ONLY = ("log.level", "log.format", "log.per_second", "amqp.listen", "amqp.max_connections")
+
+
+class Effective:
+    """The settings and where each value came from."""
+
+    def __init__(self, settings: Operator, origin: dict[str, str]) -> None:
+        self.settings, self.origin = settings, origin
+
+    def lines(self) -> Iterator[str]:
+        """`section.key = value (origin)`, for people; secrets are left out."""
+        for path, _ in keys():
+            value = self.value(path)
+            shown = (
+                {name: {"vhosts": u.vhosts} for name, u in value.items()} if path == "amqp.users" else value
+            )
+            yield f"{path} = {msgspec.json.encode(shown).decode()} ({self.origin.get(path, 'default')})"
+
+    def value(self, path: str) -> Any:
+        section, _, key = path.partition(".")
+        return getattr(getattr(self.settings, section), key)
+
+
+def keys() -> Iterator[tuple[str, Any]]:
+    """Every key as `section.key` with its type."""
+    for section in Operator.__struct_fields__:
+        kind = get_type_hints(Operator)[section]
+        for key, hint in get_type_hints(kind, include_extras=True).items():
+            yield f"{section}.{key}", hint
+
+
+def meant(hint: Any) -> Meta:
+    """What the schema says of a key in words."""
+    found: Meta = next((note for note in getattr(hint, "__metadata__", ()) if isinstance(note, Meta)), Meta())
+    return found
+
+
+def variable(path: str) -> str:
+    return PREFIX + path.replace(".", "_").upper()
+
+
+def flag(path: str) -> str:
+    return "--" + path.replace(".", "-").replace("_", "-")
+
+
+def read(path: str | None, environ: Mapping[str, str], flags: Mapping[str, str]) -> Effective:
+    """Read all three. `path` (else BITTERNPATH_OPERATOR_FILE) names the file; `flags` has values by key."""
+    path = path or environ.get(FILE_VARIABLE) or None
+    tree: dict[str, Any] = {}
+    origin: dict[str, str] = {}
+    if path is not None:
+        tree = _file(path)
+        _convert(tree, Operator, path, tree)
+        for section, given in tree.items():
+            origin |= {f"{section}.{key}": path for key in given}
+    known = dict(keys())
+    variables = {variable(key): key for key in known}
+    for name in sorted(environ):
+        if name.startswith(PREFIX) and name != FILE_VARIABLE and name not in variables:
+            allowed = _some([FILE_VARIABLE, *variables])
+            raise ConfigError(f"environment: {name} = {environ[name]!r}: unknown; allowed are {allowed}")
+    for name, key in variables.items():
+        if name in environ:
+            _set(tree, key, _text(environ[name], known[key], name))
+            origin[key] = name
+    for key, text in flags.items():
+        _set(tree, key, _text(text, known[key], flag(key)))
+        origin[key] = flag(key)
+    return Effective(_convert(tree, Operator, path or "settings", tree), origin)
+
+
+def changed_at_start_only(before: Operator, now: Operator) -> list[str]:
+    """The keys that differ and wait for a restart."""
+    old, new = Effective(before, {}), Effective(now, {})
+    return [path for path in AT_START_ONLY if old.value(path) != new.value(path)]
+
+
+def _file(path: str) -> dict[str, Any]:
+    try:
+        return tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from error
+    except ValueError as error:  # TOML's and Unicode's errors are among these
+        raise ConfigError(f"{path}: not TOML: {' '.join(str(error).split())}") from error
+
+
+def _set(tree: dict[str, Any], path: str, value: Any) -> None:
+    section, _, key = path.partition(".")
+    tree.setdefault(section, {})[key] = value
+
+
+def _text(text: str, kind: Any, where: str) -> Any:
+    """A value given as text: lists with commas, tables as JSON, the rest as it stands."""
+    origin = get_origin(kind.__origin__ if hasattr(kind, "__metadata__") else kind)
+    if origin is dict:
+        try:
+            value: Any = msgspec.json.decode(text)
+        except msgspec.DecodeError as error:
+            raise ConfigError(f"{where}: {text!r}: not JSON: {error}") from error
+    elif origin is list:
+        value = [part.strip() for part in text.split(",") if part.strip()]
+    else:
+        value = text
+    made = _convert(value, kind, where, value, strict=False)
+    return msgspec.to_builtins(made)
+
+
+_AT = re.compile(r" - at `(?:key in )?\$([^`]*)`$")
+_UNKNOWN = re.compile(r"unknown field `([^`]*)`")
+
+
+def _convert(value: Any, kind: Any, where: str, tree: Any, strict: bool = True) -> Any:
+    try:
+        return msgspec.convert(value, kind, strict=strict)
+    except msgspec.ValidationError as error:
+        text = str(error)
+        found = _AT.search(text)
+        path = (found[1] if found else "").strip(".")
+        said = _AT.sub("", text)
+        if unknown := _UNKNOWN.search(said):
+            full = ".".join(part for part in (path, unknown[1]) if part)
+            given = _at(tree, full)
+            raise ConfigError(
+                f"{where}: {full} = {given!r}: unknown key; allowed are {_some(_fields(kind, path))}"
+            ) from error
+        hint = kind if hasattr(kind, "__metadata__") else dict(keys()).get(path)
+        allowed = _allowed(hint) if hint is not None else said[0].lower() + said[1:]
+        if path.endswith("password"):
+            raise ConfigError(f"{where}: {path}: not a hash; `bitternpath user hash` makes one") from error
+        head = f"{where}: {path} = " if path else f"{where}: "
+        raise ConfigError(f"{head}{_at(tree, path)!r}: {allowed}") from error
+
+
+def _allowed(hint: Any) -> str:
+    """What a key may be, in words."""
+    kind, meta = getattr(hint, "__origin__", hint), meant(hint)
+    if meta.title:
+        return f"allowed is {meta.title}"
+    if get_origin(kind) is Literal:
+        return f"allowed are {_some(get_args(kind))}"
+    if kind is int:
+        return f"allowed is a whole number from {meta.ge} to {meta.le}"
+    return "allowed is a list of texts" if get_origin(kind) is list else "allowed is a table"
+
+
+def _at(tree: Any, path: str) -> Any:
+    """What stands at a path such as `amqp.vhosts[0]`; `...` is any key of a table."""
+    for part in re.findall(r"[^.\[\]]+|\.{3}", path):
+        try:
+            tree = tree[int(part)] if isinstance(tree, list) else tree[part]
+        except (KeyError, IndexError, ValueError, TypeError):
+            return "..."
+    return tree
+
+
+def _fields(kind: Any, path: str) -> list[str]:
+    for part in [p for p in path.split(".") if p]:
+        hints = get_type_hints(kind) if isinstance(kind, type) and issubclass(kind, Struct) else {}
+        kind = hints.get(part, User)  # below `users` there are names, then the fields of one
+        kind = get_args(kind)[-1] if get_origin(kind) is dict else kind
+    return list(getattr(kind, "__struct_fields__", ()))
+
+
+def _some(names: Any) -> str:
+    return ", ".join(names)
--- a/bitternpath/net/config.py
+++ b/bitternpath/config/platform.py
@@ -10,9 +10,12 @@
 import ujson
 
 from bitternpath import messages as m
-from bitternpath.net.roster import Address, Listing, listing_from
+from bitternpath.core.roster import Listing
+from bitternpath.http.listing import listing_from
 from bitternpath.settings import settings_from
 
+Address = tuple[str, int]
+
 
 class ConfigError(Exception):
     """The configuration cannot be used; the text says why, in one line."""
--- a/bitternpath/net/broker.py
+++ b/bitternpath/core/broker.py
@@ -1,76 +1,31 @@
 """The core: invocations, their calls, and the traffic with the decision module.
 
-It knows no HTTP and decides nothing about workers, retries or refusals. Whatever happens is appended to a
+It knows no protocol and decides nothing about workers, retries or refusals. Whatever happens is appended to a
 batch; the first event of a batch schedules one drain, which hands the batch to the module in one go and
 then carries out all that came back.
 """
 
 from __future__ import annotations
 
-import logging
 from collections import Counter, OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import Enum
+from dataclasses import dataclass
 from functools import partial
-from time import monotonic, time
-from typing import Any, Protocol
+
+import structlog
 
 from bitternpath import messages as m
-from bitternpath.net.roster import Listing, Provider, Roster
+from bitternpath.core.clock import Later
+from bitternpath.core.invocations import CALLS_BACK, Invocation, InvokerCall, Invokers, State
+from bitternpath.core.roster import Listing, Provider, Roster
 
-log = logging.getLogger(__name__)
+log = structlog.get_logger(part="broker")
 
 ANSWER_AHEAD = 10.0  # ms before the consumer's deadline at which its calls time out
 REMEMBERED = 10_000.0  # ms for which the id of an invocation is not taken again: longer than any runs
 LAST_MOMENT = 4.0  # ms before the deadline at which the broker answers where the module has not
 
 
-class Consumer(Protocol):
-    """The side that waits for the answer of one invocation; exactly one of these is called, once."""
-
-    def served(self, result: bytes) -> None: ...
-
-    def rejected(self, retry_after: float) -> None: ...
-
-    def failed(self) -> None: ...
-
-
-class Invoker(Protocol):
-    """The side that carries calls to providers. What becomes of them it tells by `Broker.ended`."""
-
-    def start(self, call: InvokerCall, provider: Provider) -> None: ...
-
-    def give_up(self, call: InvokerCall) -> None: ...
-
-
-class Later(Protocol):
-    """The part of a reactor that the broker needs."""
-
-    def callLater(self, delay: float, callable: Callable[..., object], *args: Any) -> Any: ...
-
-
-class Clock:
-    """Monotonic milliseconds, anchored once to Unix time so that a provider's start compares."""
-
-    def __init__(self) -> None:
-        self._anchor = (time() - monotonic()) * 1000.0
-
-    def __call__(self) -> float:
-        return self._anchor + monotonic() * 1000.0
-
-
-class State(Enum):
-    """What a provider reports of a call."""
-
-    STARTED = "started"
-    RUNNING = "running"
-    DONE = "done"
-    FAILED = "failed"
-    RETURNED = "returned"
-    LOST = "lost"
-
-
 ENDS = {
     State.DONE: m.How.OK,
     State.FAILED: m.How.ERROR,
@@ -79,45 +34,6 @@
 }
 
 
-@dataclass(slots=True, eq=False)
-class InvokerCall:
-    """One attempt of an invocation at a provider."""
-
-    invocation: Invocation
-    number: int
-    provider: str
-    sent: float
-    expires: float
-    over: bool = False  # its outcome is known; what comes later is passed over
-    accepted: bool = False  # the provider has taken the job: its connection no longer matters
-    returned: bool = False  # ended by a call-back that handed it back
-    timer: Any = None
-    carrier: Any = None  # the invoker's own
-
-    @property
-    def id(self) -> str:
-        return self.invocation.id
-
-
-@dataclass(slots=True, eq=False)
-class Invocation:
-    """A request that was taken and is owed one answer."""
-
-    id: str
-    job_class: str
-    deadline: float
-    consumer: Consumer
-    payload: object  # what the invoker sends on; nothing here looks inside
-    key: int | None = None
-    hint: float | None = None
-    slots: float = 1.0
-    memory: float = 0.0
-    repeat: bool = False
-    answered: bool = False
-    calls: list[InvokerCall] = field(default_factory=list)
-    timer: Any = None
-
-
 @dataclass(slots=True)
 class Arrived:
     invocation: Invocation
@@ -166,12 +82,13 @@
     def __init__(
         self,
         later: Later,
-        clock: Clock,
+        clock: Callable[[], float],
         roster: Roster,
-        invoker: Invoker,
+        invokers: Invokers,
         handle: Callable[[float, m.Event], list[m.Action]],
     ) -> None:
-        self.later, self.clock, self.roster, self.invoker, self.handle = later, clock, roster, invoker, handle
+        self.later, self.clock, self.roster, self.handle = later, clock, roster, handle
+        self.invokers = invokers
         self.live: dict[str, Invocation] = {}  # unanswered, or answered with calls still out
         self._taken: OrderedDict[str, float] = OrderedDict()  # when, the oldest first
         self.answer_by = float("inf")  # what arrives from now on is answered by then, whatever its deadline
@@ -216,9 +133,13 @@
             self._append(Unusable(call))
 
     def news(self, invocation: str, provider: str, state: State, share: float | None, result: bytes) -> None:
-        """What a provider reports of a call, in any order, perhaps again, perhaps of one unknown here."""
+        """What a provider reports by a call-back, in any order, perhaps again, perhaps of one unknown here.
+
+        Only providers that discovery names call back; others tell of their calls where they carry them."""
         found = self.live.get(invocation)
-        calls = [c for c in found.calls if c.provider == provider] if found else []
+        calls = (
+            [c for c in found.calls if c.provider == provider and c.protocol == CALLS_BACK] if found else []
+        )
         if not calls or calls[-1].over:
             return
         call = calls[-1]
@@ -234,6 +155,11 @@
             call.returned = True
         self._append(Ended(call, how, result))
 
+    def started(self, call: InvokerCall) -> None:
+        """An invoker's word that a call has reached a free place at its provider."""
+        if not call.over:
+            self._append(Noted(call, None))
+
     def listed(self, listing: Listing, at_start: bool = False) -> None:
         whole = m.ListKind.WHOLE if listing.complete else m.ListKind.CHANGES
         self._append(Listed(listing, m.ListKind.AT_START if at_start else whole))
@@ -256,14 +182,14 @@
                 if told is not None:
                     actions += self.handle(now, told)
             except Exception:
-                log.exception("event failed", extra={"kv": {"kind": type(event).__name__}})
+                log.exception("event failed", kind=type(event).__name__)
                 self.counts["exceptions"] += 1
                 self._abandon(event)
         for action in actions:
             try:
                 self._carry_out(action)
             except Exception:
-                log.exception("action failed", extra={"kv": {"kind": type(action).__name__}})
+                log.exception("action failed", kind=type(action).__name__)
                 self.counts["exceptions"] += 1
         if not self.waiting and not self._batch:
             self.idle()
@@ -311,6 +237,7 @@
         if call.over:
             return None
         self._finish(call)
+        call.ran = how not in m.NEVER_RAN
         self.counts[how.value] += 1
         invocation = call.invocation
         if how is m.How.OK and not invocation.answered:
@@ -350,7 +277,7 @@
             calls = [f"{c.provider}:{'over' if c.over else 'out'}" for c in invocation.calls]
             kv = {"id": invocation.id, "class": invocation.job_class, "calls": ",".join(calls)}
             kv["late"] = f"{self.clock() - invocation.deadline + LAST_MOMENT:.1f}"
-            log.warning("answered without the module", extra={"kv": kv})
+            log.warning("answered without the module", **kv)
             self._answer(invocation, invocation.consumer.failed, "failed")
             self._append(Left(invocation))
 
@@ -371,12 +298,12 @@
                 if invocation is not None and number < len(invocation.calls):
                     call = invocation.calls[number]
                     if not call.over:
-                        self.invoker.give_up(call)
+                        self.invokers[call.protocol].give_up(call)
                         self._append(Ended(call, m.How.CANCELLED))
             case m.Wake(label, delay):
                 self.later.callLater(delay / 1000.0, self._append, Due(label))
             case _:
-                log.debug("not possible here", extra={"kv": {"action": type(action).__name__}})
+                log.debug("not possible here", action=type(action).__name__)
 
     def _owed(self, id: str) -> Invocation | None:
         invocation = self.live.get(id)
@@ -395,19 +322,20 @@
         if invocation.answered or timeout < 0 or provider is None:
             self._append(Ended(call, m.How.NOT_SENT))
             return
+        call.protocol = provider.protocol
         self.counts["calls"] += 1
         call.timer = self.later.callLater(max(expires - now, 0.0) / 1000.0, self._expired, call)
         try:
-            self.invoker.start(call, provider)
+            self.invokers[call.protocol].start(call, provider)
         except Exception:
-            log.exception("call failed to start", extra={"kv": {"id": id, "provider": worker}})
+            log.exception("call failed to start", id=id, provider=worker)
             self.counts["exceptions"] += 1
             self._append(Ended(call, m.How.RESET))  # how far it got is not known
 
     def _expired(self, call: InvokerCall) -> None:
         call.timer = None
         if not call.over:
-            self.invoker.give_up(call)
+            self.invokers[call.protocol].give_up(call)
             self._append(Ended(call, m.How.TIMEOUT))
 
 
@@ -420,4 +348,6 @@
         provider.state,
         provider.size,
         provider.up_since,
+        provider.serves,
+        provider.slots,
     )
--- a/bitternpath/net/consumers.py
+++ b/bitternpath/http/front.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import logging
 import re
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
+import structlog
 import ujson
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Factory, Protocol, connectionDone
@@ -16,11 +16,13 @@
 from twisted.python.failure import Failure
 
 from bitternpath import messages as m
-from bitternpath.net import http1
-from bitternpath.net.broker import Broker, Clock, Invocation, State
+from bitternpath.core.broker import Broker
+from bitternpath.core.clock import Clock
+from bitternpath.core.invocations import ID_LIMIT, Invocation, State, figures
+from bitternpath.http import http1
 from bitternpath.net.sockets import Sockets
 
-log = logging.getLogger(__name__)
+log = structlog.get_logger(part="front")
 
 NEWS_PATH, READY_PATH = b"/_jobs/news", b"/ready"
 # ms from connecting to the end of the first message, and from the first byte of a later one to its last: who
@@ -39,7 +41,6 @@
 SPARED = 100.0  # ms: connections idle for less are not closed to make room, their request may be on the way
 FRESH = 100.0  # ms: at the end, connections idle for less are not closed, for the same reason
 LOOK_AGAIN = 0.1  # s between looks for such connections
-ID_LIMIT = 200
 
 _ID = re.compile(rb"[\x21-\x7e]{1,%d}" % ID_LIMIT)
 _BUDGET = re.compile(rb"[0-9]{1,9}")
@@ -69,18 +70,6 @@
     return News(told["id"], told["from"], State(told["state"]), None if share is None else float(share), data)
 
 
-def figures(info: bytes) -> dict[str, float]:
-    """`name=value,name=value` with the values that are numbers."""
-    found: dict[str, float] = {}
-    for pair in info.split(b","):
-        name, _, value = pair.strip().partition(b"=")
-        try:
-            found[name.decode()] = float(value)
-        except ValueError:
-            continue
-    return found
-
-
 class ConsumerConnection(Protocol):
     """One connection to the listener; it carries one request at a time."""
 
@@ -138,7 +127,7 @@
             try:
                 self.listener.serve(self, message)
             except Exception:
-                log.exception("request failed", extra={"kv": {"target": message.target.decode("latin-1")}})
+                log.exception("request failed", target=message.target.decode("latin-1"))
                 self.keep_alive = False
                 self.answer(500)
                 return
--- a/bitternpath/net/providers.py
+++ b/bitternpath/http/invoker.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import logging
 from collections import Counter, deque
 from typing import Any
 from urllib.parse import quote
 
+import structlog
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import Protocol, connectionDone
@@ -14,12 +14,14 @@
 from zope.interface import implementer
 
 from bitternpath import messages as m
-from bitternpath.net import http1
-from bitternpath.net.broker import Broker, Clock, InvokerCall
-from bitternpath.net.roster import Listing, Provider, Roster
+from bitternpath.core.broker import Broker
+from bitternpath.core.clock import Clock
+from bitternpath.core.invocations import InvokerCall, Payload
+from bitternpath.core.roster import Listing, Provider, Roster
+from bitternpath.http import http1
 from bitternpath.net.sockets import Sockets, dial
 
-log = logging.getLogger(__name__)
+log = structlog.get_logger(part="invoker")
 
 IDLE_SHARE = 0.6  # of the time after which a provider closes idle connections: ours go earlier
 # Providers may close idle connections far earlier than the settings say; what crosses such a close is lost.
@@ -93,7 +95,7 @@
             while isinstance(message, http1.Response) and message.status < 200:
                 message = self.reader.next()
         except http1.HttpError as error:
-            log.warning("bad answer", extra={"kv": {"from": self.line.address, "why": error}})
+            log.warning("bad answer", **{"from": self.line.address, "why": error})
             self.abort()
             return
         if message is None:
@@ -269,7 +271,7 @@
         line.dials += 1
         dialled = dial(self.reactor, host, int(port), self.dial_timeout, Connection(self, line))
         dialled.addCallbacks(self._dialled, self._not_dialled, errbackArgs=(line,))
-        dialled.addErrback(lambda failure: log.error("dial", extra={"kv": {"why": failure.getTraceback()}}))
+        dialled.addErrback(lambda failure: log.error("dial", why=failure.getTraceback()))
         return True
 
     def _dialled(self, connection: Connection) -> None:
@@ -279,7 +281,7 @@
     def _not_dialled(self, failure: Failure, line: Line) -> None:
         line.dials -= 1
         self.sockets.providers -= 1
-        log.debug("dial failed", extra={"kv": {"to": line.address, "why": failure.getErrorMessage()}})
+        log.debug("dial failed", to=line.address, why=failure.getErrorMessage())
         self.counts["dials_failed"] += 1
         # The exchange that has waited longest is the one that this dial was for.
         while len(line.waiting) > line.dials:
@@ -301,8 +303,7 @@
         connection.carry(exchange)
 
     def _request(self, call: InvokerCall, address: str) -> bytes:
-        message = call.invocation.payload
-        assert isinstance(message, http1.Request)
+        message: Payload = call.invocation.payload
         left = max(int(call.expires - self.clock()), 1)
         headers = [
             (b"Host", address.encode()),
--- /dev/null
+++ b/bitternpath/http/listing.py
@@ -0,0 +1,31 @@
+"""Discovery's list in its JSON form (PROTOCOL, 'Discovery')."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from bitternpath import messages as m
+from bitternpath.core.roster import Listing, Provider
+
+PHASES = {"up": m.State.SERVING, "draining": m.State.DRAINING, "removed": m.State.GONE}
+
+
+def listing_from(told: dict[str, Any]) -> Listing:
+    """The list or the changes of one message; KeyError, ValueError, TypeError where it is none."""
+    return Listing(
+        int(told["revision"]),
+        bool(told.get("complete")),
+        tuple(
+            Provider(
+                str(row["id"]),
+                str(row.get("host_port") or ""),
+                str(row.get("locality") or ""),
+                str(row.get("flavor") or ""),
+                int(row.get("cell") or 0),
+                PHASES[row["phase"]],
+                float(row.get("size") or 1.0),
+                float(row.get("up_since_ms") or 0.0),
+            )
+            for row in told.get("members") or ()
+        ),
+    )
--- a/bitternpath/net/roster.py
+++ b/bitternpath/http/watch.py
@@ -1,23 +1,22 @@
-"""Which providers there are: discovery's list, kept up to date by a watch."""
+"""The source of the platform's providers: a watch on discovery keeps the list up to date."""
 
 from __future__ import annotations
 
-import logging
-from collections.abc import Callable
-from dataclasses import dataclass
 from random import Random
 from typing import Any
 
+import structlog
 import ujson
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from bitternpath import messages as m
-from bitternpath.net.http1 import HttpError, ResponseReader, request
+from bitternpath.core.roster import Roster
+from bitternpath.http.http1 import HttpError, ResponseReader, request
+from bitternpath.http.listing import listing_from
 from bitternpath.net.sockets import dial
 
-log = logging.getLogger(__name__)
+log = structlog.get_logger(part="watch")
 
 SILENCE = 5.0  # s without a line, where one is due every 2 s: the watch is dead
 CONNECT_WITHIN = 1.0  # s; discovery's agent is on the node's own machine
@@ -26,80 +25,6 @@
 
 Address = tuple[str, int]
 
-PHASES = {"up": m.State.SERVING, "draining": m.State.DRAINING, "removed": m.State.GONE}
-
-
-@dataclass(slots=True, frozen=True)
-class Provider:
-    """A line of the list."""
-
-    id: str
-    host_port: str
-    zone: str
-    kind: str
-    cell: int
-    state: m.State
-    size: float
-    up_since: float  # Unix ms; 0: long ago
-
-
-@dataclass(slots=True, frozen=True)
-class Listing:
-    """A list or the changes to one."""
-
-    revision: int
-    complete: bool
-    members: tuple[Provider, ...]
-
-
-def listing_from(told: dict[str, Any]) -> Listing:
-    return Listing(
-        int(told["revision"]),
-        bool(told.get("complete")),
-        tuple(
-            Provider(
-                str(row["id"]),
-                str(row.get("host_port") or ""),
-                str(row.get("locality") or ""),
-                str(row.get("flavor") or ""),
-                int(row.get("cell") or 0),
-                PHASES[row["phase"]],
-                float(row.get("size") or 1.0),
-                float(row.get("up_since_ms") or 0.0),
-            )
-            for row in told.get("members") or ()
-        ),
-    )
-
-
-class Roster:
-    """The list in hand. `tell` hears of every change after it has been taken in."""
-
-    def __init__(self, known: Listing) -> None:
-        self.revision = known.revision
-        self.providers = {p.id: p for p in known.members}
-        self.tell: Callable[[Listing], None] = lambda listing: None
-
-    def take(self, listing: Listing) -> None:
-        if not listing.complete and listing.revision <= self.revision:
-            return  # an old line that came again
-        self.revision = listing.revision
-        if listing.complete:
-            self.providers.clear()
-        for provider in listing.members:
-            if provider.state is m.State.GONE:
-                self.providers.pop(provider.id, None)
-            else:
-                self.providers[provider.id] = provider
-        kv = {"revision": listing.revision, "whole": listing.complete, "lines": len(listing.members)}
-        log.info("roster", extra={"kv": kv})
-        self.tell(listing)
-
-    def serving(self, provider: str) -> Provider | None:
-        """The provider, if it takes new calls."""
-        found = self.providers.get(provider)
-        return found if found is not None and found.state is m.State.SERVING else None
-
 
 class _WatchProtocol(Protocol):
     """One watch: being opened, open, or dropped."""
@@ -144,11 +69,11 @@
             if self.reader.ended:
                 raise HttpError(400, "the watch ended")
         except (HttpError, ValueError, KeyError, TypeError, AttributeError) as error:
-            log.warning("watch broken", extra={"kv": {"why": repr(error)}})
+            log.warning("watch broken", why=repr(error))
             self.transport.abortConnection()
 
     def _silent(self) -> None:
-        log.warning("watch silent", extra={"kv": {"seconds": SILENCE}})
+        log.warning("watch silent", seconds=SILENCE)
         self.alarm = None
         self.transport.abortConnection()
 
@@ -223,7 +148,7 @@
             return
         wait = self.pause * (0.5 + self.random.random())
         self.pause = min(2 * self.pause, LONGEST_PAUSE)
-        log.info("watch lost", extra={"kv": {"why": why, "again_in": wait}})
+        log.info("watch lost", why=why, again_in=wait)
         self._again = self.reactor.callLater(wait, self.start)
 
     def stop(self) -> None:
--- a/bitternpath/messages.py
+++ b/bitternpath/messages.py
@@ -229,6 +229,8 @@
     state: State
     scale: float = 1.0
     up_since: float | None = None
+    classes: frozenset[str] | None = None  # the only classes that it serves; None: all that its kind runs
+    slots: int = 0  # jobs that it takes at once; 0: not told
 
 
 @dataclass(slots=True)
--- a/bitternpath/net/__init__.py
+++ b/bitternpath/net/__init__.py
@@ -1,1 +1,1 @@
-"""The real node: consumers and providers on sockets, round the decision module."""
+"""What every protocol needs of a connection: the one buffer, dialling, and the count of sockets."""
--- a/bitternpath/net/node.py
+++ b/bitternpath/node.py
@@ -3,22 +3,28 @@
 from __future__ import annotations
 
 import gc
-import logging
 import signal
 from collections.abc import Callable
 from dataclasses import replace
 from random import Random
 from typing import Any
 
+import structlog
+
 from bitternpath.brain import Dispatcher
-from bitternpath.net.broker import Broker, Clock
-from bitternpath.net.config import Config, ConfigError
-from bitternpath.net.consumers import NEW_ONES_ARRIVE, Listener
-from bitternpath.net.providers import Pool
-from bitternpath.net.roster import Listing, Roster, Watch
+from bitternpath.config.load import Loaded
+from bitternpath.config.operator import changed_at_start_only
+from bitternpath.config.platform import Config, ConfigError
+from bitternpath.core.broker import Broker
+from bitternpath.core.clock import Clock
+from bitternpath.core.invocations import Invoker
+from bitternpath.core.roster import Listing, Roster
+from bitternpath.http.front import NEW_ONES_ARRIVE, Listener
+from bitternpath.http.invoker import Pool
+from bitternpath.http.watch import Watch
 from bitternpath.net.sockets import Sockets
 
-log = logging.getLogger(__name__)
+log = structlog.get_logger(part="node")
 
 REPORT_EVERY = 10.0  # s between lines with the counts so far
 HALF_SENT = 2000.0  # ms: a request that has begun to arrive so long ago does not hold up the end
@@ -27,8 +33,10 @@
 
 
 class Node:
-    def __init__(self, config: Config, reactor: Any) -> None:
-        self.config, self.reactor = config, reactor
+    def __init__(self, loaded: Loaded, reactor: Any) -> None:
+        config = loaded.platform
+        self.loaded, self.reactor = loaded, reactor
+        self.at_start = loaded.operator.settings
         self.clock = Clock()
         self.roster = Roster(config.known)
         self.sockets = Sockets(config.sockets)
@@ -36,7 +44,8 @@
             reactor, self.clock, self.roster, self.sockets, config.dial_timeout, config.idle_timeout
         )
         self.module = Dispatcher(config.settings, config.seed, self.clock())
-        self.broker = Broker(reactor, self.clock, self.roster, self.pool, self.module.handle)
+        self.invokers: dict[str, Invoker] = {"http": self.pool}
+        self.broker = Broker(reactor, self.clock, self.roster, self.invokers, self.module.handle)
         self.pool.broker = self.broker
         self.watch = Watch(reactor, self.roster, config.discovery, Random(config.seed ^ 0x5EED))
         self.listener = Listener(
@@ -62,43 +71,52 @@
         known = Listing(self.roster.revision, True, tuple(self.roster.providers.values()))
         self.pool.listed(known)
         self.broker.listed(known, at_start=True)
-        self.listener.listen(*self.config.listen)
+        self.listener.listen(*self.loaded.platform.listen)
         self.pool.run()
         self.watch.start()
         self.reactor.callLater(REPORT_EVERY, self._report)
-        kv = {"name": self.config.name, "address": self.listener.address, "providers": len(known.members)}
-        log.info("listening", extra={"kv": kv})
+        kv = {
+            "name": self.loaded.platform.name,
+            "address": self.listener.address,
+            "providers": len(known.members),
+        }
+        log.info("listening", **kv)
 
     def _report(self) -> None:
         self.reactor.callLater(REPORT_EVERY, self._report)
         kv: dict[str, object] = {"waiting": self.broker.waiting, "calls_out": len(self.broker.live)}
         kv |= {"consumers": self.sockets.consumers, "providers": self.sockets.providers}
         kv |= {key.replace(" ", "_"): n for key, n in sorted((self.broker.counts + self.pool.counts).items())}
-        log.info("counts", extra={"kv": kv})
+        log.info("counts", **kv)
 
-    def reload(self, read: Callable[[Config], Config]) -> None:
+    def reload(self, read: Callable[[Loaded], Loaded]) -> None:
         """Take in the configuration as it is now, all of it or nothing."""
-        before = self.config
+        running = self.loaded
+        before = running.platform
         try:
-            now = self.config = read(before)
+            loaded = read(running)
         except ConfigError as error:
-            log.error("reload failed", extra={"kv": {"why": error, "kept": "the configuration in use"}})
+            log.error("reload failed", why=error, kept="the configuration in use")
             return
+        now = loaded.platform
         self.sockets.resize(now.sockets)
         self.pool.set_times(now.dial_timeout, now.idle_timeout)
         self.watch.move(now.discovery)
         kv: dict[str, object] = {"discovery": f"{now.discovery[0]}:{now.discovery[1]}"}
-        if changed := [key for key in AT_START_ONLY if getattr(before, key) != getattr(now, key)]:
+        changed = [key for key in AT_START_ONLY if getattr(before, key) != getattr(now, key)]
+        # What was asked for stays different from what runs: say so again after the next reload.
+        config: Config = replace(now, **{key: getattr(before, key) for key in changed})
+        changed += changed_at_start_only(self.at_start, loaded.operator.settings)
+        if changed:
             kv["needs_restart"] = ",".join(changed)
-            # What was asked for stays different from what runs: say so again after the next reload.
-            self.config = replace(now, **{key: getattr(before, key) for key in changed})
-        log.info("reloaded", extra={"kv": kv})
+        self.loaded = Loaded(config, loaded.operator)
+        log.info("reloaded", **kv)
 
     def stop(self) -> None:
         """Answer all that was taken, then end."""
         if self.listener.stopping:
             return
-        log.info("stopping", extra={"kv": {"waiting": self.broker.waiting}})
+        log.info("stopping", waiting=self.broker.waiting)
         self.listener.stop()
         self.reactor.callLater(NEW_ONES_ARRIVE + 2 * LAST_WORDS, self._close_when_idle)
 
@@ -128,11 +146,11 @@
         self.reactor.stop()
 
 
-def serve(config: Config, read_again: Callable[[Config], Config]) -> int:
+def serve(loaded: Loaded, read_again: Callable[[Loaded], Loaded]) -> int:
     from twisted.internet import reactor as installed
 
     reactor: Any = installed
-    node = Node(config, reactor)
+    node = Node(loaded, reactor)
 
     def on_signal(number: int, frame: object) -> None:
         reactor.callFromThread(node.stop)
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -9,8 +9,9 @@
 
 from bitternpath import messages as m
 from bitternpath.brain import Dispatcher
-from bitternpath.net.broker import Broker, Invocation, InvokerCall, State
-from bitternpath.net.roster import Listing, Provider, Roster
+from bitternpath.core.broker import Broker
+from bitternpath.core.invocations import Invocation, InvokerCall, State
+from bitternpath.core.roster import Listing, Provider, Roster
 
 
 class Desk:
@@ -26,7 +27,7 @@
         spec = m.JobClass("job", effect, 80.0, 5000.0, late_worth=0.5, window=5000.0)
         settings = m.Settings((spec,), second_copies=True, try_limit=6, tells_start=True)
         module = self.module = Dispatcher(settings, 1, self.now())
-        self.broker = Broker(self.reactor, self.now, Roster(listing), self, handle or module.handle)  # type: ignore[arg-type]
+        self.broker = Broker(self.reactor, self.now, Roster(listing), {"http": self}, handle or module.handle)  # type: ignore[arg-type]
         self.broker.listed(listing, at_start=True)
         self.pass_time(1.0)
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -6,8 +6,7 @@
 
 import pytest
 
-from bitternpath.net.buffer import COMPACT_FROM, Buffer
-from bitternpath.net.http1 import (
+from bitternpath.http.http1 import (
     BODY_LIMIT,
     HEAD_LIMIT,
     HttpError,
@@ -19,7 +18,8 @@
     request,
     response,
 )
-from bitternpath.net.http1 import Request as Req
+from bitternpath.http.http1 import Request as Req
+from bitternpath.net.buffer import COMPACT_FROM, Buffer
 
 POST = b"POST /a?b=1 HTTP/1.1\r\n"
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -12,7 +12,7 @@
 import pytest
 from rig import Discovery, Provider, Rig, accept, done, reject, reply, reset, running, silent, until
 
-from bitternpath.net.http1 import BODY_LIMIT, HEAD_LIMIT
+from bitternpath.http.http1 import BODY_LIMIT, HEAD_LIMIT
 from bitternpath.net.sockets import Sockets
 
 JOB = b"POST /lookup HTTP/1.1\r\nX-Call-Id: x\r\n"
--- a/tests/test_providers.py
+++ b/tests/test_providers.py
@@ -12,10 +12,10 @@
 from twisted.python.failure import Failure
 
 from bitternpath import messages as m
-from bitternpath.net.broker import Invocation, InvokerCall
-from bitternpath.net.http1 import Request
-from bitternpath.net.providers import Connection, Pool
-from bitternpath.net.roster import Listing, Provider, Roster
+from bitternpath.core.invocations import Invocation, InvokerCall
+from bitternpath.core.roster import Listing, Provider, Roster
+from bitternpath.http.http1 import Request
+from bitternpath.http.invoker import Connection, Pool
 from bitternpath.net.sockets import Sockets
 
 ROW = Provider("s0", "127.0.0.1:1", "z", "k", 0, m.State.SERVING, 1.0, 5.0)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import logging
 import os
 import subprocess
 import sys
@@ -14,9 +13,9 @@
 from rig import SETTINGS
 
 from bitternpath import messages as m
-from bitternpath.net.config import load, reload
-from bitternpath.net.logs import KeyValueFormatter
-from bitternpath.net.roster import Roster, listing_from
+from bitternpath.config.platform import load, reload
+from bitternpath.core.roster import Roster
+from bitternpath.http.listing import listing_from
 
 GOOD: dict[str, Any] = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": SETTINGS}
 
@@ -87,13 +86,6 @@
     assert run.stdout.split() == [b"False", b"False"]
 
 
-def test_a_log_line_is_pairs_on_one_line() -> None:
-    record = logging.LogRecord("bitternpath.net.x", logging.INFO, "", 1, "it %s", ("is",), None)
-    record.kv = {"plain": 1, "spaced": 'a "b"\nc'}
-    line = KeyValueFormatter().format(record)
-    assert line.endswith(' level=info part=x event="it is" plain=1 spaced="a \\"b\\"\\nc"')
-
-
 def test_the_list_takes_changes_in_order_and_whole_lists_always() -> None:
     def listing(revision: int, complete: bool, **phases: str) -> Any:
         rows = [{"id": id, "host_port": "h:1", "phase": phase} for id, phase in phases.items()]
