--- /dev/null
+++ b/benchmarks/start.py
@@ -0,0 +1,160 @@
+"""What a start costs, and a plain lookup, against an earlier revision of this repository, in one run.
+
+    .venv/bin/python benchmarks/start.py [--before REV] [--rounds 7] [--lookups 2000]
+
+Prints resident memory at /ready, time to /ready and the node's CPU for one lookup, medians of rounds that
+alternate between the two trees. Exit 1 where memory grew by more than 3 MB or the time by more than 60 ms.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import re
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from standins import message
+
+ROOT = Path(__file__).parent.parent
+BEFORE = "9c0ecdd"  # the last revision with everything under net/
+HERTZ = os.sysconf("SC_CLK_TCK")
+SETTINGS: dict[str, Any] = {
+    "allowed": {"cancel": True, "connIdle": 10000.0, "dialTimeout": 250.0, "tryLimit": 6},
+    "balancers": 3,
+    "classes": [{"name": "lookup", "aim": 500.0, "effect": "pure", "giveUp": 5000.0, "lateWorth": 0.5}],
+    "familyInfo": {"tellsStart": True, "progress": 1000.0},
+    "kinds": ["standard"],
+    "locality": "a",
+    "rules": {"coldFrom": 0.2, "drainGrace": 2e3, "fall": 1e3, "tipMultiple": 4.0, "warmWithin": 9e3},
+    "tick": 2.0,
+}  # fmt: skip
+
+
+class Node:
+    """A node of one tree as a process, with one provider."""
+
+    def __init__(self, tree: Path, folder: Path, provider: int) -> None:
+        row = {"id": "s-0", "host_port": f"127.0.0.1:{provider}", "locality": "a", "flavor": "standard",
+               "cell": 0, "phase": "up", "size": 1.0, "up_since_ms": 0}  # fmt: skip
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            self.port = sock.getsockname()[1]
+        conf = {
+            "name": "n", "listen": f"127.0.0.1:{self.port}", "discovery": "127.0.0.1:9", "seed": "1",
+            "limits": {"sockets": 1024}, "settings": SETTINGS,
+            "known": {"revision": 1, "complete": True, "members": [row]},
+        }  # fmt: skip
+        file = folder / "config.json"
+        file.write_text(json.dumps(conf))
+        begun = time.perf_counter()
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "bitternpath"],
+            cwd=tree,
+            env={"PATH": os.environ["PATH"], "PROXY_CONFIG": str(file)},
+            stderr=subprocess.DEVNULL,
+        )
+        while not self.ready():
+            if self.process.poll() is not None or time.perf_counter() > begun + 30:
+                raise SystemExit(f"{tree}: the node did not come up")
+        self.start_ms = (time.perf_counter() - begun) * 1000
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        self.rss_mb = int(re.findall(r"VmRSS:\s+(\d+)", status)[0]) / 1024
+
+    def ready(self) -> bool:
+        try:
+            with socket.create_connection(("127.0.0.1", self.port), 5) as sock:
+                sock.sendall(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n")
+                return sock.recv(100).startswith(b"HTTP/1.1 200")
+        except OSError:
+            time.sleep(0.002)
+            return False
+
+    def cpu(self) -> float:
+        """CPU seconds so far."""
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / HERTZ
+
+    def end(self) -> None:
+        self.process.kill()
+        self.process.wait()
+
+
+async def lookups(port: int, many: int, at_once: int, first: str) -> None:
+    """So many lookups over kept connections; each must be served."""
+
+    async def client(own: int) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        for k in range(many // at_once):
+            head = (
+                f"POST /lookup HTTP/1.1\r\nHost: n\r\nX-Call-Id: {first}-{own}-{k}\r\nX-Budget-Ms: 5000\r\n"
+            )
+            writer.write(head.encode() + b"Content-Length: 2\r\n\r\nhi")
+            status = (await message(reader))[0]
+            assert status.startswith(b"HTTP/1.1 200"), status
+        writer.close()
+
+    await asyncio.gather(*(client(k) for k in range(at_once)))
+
+
+def main() -> int:
+    options = argparse.ArgumentParser()
+    options.add_argument("--before", default=BEFORE)
+    options.add_argument("--rounds", type=int, default=7)
+    options.add_argument("--lookups", type=int, default=2000)
+    given = options.parse_args()
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        old = folder / "before"
+        old.mkdir()
+        archive = subprocess.run(["git", "archive", given.before], cwd=ROOT, capture_output=True, check=True)
+        subprocess.run(["tar", "x", "-C", str(old)], input=archive.stdout, check=True)
+        address = folder / "node"
+        found: dict[str, list[tuple[float, float, float]]] = {"before": [], "now": []}
+        for round_ in range(given.rounds + 1):  # the first one fills the caches
+            for which, tree in (("before", old), ("now", ROOT)):
+                env = os.environ | {"NODE_FILE": str(address)}
+                worker = subprocess.Popen(
+                    [sys.executable, str(ROOT / "benchmarks" / "standins.py"), "0"],
+                    stdout=subprocess.PIPE,
+                    env=env,
+                )
+                assert worker.stdout is not None
+                node = Node(tree, folder, int(worker.stdout.readline()))
+                try:
+                    address.write_text(f"127.0.0.1:{node.port}")
+                    asyncio.run(lookups(node.port, 200, 4, "warm"))
+                    before = node.cpu()
+                    asyncio.run(lookups(node.port, given.lookups, 4, "run"))
+                    us = (node.cpu() - before) / given.lookups * 1e6
+                    if round_:
+                        found[which].append((node.rss_mb, node.start_ms, us))
+                finally:
+                    node.end()
+                    worker.kill()
+                    worker.wait()
+    print(
+        f"{'':8}{'MB at /ready':>14}{'ms to /ready':>14}{'CPU us a lookup':>17}   (medians of {given.rounds})"
+    )
+    medians = {
+        which: [statistics.median(column) for column in zip(*rows, strict=True)]
+        for which, rows in found.items()
+    }
+    for which, (mb, ms, us) in medians.items():
+        print(f"{which:8}{mb:14.1f}{ms:14.0f}{us:17.0f}")
+    mb, ms, us = (now - before for now, before in zip(medians["now"], medians["before"], strict=True))
+    ratio = medians["now"][2] / medians["before"][2]
+    print(f"{'change':8}{mb:+14.1f}{ms:+14.0f}{us:+17.0f}   ratio of CPU {ratio:.2f}")
+    return int(mb > 3 or ms > 60)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bitternpath/config/operator.py
+++ b/bitternpath/config/operator.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import re
-import tomllib
 from collections.abc import Iterator, Mapping
 from pathlib import Path
 from typing import Annotated, Any, Literal, get_args, get_origin, get_type_hints
@@ -183,6 +182,8 @@
 
 
 def _file(path: str) -> dict[str, Any]:
+    import tomllib  # not needed where there is no file
+
     try:
         return tomllib.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
--- a/bitternpath/core/broker.py
+++ b/bitternpath/core/broker.py
@@ -9,10 +9,10 @@
 
 from collections import Counter, OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial
 
 import structlog
+from msgspec import Struct
 
 from bitternpath import messages as m
 from bitternpath.core.clock import Later
@@ -34,42 +34,35 @@
 }
 
 
-@dataclass(slots=True)
-class Arrived:
+class Arrived(Struct):
     invocation: Invocation
 
 
-@dataclass(slots=True)
-class Left:
+class Left(Struct):
     invocation: Invocation
 
 
-@dataclass(slots=True)
-class Ended:
+class Ended(Struct):
     call: InvokerCall
     how: m.How
     result: bytes = b""
 
 
-@dataclass(slots=True)
-class Unusable:
+class Unusable(Struct):
     call: InvokerCall
 
 
-@dataclass(slots=True)
-class Noted:
+class Noted(Struct):
     call: InvokerCall
     share: float | None
 
 
-@dataclass(slots=True)
-class Listed:
+class Listed(Struct):
     listing: Listing
     kind: m.ListKind
 
 
-@dataclass(slots=True)
-class Due:
+class Due(Struct):
     label: str
 
 
--- a/bitternpath/core/invocations.py
+++ b/bitternpath/core/invocations.py
@@ -8,10 +8,11 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING, Any, Protocol
 
+from msgspec import Struct
+
 if TYPE_CHECKING:
     from bitternpath.core.roster import Provider
 
@@ -40,8 +41,7 @@
     body: bytes
 
 
-@dataclass(slots=True)
-class Work:
+class Work(Struct):
     """A payload of a front that does not speak HTTP."""
 
     method: bytes
@@ -73,8 +73,7 @@
     LOST = "lost"
 
 
-@dataclass(slots=True, eq=False)
-class InvokerCall:
+class InvokerCall(Struct, eq=False):
     """One attempt of an invocation at a provider."""
 
     invocation: Invocation
@@ -95,8 +94,7 @@
         return self.invocation.id
 
 
-@dataclass(slots=True, eq=False)
-class Invocation:
+class Invocation(Struct, eq=False):
     """A request that was taken and is owed one answer. Times are in ms on the node's clock."""
 
     id: str
@@ -110,7 +108,7 @@
     memory: float = 0.0
     repeat: bool = False
     answered: bool = False
-    calls: list[InvokerCall] = field(default_factory=list)
+    calls: list[InvokerCall] = []
     timer: Any = None
 
 
--- a/bitternpath/messages.py
+++ b/bitternpath/messages.py
@@ -5,9 +5,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import Enum
 
+from msgspec import Struct
+
 
 class Effect(Enum):
     """What running a job twice would do."""
@@ -62,8 +63,7 @@
 # ---- settings
 
 
-@dataclass(slots=True)
-class JobClass:
+class JobClass(Struct):
     """One class of requests."""
 
     name: str
@@ -88,8 +88,7 @@
             raise ValueError("window: a keyed class needs a time over which repeats are dropped")
 
 
-@dataclass(slots=True)
-class Tenant:
+class Tenant(Struct):
     """One of the parties that share the service."""
 
     name: str
@@ -97,8 +96,7 @@
     quota_per_s: float
 
 
-@dataclass(slots=True)
-class Settings:
+class Settings(Struct):
     """All that a dispatcher is told at its start."""
 
     classes: tuple[JobClass, ...]
@@ -163,8 +161,7 @@
 # ---- events
 
 
-@dataclass(slots=True)
-class Request:
+class Request(Struct):
     """A client's job, to be answered once before `remaining` has passed."""
 
     id: str
@@ -178,8 +175,7 @@
     repeat: bool = False
 
 
-@dataclass(slots=True)
-class StreamBegun:
+class StreamBegun(Struct):
     """The answer of a streamed attempt has begun; the attempt is the client's from now on."""
 
     id: str
@@ -188,8 +184,7 @@
     elapsed: float
 
 
-@dataclass(slots=True)
-class JobNote:
+class JobNote(Struct):
     """The job of an attempt has begun to run (`share` None) or reports the share done."""
 
     id: str
@@ -198,8 +193,7 @@
     share: float | None = None
 
 
-@dataclass(slots=True)
-class Outcome:
+class Outcome(Struct):
     """The end of an attempt; `final` says that the request is concluded."""
 
     id: str
@@ -211,15 +205,13 @@
     report: tuple[float | None, ...] | None = None
 
 
-@dataclass(slots=True)
-class Withdrawn:
+class Withdrawn(Struct):
     """The client has left."""
 
     id: str
 
 
-@dataclass(slots=True)
-class Entry:
+class Entry(Struct):
     """A line of the worker list."""
 
     worker: str
@@ -233,23 +225,20 @@
     slots: int = 0  # jobs that it takes at once; 0: not told
 
 
-@dataclass(slots=True)
-class WorkerList:
+class WorkerList(Struct):
     """News of the worker list."""
 
     kind: ListKind
-    entries: list[Entry] = field(default_factory=list)
+    entries: list[Entry] = []
 
 
-@dataclass(slots=True)
-class Alarm:
+class Alarm(Struct):
     """A timer set by `Wake` is due."""
 
     label: str
 
 
-@dataclass(slots=True)
-class ProbeResult:
+class ProbeResult(Struct):
     """The answer to a `Probe`."""
 
     worker: str
@@ -263,8 +252,7 @@
 # ---- actions
 
 
-@dataclass(slots=True)
-class Send:
+class Send(Struct):
     """Start an attempt; it may take until `timeout` (0: until the client gives up)."""
 
     id: str
@@ -272,45 +260,39 @@
     timeout: float = 0.0
 
 
-@dataclass(slots=True)
-class Refuse:
+class Refuse(Struct):
     """Final answer: nothing ran or a repeat is harmless, the client may come again."""
 
     id: str
     retry_after: float = 0.0
 
 
-@dataclass(slots=True)
-class Fail:
+class Fail(Struct):
     """Final answer that promises nothing."""
 
     id: str
 
 
-@dataclass(slots=True)
-class Cancel:
+class Cancel(Struct):
     """Stop waiting for one attempt."""
 
     id: str
     attempt: int
 
 
-@dataclass(slots=True)
-class Probe:
+class Probe(Struct):
     """Look at a worker."""
 
     worker: str
 
 
-@dataclass(slots=True)
-class Watch:
+class Watch(Struct):
     """Ask to be told of changes to the worker list."""
 
     on: bool = True
 
 
-@dataclass(slots=True)
-class Wake:
+class Wake(Struct):
     """Ask for an `Alarm`."""
 
     label: str
