--- /dev/null
+++ b/bitternpath/amqp/errors.py
@@ -0,0 +1,44 @@
+"""The reply codes of AMQP 0-9-1 (specification, 1.4 'Constants') and the errors that carry them."""
+
+from __future__ import annotations
+
+CONTENT_TOO_LARGE = 311
+NO_ROUTE = 312
+CONNECTION_FORCED = 320
+ACCESS_REFUSED = 403
+NOT_FOUND = 404
+RESOURCE_LOCKED = 405
+PRECONDITION_FAILED = 406
+FRAME_ERROR = 501
+SYNTAX_ERROR = 502
+COMMAND_INVALID = 503
+CHANNEL_ERROR = 504
+UNEXPECTED_FRAME = 505
+RESOURCE_ERROR = 506
+NOT_ALLOWED = 530
+NOT_IMPLEMENTED = 540
+
+NAMES = {code: name for name, code in list(globals().items()) if isinstance(code, int)}
+TEXT_LIMIT = 255  # bytes of a short string
+
+
+class AmqpError(Exception):
+    """A rule of the specification was broken; `method` is the (class, method) that failed, or (0, 0)."""
+
+    def __init__(self, code: int, why: str, method: tuple[int, int] = (0, 0)) -> None:
+        super().__init__(why)
+        self.code, self.method = code, method
+
+    @property
+    def text(self) -> str:
+        """The reply text: the code's name and why, as long as a short string may be."""
+        full = f"{NAMES[self.code]} - {self}".encode()
+        return full[:TEXT_LIMIT].decode(errors="ignore")
+
+
+class SoftError(AmqpError):
+    """Closes the channel."""
+
+
+class HardError(AmqpError):
+    """Closes the connection."""
--- /dev/null
+++ b/bitternpath/amqp/invoker.py
@@ -0,0 +1,257 @@
+"""Subscribers as providers: the invoker that delivers calls, and the source that names them. No I/O.
+
+What proves what (docs/design/amqp.md): a delivery that was never handed to the system never ran. One that
+was may have run, until its subscriber acknowledges it (served), rejects it (failed), or requeues it: then
+it was handed back unstarted only if the operators say so of its class. Where the channel is gone and the
+result had been published already, the call is served."""
+
+from __future__ import annotations
+
+import os
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from bitternpath import messages as m
+from bitternpath.amqp.errors import PRECONDITION_FAILED, SoftError
+from bitternpath.amqp.outbox import Entry
+from bitternpath.amqp.queues import Channel, Message
+from bitternpath.amqp.translation import delivery_properties, text_of
+from bitternpath.core.broker import Broker
+from bitternpath.core.invocations import InvokerCall
+from bitternpath.core.roster import Listing, Provider
+
+SOURCE = PROTOCOL = "amqp"
+RESULT_PREFIX = "amq.result."  # what subscribers publish there, to the default exchange, is a result
+ARGUMENT_LIMIT = 64  # characters of x-site and x-kind
+
+
+class Subscriber:
+    """A consumer of a class queue: a provider with as many places as its prefetch."""
+
+    __slots__ = (
+        "channel", "job_class", "kind", "out", "owner", "prefetch", "provider", "size", "state", "tag",
+        "up_since", "zone",
+    )  # fmt: skip
+
+    def __init__(self, owner: Subscribers, channel: Channel, tag: str, job_class: str, provider: str) -> None:
+        self.owner, self.channel, self.tag, self.job_class = owner, channel, tag, job_class
+        self.provider, self.state = provider, m.State.SERVING
+        self.prefetch, self.out = channel.prefetch, 0
+        self.zone = self.kind = ""
+        self.size, self.up_since = 1.0, 0.0
+
+    @property
+    def slots(self) -> int:
+        """Calls that may be out at once."""
+        cap = self.owner.prefetch_cap
+        return min(self.prefetch or cap, self.channel.prefetch_all or cap, cap)
+
+    def has_room(self) -> bool:
+        serving = self.state is m.State.SERVING
+        return serving and self.out < self.slots and self.channel.has_room(self.prefetch, self.out)
+
+    def row(self) -> Provider:
+        state = self.state
+        if state is m.State.SERVING and not self.channel.flowing:
+            state = m.State.DRAINING  # for as long as its peer wants nothing new
+        return Provider(
+            self.provider, "", self.zone, self.kind, 0, state, self.size, self.up_since,
+            PROTOCOL, SOURCE, frozenset((self.job_class,)), self.slots,
+        )  # fmt: skip
+
+    def stop(self) -> None:
+        self.owner.drain(self)
+
+    def gone(self) -> None:
+        self.owner.remove(self)
+
+
+class Delivery:
+    """A call that was delivered and not acknowledged."""
+
+    __slots__ = ("call", "entry", "number", "result", "subscriber", "token")
+
+    def __init__(self, call: InvokerCall, subscriber: Subscriber, number: int, token: str) -> None:
+        self.call, self.subscriber, self.number, self.token = call, subscriber, number, token
+        self.result: bytes | None = None  # published by the subscriber ahead of its ack
+        self.entry: Entry | None = None
+
+    def ack(self) -> None:
+        self.subscriber.owner.over(self, m.How.OK, self.result or b"")
+
+    def reject(self, requeue: bool) -> None:
+        self.subscriber.owner.rejected(self, requeue)
+
+    def lost(self) -> None:
+        self.subscriber.owner.lost(self)
+
+
+class Subscribers:
+    """All of them, on all connections."""
+
+    broker: Broker
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        take: Callable[[Listing], None],
+        prefetch_cap: int,
+        requeue_unstarted: frozenset[str],
+    ) -> None:
+        self.clock, self.take, self.prefetch_cap = clock, take, prefetch_cap
+        self.requeue_unstarted = requeue_unstarted
+        self.by_provider: dict[str, Subscriber] = {}
+        self.counts: Counter[str] = Counter()
+        self._by_token: dict[str, Delivery] = {}
+        self._made = 0
+
+    def of_class(self, job_class: str) -> int:
+        return sum(s.job_class == job_class for s in self.by_provider.values())
+
+    # ---- the source
+
+    def add(self, channel: Channel, tag: str, job_class: str, arguments: dict[str, Any]) -> Subscriber:
+        """A new subscriber; SoftError 406 where its arguments are wrong."""
+        self._made += 1
+        made = Subscriber(self, channel, tag, job_class, f"amqp-{self._made}")
+        made.zone = self._name(arguments, "x-site")
+        made.kind = self._name(arguments, "x-kind")
+        made.size = self._number(arguments, "x-size", 1.0)
+        made.up_since = self._number(arguments, "x-up-since-ms", 0.0)
+        self.by_provider[made.provider] = made
+        self.changed(made)
+        return made
+
+    @staticmethod
+    def _name(arguments: dict[str, Any], key: str) -> str:
+        value = text_of(arguments.get(key) or "")
+        if len(value) > ARGUMENT_LIMIT:
+            raise SoftError(PRECONDITION_FAILED, f"{key}: at most {ARGUMENT_LIMIT} characters are allowed")
+        return value
+
+    @staticmethod
+    def _number(arguments: dict[str, Any], key: str, default: float) -> float:
+        value = arguments.get(key, default)
+        try:
+            number = float(value)
+        except (TypeError, ValueError):
+            number = -1.0
+        if not 0.0 <= number < 1e15 or (key == "x-size" and number == 0.0):
+            raise SoftError(PRECONDITION_FAILED, f"{key} = {value!r:.40}: a number above 0 is allowed")
+        return number
+
+    def changed(self, subscriber: Subscriber) -> None:
+        """Tell the roster how things are with a subscriber."""
+        self.take(Listing(0, False, (subscriber.row(),), SOURCE))
+
+    def drain(self, subscriber: Subscriber) -> None:
+        """Nothing new for it; what it has may still be acknowledged."""
+        if subscriber.state is not m.State.SERVING:
+            return
+        subscriber.state = m.State.DRAINING
+        self.changed(subscriber)
+        for delivery in [d for d in self._by_token.values() if d.subscriber is subscriber]:
+            if self._take_back(delivery):  # it has not left: as if it had never been sent
+                self.broker.ended(delivery.call, m.How.NO_CONNECTION)
+        self._leave_if_done(subscriber)
+
+    def remove(self, subscriber: Subscriber) -> None:
+        """Its channel is gone, and with it what was out there (see `lost`)."""
+        if subscriber.state is not m.State.GONE:
+            subscriber.state = m.State.GONE
+            self.by_provider.pop(subscriber.provider, None)
+            self.changed(subscriber)
+
+    def _leave_if_done(self, subscriber: Subscriber) -> None:
+        if subscriber.state is m.State.DRAINING and not subscriber.out:
+            self.remove(subscriber)
+
+    # ---- the invoker
+
+    def start(self, call: InvokerCall, provider: Provider) -> None:
+        subscriber = self.by_provider.get(provider.id)
+        if subscriber is None:
+            self.broker.ended(call, m.How.NO_CONNECTION)
+            return
+        if not subscriber.has_room():  # the module's word was older than the last change there
+            self.counts["no_room_at_subscriber"] += 1
+            self.broker.ended(call, m.How.FULL)
+            return
+        channel, number = subscriber.channel, subscriber.channel.next_tag()
+        token = os.urandom(12).hex()  # not to be guessed by others that may publish here
+        delivery = Delivery(call, subscriber, number, token)
+        call.carrier = delivery
+        invocation = call.invocation
+        left = call.expires - self.clock()
+        properties = delivery_properties(
+            invocation.payload, call.id, subscriber.job_class, left, RESULT_PREFIX + token
+        )
+        again = any(earlier.ran for earlier in invocation.calls[: call.number])
+        message = Message("", subscriber.job_class, properties, invocation.payload.body, again)
+        delivery.entry = channel.session.deliver(channel, subscriber.tag, number, message, delivery)
+        channel.unacked[number] = delivery
+        subscriber.out += 1
+        self._by_token[token] = delivery
+        self.counts["deliveries"] += 1
+
+    def give_up(self, call: InvokerCall) -> None:
+        """What has left cannot be called back: its place stays taken until it is acknowledged."""
+        delivery = call.carrier
+        if isinstance(delivery, Delivery) and self._by_token.get(delivery.token) is delivery:
+            self._take_back(delivery)
+
+    def _take_back(self, delivery: Delivery) -> bool:
+        """Take a delivery out of the outbox, if it is still there: then it never ran."""
+        subscriber, entry = delivery.subscriber, delivery.entry
+        if entry is None or not subscriber.channel.session.outbox.withdraw(entry):
+            return False
+        subscriber.channel.unacked.pop(delivery.number, None)
+        self._free(delivery)
+        return True
+
+    def _free(self, delivery: Delivery) -> None:
+        """Its place is free again, and nothing more is taken for it."""
+        if self._by_token.pop(delivery.token, None) is not None:
+            delivery.subscriber.out -= 1
+
+    # ---- what comes back
+
+    def left(self, delivery: Delivery) -> None:
+        """Its last byte has gone to the system: within the prefetch, it counts as begun."""
+        self.broker.started(delivery.call)
+
+    def result(self, token: str, correlation: str | None, body: bytes) -> bool:
+        """A result has been published; False where nobody waits for it."""
+        delivery = self._by_token.get(token)
+        wrong = delivery is None or delivery.call.over or delivery.result is not None
+        if wrong or (correlation and correlation != delivery.call.id):  # type: ignore[union-attr]
+            self.counts["results_dropped"] += 1
+            return False
+        assert delivery is not None
+        delivery.result = body
+        return True
+
+    def over(self, delivery: Delivery, how: m.How, result: bytes = b"") -> None:
+        self._free(delivery)
+        if delivery.call.over:
+            self.counts["late_acks"] += 1
+        self.broker.ended(delivery.call, how, result)
+        self._leave_if_done(delivery.subscriber)
+
+    def rejected(self, delivery: Delivery, requeue: bool) -> None:
+        unstarted = delivery.subscriber.job_class in self.requeue_unstarted and delivery.result is None
+        if not requeue:
+            self.over(delivery, m.How.ERROR)
+        else:
+            self.over(delivery, m.How.FULL if unstarted else m.How.RESET)
+
+    def lost(self, delivery: Delivery) -> None:
+        """The channel or the connection is gone."""
+        entry = delivery.entry
+        if entry is not None and delivery.subscriber.channel.session.outbox.withdraw(entry):
+            self.over(delivery, m.How.NO_CONNECTION)  # no byte of it was handed to the system
+        elif delivery.result is not None:
+            self.over(delivery, m.How.OK, delivery.result)
+        else:
+            self.over(delivery, m.How.RESET)
--- /dev/null
+++ b/bitternpath/amqp/machine.py
@@ -0,0 +1,469 @@
+"""The server's side of an AMQP 0-9-1 connection and its channels: bytes in, events out. Pure.
+
+Theory of operation (specification 2.2.4, 2.2.5 and 4.2). `feed` takes bytes, `next` gives one event at a
+time and None until more is fed, and what the machine itself answers (start, tune, open-ok, close-ok, errors)
+goes to the outbox. Nothing outside changes a phase: whoever uses the machine calls `login`, `fail`,
+`close_channel` and `close`.
+
+Rules of this file:
+- CONNECTION and CHANNEL are the whole of what is allowed, by phase and by what has come; where a pair is not
+  in the table, the specification's error for it is raised and nothing is changed.
+- A soft error closes its channel: channel.close is sent, and everything that comes on the channel until
+  close-ok is read and dropped, bodies too. A hard error closes the connection in the same way.
+- After the peer's close, or the answer to ours, nothing more is read.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Any
+
+from msgspec import Struct
+from pamqp import commands as c
+from pamqp.base import Frame as Method
+
+from bitternpath.amqp import errors as e
+from bitternpath.amqp import frames as f
+from bitternpath.amqp.outbox import Outbox
+from bitternpath.net.buffer import Buffer
+
+BODY_LIMIT = 64 * 1024  # bytes of a message, as on HTTP
+HELD_LIMIT = 1 << 20  # bytes of messages that have come in part, on all channels of a connection together
+
+
+class Phase(Enum):
+    """Of a connection."""
+
+    HEADER = "the protocol header has not come"
+    START = "start sent, start-ok awaited"
+    LOGIN = "start-ok has come and is being looked at"
+    TUNE = "tune sent, tune-ok awaited"
+    OPENING = "open awaited"
+    OPEN = "open"
+    CLOSING = "close sent, close-ok awaited"
+    CLOSED = "over"
+
+
+# What may come on channel 0 in which phase, and which phase follows.
+CONNECTION: dict[tuple[Phase, type[Method]], Phase] = {
+    (Phase.START, c.Connection.StartOk): Phase.LOGIN,
+    (Phase.TUNE, c.Connection.TuneOk): Phase.OPENING,
+    (Phase.OPENING, c.Connection.Open): Phase.OPEN,
+    (Phase.START, c.Connection.Close): Phase.CLOSED,
+    (Phase.TUNE, c.Connection.Close): Phase.CLOSED,
+    (Phase.OPENING, c.Connection.Close): Phase.CLOSED,
+    (Phase.OPEN, c.Connection.Close): Phase.CLOSED,
+    (Phase.CLOSING, c.Connection.Close): Phase.CLOSED,
+    (Phase.CLOSING, c.Connection.CloseOk): Phase.CLOSED,
+}
+
+
+class ChannelPhase(Enum):
+    """Of a channel."""
+
+    CLOSED = "not open"
+    OPEN = "open"
+    HEADER = "publish has come, the content header is awaited"
+    BODY = "part of a body is awaited"
+    CLOSING = "close sent, close-ok awaited"
+
+
+class Kind(Enum):
+    """What may come on a channel."""
+
+    OPEN = "channel.open"
+    CLOSE = "channel.close"
+    CLOSE_OK = "channel.close-ok"
+    PUBLISH = "basic.publish"
+    METHOD = "any other method that a client may send"
+    HEADER = "a content header"
+    BODY = "a content body"
+
+
+# BODY stays BODY, and HEADER of an empty message leads to OPEN, by what the header says of its length.
+CHANNEL: dict[tuple[ChannelPhase, Kind], ChannelPhase] = {
+    (ChannelPhase.CLOSED, Kind.OPEN): ChannelPhase.OPEN,
+    (ChannelPhase.OPEN, Kind.METHOD): ChannelPhase.OPEN,
+    (ChannelPhase.OPEN, Kind.PUBLISH): ChannelPhase.HEADER,
+    (ChannelPhase.HEADER, Kind.HEADER): ChannelPhase.BODY,
+    (ChannelPhase.BODY, Kind.BODY): ChannelPhase.OPEN,
+    (ChannelPhase.OPEN, Kind.CLOSE): ChannelPhase.CLOSED,
+    (ChannelPhase.CLOSING, Kind.CLOSE): ChannelPhase.CLOSED,
+    (ChannelPhase.CLOSING, Kind.CLOSE_OK): ChannelPhase.CLOSED,
+}
+# The error for all that is not in the table, by phase; while CLOSING the rest is dropped instead.
+OTHERWISE = {
+    ChannelPhase.CLOSED: (e.CHANNEL_ERROR, "the channel is not open"),
+    ChannelPhase.OPEN: (e.UNEXPECTED_FRAME, "not expected on an open channel"),
+    ChannelPhase.HEADER: (e.UNEXPECTED_FRAME, "a content header is awaited"),
+    ChannelPhase.BODY: (e.UNEXPECTED_FRAME, "a content body is awaited"),
+}
+
+_KINDS: dict[type[Method], Kind] = {
+    c.Channel.Open: Kind.OPEN,
+    c.Channel.Close: Kind.CLOSE,
+    c.Channel.CloseOk: Kind.CLOSE_OK,
+    c.Basic.Publish: Kind.PUBLISH,
+}
+# What a client may send on a channel; all else is the server's to say (503) or not here (540).
+CLIENT_METHODS = frozenset(
+    (
+        c.Channel.Flow, c.Channel.FlowOk, c.Exchange.Declare, c.Exchange.Delete, c.Queue.Declare,
+        c.Queue.Bind, c.Queue.Unbind, c.Queue.Purge, c.Queue.Delete, c.Basic.Qos, c.Basic.Consume,
+        c.Basic.Cancel, c.Basic.CancelOk, c.Basic.Get, c.Basic.Ack, c.Basic.Nack, c.Basic.Reject,
+        c.Basic.Recover, c.Basic.RecoverAsync, c.Confirm.Select,
+    )
+)  # fmt: skip
+NOT_HERE = frozenset(
+    (c.Tx.Select, c.Tx.Commit, c.Tx.Rollback, c.Exchange.Bind, c.Exchange.Unbind, c.Connection.UpdateSecret)
+)
+
+
+class Login(Struct):
+    """Somebody wants in; answer with `Machine.login` or `Machine.refuse_login`."""
+
+    mechanism: str
+    response: bytes
+    properties: dict[str, Any]
+
+
+class Opened(Struct):
+    """The connection is open, on this virtual host (already checked)."""
+
+    vhost: str
+
+
+class ChannelOpened(Struct):
+    channel: int
+
+
+class ChannelGone(Struct):
+    """The channel is closed, by the peer or by an error of its: what was out on it is lost."""
+
+    channel: int
+
+
+class Command(Struct):
+    """A method on an open channel."""
+
+    channel: int
+    method: Method
+
+
+class Published(Struct):
+    """A whole message."""
+
+    channel: int
+    method: c.Basic.Publish
+    properties: Any
+    body: bytes
+
+
+class Over(Struct):
+    """The connection has been closed in order; `why` is what the peer said."""
+
+    why: str
+
+
+Event = Login | Opened | ChannelOpened | ChannelGone | Command | Published | Over
+
+
+class _Channel:
+    """A channel's phase and the message that is coming on it."""
+
+    __slots__ = ("got", "left", "parts", "phase", "properties", "publish")
+
+    def __init__(self) -> None:
+        self.phase = ChannelPhase.OPEN
+        self.publish: c.Basic.Publish | None = None
+        self.properties: Any = None
+        self.parts: list[bytes] = []
+        self.left = self.got = 0
+
+
+class Limits(Struct, frozen=True):
+    """What the server offers."""
+
+    channel_max: int = 64
+    frame_max: int = 131072
+    heartbeat: int = 60  # s
+    vhosts: tuple[str, ...] = ("/",)
+
+
+SERVER_PROPERTIES: dict[str, Any] = {
+    "product": "bitternpath",
+    "capabilities": {
+        "publisher_confirms": True,
+        "basic.nack": True,
+        "consumer_cancel_notify": True,
+        "connection.blocked": True,
+        "authentication_failure_close": True,
+        "per_consumer_qos": True,
+        "direct_reply_to": True,
+        "exchange_exchange_bindings": False,
+    },
+}
+MECHANISMS = ("PLAIN", "AMQPLAIN")
+
+
+class Machine:
+    """One connection, seen from the server."""
+
+    def __init__(self, limits: Limits, out: Outbox) -> None:
+        self.limits, self.phase, self.out = limits, Phase.HEADER, out
+        self.buffer = Buffer()
+        self.reader = f.FrameReader(self.buffer)
+        self.channels: dict[int, _Channel] = {}
+        self.channel_max, self.heartbeat = limits.channel_max, limits.heartbeat
+        self.capabilities: dict[str, Any] = {}  # that the peer says it has
+        self.failed: e.HardError | None = None  # why the machine closed the connection
+        self.vhosts = limits.vhosts
+        self._held = 0  # bytes of messages that have come in part
+
+    @property
+    def frame_max(self) -> int:
+        return self.reader.frame_max
+
+    @property
+    def authenticated(self) -> bool:
+        return self.phase not in (Phase.HEADER, Phase.START, Phase.LOGIN)
+
+    def feed(self, data: bytes) -> None:
+        if self.phase is not Phase.CLOSED:
+            self.buffer.append(data)
+
+    def next(self) -> Event | None:
+        """The next event; None until more is fed, or while a login is being looked at."""
+        while self.phase not in (Phase.LOGIN, Phase.CLOSED):
+            try:
+                if self.phase is Phase.HEADER:
+                    if not self._protocol_header():
+                        return None
+                    continue
+                raw = self.reader.next()
+                if raw is None:
+                    return None
+                event = self._frame(raw)
+            except e.SoftError as error:
+                raise AssertionError("soft errors are closed where they arise") from error
+            except e.HardError as error:
+                self.fail(error)
+                return None
+            if event is not None:
+                return event
+        return None
+
+    # ---- what the user of the machine decides
+
+    def say(self, channel: int, method: Method) -> None:
+        self.out.add(f.method_frame(channel, method))
+
+    def login(self, vhosts: tuple[str, ...]) -> None:
+        """The peer may come in, on these virtual hosts."""
+        self.vhosts = vhosts
+        self.phase = Phase.TUNE
+        offer = self.limits
+        self.say(0, c.Connection.Tune(offer.channel_max, offer.frame_max, offer.heartbeat))
+
+    def refuse_login(self) -> None:
+        """Tell those that can hear it (authentication_failure_close); the rest only see the close."""
+        if self.capabilities.get("authentication_failure_close"):
+            self.fail(e.HardError(e.ACCESS_REFUSED, "login refused", f.ids(c.Connection.StartOk)))
+        else:
+            self.phase = Phase.CLOSED
+
+    def fail(self, error: e.HardError) -> None:
+        """Close the connection for an error."""
+        if self.phase in (Phase.CLOSING, Phase.CLOSED):
+            self.phase = Phase.CLOSED  # an error while closing: there is nothing left to say
+            return
+        self.failed = error
+        if self.phase is Phase.HEADER:
+            self.phase = Phase.CLOSED
+        else:
+            self.close(error.code, error.text, error.method)
+
+    def close(self, code: int, text: str, method: tuple[int, int] = (0, 0)) -> None:
+        if self.phase not in (Phase.CLOSING, Phase.CLOSED):
+            self.say(0, c.Connection.Close(code, text, *method))
+            self.phase = Phase.CLOSING
+            self.channels.clear()
+            self._held = 0
+
+    def close_channel(self, number: int, error: e.SoftError) -> None:
+        """Close one channel for an error; its user forgets it at once."""
+        channel = self.channels.get(number)
+        if channel is not None and channel.phase is not ChannelPhase.CLOSING:
+            self.say(number, c.Channel.Close(error.code, error.text, *error.method))
+            self._drop_content(channel)
+            channel.phase = ChannelPhase.CLOSING
+
+    def is_open(self, number: int) -> bool:
+        """Whether something may be sent on the channel."""
+        channel = self.channels.get(number)
+        return channel is not None and channel.phase is not ChannelPhase.CLOSING
+
+    # ---- what comes
+
+    def _protocol_header(self) -> bool:
+        known = min(len(self.buffer), len(f.PROTOCOL))
+        told = self.buffer.peek(known)
+        if told != f.PROTOCOL[:known]:
+            # Specification 4.2.2: answer with the header that is spoken here, and close.
+            self.out.add(f.PROTOCOL)
+            raise e.HardError(e.NOT_IMPLEMENTED, f"protocol header {told!r}; AMQP 0-9-1 is spoken here")
+        if known < len(f.PROTOCOL):
+            return False
+        self.buffer.take(known)
+        self.phase = Phase.START
+        self.say(0, c.Connection.Start(0, 9, SERVER_PROPERTIES, " ".join(MECHANISMS), "en_US"))
+        return True
+
+    def _frame(self, raw: f.Raw) -> Event | None:
+        if raw.kind == f.HEARTBEAT:
+            if raw.channel:
+                raise e.HardError(e.FRAME_ERROR, f"heartbeat on channel {raw.channel}; 0 is allowed")
+            return None
+        if self.phase is Phase.CLOSING and (raw.channel or raw.kind != f.METHOD):
+            return None
+        if raw.channel == 0:
+            if raw.kind != f.METHOD:
+                raise e.HardError(e.COMMAND_INVALID, "content on channel 0")
+            return self._on_connection(f.method_from(raw.payload))
+        if self.phase is not Phase.OPEN:
+            raise e.HardError(e.CHANNEL_ERROR, f"channel {raw.channel} before the connection is open")
+        if raw.channel > self.channel_max:
+            raise e.HardError(
+                e.CHANNEL_ERROR, f"channel {raw.channel}; at most {self.channel_max} is allowed"
+            )
+        return self._on_channel(raw)
+
+    def _on_connection(self, method: Method) -> Event | None:
+        kind = type(method)
+        then = CONNECTION.get((self.phase, kind))
+        if then is None:
+            if self.phase is Phase.CLOSING:
+                return None
+            code = e.NOT_IMPLEMENTED if kind in NOT_HERE else e.COMMAND_INVALID
+            raise e.HardError(code, f"{method.name} while {self.phase.value}", f.ids(method))
+        if isinstance(method, c.Connection.StartOk):
+            self.phase = then
+            told = method.client_properties or {}
+            found = told.get("capabilities")
+            self.capabilities = found if isinstance(found, dict) else {}
+            response = method.response
+            data = (
+                response
+                if isinstance(response, bytes)
+                else str(response or "").encode("utf-8", "surrogateescape")
+            )
+            return Login(str(method.mechanism), data, told)
+        if isinstance(method, c.Connection.TuneOk):
+            self._tuned(method)
+        elif isinstance(method, c.Connection.Open):
+            if method.virtual_host not in self.vhosts:
+                why = f"no virtual host {method.virtual_host!r} for this user"
+                raise e.HardError(e.NOT_ALLOWED, why, f.ids(method))
+            self.say(0, c.Connection.OpenOk())
+            self.phase = then
+            return Opened(str(method.virtual_host))
+        elif isinstance(method, c.Connection.Close):
+            self.say(0, c.Connection.CloseOk())
+            self.phase = then
+            return Over(f"{method.reply_code} {method.reply_text}")
+        self.phase = then
+        return Over("closed") if then is Phase.CLOSED else None
+
+    def _tuned(self, method: c.Connection.TuneOk) -> None:
+        """What the peer chose (specification 1.4.2.6): no more than was offered; 0 is no limit."""
+        offer = self.limits
+        channels = method.channel_max or offer.channel_max
+        size = method.frame_max or offer.frame_max
+        if channels > offer.channel_max or not 4096 <= size <= offer.frame_max:
+            allowed = f"at most {offer.channel_max} and 4096 to {offer.frame_max} are allowed"
+            why = f"channel-max {channels}, frame-max {size}; {allowed}"
+            raise e.HardError(e.NOT_ALLOWED, why, f.ids(method))
+        self.channel_max, self.reader.frame_max = channels, size
+        self.heartbeat = method.heartbeat or 0
+
+    def _on_channel(self, raw: f.Raw) -> Event | None:
+        channel = self.channels.get(raw.channel)
+        phase = channel.phase if channel is not None else ChannelPhase.CLOSED
+        method: Method | None = None
+        if raw.kind == f.METHOD:
+            method = f.method_from(raw.payload)
+            kind = _KINDS.get(type(method), Kind.METHOD)
+        else:
+            kind = Kind.HEADER if raw.kind == f.HEADER else Kind.BODY
+        then = CHANNEL.get((phase, kind))
+        if then is None:
+            if phase is ChannelPhase.CLOSING:
+                return None  # dropped until close-ok comes
+            code, why = OTHERWISE[phase]
+            name = method.name if method is not None else kind.value
+            raise e.HardError(
+                code, f"{name} on channel {raw.channel}: {why}", f.ids(method) if method else (0, 0)
+            )
+        if channel is None:
+            self.channels[raw.channel] = _Channel()
+            self.say(raw.channel, c.Channel.OpenOk())
+            return ChannelOpened(raw.channel)
+        if then is ChannelPhase.CLOSED:
+            del self.channels[raw.channel]
+            if kind is Kind.CLOSE:
+                self.say(raw.channel, c.Channel.CloseOk())
+            return ChannelGone(raw.channel) if phase is ChannelPhase.OPEN else None
+        if kind is Kind.METHOD:
+            assert method is not None
+            if type(method) in NOT_HERE:
+                raise e.HardError(e.NOT_IMPLEMENTED, f"{method.name} is not implemented", f.ids(method))
+            if type(method) not in CLIENT_METHODS:
+                raise e.HardError(e.COMMAND_INVALID, f"{method.name} is not for clients", f.ids(method))
+            return Command(raw.channel, method)
+        return self._content(raw, channel, method, then)
+
+    def _content(
+        self, raw: f.Raw, channel: _Channel, method: Method | None, then: ChannelPhase
+    ) -> Event | None:
+        """Publish, content header or content body, in the phase that it belongs to."""
+        if isinstance(method, c.Basic.Publish):
+            channel.publish, channel.phase = method, then
+            return None
+        publish = channel.publish
+        assert publish is not None
+        if raw.kind == f.HEADER:
+            told = f.content_from(raw.payload)
+            if told.class_id != c.Basic.frame_id:
+                raise e.HardError(
+                    e.SYNTAX_ERROR, f"content of class {told.class_id}; 60 is allowed", f.ids(publish)
+                )
+            if told.size > BODY_LIMIT:
+                why = f"message of {told.size} bytes; at most {BODY_LIMIT} are allowed"
+                self.close_channel(raw.channel, e.SoftError(e.CONTENT_TOO_LARGE, why, f.ids(publish)))
+                return ChannelGone(raw.channel)
+            channel.properties, channel.left = told.properties, told.size
+        else:
+            data = raw.payload
+            if len(data) > channel.left:
+                why = f"body of {channel.got + len(data)} bytes; its header says {channel.got + channel.left}"
+                raise e.HardError(e.UNEXPECTED_FRAME, why, f.ids(publish))
+            channel.parts.append(data)
+            channel.left -= len(data)
+            channel.got += len(data)
+            self._held += len(data)
+            if self._held > HELD_LIMIT:
+                why = f"more than {HELD_LIMIT} bytes of messages that have come in part"
+                raise e.HardError(e.RESOURCE_ERROR, why, f.ids(publish))
+        if channel.left:
+            channel.phase = ChannelPhase.BODY
+            return None
+        parts, properties = channel.parts, channel.properties
+        body = parts[0] if len(parts) == 1 else b"".join(parts)
+        self._drop_content(channel)
+        channel.phase = ChannelPhase.OPEN
+        return Published(raw.channel, publish, properties, body)
+
+    def _drop_content(self, channel: _Channel) -> None:
+        self._held -= channel.got
+        channel.publish = channel.properties = None
+        channel.parts, channel.left, channel.got = [], 0, 0
--- /dev/null
+++ b/bitternpath/amqp/session.py
@@ -0,0 +1,458 @@
+"""What a connection has open and what its methods do: channels, queues, consumers, acknowledgements. No I/O.
+
+`Session.handle` takes the machine's events in order. Soft errors close their channel here, hard ones the
+connection; both leave everybody else alone."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from typing import Any
+
+from pamqp import commands as c
+from pamqp.base import Frame as Method
+
+from bitternpath.amqp import errors as e
+from bitternpath.amqp import machine as mc
+from bitternpath.amqp.frames import content_frames, ids
+from bitternpath.amqp.front import EXCHANGES, JOBS, REPLY_TO, Front
+from bitternpath.amqp.invoker import Delivery, Subscriber, Subscribers
+from bitternpath.amqp.outbox import Entry, Outbox
+from bitternpath.amqp.queues import Channel, Kept, Message, PrivateQueue, Queues, Taker
+
+UNACKED_LIMIT = 4096  # deliveries of a channel that wait to be acknowledged
+_NAME = re.compile(r"[a-zA-Z0-9\-_.:]{1,127}")  # of a queue (specification 1.2 'queue-name')
+
+
+class Bounds:
+    """How much one connection may have, from the operator file."""
+
+    __slots__ = ("queue_bytes", "queues", "subscribers")
+
+    def __init__(self, subscribers: int, queues: int, queue_bytes: int) -> None:
+        self.subscribers, self.queues, self.queue_bytes = subscribers, queues, queue_bytes
+
+
+class Session:
+    """One connection that may do things. `machine` is its protocol state, `outbox` what waits to be
+    written."""
+
+    def __init__(
+        self,
+        number: int,
+        machine: mc.Machine,
+        outbox: Outbox,
+        front: Front,
+        subscribers: Subscribers,
+        queues: Queues,
+        bounds: Bounds,
+        changed: Callable[[], None],
+    ) -> None:
+        self.number, self.machine, self.outbox = number, machine, outbox
+        self.front, self.subscribers, self.queues, self.bounds = front, subscribers, queues, bounds
+        self.changed = changed  # called when something waits to be written, or an answer has been given
+        self.vhost = ""
+        self.waiting = 0  # invocations of this connection that wait for their answers
+        self.published = False  # it has published an invocation
+        self.channels: dict[int, Channel] = {}
+        self.own: dict[str, PrivateQueue] = {}  # private queues that it declared
+        self._made = 0
+
+    @property
+    def subscribes(self) -> bool:
+        """Whether work is or may be out there: then it must be read, for acknowledgements come that way."""
+        return any(
+            isinstance(consumer, Subscriber)
+            for ch in self.channels.values()
+            for consumer in ch.consumers.values()
+        ) or any(isinstance(u, Delivery) for ch in self.channels.values() for u in ch.unacked.values())
+
+    # ---- what is said to the peer
+
+    def say(self, channel: int, method: Method) -> None:
+        if self.machine.is_open(channel):
+            self.machine.say(channel, method)
+            self.changed()
+
+    def deliver(self, channel: Channel, tag: str, number: int, message: Message, mark: Any = None) -> Entry:
+        """basic.deliver with its content; the entry tells whether it has left."""
+        method = c.Basic.Deliver(tag, number, message.redelivered, message.exchange, message.routing_key)
+        return self._content(channel, method, message, mark)
+
+    def give_back(self, channel: Channel, code: int, text: str, message: Message) -> None:
+        """basic.return: a mandatory message that reached nobody."""
+        self._content(channel, c.Basic.Return(code, text, message.exchange, message.routing_key), message)
+
+    def _content(self, channel: Channel, method: Method, message: Message, mark: Any = None) -> Entry:
+        data = content_frames(
+            channel.number, method, message.properties, message.body, self.machine.frame_max
+        )
+        entry = self.outbox.add(data, mark)
+        self.changed()
+        return entry
+
+    # ---- what comes
+
+    def handle(self, event: mc.Event) -> None:
+        """One event of the machine."""
+        if isinstance(event, mc.Published):
+            self._guarded(event.channel, event.method, self._publish, event)
+        elif isinstance(event, mc.Command):
+            self._guarded(event.channel, event.method, self._command, event)
+        elif isinstance(event, mc.ChannelOpened):
+            self.channels[event.channel] = Channel(self, event.channel)
+        elif isinstance(event, mc.ChannelGone):
+            self._leave(event.channel)
+        elif isinstance(event, mc.Opened):
+            self.vhost = event.vhost
+
+    def _guarded(self, number: int, method: Method, do: Callable[[Channel, Any], None], event: Any) -> None:
+        channel = self.channels[number]
+        try:
+            do(channel, event)
+        except e.SoftError as error:
+            error.method = ids(method)
+            self.machine.close_channel(number, error)
+            self._leave(number)
+        except e.HardError as error:
+            error.method = ids(method)
+            self.machine.fail(error)
+
+    def _publish(self, channel: Channel, event: mc.Published) -> None:
+        self.published = True
+        self.front.publish(channel, event)
+
+    def _command(self, channel: Channel, event: mc.Command) -> None:
+        HANDLERS[type(event.method)](self, channel, event.method)
+
+    def _leave(self, number: int) -> None:
+        """A channel is gone: what was out on it is settled, its consumers and providers go."""
+        channel = self.channels.pop(number, None)
+        if channel is None:
+            return
+        channel.open = False
+        for consumer in channel.consumers.values():  # first, so that nothing is sent there again
+            consumer.gone()
+        for unacked in reversed(channel.unacked.values()):  # what is put back keeps its order
+            unacked.lost()
+        channel.unacked.clear()
+        channel.consumers.clear()
+        self.changed()
+
+    def end(self) -> None:
+        """The connection is gone."""
+        for number in list(self.channels):
+            self._leave(number)
+        for queue in self.own.values():
+            queue.purge()
+            self.queues.remove(self.vhost, queue)
+        self.own.clear()
+
+    def cancel_subscribers(self) -> None:
+        """The node is ending: tell those that can hear it, and send nothing new."""
+        for channel in self.channels.values():
+            for tag, consumer in list(channel.consumers.items()):
+                if isinstance(consumer, Subscriber):
+                    if self.machine.capabilities.get("consumer_cancel_notify"):
+                        self.say(channel.number, c.Basic.Cancel(tag, True))
+                    del channel.consumers[tag]
+                    consumer.stop()
+
+    # ---- channel, confirm, qos
+
+    def _flow(self, channel: Channel, method: c.Channel.Flow) -> None:
+        channel.flowing = bool(method.active)
+        self.say(channel.number, c.Channel.FlowOk(channel.flowing))
+        self._room_changed(channel)
+
+    def _flow_ok(self, channel: Channel, method: c.Channel.FlowOk) -> None:
+        """The answer to what we never ask: legal, and nothing to do."""
+
+    def _select(self, channel: Channel, method: c.Confirm.Select) -> None:
+        channel.confirming = True
+        if not method.nowait:
+            self.say(channel.number, c.Confirm.SelectOk())
+
+    def _qos(self, channel: Channel, method: c.Basic.Qos) -> None:
+        """As RabbitMQ reads it: `global` is of the channel and at once, else of consumers that start
+        later."""
+        if method.prefetch_size:
+            raise e.HardError(e.NOT_IMPLEMENTED, f"prefetch-size {method.prefetch_size}; 0 is allowed")
+        if method.global_:
+            channel.prefetch_all = method.prefetch_count or 0
+        else:
+            channel.prefetch = method.prefetch_count or 0
+        self.say(channel.number, c.Basic.QosOk())
+        if method.global_:
+            self._room_changed(channel)
+
+    def _room_changed(self, channel: Channel) -> None:
+        for consumer in list(channel.consumers.values()):
+            if isinstance(consumer, Subscriber):
+                self.subscribers.changed(consumer)
+            elif isinstance(consumer, Taker):
+                consumer.queue.pump()
+
+    # ---- exchanges and queues
+
+    def _exchange_declare(self, channel: Channel, method: c.Exchange.Declare) -> None:
+        if method.exchange != JOBS:
+            if method.passive and method.exchange:
+                raise e.SoftError(e.NOT_FOUND, f"no exchange {method.exchange!r:.80}")
+            raise e.SoftError(e.ACCESS_REFUSED, f"exchanges are {JOBS!r} and the default; none can be made")
+        if not method.passive and method.exchange_type != "direct":
+            raise e.SoftError(e.PRECONDITION_FAILED, f"exchange {JOBS!r} is of type direct")
+        if not method.nowait:
+            self.say(channel.number, c.Exchange.DeclareOk())
+
+    def _exchange_delete(self, channel: Channel, method: c.Exchange.Delete) -> None:
+        if method.exchange in EXCHANGES:
+            raise e.SoftError(e.ACCESS_REFUSED, f"exchange {method.exchange!r} cannot be deleted")
+        if not method.nowait:
+            self.say(channel.number, c.Exchange.DeleteOk())
+
+    def _queue_declare(self, channel: Channel, method: c.Queue.Declare) -> None:
+        name = str(method.queue or "")
+        if name in self.front.classes:
+            count, consumers = 0, self.subscribers.of_class(name)
+        else:
+            queue = self._find(name, any_owner=method.passive) if name else None
+            if queue is None:
+                if method.passive:
+                    raise e.SoftError(e.NOT_FOUND, f"no queue {name!r:.80}")
+                queue = self._make_queue(name, bool(method.exclusive))
+            name, count, consumers = queue.name, len(queue.messages), len(queue.takers)
+        channel.last_queue = name
+        if not method.nowait:
+            self.say(channel.number, c.Queue.DeclareOk(name, count, consumers))
+
+    def _make_queue(self, name: str, exclusive: bool) -> PrivateQueue:
+        if not exclusive:
+            classes = ", ".join(self.front.classes)
+            raise e.SoftError(e.ACCESS_REFUSED, f"queues are {classes:.120} and exclusive ones")
+        if name and (name.startswith("amq.") or not _NAME.fullmatch(name)):
+            raise e.SoftError(
+                e.ACCESS_REFUSED, "letters, digits and -_.: are allowed, and no name from 'amq.'"
+            )
+        if len(self.own) >= self.bounds.queues:
+            raise e.SoftError(e.PRECONDITION_FAILED, f"at most {self.bounds.queues} queues a connection")
+        if not name:
+            self._made += 1
+            name = f"amq.gen-{self.number:x}-{self._made:x}"
+        queue = PrivateQueue(name, self, self.bounds.queue_bytes)
+        self.own[name] = queue
+        self.queues.add(self.vhost, queue)
+        return queue
+
+    def _find(self, name: str, any_owner: bool = False) -> PrivateQueue | None:
+        """A private queue; 405 where it is another connection's."""
+        queue = self.queues.find(self.vhost, name)
+        if queue is not None and queue.session is not self:
+            raise e.SoftError(e.RESOURCE_LOCKED, f"queue {name!r:.80} is exclusive to another connection")
+        return queue
+
+    def _named(self, channel: Channel, name: str | None) -> str:
+        """An empty name is the last queue that the channel declared (specification 1.7.2.3)."""
+        return str(name or channel.last_queue)
+
+    def _queue_bind(self, channel: Channel, method: c.Queue.Bind) -> None:
+        name = self._named(channel, method.queue)
+        self._bound(name, method.exchange, method.routing_key)
+        if not method.nowait:
+            self.say(channel.number, c.Queue.BindOk())
+
+    def _queue_unbind(self, channel: Channel, method: c.Queue.Unbind) -> None:
+        name = self._named(channel, method.queue)
+        if name in self.front.classes:
+            raise e.SoftError(e.ACCESS_REFUSED, f"queue {name!r} stays bound to {JOBS!r}")
+        self._bound(name, method.exchange, method.routing_key)
+        self.say(channel.number, c.Queue.UnbindOk())
+
+    def _bound(self, name: str, exchange: str | None, key: str | None) -> None:
+        """Check that such a binding is there: of a class to `jobs` by its name, and no other."""
+        known = name in self.front.classes
+        if not known and self._find(name) is None:
+            raise e.SoftError(e.NOT_FOUND, f"no queue {name!r:.80}")
+        if exchange not in EXCHANGES:
+            raise e.SoftError(e.NOT_FOUND, f"no exchange {exchange!r:.80}")
+        if not known or exchange != JOBS or key != name:
+            raise e.SoftError(
+                e.ACCESS_REFUSED, f"classes are bound to {JOBS!r} by their names, and nothing else"
+            )
+
+    def _queue_purge(self, channel: Channel, method: c.Queue.Purge) -> None:
+        queue = self._private(channel, method.queue)
+        many = queue.purge()
+        if not method.nowait:
+            self.say(channel.number, c.Queue.PurgeOk(many))
+
+    def _queue_delete(self, channel: Channel, method: c.Queue.Delete) -> None:
+        name, many = self._named(channel, method.queue), 0
+        if name in self.front.classes:
+            raise e.SoftError(e.ACCESS_REFUSED, f"queue {name!r} is a class's")
+        queue = self._find(name)
+        if queue is not None:
+            if (method.if_unused and queue.takers) or (method.if_empty and queue.messages):
+                raise e.SoftError(e.PRECONDITION_FAILED, f"queue {name!r} is in use or not empty")
+            many = queue.purge()
+            self._delete(queue)
+        if not method.nowait:
+            self.say(channel.number, c.Queue.DeleteOk(many))
+
+    def _delete(self, queue: PrivateQueue) -> None:
+        self.own.pop(queue.name, None)
+        self.queues.remove(self.vhost, queue)
+        for taker in list(queue.takers):
+            taker.channel.consumers.pop(taker.tag, None)
+            taker.stop()
+            if self.machine.capabilities.get("consumer_cancel_notify"):
+                self.say(taker.channel.number, c.Basic.Cancel(taker.tag, True))
+
+    def _private(self, channel: Channel, name: str | None) -> PrivateQueue:
+        """A private queue by name; 403 for a class, 404 for none."""
+        found = self._named(channel, name)
+        if found in self.front.classes:
+            raise e.SoftError(
+                e.ACCESS_REFUSED, f"queue {found!r} is a class's: work is handed out by consume"
+            )
+        queue = self._find(found)
+        if queue is None:
+            raise e.SoftError(e.NOT_FOUND, f"no queue {found!r:.80}")
+        return queue
+
+    # ---- consumers
+
+    def _consume(self, channel: Channel, method: c.Basic.Consume) -> None:
+        name, tag = self._named(channel, method.queue), str(method.consumer_tag or "")
+        if not tag:
+            self._made += 1
+            tag = f"amq.ctag-{self.number:x}-{self._made:x}"
+        if tag in channel.consumers or tag == channel.reply_tag:
+            raise e.HardError(e.NOT_ALLOWED, f"consumer tag {tag!r:.80} is in use on this channel")
+        if sum(len(ch.consumers) for ch in self.channels.values()) >= self.bounds.subscribers:
+            raise e.SoftError(
+                e.PRECONDITION_FAILED, f"at most {self.bounds.subscribers} consumers a connection"
+            )
+        if name == REPLY_TO:
+            if not method.no_ack:
+                raise e.SoftError(e.PRECONDITION_FAILED, f"{REPLY_TO} is consumed with no-ack")
+            if channel.reply_tag is not None:
+                raise e.SoftError(e.PRECONDITION_FAILED, f"{REPLY_TO} has a consumer on this channel")
+            channel.reply_tag = tag
+        elif name in self.front.classes:
+            self._subscribe(channel, method, name, tag)
+        else:
+            queue = self._private(channel, name)
+            taker = Taker(channel, tag, queue, bool(method.no_ack))
+            channel.consumers[tag] = taker
+            queue.takers.append(taker)
+        if not method.nowait:
+            self.say(channel.number, c.Basic.ConsumeOk(tag))
+        found = channel.consumers.get(tag)
+        if isinstance(found, Taker):
+            found.queue.pump()
+
+    def _subscribe(self, channel: Channel, method: c.Basic.Consume, name: str, tag: str) -> None:
+        if method.no_ack:
+            raise e.SoftError(
+                e.PRECONDITION_FAILED, f"queue {name!r} needs acknowledgements: an ack is the answer"
+            )
+        if method.exclusive:
+            raise e.SoftError(e.ACCESS_REFUSED, f"queue {name!r} is shared")
+        if self.front.stopping:
+            raise e.SoftError(e.ACCESS_REFUSED, "the node is ending")
+        arguments: dict[str, Any] = dict(method.arguments or {})
+        channel.consumers[tag] = self.subscribers.add(channel, tag, name, arguments)
+
+    def _cancel(self, channel: Channel, method: c.Basic.Cancel) -> None:
+        tag = str(method.consumer_tag)
+        if tag == channel.reply_tag:
+            channel.reply_tag = None
+        consumer = channel.consumers.pop(tag, None)
+        if consumer is not None:
+            consumer.stop()
+        if not method.nowait:
+            self.say(channel.number, c.Basic.CancelOk(tag))
+
+    def _cancel_ok(self, channel: Channel, method: c.Basic.CancelOk) -> None:
+        """Some clients answer our cancel though it asks for none."""
+
+    def _get(self, channel: Channel, method: c.Basic.Get) -> None:
+        queue = self._private(channel, method.queue)
+        if len(channel.unacked) >= UNACKED_LIMIT:
+            raise e.SoftError(e.PRECONDITION_FAILED, f"at most {UNACKED_LIMIT} unacknowledged on a channel")
+        message = queue.get()
+        if message is None:
+            self.say(channel.number, c.Basic.GetEmpty())
+            return
+        number = channel.next_tag()
+        if not method.no_ack:
+            channel.unacked[number] = Kept(None, message, queue)
+        ok = c.Basic.GetOk(
+            number, message.redelivered, message.exchange, message.routing_key, len(queue.messages)
+        )
+        self._content(channel, ok, message)
+
+    # ---- acknowledgements
+
+    def _ack(self, channel: Channel, method: c.Basic.Ack) -> None:
+        for unacked in self._settled(channel, method.delivery_tag, bool(method.multiple)):
+            unacked.ack()
+
+    def _nack(self, channel: Channel, method: c.Basic.Nack) -> None:
+        for unacked in reversed(self._settled(channel, method.delivery_tag, bool(method.multiple))):
+            unacked.reject(bool(method.requeue))
+
+    def _reject(self, channel: Channel, method: c.Basic.Reject) -> None:
+        for unacked in self._settled(channel, method.delivery_tag, False):
+            unacked.reject(bool(method.requeue))
+
+    def _settled(self, channel: Channel, number: int | None, multiple: bool) -> list[Any]:
+        """What a delivery tag names, and with `multiple` all before it (0: all there is)."""
+        number = number or 0
+        if not multiple:
+            found = channel.unacked.pop(number, None)
+            if found is None:
+                raise e.SoftError(e.PRECONDITION_FAILED, f"unknown delivery tag {number}")
+            return [found]
+        if number > channel.last_tag:
+            raise e.SoftError(e.PRECONDITION_FAILED, f"unknown delivery tag {number}")
+        upto = [tag for tag in channel.unacked if tag <= number or number == 0]
+        return [channel.unacked.pop(tag) for tag in upto]
+
+    def _recover(self, channel: Channel, method: c.Basic.Recover) -> None:
+        self._requeue_all(channel, method.requeue)
+        self.say(channel.number, c.Basic.RecoverOk())
+
+    def _recover_async(self, channel: Channel, method: c.Basic.RecoverAsync) -> None:
+        self._requeue_all(channel, method.requeue)
+
+    def _requeue_all(self, channel: Channel, requeue: bool | None) -> None:
+        if not requeue:
+            raise e.HardError(e.NOT_IMPLEMENTED, "recover without requeue is not implemented")
+        for unacked in reversed(self._settled(channel, 0, True)):
+            unacked.reject(True)
+
+
+HANDLERS: dict[type[Method], Callable[[Session, Channel, Any], None]] = {
+    c.Channel.Flow: Session._flow,
+    c.Channel.FlowOk: Session._flow_ok,
+    c.Confirm.Select: Session._select,
+    c.Basic.Qos: Session._qos,
+    c.Exchange.Declare: Session._exchange_declare,
+    c.Exchange.Delete: Session._exchange_delete,
+    c.Queue.Declare: Session._queue_declare,
+    c.Queue.Bind: Session._queue_bind,
+    c.Queue.Unbind: Session._queue_unbind,
+    c.Queue.Purge: Session._queue_purge,
+    c.Queue.Delete: Session._queue_delete,
+    c.Basic.Consume: Session._consume,
+    c.Basic.Cancel: Session._cancel,
+    c.Basic.CancelOk: Session._cancel_ok,
+    c.Basic.Get: Session._get,
+    c.Basic.Ack: Session._ack,
+    c.Basic.Nack: Session._nack,
+    c.Basic.Reject: Session._reject,
+    c.Basic.Recover: Session._recover,
+    c.Basic.RecoverAsync: Session._recover_async,
+}
--- a/bitternpath/net/buffer.py
+++ b/bitternpath/net/buffer.py
@@ -28,6 +28,10 @@
         at = self._data.find(what, self._start + start)
         return at if at < 0 else at - self._start
 
+    def peek(self, count: int) -> bytes:
+        """The first `count` bytes, or all where there are fewer, without removing them."""
+        return bytes(self._data[self._start : self._start + count])
+
     def take(self, count: int) -> bytes:
         """Remove and return the first `count` bytes, or all where there are fewer."""
         end = min(self._start + count, len(self._data))
--- a/bitternpath/net/sockets.py
+++ b/bitternpath/net/sockets.py
@@ -20,11 +20,17 @@
     """Counts sockets by side, so that neither can take the other's last ones."""
 
     def __init__(self, limit: int) -> None:
-        self.consumers = self.providers = 0
+        self.consumers = self.providers = self.reserved = 0
         self.resize(limit)
 
+    def reserve(self, many: int) -> None:
+        """Keep so many for another front, which counts them itself."""
+        self.reserved = many
+        self.resize(self.limit)
+
     def resize(self, limit: int) -> None:
-        self.total = max(limit - RESERVED, 8)
+        self.limit = limit
+        self.total = max(limit - RESERVED - self.reserved, 8)
         self.for_consumers = int(self.total * (1 - FOR_PROVIDERS))
         self.invocations = int(self.for_consumers * (1 - FOR_CALL_BACKS))  # that may wait at once
 
--- a/bitternpath/node.py
+++ b/bitternpath/node.py
@@ -7,14 +7,14 @@
 from collections.abc import Callable
 from dataclasses import replace
 from random import Random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
 from bitternpath.brain import Dispatcher
 from bitternpath.config.load import Loaded
 from bitternpath.config.operator import changed_at_start_only
-from bitternpath.config.platform import Config, ConfigError
+from bitternpath.config.platform import Config, ConfigError, address
 from bitternpath.core.broker import Broker
 from bitternpath.core.clock import Clock
 from bitternpath.core.invocations import Invoker
@@ -24,11 +24,15 @@
 from bitternpath.http.watch import Watch
 from bitternpath.net.sockets import Sockets
 
+if TYPE_CHECKING:
+    from bitternpath.amqp.server import AmqpServer
+
 log = structlog.get_logger(part="node")
 
 REPORT_EVERY = 10.0  # s between lines with the counts so far
 HALF_SENT = 2000.0  # ms: a request that has begun to arrive so long ago does not hold up the end
 AT_START_ONLY = ("listen", "settings")  # the module and the listener are made from these
+GOODBYE = 0.2  # s for the answers to connection.close
 LAST_WORDS = 0.1  # s for the last answers and DELETEs to leave
 
 
@@ -58,8 +62,29 @@
             self.module.retry_after,
         )
         self.roster.tell = self._listed
+        self.amqp = self._amqp() if self.at_start.amqp.listen else None
         self._ending = False
 
+    def _amqp(self) -> AmqpServer:
+        """The AMQP front, invoker and source. Imported here, for what is off costs nothing."""
+        from bitternpath.amqp.front import Front
+        from bitternpath.amqp.invoker import PROTOCOL, Subscribers
+        from bitternpath.amqp.queues import Queues
+        from bitternpath.amqp.server import AmqpServer
+
+        told = self.at_start.amqp
+        subscribers = Subscribers(
+            self.clock, self.roster.take, told.prefetch_cap, frozenset(told.requeue_unstarted)
+        )
+        subscribers.broker = self.broker
+        self.invokers[PROTOCOL] = subscribers
+        self.sockets.reserve(told.max_connections)
+        classes = self.loaded.platform.settings.classes
+        front = Front(
+            self.clock, self.broker, Queues(), subscribers, classes, self.module.retry_after, told.max_waiting
+        )
+        return AmqpServer(self.reactor, self.clock, told, front, subscribers, self.broker)
+
     def _ready(self) -> bool:
         return self.watch.spoke or bool(self.roster.providers)
 
@@ -72,6 +97,8 @@
         self.pool.listed(known)
         self.broker.listed(known, at_start=True)
         self.listener.listen(*self.loaded.platform.listen)
+        if self.amqp is not None:
+            self.amqp.listen(*address(self.at_start.amqp.listen))
         self.pool.run()
         self.watch.start()
         self.reactor.callLater(REPORT_EVERY, self._report)
@@ -87,6 +114,8 @@
         kv: dict[str, object] = {"waiting": self.broker.waiting, "calls_out": len(self.broker.live)}
         kv |= {"consumers": self.sockets.consumers, "providers": self.sockets.providers}
         kv |= {key.replace(" ", "_"): n for key, n in sorted((self.broker.counts + self.pool.counts).items())}
+        if self.amqp is not None:
+            kv |= self.amqp.report()
         log.info("counts", **kv)
 
     def reload(self, read: Callable[[Loaded], Loaded]) -> None:
@@ -107,6 +136,8 @@
         # What was asked for stays different from what runs: say so again after the next reload.
         config: Config = replace(now, **{key: getattr(before, key) for key in changed})
         changed += changed_at_start_only(self.at_start, loaded.operator.settings)
+        if self.amqp is not None:
+            self.amqp.apply(loaded.operator.settings.amqp)
         if changed:
             kv["needs_restart"] = ",".join(changed)
         self.loaded = Loaded(config, loaded.operator)
@@ -118,6 +149,8 @@
             return
         log.info("stopping", waiting=self.broker.waiting)
         self.listener.stop()
+        if self.amqp is not None:
+            self.amqp.stop()
         self.reactor.callLater(NEW_ONES_ARRIVE + 2 * LAST_WORDS, self._close_when_idle)
 
     def _close_when_idle(self) -> None:
@@ -141,8 +174,15 @@
             self.reactor.callLater(LAST_WORDS, self._end_if_idle)
             return
         self._report()
-        log.info("stopped")
         self.watch.stop()
+        if self.amqp is not None:
+            self.amqp.close()
+            self.reactor.callLater(GOODBYE, self._stopped)
+        else:
+            self._stopped()
+
+    def _stopped(self) -> None:
+        log.info("stopped")
         self.reactor.stop()
 
 
