--- a/bitternpath/amqp/invoker.py
+++ b/bitternpath/amqp/invoker.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from bitternpath import messages as m
-from bitternpath.amqp.errors import PRECONDITION_FAILED, SoftError
+from bitternpath.amqp.errors import PRECONDITION_FAILED, RESOURCE_ERROR, HardError, SoftError
 from bitternpath.amqp.outbox import Entry
 from bitternpath.amqp.queues import Channel, Message
 from bitternpath.amqp.translation import delivery_properties, text_of
@@ -23,6 +23,7 @@
 
 SOURCE = PROTOCOL = "amqp"
 RESULT_PREFIX = "amq.result."  # what subscribers publish there, to the default exchange, is a result
+RESULTS_LIMIT = 8 << 20  # bytes of results that wait for the acks of one connection
 ARGUMENT_LIMIT = 64  # characters of x-site and x-kind
 
 
@@ -151,11 +152,16 @@
             return
         subscriber.state = m.State.DRAINING
         self.changed(subscriber)
-        for delivery in [d for d in self._by_token.values() if d.subscriber is subscriber]:
-            if self._take_back(delivery):  # it has not left: as if it had never been sent
-                self.broker.ended(delivery.call, m.How.NO_CONNECTION)
+        self.recall(subscriber)
         self._leave_if_done(subscriber)
 
+    def recall(self, subscriber: Subscriber) -> None:
+        """What has not left for it is taken back: as if it had never been sent."""
+        unacked = list(subscriber.channel.unacked.values())
+        for delivery in [d for d in unacked if isinstance(d, Delivery) and d.subscriber is subscriber]:
+            if self._take_back(delivery):
+                self.broker.ended(delivery.call, m.How.NO_CONNECTION)
+
     def remove(self, subscriber: Subscriber) -> None:
         """Its channel is gone, and with it what was out there (see `lost`)."""
         if subscriber.state is not m.State.GONE:
@@ -214,6 +220,7 @@
         """Its place is free again, and nothing more is taken for it."""
         if self._by_token.pop(delivery.token, None) is not None:
             delivery.subscriber.out -= 1
+            delivery.subscriber.channel.session.results_held -= len(delivery.result or b"")
 
     # ---- what comes back
 
@@ -229,6 +236,10 @@
             self.counts["results_dropped"] += 1
             return False
         assert delivery is not None
+        holder = delivery.subscriber.channel.session
+        if holder.results_held + len(body) > RESULTS_LIMIT:
+            raise HardError(RESOURCE_ERROR, f"more than {RESULTS_LIMIT} bytes of results without their acks")
+        holder.results_held += len(body)
         delivery.result = body
         return True
 
--- a/bitternpath/amqp/queues.py
+++ b/bitternpath/amqp/queues.py
@@ -10,6 +10,8 @@
 
 from msgspec import Struct
 
+UNACKED_LIMIT = 4096  # deliveries of a channel that wait to be acknowledged
+
 
 class Message(Struct):
     """A message on its way to somebody."""
@@ -78,7 +80,7 @@
         """Whether one more may be delivered to a consumer with that prefetch and so many out."""
         if not self.open or not self.flowing:
             return False
-        if self.prefetch_all and len(self.unacked) >= self.prefetch_all:
+        if len(self.unacked) >= min(self.prefetch_all or UNACKED_LIMIT, UNACKED_LIMIT):
             return False
         return not prefetch or out < prefetch
 
--- a/bitternpath/amqp/server.py
+++ b/bitternpath/amqp/server.py
@@ -31,6 +31,7 @@
 from bitternpath.config.operator import Amqp, User
 from bitternpath.config.passwords import NOBODY, matches
 from bitternpath.core.broker import Broker
+from bitternpath.net.sockets import BurstPort
 
 log = structlog.get_logger(part="amqp")
 
@@ -41,6 +42,7 @@
 LOGINS_AT_ONCE = 2  # passwords hashed at a time: each takes 16 MB and a core for some 50 ms
 LOGINS_WAITING = 64  # beyond these a login is refused
 READ_AHEAD = 256 * 1024  # bytes read and not looked at yet
+FIRST_READ_AHEAD = 16 * 1024  # the same of those that have not logged in
 EASED = 0.75  # of a bound that was reached: where publishers are read again
 BACKLOG = 256
 HELD_FOR = 1.0  # s after the signal to end in which subscribers may still get what was taken and not sent
@@ -86,7 +88,7 @@
         self.writing = False  # a piece is on its way
         self.blocked = False  # connection.blocked has been told
         self.up = False
-        self.ended = False
+        self.ended = self.dropped = False
         self._turning = False
 
     def connectionMade(self) -> None:
@@ -145,7 +147,8 @@
                 self.closing_at = self.server.clock()
                 self._log_failure()
         held = self._held_back()
-        self._read(not held and len(self.machine.buffer) <= READ_AHEAD)
+        ahead = READ_AHEAD if self.machine.authenticated else FIRST_READ_AHEAD
+        self._read(not held and len(self.machine.buffer) <= ahead)
         if held and self.server.front.full:
             self._tell_blocked(True)
         self.flush()
@@ -160,8 +163,10 @@
         if on != self.reading and self.up:
             self.reading = on
             if on:
+                self.server.held.pop(self, None)
                 self.transport.resumeProducing()
             else:
+                self.server.held[self] = None
                 self.transport.pauseProducing()
 
     def _tell_blocked(self, on: bool) -> None:
@@ -173,17 +178,12 @@
 
     def ease(self) -> None:
         """Answers were given: go on where this connection was held back, if there is room now."""
-        if self.reading and len(self.machine.buffer) == 0:
+        settings, front = self.server.settings, self.server.front
+        if self.reading or front.waiting > EASED * front.max_waiting:
             return
-        if self.blocked or not self.reading:
-            settings, front = self.server.settings, self.server.front
-            if front.waiting > EASED * front.max_waiting and front.max_waiting > 1:
-                return
-            if self.session.waiting > EASED * settings.publisher_waiting and settings.publisher_waiting > 1:
-                return
+        if self.session.waiting <= EASED * settings.publisher_waiting:
             self._tell_blocked(False)
             self._turn_again()
-            self.flush()
 
     # ---- writing
 
@@ -192,11 +192,13 @@
 
     def flush(self) -> None:
         """Hand over what waits, one piece at a time, so that it is known what has left."""
-        if self.up and not self.writing and self.outbox.size:
+        if not self.up or self.dropped:
+            return
+        if not self.writing and self.outbox.size:
             self.writing = True
             # As a producer it hears when all that was handed over has been written.
             self.transport.registerProducer(self, False)
-        elif self.up and not self.outbox.size and self.machine.phase is mc.Phase.CLOSED:
+        elif not self.outbox.size and self.machine.phase is mc.Phase.CLOSED:
             self.transport.loseConnection()
         if self.outbox.size > self.server.settings.unread_bytes:
             self.server.counts["slow_readers"] += 1
@@ -257,7 +259,8 @@
         self._settle()
 
     def abort(self, why: str) -> None:
-        if self.up:
+        if self.up and not self.dropped:
+            self.dropped = True
             log.info("amqp connection dropped", peer=self.host, why=why)
             self._end_session()
             self.transport.abortConnection()
@@ -296,6 +299,7 @@
         self.port: Any = None
         self._numbers = 0
         self._touched: dict[AmqpConnection, None] = {}
+        self.held: dict[AmqpConnection, None] = {}  # those that are not read for now
         self._logins: list[tuple[AmqpConnection, mc.Login]] = []
         self._logging_in = 0
         self.apply(settings)
@@ -314,7 +318,8 @@
 
     def listen(self, host: str, port: int) -> None:
         factory: Any = self
-        self.port = self.reactor.listenTCP(port, factory, BACKLOG, host)
+        self.port = BurstPort(port, factory, BACKLOG, host, self.reactor)
+        self.port.startListening()
         where = self.port.getHost()
         log.info("amqp listening", address=f"{where.host}:{where.port}")
         self.reactor.callLater(LOOK, self._look)
@@ -335,6 +340,7 @@
     def left(self, connection: AmqpConnection) -> None:
         self.connections.pop(connection, None)
         self._touched.pop(connection, None)
+        self.held.pop(connection, None)
 
     def _look(self) -> None:
         self.reactor.callLater(LOOK, self._look)
@@ -354,10 +360,8 @@
         touched, self._touched = list(self._touched), {}
         for connection in touched:
             connection.flush()
+        for connection in list(self.held):
             connection.ease()
-        if not self.front.full:
-            for connection in [c for c in self.connections if c.blocked or not c.reading]:
-                connection.ease()
 
     # ---- logins
 
--- a/bitternpath/amqp/session.py
+++ b/bitternpath/amqp/session.py
@@ -18,9 +18,8 @@
 from bitternpath.amqp.front import EXCHANGES, JOBS, REPLY_TO, Front
 from bitternpath.amqp.invoker import Delivery, Subscriber, Subscribers
 from bitternpath.amqp.outbox import Entry, Outbox
-from bitternpath.amqp.queues import Channel, Kept, Message, PrivateQueue, Queues, Taker
+from bitternpath.amqp.queues import UNACKED_LIMIT, Channel, Kept, Message, PrivateQueue, Queues, Taker
 
-UNACKED_LIMIT = 4096  # deliveries of a channel that wait to be acknowledged
 _NAME = re.compile(r"[a-zA-Z0-9\-_.:]{1,127}")  # of a queue (specification 1.2 'queue-name')
 
 
@@ -53,6 +52,7 @@
         self.changed = changed  # called when something waits to be written, or an answer has been given
         self.vhost = ""
         self.waiting = 0  # invocations of this connection that wait for their answers
+        self.results_held = 0  # bytes of results that came ahead of their acknowledgements
         self.published = False  # it has published an invocation
         self.channels: dict[int, Channel] = {}
         self.own: dict[str, PrivateQueue] = {}  # private queues that it declared
@@ -162,6 +162,10 @@
 
     def _flow(self, channel: Channel, method: c.Channel.Flow) -> None:
         channel.flowing = bool(method.active)
+        if not channel.flowing:
+            for consumer in channel.consumers.values():
+                if isinstance(consumer, Subscriber):
+                    self.subscribers.recall(consumer)
         self.say(channel.number, c.Channel.FlowOk(channel.flowing))
         self._room_changed(channel)
 
--- a/bitternpath/http/front.py
+++ b/bitternpath/http/front.py
@@ -12,7 +12,6 @@
 import ujson
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Factory, Protocol, connectionDone
-from twisted.internet.tcp import Port
 from twisted.python.failure import Failure
 
 from bitternpath import messages as m
@@ -20,7 +19,7 @@
 from bitternpath.core.clock import Clock
 from bitternpath.core.invocations import ID_LIMIT, Invocation, State, figures
 from bitternpath.http import http1
-from bitternpath.net.sockets import Sockets
+from bitternpath.net.sockets import BURST, BurstPort, Sockets
 
 log = structlog.get_logger(part="front")
 
@@ -37,7 +36,6 @@
 LAST_ANSWER = 3500.0
 PENDING_LIMIT = 2 * http1.BODY_LIMIT  # bytes read ahead of the answer that is due
 BACKLOG = 1024
-BURST = 8  # connections accepted at a time; as many sockets are kept free for the next ones
 SPARED = 100.0  # ms: connections idle for less are not closed to make room, their request may be on the way
 FRESH = 100.0  # ms: at the end, connections idle for less are not closed, for the same reason
 LOOK_AGAIN = 0.1  # s between looks for such connections
@@ -214,12 +212,6 @@
             self.listener.reactor.callLater(0, self.advance)
 
 
-class _Port(Port):
-    """Accepts a few connections at a time. Twisted's own rule lets that number grow past the socket limit."""
-
-    numberAccepts = property(lambda self: BURST, lambda self, value: None)
-
-
 class Listener(Factory):
     """All connections to the node's address."""
 
@@ -250,7 +242,7 @@
 
     def listen(self, host: str, port: int) -> None:
         factory: Any = self
-        self.port = _Port(port, factory, BACKLOG, host, self.reactor)
+        self.port = BurstPort(port, factory, BACKLOG, host, self.reactor)
         self.port.startListening()
         self._look_for_slow()
 
--- a/bitternpath/net/sockets.py
+++ b/bitternpath/net/sockets.py
@@ -8,14 +8,22 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.tcp import Port
 
 # Besides consumers and providers: standard streams, the poller, the reactor's wakers, the listener and its
 # spare descriptor, discovery, and sockets that the system has not let go of yet.
 RESERVED = 24
+BURST = 8  # connections accepted at a time; as many sockets are kept free for the next ones
 FOR_PROVIDERS = 0.25  # the share of the rest that consumers and call-backs leave to provider connections
 FOR_CALL_BACKS = 0.25  # the share of the listener's that invocations leave to call-backs
 
 
+class BurstPort(Port):
+    """Accepts a few connections at a time. Twisted's own rule lets that number grow past the socket limit."""
+
+    numberAccepts = property(lambda self: BURST, lambda self, value: None)
+
+
 class Sockets:
     """Counts sockets by side, so that neither can take the other's last ones."""
 
--- /dev/null
+++ b/tests/amqp_rig.py
@@ -0,0 +1,413 @@
+"""A node's AMQP side without sockets: scripted peers on wires that a test cuts where it likes, on one clock.
+
+The core, the decision module and all of `amqp/` are the real ones; the wire stands for a TCP connection:
+bytes pass in order, and what was handed over may or may not arrive when it breaks."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
+
+from pamqp import body, commands, frame, header
+from pamqp.heartbeat import Heartbeat
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.task import Clock as Reactor
+from twisted.python.failure import Failure
+
+from bitternpath import messages as m
+from bitternpath.amqp.front import Front
+from bitternpath.amqp.invoker import Subscribers
+from bitternpath.amqp.queues import Queues
+from bitternpath.amqp.server import AmqpConnection, AmqpServer
+from bitternpath.brain import Dispatcher
+from bitternpath.config.operator import Amqp
+from bitternpath.core.broker import Broker
+from bitternpath.core.invocations import Invocation, InvokerCall
+from bitternpath.core.roster import Listing, Provider, Roster
+
+c = commands
+GUEST = "\x00guest\x00guest"
+CAPABILITIES = {
+    "consumer_cancel_notify": True,
+    "connection.blocked": True,
+    "authentication_failure_close": True,
+}
+
+
+class Wire:
+    """The transport of the node's end. `out_left` and `in_left`: bytes that still pass before the wire
+    breaks."""
+
+    def __init__(self, rig: AmqpRig, peer: Peer) -> None:
+        self.rig, self.peer = rig, peer
+        self.out_left: float = float("inf")
+        self.in_left: float = float("inf")
+        self.out_seen = self.in_seen = 0
+        self.protocol: AmqpConnection = rig.server.buildProtocol(SimpleNamespace(host="127.0.0.1"))  # type: ignore
+        self.pending = bytearray()
+        self.queued: deque[bytes] = deque()  # from the peer
+        self.producer: Any = None
+        self.up, self.paused, self.closing, self.stalled = True, False, False, False
+        self.protocol.makeConnection(self)  # type: ignore[arg-type]
+
+    # what the protocol calls
+
+    def setTcpNoDelay(self, on: bool) -> None: ...
+
+    def write(self, data: bytes) -> None:
+        self.pending += data
+
+    def registerProducer(self, producer: Any, streaming: bool) -> None:
+        assert not streaming and self.producer is None
+        self.producer = producer
+        producer.resumeProducing()
+
+    def unregisterProducer(self) -> None:
+        self.producer = None
+
+    def pauseProducing(self) -> None:
+        self.paused = True
+
+    def resumeProducing(self) -> None:
+        self.paused = False
+
+    def loseConnection(self) -> None:
+        self.closing = True
+
+    def abortConnection(self) -> None:
+        self.cut(ConnectionLost())
+
+    # what the rig does
+
+    def carry(self) -> bool:
+        """Pass on what there is, both ways; whether anything moved."""
+        if not self.up:
+            return False
+        moved = False
+        if self.pending and not self.stalled:
+            data, self.pending = bytes(self.pending), bytearray()
+            passed = data[: int(min(self.out_left, len(data)))]
+            self.out_left -= len(passed)
+            self.out_seen += len(passed)
+            self.peer.feed(passed)
+            if len(passed) < len(data) or self.out_left == 0:
+                self.cut(ConnectionLost())
+                return True
+            moved = True
+        if self.up and not self.pending and self.producer is not None and not self.stalled:
+            self.producer.resumeProducing()
+            moved = True
+        while self.up and self.queued and not self.paused:
+            data = self.queued.popleft()
+            passed = data[: int(min(self.in_left, len(data)))]
+            self.in_left -= len(passed)
+            self.in_seen += len(passed)
+            if passed:
+                self.protocol.dataReceived(passed)
+            if len(passed) < len(data) or self.in_left == 0:
+                self.cut(ConnectionLost())
+                return True
+            moved = True
+        if self.up and self.closing and not self.pending and self.producer is None:
+            self.cut(ConnectionDone())
+            moved = True
+        return moved
+
+    def cut(self, why: Exception) -> None:
+        if self.up:
+            self.up = False
+            self.pending.clear()
+            self.queued.clear()
+            self.protocol.connectionLost(Failure(why))
+
+
+class Got:
+    """What a peer was sent: a method, with its content where it has one."""
+
+    def __init__(self, channel: int, method: Any) -> None:
+        self.channel, self.method = channel, method
+        self.properties: Any = None
+        self.body = b""
+        self.size: int | None = None
+
+    @property
+    def outcome(self) -> tuple[Any, ...]:
+        headers = self.properties.headers or {}
+        return headers.get("x-outcome"), self.properties.correlation_id, self.body
+
+
+class Peer:
+    """A scripted client."""
+
+    def __init__(self, rig: AmqpRig, capabilities: dict[str, Any] | None = None, whole: bool = True) -> None:
+        self.rig, self.whole = rig, whole
+        self.capabilities = CAPABILITIES if capabilities is None else capabilities
+        self.got: list[Got] = []
+        self.beats = 0
+        self.on: dict[type, Callable[[Got], None]] = {}
+        self._buffer = b""
+        self._content: Got | None = None
+        self.tune: Any = None
+        self.wire = Wire(rig, self)
+        rig.peers.append(self)
+
+    # sending
+
+    def raw(self, data: bytes) -> None:
+        if self.wire.up:
+            pieces = [data] if self.whole else [data[k : k + 1] for k in range(len(data))]
+            self.wire.queued.extend(pieces)
+
+    def send(self, method: Any, channel: int = 1) -> None:
+        self.raw(frame.marshal(method, channel))
+
+    def publish(self, key: str, data: bytes = b"", channel: int = 1, exchange: str = "", **more: Any) -> None:
+        mandatory = more.pop("mandatory", False)
+        self.send(c.Basic.Publish(0, exchange, key, mandatory), channel)
+        self.raw(frame.marshal(header.ContentHeader(0, len(data), c.Basic.Properties(**more)), channel))
+        if data:
+            self.raw(frame.marshal(body.ContentBody(data), channel))
+
+    def open(self, *channels: int, mechanism: str = "PLAIN", response: str = GUEST, vhost: str = "/") -> Peer:
+        """Log in and open channels."""
+        self.raw(header.ProtocolHeader().marshal())
+        self.send(c.Connection.StartOk({"capabilities": self.capabilities}, mechanism, response), 0)
+        self.rig.settle()
+        if self.tune is not None:
+            self.send(c.Connection.TuneOk(self.tune.channel_max, self.tune.frame_max, self.tune.heartbeat), 0)
+            self.send(c.Connection.Open(vhost), 0)
+        for channel in channels:
+            self.send(c.Channel.Open(), channel)
+        self.rig.settle()
+        return self
+
+    def subscribe(
+        self, queue: str, prefetch: int = 4, tag: str = "t", channel: int = 1, **arguments: Any
+    ) -> Peer:
+        self.send(c.Basic.Qos(0, prefetch, False), channel)
+        self.send(c.Basic.Consume(queue=queue, consumer_tag=tag, arguments=arguments), channel)
+        self.rig.settle()
+        return self
+
+    # receiving
+
+    def feed(self, data: bytes) -> None:
+        self._buffer += data
+        while len(self._buffer) >= 8:
+            if self._buffer.startswith(b"AMQP"):
+                self.got.append(Got(0, header.ProtocolHeader()))
+                self._buffer = self._buffer[8:]
+                continue
+            _, _, size = frame.frame_parts(self._buffer)
+            if len(self._buffer) < (size or 0) + 8:
+                return
+            used, channel, told = frame.unmarshal(self._buffer)
+            self._buffer = self._buffer[used:]
+            self._take(channel, told)
+
+    def _take(self, channel: int, told: Any) -> None:
+        if isinstance(told, Heartbeat):
+            self.beats += 1
+        elif isinstance(told, header.ContentHeader):
+            assert self._content is not None
+            self._content.properties, self._content.size = told.properties, told.body_size
+            self._whole()
+        elif isinstance(told, body.ContentBody):
+            assert self._content is not None
+            self._content.body += told.value or b""
+            self._whole()
+        else:
+            got = Got(channel, told)
+            if isinstance(told, c.Basic.Deliver | c.Basic.Return | c.Basic.GetOk):
+                self._content = got
+            else:
+                self._arrived(got)
+
+    def _whole(self) -> None:
+        got = self._content
+        if got is not None and len(got.body) == got.size:
+            self._content = None
+            self._arrived(got)
+
+    def _arrived(self, got: Got) -> None:
+        self.got.append(got)
+        if isinstance(got.method, c.Connection.Tune):
+            self.tune = got.method
+        if isinstance(got.method, c.Connection.Close):
+            self.send(c.Connection.CloseOk(), 0)
+        handler = self.on.get(type(got.method))
+        if handler is not None:
+            handler(got)
+
+    def all(self, kind: type) -> list[Any]:
+        return [got for got in self.got if isinstance(got.method, kind)]
+
+    def methods(self, kind: type) -> list[Any]:
+        return [got.method for got in self.all(kind)]
+
+    def answers(self) -> list[tuple[Any, ...]]:
+        """Outcome, correlation and body of each answer."""
+        return [
+            got.outcome for got in self.all(c.Basic.Deliver) if "x-outcome" in (got.properties.headers or {})
+        ]
+
+    def confirms(self) -> list[tuple[str, int]]:
+        found = []
+        for got in self.got:
+            if isinstance(got.method, c.Basic.Ack | c.Basic.Nack):
+                found.append((got.method.name.lower().split(".")[1], got.method.delivery_tag))
+        return found
+
+    def deliveries(self) -> list[Got]:
+        """Jobs that were handed out to it."""
+        return [got for got in self.all(c.Basic.Deliver) if "x-outcome" not in (got.properties.headers or {})]
+
+
+def works(peer: Peer, ledger: Counter[str], how: str = "ack") -> None:
+    """Make the peer run what it is handed: publish a result, then acknowledge. `ledger` counts runs by id."""
+
+    def run(got: Got) -> None:
+        told = got.properties
+        if "x-outcome" in (told.headers or {}):
+            return  # an answer, not a job
+        ledger[told.message_id] += 1
+        if how in ("ack", "result"):
+            peer.publish(told.reply_to, b"ran", got.channel, correlation_id=told.correlation_id)
+        if how == "ack":
+            peer.send(c.Basic.Ack(got.method.delivery_tag), got.channel)
+        elif how in ("nack", "requeue"):
+            peer.send(c.Basic.Nack(got.method.delivery_tag, False, how == "requeue"), got.channel)
+
+    peer.on[c.Basic.Deliver] = run
+
+
+class Http:
+    """An invoker for providers of the other protocol: it writes down calls, and answers as a test says."""
+
+    def __init__(self) -> None:
+        self.calls: list[InvokerCall] = []
+        self.given_up: list[InvokerCall] = []
+
+    def start(self, call: InvokerCall, provider: Provider) -> None:
+        self.calls.append(call)
+
+    def give_up(self, call: InvokerCall) -> None:
+        self.given_up.append(call)
+
+
+class Caller:
+    """A consumer of another front."""
+
+    def __init__(self) -> None:
+        self.answers: list[tuple[Any, ...]] = []
+
+    def served(self, result: bytes) -> None:
+        self.answers.append(("served", result))
+
+    def rejected(self, retry_after: float) -> None:
+        self.answers.append(("rejected", retry_after))
+
+    def failed(self) -> None:
+        self.answers.append(("failed",))
+
+
+class AmqpRig:
+    """The node's core with its AMQP side."""
+
+    def __init__(self, http_providers: int = 0, **settings: Any) -> None:
+        self.reactor = Reactor()
+        self.peers: list[Peer] = []
+        rows = (
+            Provider(f"s{k}", f"h:{k}", "z", "k", 0, m.State.SERVING, 1.0, 0.0) for k in range(http_providers)
+        )
+        listing = Listing(1, True, tuple(rows))
+        self.classes = (
+            m.JobClass("lookup", m.Effect.SAFE, 5000.0, 9000.0, late_worth=0.5),
+            m.JobClass("reminder", m.Effect.UNSAFE, 5000.0, 9000.0, late_worth=0.5),
+        )
+        told = m.Settings(
+            self.classes, second_copies=True, try_limit=6, tells_start=True, max_retry_after=2000.0, tick=2.0
+        )
+        self.module = Dispatcher(told, 1, self.now())
+        self.roster = Roster(listing)
+        self.http = Http()
+        invokers: dict[str, Any] = {"http": self.http}
+        later: Any = self.reactor
+        self.broker = Broker(later, self.now, self.roster, invokers, self.module.handle)
+        self.roster.tell = self.broker.listed
+        amqp = Amqp(listen="h:0", **settings)
+        self.subscribers = Subscribers(
+            self.now, self.roster.take, amqp.prefetch_cap, frozenset(amqp.requeue_unstarted)
+        )
+        self.subscribers.broker = self.broker
+        invokers["amqp"] = self.subscribers
+        self.front = Front(
+            self.now, self.broker, Queues(), self.subscribers, self.classes, self.module.retry_after,
+            amqp.max_waiting,
+        )  # fmt: skip
+        self.server = AmqpServer(self.reactor, self.now, amqp, self.front, self.subscribers, self.broker)
+        self.server.port = SimpleNamespace(stopListening=lambda: None)
+        self.server._look()
+        self.broker.listed(listing, at_start=True)
+        self.settle()
+
+    def now(self) -> float:
+        return float(self.reactor.seconds() * 1000.0 + 1e6)
+
+    def settle(self) -> None:
+        """Let everything happen that needs no time."""
+        for _ in range(10_000):
+            moved = False
+            due = [
+                call for call in self.reactor.getDelayedCalls() if call.getTime() <= self.reactor.seconds()
+            ]
+            if due:
+                self.reactor.advance(0)
+                moved = True
+            for peer in list(self.peers):
+                moved = peer.wire.carry() or moved
+            if not moved:
+                return
+        raise AssertionError("it never came to rest")
+
+    def pass_time(self, ms: float, step: float = 5.0) -> None:
+        """Time passes in steps."""
+        self.settle()
+        for _ in range(int(ms / step)):
+            self.reactor.advance(step / 1000.0)
+            self.settle()
+
+    def peer(self, *channels: int, **more: Any) -> Peer:
+        return Peer(self, **more).open(*(channels or (1,)))
+
+    def publisher(self, **more: Any) -> Peer:
+        """A peer that confirms and listens for direct replies."""
+        peer = self.peer(**more)
+        peer.send(c.Confirm.Select())
+        peer.send(c.Basic.Consume(queue="amq.rabbitmq.reply-to", consumer_tag="replies", no_ack=True))
+        self.settle()
+        return peer
+
+    def ask(self, peer: Peer, id: str, key: str = "reminder", **more: Any) -> None:
+        given = {"reply_to": "amq.rabbitmq.reply-to", "message_id": id, "correlation_id": "c-" + id}
+        peer.publish(key, b"body of " + id.encode(), **(given | more))
+
+    def invoke(self, id: str, job_class: str = "reminder", budget: float = 9000.0) -> Caller:
+        """An invocation of another front."""
+        from bitternpath.core.invocations import Work
+
+        caller = Caller()
+        headers = {
+            b"x-call-class": job_class.encode(),
+            b"x-route-hash": b"7f",
+            b"content-type": b"text/plain",
+        }
+        work = Work(b"POST", f"/{job_class}/x?y=1".encode(), headers, b"by http")
+        self.broker.invoke(Invocation(id, job_class, self.now() + budget, caller, work))
+        return caller
+
+    def at_rest(self) -> bool:
+        """Nobody waits for anything any more."""
+        return not self.broker.live and not self.broker.waiting and not self.front.waiting
--- /dev/null
+++ b/tests/test_amqp_flow.py
@@ -0,0 +1,635 @@
+"""AMQP through the core: publishers, subscribers, and what proves what, without sockets."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import pytest
+from amqp_rig import AmqpRig, Got, Peer, c, works
+
+from bitternpath import messages as m
+
+
+def rig_with(
+    how: str = "ack", subscribers: int = 1, **settings: Any
+) -> tuple[AmqpRig, Peer, list[Peer], Counter[str]]:
+    rig, ledger = AmqpRig(**settings), Counter[str]()
+    workers = []
+    for _ in range(subscribers):
+        peer = rig.peer()
+        works(peer, ledger, how)
+        peer.subscribe("reminder")
+        peer.subscribe("lookup", tag="l")
+        workers.append(peer)
+    return rig, rig.publisher(), workers, ledger
+
+
+# ---- the ways an attempt may end
+
+
+@pytest.mark.parametrize(
+    ("how", "key", "outcome", "confirm"),
+    [
+        ("ack", "reminder", ("served", "c-a", b"ran"), "ack"),
+        ("ack", "lookup", ("served", "c-a", b"ran"), "ack"),
+        ("nack", "reminder", ("failed", "c-a", b""), "nack"),
+        ("requeue", "reminder", ("failed", "c-a", b""), "nack"),
+    ],
+)
+def test_both_answers_say_the_same_once(how: str, key: str, outcome: tuple[Any, ...], confirm: str) -> None:
+    rig, publisher, _, ledger = rig_with(how)
+    rig.ask(publisher, "a", key)
+    rig.settle()
+    assert publisher.answers() == [outcome] and publisher.confirms() == [(confirm, 1)]
+    assert ledger == {"a": 1} and rig.at_rest()
+    reply = publisher.all(c.Basic.Deliver)[0]
+    assert reply.properties.message_id == "a" and reply.method.consumer_tag == "replies"
+
+
+def test_an_ack_without_a_result_is_served_with_nothing() -> None:
+    rig, publisher, (worker,), _ = rig_with("hold")
+    rig.ask(publisher, "a")
+    rig.settle()
+    worker.send(c.Basic.Ack(worker.deliveries()[0].method.delivery_tag))
+    rig.settle()
+    assert publisher.answers() == [("served", "c-a", b"")]
+
+
+@pytest.mark.parametrize("key", ["reminder", "lookup"])
+def test_a_requeue_proves_nothing_ran_only_where_operators_say_so(key: str) -> None:
+    rig, publisher, _, ledger = rig_with("requeue", 2, requeue_unstarted=["reminder"])
+    rig.ask(publisher, "a", key)
+    rig.pass_time(9000)
+    # The first: tried elsewhere and at last refused, for it never ran. The second: a safe class may go again.
+    assert sum(ledger.values()) >= 2
+    assert publisher.answers()[0][0] == "refused" and rig.at_rest()
+    told = publisher.all(c.Basic.Deliver)[0].properties.headers
+    assert 0 < told["x-retry-after-ms"] <= 2000
+    again = [d.method.redelivered for w in rig.peers for d in w.deliveries()]
+    assert again.count(False) == (len(again) if key == "reminder" else 1)
+
+
+def test_a_refusal_comes_from_the_module_at_once_with_its_retry_after() -> None:
+    rig = AmqpRig()
+    publisher = rig.publisher()
+    rig.ask(publisher, "a", expiration="20")  # nobody serves it, and there is next to no time
+    rig.pass_time(20)
+    (
+        outcome,
+        *_,
+    ) = publisher.answers()[0]
+    assert outcome == "refused" and publisher.confirms() == [("nack", 1)]
+    assert publisher.all(c.Basic.Deliver)[0].properties.headers["x-retry-after-ms"] > 0
+
+
+def test_an_answer_comes_before_the_deadline_where_a_subscriber_is_silent() -> None:
+    rig, publisher, (worker,), ledger = rig_with("silent")
+    rig.ask(publisher, "a", expiration="1000")
+    rig.pass_time(980)
+    assert publisher.answers() == [] and ledger["a"] == 1
+    rig.pass_time(20)
+    assert publisher.answers() == [("failed", "c-a", b"")] and publisher.confirms() == [("nack", 1)]
+    # An ack after the time limit is legal and changes nothing; its place is free again.
+    (subscriber,) = [s for s in rig.subscribers.by_provider.values() if s.job_class == "reminder"]
+    assert subscriber.out == 1
+    worker.send(c.Basic.Ack(worker.deliveries()[0].method.delivery_tag))
+    rig.settle()
+    assert subscriber.out == 0 and rig.subscribers.counts["late_acks"] == 1
+    assert len(publisher.answers()) == 1 and worker.wire.up and not worker.methods(c.Channel.Close)
+
+
+def test_of_two_subscribers_one_silent_the_other_serves_what_is_safe() -> None:
+    rig, publisher, (silent, good), ledger = rig_with("ack", 2)
+    works(silent, ledger, "silent")
+    for k in range(30):
+        rig.ask(publisher, f"a{k}", "lookup")
+        rig.pass_time(50)
+    outcomes = Counter(outcome for outcome, *_ in publisher.answers())
+    assert outcomes["served"] >= 26  # the silent one holds no more than its four places
+    assert len(silent.deliveries()) <= 4 and len(good.deliveries()) >= 26
+
+
+# ---- what a lost connection proves
+
+
+def test_a_reminder_delivered_but_not_acknowledged_does_not_run_again() -> None:
+    rig, publisher, (first, second), ledger = rig_with("hold", 2)
+    rig.ask(publisher, "a")
+    rig.settle()
+    holder = next(w for w in (first, second) if w.deliveries())
+    holder.wire.cut(ConnectionError())
+    rig.pass_time(9000)
+    assert ledger == {"a": 1} and publisher.answers() == [("failed", "c-a", b"")]
+    assert publisher.confirms() == [("nack", 1)] and rig.at_rest()
+
+
+def test_a_lookup_goes_elsewhere_and_says_redelivered() -> None:
+    rig, publisher, workers, ledger = rig_with("hold", 2)
+    rig.ask(publisher, "a", "lookup")
+    rig.settle()
+    holder, other = sorted(workers, key=lambda w: -len(w.deliveries()))
+    works(other, ledger)
+    holder.wire.cut(ConnectionError())
+    rig.pass_time(500)
+    assert ledger == {"a": 2} and publisher.answers() == [("served", "c-a", b"ran")]
+    assert not holder.deliveries()[0].method.redelivered and other.deliveries()[0].method.redelivered
+
+
+@pytest.mark.parametrize("lose", ["connection", "channel", "heartbeats"])
+def test_a_result_published_before_the_loss_is_served(lose: str) -> None:
+    rig, publisher, (worker,), ledger = rig_with("result", heartbeat=2)
+    rig.ask(publisher, "a")
+    rig.settle()
+    assert publisher.answers() == []
+    if lose == "connection":
+        worker.wire.cut(ConnectionError())
+    elif lose == "channel":
+        worker.send(c.Channel.Close(200, "bye", 0, 0))
+    rig.pass_time(5000 if lose == "heartbeats" else 0)
+    rig.settle()
+    if lose != "heartbeats":
+        assert publisher.answers() == [("served", "c-a", b"ran")] and publisher.confirms() == [("ack", 1)]
+    assert rig.at_rest() and ledger == {"a": 1}
+
+
+def test_heartbeats_that_stop_while_a_job_runs_lose_the_connection() -> None:
+    rig = AmqpRig(heartbeat=2)
+    ledger = Counter[str]()
+    worker = rig.peer()
+    works(worker, ledger, "hold")
+    worker.subscribe("reminder")
+    caller = rig.invoke("a")
+    rig.pass_time(3500)
+    assert worker.beats >= 3 and caller.answers == [] and worker.wire.up
+    rig.pass_time(1000)  # two intervals without a byte from it
+    assert not worker.wire.up and caller.answers == [("failed",)] and ledger == {"a": 1}
+
+
+def test_what_never_left_the_node_never_ran() -> None:
+    # Guards: a delivery that waits behind a stalled socket goes elsewhere when the connection breaks.
+    rig, publisher, workers, ledger = rig_with("hold", 2)
+    for worker in workers:
+        worker.wire.stalled = True  # its window is full
+    rig.ask(publisher, "a")
+    rig.settle()
+    held = [w for w in workers if w.wire.pending]
+    assert len(held) == 1 and ledger == {}
+    # The first piece was handed to the system; what waits behind it was not.
+    rig.ask(publisher, "b")
+    rig.ask(publisher, "d")
+    rig.settle()
+    for worker in workers:
+        works(worker, ledger)
+    waiting = {
+        u.call.id
+        for w in workers
+        for u in w.wire.protocol.session.channels[1].unacked.values()
+        if not u.entry.handed  # type: ignore[attr-defined]
+    }
+    assert waiting  # of three, at most two were the first of their wires
+    stuck, other = workers
+    other.wire.stalled = False
+    stuck.wire.cut(ConnectionError())
+    rig.pass_time(9000)
+    outcomes = {id[2:]: outcome for outcome, id, _ in publisher.answers()}
+    assert len(outcomes) == 3 and all(ledger[id] <= 1 for id in "abd")
+    assert all(outcomes[id] == "served" for id in waiting)
+
+
+def test_prefetch_lowered_with_deliveries_out_holds_at_once() -> None:
+    rig, publisher, (worker,), _ = rig_with("hold")
+    for k in range(3):
+        rig.ask(publisher, f"a{k}")
+    rig.settle()
+    assert len(worker.deliveries()) == 3
+    worker.send(c.Basic.Qos(0, 2, True))
+    rig.settle()
+    rig.ask(publisher, "b")
+    rig.pass_time(100)
+    assert len(worker.deliveries()) == 3
+    for got in worker.deliveries()[:2]:
+        worker.send(c.Basic.Ack(got.method.delivery_tag))
+    rig.pass_time(200)
+    assert [got.properties.message_id for got in worker.deliveries()] == ["a0", "a1", "a2", "b"]
+
+
+def test_channel_flow_holds_deliveries_until_it_is_lifted() -> None:
+    rig, publisher, (worker,), _ = rig_with("ack")
+    worker.send(c.Channel.Flow(False))
+    rig.settle()
+    assert [ok.active for ok in worker.methods(c.Channel.FlowOk)] == [False]
+    rig.ask(publisher, "a")
+    rig.pass_time(100)
+    assert worker.deliveries() == []
+    worker.send(c.Channel.Flow(True))
+    rig.pass_time(1000)
+    assert publisher.answers() == [("served", "c-a", b"ran")]
+
+
+# ---- draining
+
+
+def test_cancel_drains_and_what_is_out_may_still_be_acknowledged() -> None:
+    rig, publisher, (worker,), _ = rig_with("hold")
+    rig.ask(publisher, "a")
+    rig.settle()
+    worker.send(c.Basic.Cancel("t"))
+    rig.settle()
+    rig.ask(publisher, "b", expiration="300")
+    rig.pass_time(300)
+    assert len(worker.deliveries()) == 1 and worker.methods(c.Basic.CancelOk)
+    assert publisher.answers() == [("refused", "c-b", b"")]
+    worker.send(c.Basic.Ack(worker.deliveries()[0].method.delivery_tag))
+    rig.settle()
+    assert publisher.answers()[1] == ("served", "c-a", b"")
+    assert [s.job_class for s in rig.subscribers.by_provider.values()] == ["lookup"]
+
+
+@pytest.mark.parametrize("hears", [True, False])
+def test_when_the_node_ends_subscribers_are_cancelled_and_all_is_answered(hears: bool) -> None:
+    rig = AmqpRig()
+    ledger = Counter[str]()
+    worker = rig.peer(capabilities=None if hears else {})
+    works(worker, ledger, "hold")
+    worker.subscribe("reminder")
+    publisher = rig.publisher()
+    rig.ask(publisher, "a")
+    rig.settle()
+    rig.server.stop()
+    rig.settle()
+    assert [x.consumer_tag for x in worker.methods(c.Basic.Cancel)] == (["t"] if hears else [])
+    rig.ask(publisher, "late")  # refused at once: it was not taken
+    rig.settle()
+    assert publisher.answers() == [("refused", "c-late", b"")]
+    worker.send(c.Basic.Ack(worker.deliveries()[0].method.delivery_tag))
+    rig.settle()
+    assert publisher.answers()[1] == ("served", "c-a", b"") and rig.at_rest()
+    rig.server.close()
+    rig.settle()
+    for peer in (worker, publisher):
+        assert [x.reply_code for x in peer.methods(c.Connection.Close)] == [320] and not peer.wire.up
+
+
+def test_a_channel_that_closes_while_the_node_drains_costs_one_answer() -> None:
+    rig, publisher, (worker,), ledger = rig_with("hold")
+    rig.ask(publisher, "a")
+    rig.ask(publisher, "b", "lookup")
+    rig.settle()
+    rig.server.stop()
+    rig.settle()
+    worker.send(c.Channel.Close(200, "bye", 0, 0))
+    rig.pass_time(9000)
+    assert ledger == {"a": 1, "b": 1} and rig.at_rest()
+    assert {id: outcome for outcome, id, _ in publisher.answers()}["c-a"] == "failed"
+    assert len(publisher.answers()) == 2 and sorted(publisher.confirms()) == [("nack", 1), ("nack", 2)]
+
+
+def test_work_that_was_taken_and_not_sent_still_goes_out_while_the_node_drains() -> None:
+    rig, publisher, (worker,), ledger = rig_with("hold")
+    for k in range(5):  # one more than there are places
+        rig.ask(publisher, f"a{k}")
+    rig.settle()
+    rig.server.stop()
+    rig.settle()
+    assert not worker.methods(c.Basic.Cancel)
+    works(worker, ledger)
+    for got in worker.deliveries()[:4]:
+        worker.send(c.Basic.Ack(got.method.delivery_tag))
+    rig.pass_time(500)
+    assert Counter(outcome for outcome, *_ in publisher.answers()) == {"served": 5}
+    assert len(worker.methods(c.Basic.Cancel)) == 2
+
+
+# ---- who publishes
+
+
+def test_a_publisher_that_goes_away_has_handed_its_work_over() -> None:
+    rig, publisher, (worker,), ledger = rig_with("hold")
+    rig.ask(publisher, "a")
+    rig.settle()
+    publisher.wire.cut(ConnectionError())
+    rig.settle()
+    works(worker, ledger)
+    worker.send(c.Basic.Ack(worker.deliveries()[0].method.delivery_tag))
+    rig.settle()
+    assert rig.broker.counts["served"] == 1 and rig.front.counts["answers_dropped"] == 1 and rig.at_rest()
+
+
+def test_the_same_message_id_from_two_publishers_is_refused_to_the_second() -> None:
+    rig, one, (worker,), ledger = rig_with("hold")
+    two = rig.publisher()
+    rig.ask(one, "a")
+    rig.settle()
+    rig.ask(two, "a")
+    rig.settle()
+    assert two.answers() == [("refused", "c-a", b"")] and two.confirms() == [("nack", 1)]
+    told = two.all(c.Basic.Deliver)[0].properties.headers
+    assert told["x-reason"] == "message-id in use" and told["x-retry-after-ms"] == 10_000
+    assert ledger == {"a": 1} and one.answers() == []
+    worker.send(c.Basic.Ack(worker.deliveries()[0].method.delivery_tag))
+    rig.settle()
+    assert one.answers() == [("served", "c-a", b"")] and len(two.answers()) == 1
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"message_id": "é"},
+        {"message_id": "x" * 201},
+        {"expiration": "soon"},
+        {"expiration": "-1"},
+        {"headers": {"x-call-info": "a\nb"}},
+        {"headers": {"x-target": "/lookup"}},
+        {"content_type": "é"},
+    ],
+)
+def test_what_cannot_become_an_invocation_fails_and_says_why(wrong: dict[str, Any]) -> None:
+    rig, publisher, (worker,), _ = rig_with()
+    rig.ask(publisher, "a", **wrong)
+    rig.ask(publisher, "b")
+    rig.settle()
+    assert [outcome for outcome, *_ in publisher.answers()] == ["failed", "served"]
+    assert "allowed" in publisher.all(c.Basic.Deliver)[0].properties.headers["x-reason"]
+    assert len(worker.deliveries()) == 1
+
+
+def test_mandatory_is_honoured_and_confirmed() -> None:
+    rig = AmqpRig()
+    publisher = rig.publisher()
+    publisher.publish("nowhere", b"x", mandatory=True)
+    publisher.publish("nowhere", b"x")
+    rig.settle()
+    (back,) = publisher.all(c.Basic.Return)
+    assert (back.method.reply_code, back.method.routing_key, back.body) == (312, "nowhere", b"x")
+    assert publisher.confirms() == [("ack", 1), ("ack", 2)]
+    kinds = [
+        type(got.method) for got in publisher.got if isinstance(got.method, c.Basic.Return | c.Basic.Ack)
+    ]
+    assert kinds[0] is c.Basic.Return  # the return comes before its confirm
+
+
+def test_a_flood_of_one_publisher_leaves_the_others_their_turn() -> None:
+    rig = AmqpRig(publisher_waiting=50, max_waiting=1000)
+    ledger = Counter[str]()
+    worker = rig.peer()
+    works(worker, ledger, "hold")
+    worker.subscribe("reminder", prefetch=2)
+    flood, other = rig.publisher(), rig.publisher()
+    for k in range(500):
+        rig.ask(flood, f"f{k}")
+    rig.ask(other, "one")
+    rig.settle()
+    assert flood.wire.protocol.session.waiting == 50 and flood.wire.paused  # read no further
+    assert rig.broker.knows("one") and not other.wire.paused
+    works(worker, ledger)
+    for got in worker.deliveries():
+        worker.send(c.Basic.Ack(got.method.delivery_tag))
+    rig.pass_time(3000)
+    assert Counter(outcome for outcome, *_ in flood.answers()) == {"served": 500}
+    assert [outcome for outcome, *_ in other.answers()] == ["served"] and rig.at_rest()
+
+
+def test_while_the_core_is_full_publishers_are_blocked_and_told_so() -> None:
+    rig = AmqpRig(publisher_waiting=1000, max_waiting=10)
+    ledger = Counter[str]()
+    worker = rig.peer()
+    works(worker, ledger, "hold")
+    worker.subscribe("reminder", prefetch=2)
+    flood = rig.publisher()
+    for k in range(40):
+        rig.ask(flood, f"f{k}")
+    rig.settle()
+    assert rig.front.waiting == 10 and len(flood.methods(c.Connection.Blocked)) == 1
+    works(worker, ledger)
+    for got in worker.deliveries():
+        worker.send(c.Basic.Ack(got.method.delivery_tag))
+    rig.pass_time(1000)
+    assert flood.methods(c.Connection.Unblocked) and not flood.wire.paused
+    assert Counter(outcome for outcome, *_ in flood.answers()) == {"served": 40}
+
+
+def test_a_connection_with_work_out_is_read_even_when_it_floods() -> None:
+    # Guards: its acks come the same way; not to read it would hold up everybody's answers until the deadline.
+    rig = AmqpRig(max_waiting=4)
+    both = rig.publisher()
+    both.subscribe("reminder")
+    for k in range(10):
+        rig.ask(both, f"a{k}")
+    rig.settle()
+    assert not both.wire.paused
+    assert Counter(outcome for outcome, *_ in both.answers()) == {"refused": 6}
+    works(both, Counter())
+    for got in both.deliveries():
+        both.send(c.Basic.Ack(got.method.delivery_tag))
+    rig.settle()
+    assert Counter(outcome for outcome, *_ in both.answers()) == {"refused": 6, "served": 4} and rig.at_rest()
+
+
+# ---- both protocols
+
+
+def test_an_http_invocation_runs_at_an_amqp_subscriber() -> None:
+    rig = AmqpRig()
+    worker = rig.peer()
+    works(worker, Counter())
+    worker.subscribe("reminder")
+    caller = rig.invoke("h1")
+    rig.settle()
+    (got,) = worker.deliveries()
+    told = got.properties
+    assert caller.answers == [("served", b"ran")] and got.body == b"by http"
+    assert (told.message_id, told.correlation_id, told.content_type) == ("h1", "h1", "text/plain")
+    assert told.headers == {"x-route-hash": "7f", "x-target": "/reminder/x?y=1"}
+    assert got.method.routing_key == "reminder" and 8000 < int(told.expiration) < 9000
+
+
+def test_an_http_invocation_at_a_subscriber_whose_channel_dies_fails_once() -> None:
+    rig = AmqpRig()
+    worker = rig.peer()
+    works(worker, ledger := Counter[str](), "hold")
+    worker.subscribe("reminder")
+    caller = rig.invoke("h1")
+    rig.settle()
+    worker.publish("lookup", exchange="nowhere")  # a soft error
+    rig.pass_time(9000)
+    assert [x.reply_code for x in worker.methods(c.Channel.Close)] == [404]
+    assert caller.answers == [("failed",)] and ledger == {"h1": 1} and rig.at_rest()
+
+
+def test_an_amqp_invocation_runs_at_an_http_provider() -> None:
+    rig = AmqpRig(http_providers=1)
+    publisher = rig.publisher()
+    headers = {
+        "x-route-hash": "7f",
+        "x-again": True,
+        "x-call-info": "work=3.5,slots=2",
+        "x-target": "/lookup/q?a=1",
+    }
+    rig.ask(publisher, "a", "lookup", expiration="700", headers=headers, content_type="text/html")
+    rig.settle()
+    (call,) = rig.http.calls
+    invocation, work = call.invocation, call.invocation.payload
+    assert (work.method, work.target, work.body) == (b"POST", b"/lookup/q?a=1", b"body of a")
+    assert work.headers == {
+        b"x-call-class": b"lookup", b"x-route-hash": b"7f", b"x-again": b"1",
+        b"x-call-info": b"work=3.5,slots=2", b"content-type": b"text/html",
+    }  # fmt: skip
+    assert (invocation.key, invocation.hint, invocation.slots, invocation.repeat) == (0x7F, 3.5, 2.0, True)
+    assert 600 < invocation.deadline - rig.now() <= 700
+    rig.broker.ended(call, m.How.OK, b"by http")
+    rig.settle()
+    assert publisher.answers() == [("served", "c-a", b"by http")] and publisher.confirms() == [("ack", 1)]
+
+
+def test_what_a_publisher_adds_reaches_subscribers_unchanged() -> None:
+    rig, publisher, (worker,), _ = rig_with()
+    more: dict[str, Any] = {
+        "content_encoding": "gzip",
+        "app_id": "app",
+        "message_type": "kind",
+        "priority": 3,
+    }
+    rig.ask(publisher, "a", headers={"own": {"deep": [1, "x", True]}, "x-again": "1"}, **more)
+    rig.settle()
+    told = worker.deliveries()[0].properties
+    assert told.headers == {"own": {"deep": [1, "x", True]}, "x-again": "1"}
+    assert {key: getattr(told, key) for key in more} == more
+
+
+def test_a_whole_list_of_discovery_leaves_subscribers_alone() -> None:
+    # Guards: discovery's whole list names its own providers only, and the module takes it for all there are.
+    rig, publisher, _, _ = rig_with()
+    from bitternpath.core.roster import Listing, Provider
+
+    row = Provider("s9", "h:9", "z", "k", 0, m.State.SERVING, 1.0, 0.0)
+    rig.roster.take(Listing(7, True, (row,)))
+    rig.roster.take(Listing(8, True, ()))
+    rig.settle()
+    rig.ask(publisher, "a")
+    rig.settle()
+    assert publisher.answers() == [("served", "c-a", b"ran")]
+    # A provider of discovery's that bears the name of a subscriber does not take its place.
+    name = next(iter(rig.subscribers.by_provider))
+    rig.roster.take(Listing(9, True, (Provider(name, "h:9", "z", "k", 0, m.State.SERVING, 1.0, 0.0),)))
+    found = rig.roster.serving(name)
+    assert found is not None and found.protocol == "amqp"
+
+
+def test_call_backs_over_http_say_nothing_of_calls_at_subscribers() -> None:
+    # Guards: anybody who reaches the HTTP listener could end a subscriber's job as 'returned'.
+    from bitternpath.core.invocations import State
+
+    rig, publisher, _, _ = rig_with("hold")
+    rig.ask(publisher, "a")
+    rig.settle()
+    for provider in list(rig.subscribers.by_provider):
+        rig.broker.news("a", provider, State.RETURNED, None, b"")
+        rig.broker.news("a", provider, State.DONE, None, b"forged")
+    rig.settle()
+    assert publisher.answers() == []
+
+
+def test_a_subscriber_serves_its_class_only() -> None:
+    rig = AmqpRig()
+    worker = rig.peer()
+    works(worker, Counter())
+    worker.subscribe(
+        "reminder", **{"x-site": "suva", "x-kind": "standard", "x-size": 2.0, "x-up-since-ms": 0}
+    )
+    publisher = rig.publisher()
+    rig.ask(publisher, "a", "lookup", expiration="200")
+    rig.ask(publisher, "b", "reminder", expiration="200")
+    rig.pass_time(200)
+    assert {id: outcome for outcome, id, _ in publisher.answers()} == {
+        "c-a": "refused",
+        "c-b": "served",
+    }
+    (row,) = [p for p in rig.roster.providers.values() if p.source == "amqp"]
+    assert (row.zone, row.kind, row.size, row.slots) == ("suva", "standard", 2.0, 4)
+
+
+def test_a_result_counts_once_for_its_own_delivery_only() -> None:
+    rig, publisher, (worker,), _ = rig_with("hold")
+    rig.ask(publisher, "a")
+    rig.settle()
+    (got,) = worker.deliveries()
+    to = got.properties.reply_to
+    worker.publish("amq.result.00", b"guessed", correlation_id="a")
+    worker.publish(to, b"for another", correlation_id="zzz")
+    worker.publish(to, b"first", correlation_id="a")
+    worker.publish(to, b"second", correlation_id="a")
+    worker.send(c.Basic.Ack(got.method.delivery_tag))
+    worker.publish(to, b"late", correlation_id="a")
+    rig.settle()
+    assert (
+        publisher.answers() == [("served", "c-a", b"first")]
+        and rig.subscribers.counts["results_dropped"] == 4
+    )
+    assert worker.wire.protocol.session.results_held == 0
+
+
+def test_private_queues_carry_answers_too() -> None:
+    rig, _, _, _ = rig_with()
+    peer = rig.peer()
+    peer.send(c.Queue.Declare(queue="", exclusive=True))
+    rig.settle()
+    (ok,) = peer.methods(c.Queue.DeclareOk)
+    assert ok.queue.startswith("amq.gen-")
+    rig.ask(peer, "a", reply_to=ok.queue)
+    rig.settle()
+    assert peer.answers() == []
+    peer.send(c.Basic.Get(queue=ok.queue))
+    peer.send(c.Basic.Get(queue=ok.queue))
+    rig.settle()
+    (got,) = peer.all(c.Basic.GetOk)
+    assert got.outcome == ("served", "c-a", b"ran") and len(peer.methods(c.Basic.GetEmpty)) == 1
+    peer.send(c.Basic.Nack(got.method.delivery_tag, False, True))
+    peer.send(c.Basic.Consume(queue=ok.queue, consumer_tag="q"))
+    rig.settle()
+    (again,) = peer.all(c.Basic.Deliver)
+    assert again.method.redelivered and again.outcome == ("served", "c-a", b"ran")
+    rig.ask(peer, "b", reply_to="amq.gen-unknown")
+    rig.settle()
+    assert rig.front.counts["answers_dropped"] == 1
+
+
+def test_a_full_private_queue_drops_what_comes_and_counts_it() -> None:
+    rig = AmqpRig(reply_queue_bytes=65536)
+    peer = rig.peer()
+    peer.send(c.Confirm.Select())
+    peer.send(c.Queue.Declare(queue="mine", exclusive=True))
+    for _ in range(5):
+        peer.publish("mine", b"x" * 20_000)
+    rig.settle()
+    assert [word for word, _ in peer.confirms()] == ["ack", "ack", "ack", "nack", "nack"]
+    assert rig.front.counts["queues_full"] == 2
+
+
+def test_a_peer_that_does_not_read_is_closed_before_it_costs_much() -> None:
+    rig, publisher, _, _ = rig_with(unread_bytes=262144)
+    rig.settle()
+    publisher.wire.stalled = True
+    for k in range(9000):
+        rig.ask(publisher, f"a{k}")
+        if k % 200 == 0:
+            rig.settle()
+    rig.settle()
+    assert not publisher.wire.up and rig.front.counts["slow_readers"] == 1
+
+
+def test_held_results_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    from bitternpath.amqp import invoker
+
+    monkeypatch.setattr(invoker, "RESULTS_LIMIT", 100)
+    rig, publisher, (worker,), _ = rig_with("hold")
+
+    def answer(got: Got) -> None:
+        worker.publish(got.properties.reply_to, b"x" * 60)
+
+    worker.on[c.Basic.Deliver] = answer
+    rig.ask(publisher, "a")
+    rig.ask(publisher, "b")
+    rig.pass_time(10)
+    assert [x.reply_code for x in worker.methods(c.Connection.Close)] == [506]
+    assert sorted(outcome for outcome, *_ in publisher.answers()) == ["failed", "served"]
