--- a/bitternpath/amqp/frames.py
+++ b/bitternpath/amqp/frames.py
@@ -47,11 +47,12 @@
 class FrameReader:
     """Takes frames out of the one buffer of a connection."""
 
-    __slots__ = ("_head", "buffer", "frame_max")
+    __slots__ = ("_head", "buffer", "frame_max", "lost")
 
     def __init__(self, buffer: Buffer) -> None:
         self.buffer, self.frame_max = buffer, FIRST_FRAME_MAX
         self._head: tuple[int, int, int] | None = None
+        self.lost = False  # where frames begin is not known any more: nothing can be read
 
     def next(self) -> Raw | None:
         """The next whole frame, or None until more is fed; HardError 501 on what is none."""
@@ -61,8 +62,10 @@
                 return None
             kind, channel, size = self._head = _HEAD.unpack(buffer.take(7))
             if kind not in KINDS:
+                self.lost = True
                 raise HardError(FRAME_ERROR, f"frame type {kind}; allowed are 1, 2, 3 and 8")
             if size + OVERHEAD > self.frame_max:
+                self.lost = True
                 raise HardError(
                     FRAME_ERROR, f"frame of {size + OVERHEAD} bytes; at most {self.frame_max} are allowed"
                 )
@@ -71,6 +74,7 @@
             return None
         payload = buffer.take(size)
         if buffer.take(1)[0] != END:
+            self.lost = True
             raise HardError(FRAME_ERROR, f"frame of type {kind} does not end with 0xCE")
         self._head = None
         return Raw(kind, channel, payload)
--- a/bitternpath/amqp/machine.py
+++ b/bitternpath/amqp/machine.py
@@ -229,12 +229,12 @@
         return self.phase not in (Phase.HEADER, Phase.START, Phase.LOGIN)
 
     def feed(self, data: bytes) -> None:
-        if self.phase is not Phase.CLOSED:
+        if self.phase is not Phase.CLOSED and not self.reader.lost:
             self.buffer.append(data)
 
     def next(self) -> Event | None:
         """The next event; None until more is fed, or while a login is being looked at."""
-        while self.phase not in (Phase.LOGIN, Phase.CLOSED):
+        while self.phase not in (Phase.LOGIN, Phase.CLOSED) and not self.reader.lost:
             try:
                 if self.phase is Phase.HEADER:
                     if not self._protocol_header():
