--- a/bitternpath/amqp/front.py
+++ b/bitternpath/amqp/front.py
@@ -33,12 +33,11 @@
 class Answer:
     """The consumer of one published message."""
 
-    __slots__ = ("channel", "correlation", "front", "id", "number", "over", "reply_to")
+    __slots__ = ("channel", "correlation", "front", "id", "number", "reply_to")
 
     def __init__(self, front: Front, channel: Channel, number: int, properties: Any, id: str) -> None:
         self.front, self.channel, self.number, self.id = front, channel, number, id
         self.reply_to, self.correlation = properties.reply_to, properties.correlation_id
-        self.over = False
 
     def served(self, result: bytes) -> None:
         self.front.answer(self, "served", result)
@@ -163,9 +162,6 @@
 
     def answer(self, answer: Answer, outcome: str, result: bytes, more: dict[str, Any] | None = None) -> None:
         """The one final answer of an invocation."""
-        if answer.over:
-            return
-        answer.over = True
         self.waiting -= 1
         answer.channel.session.waiting -= 1
         self._say(answer, outcome, result, more or {})
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -144,7 +144,9 @@
 
 
 class Rig:
-    def __init__(self, path: Path, *providers: tuple[Behaviour, float], sockets: int = 256) -> None:
+    def __init__(
+        self, path: Path, *providers: tuple[Behaviour, float], sockets: int = 256, flags: tuple[str, ...] = ()
+    ) -> None:
         self.over = threading.Event()
         self.revision = 1
         self.providers = [Provider(self, f"s-{k}", does, up) for k, (does, up) in enumerate(providers)]
@@ -155,9 +157,9 @@
         }  # fmt: skip
         self.file = path / "config.json"
         self.file.write_text(json.dumps(self.conf))
-        env = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
+        env = {k: v for k, v in os.environ.items() if not k.startswith(("PROXY_", "BITTERNPATH_"))}
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "bitternpath"],
+            [sys.executable, "-m", "bitternpath", *(("serve", *flags) if flags else ())],
             env={**env, "PROXY_CONFIG": str(self.file), "PROXY_DISCOVERY": self.discovery.address},
             cwd=Path(__file__).parent.parent,
             stderr=subprocess.PIPE,
@@ -243,8 +245,14 @@
 
 
 @contextlib.contextmanager
-def running(path: Path, *providers: Behaviour | tuple[Behaviour, float], sockets: int = 256) -> Iterator[Rig]:
-    rig = Rig(path, *[p if isinstance(p, tuple) else (p, 0.0) for p in providers], sockets=sockets)
+def running(
+    path: Path,
+    *providers: Behaviour | tuple[Behaviour, float],
+    sockets: int = 256,
+    flags: tuple[str, ...] = (),
+) -> Iterator[Rig]:
+    given = [p if isinstance(p, tuple) else (p, 0.0) for p in providers]
+    rig = Rig(path, *given, sockets=sockets, flags=flags)
     try:
         yield rig
     finally:
--- a/tests/test_amqp_flow.py
+++ b/tests/test_amqp_flow.py
@@ -7,6 +7,7 @@
 
 import pytest
 from amqp_rig import AmqpRig, Got, Peer, c, works
+from pamqp import frame
 
 from bitternpath import messages as m
 
@@ -301,9 +302,40 @@
     assert len(worker.methods(c.Basic.Cancel)) == 2
 
 
+@pytest.mark.parametrize("how", ["close", "error", "cut", "hard"])
+def test_a_subscriber_whose_channel_is_gone_is_no_provider_any_more(how: str) -> None:
+    # Guards: the module would go on sending to a consumer that nobody can reach.
+    rig, _, (worker,), _ = rig_with("hold")
+    assert len([p for p in rig.roster.providers.values() if p.source == "amqp"]) == 2
+    if how == "close":
+        worker.send(c.Channel.Close(200, "", 0, 0))
+    elif how == "error":
+        worker.send(c.Basic.Get(queue="nowhere"))
+    elif how == "hard":
+        worker.send(c.Tx.Select())
+    else:
+        worker.wire.cut(ConnectionError())
+    rig.settle()
+    assert not rig.roster.providers and not rig.module.workers and not rig.subscribers.by_provider
+
+
 # ---- who publishes
 
 
+def test_what_one_peer_sends_at_once_is_looked_at_in_turns() -> None:
+    # Guards: a peer's thousand messages that came in one piece would hold up all other sockets.
+    from bitternpath.amqp.server import TURN
+
+    rig = AmqpRig()
+    busy = rig.publisher()
+    data = b"".join(frame.marshal(c.Basic.Qos(0, k, False), 1) for k in range(10 * TURN))
+    busy.wire.protocol.dataReceived(data)
+    channel = busy.wire.protocol.session.channels[1]
+    assert channel.prefetch == TURN - 1
+    rig.settle()
+    assert channel.prefetch == 10 * TURN - 1 and len(busy.methods(c.Basic.QosOk)) == 10 * TURN
+
+
 def test_a_publisher_that_goes_away_has_handed_its_work_over() -> None:
     rig, publisher, (worker,), ledger = rig_with("hold")
     rig.ask(publisher, "a")
