A flood over AMQP leaves other fronts half of the core

Seen: amqp.max_waiting is 1,000, the core of a node with 256 sockets holds 94; a publisher alone could fill it and every HTTP invocation was turned away. Change: AMQP's waiting invocations are at most half of what the core holds. Measured: with 300 messages published at once an HTTP lookup is still taken and served (it was refused before).

--- a/bitternpath/amqp/server.py
+++ b/bitternpath/amqp/server.py
@@ -290,8 +290,9 @@
         front: Front,
         subscribers: Subscribers,
         broker: Broker,
+        room: Callable[[], int],
     ) -> None:
-        self.reactor, self.clock, self.broker = reactor, clock, broker
+        self.reactor, self.clock, self.broker, self.room = reactor, clock, broker, room
         self.front, self.subscribers, self.queues = front, subscribers, front.queues
         self.connections: dict[AmqpConnection, None] = {}
         self.counts = front.counts
@@ -310,7 +311,8 @@
         self.bounds = Bounds(settings.subscribers, settings.reply_queues, settings.reply_queue_bytes)
         self.subscribers.prefetch_cap = settings.prefetch_cap
         self.subscribers.requeue_unstarted = frozenset(settings.requeue_unstarted)
-        self.front.max_waiting = settings.max_waiting
+        # Other fronts turn away what comes while the core holds `room`: half of it stays theirs.
+        self.front.max_waiting = max(min(settings.max_waiting, self.room() // 2), 1)
 
     def limits(self) -> mc.Limits:
         told = self.settings
--- a/bitternpath/config/operator.py
+++ b/bitternpath/config/operator.py
@@ -76,7 +76,12 @@
         int, Meta(ge=1, le=65536, description="connections at once; as many sockets are kept for them")
     ] = 256
     max_waiting: Annotated[
-        int, Meta(ge=1, le=1_000_000, description="invocations of all publishers that wait for their answers")
+        int,
+        Meta(
+            ge=1,
+            le=1_000_000,
+            description="invocations of all publishers that wait, at most half of what the node holds",
+        ),
     ] = 1000
     publisher_waiting: Annotated[
         int, Meta(ge=1, le=1_000_000, description="the same of one connection; it is not read while at it")
--- a/bitternpath/node.py
+++ b/bitternpath/node.py
@@ -83,7 +83,9 @@
         front = Front(
             self.clock, self.broker, Queues(), subscribers, classes, self.module.retry_after, told.max_waiting
         )
-        return AmqpServer(self.reactor, self.clock, told, front, subscribers, self.broker)
+        return AmqpServer(
+            self.reactor, self.clock, told, front, subscribers, self.broker, lambda: self.sockets.invocations
+        )
 
     def _ready(self) -> bool:
         return self.watch.spoke or bool(self.roster.providers)
--- a/tests/amqp_rig.py
+++ b/tests/amqp_rig.py
@@ -347,7 +347,9 @@
             self.now, self.broker, Queues(), self.subscribers, self.classes, self.module.retry_after,
             amqp.max_waiting,
         )  # fmt: skip
-        self.server = AmqpServer(self.reactor, self.now, amqp, self.front, self.subscribers, self.broker)
+        self.server = AmqpServer(
+            self.reactor, self.now, amqp, self.front, self.subscribers, self.broker, lambda: 100_000
+        )
         self.server.port = SimpleNamespace(stopListening=lambda: None)
         self.server._look()
         self.broker.listed(listing, at_start=True)
--- a/tests/test_amqp_clients.py
+++ b/tests/test_amqp_clients.py
@@ -258,6 +258,25 @@
         assert not any(method == "DELETE" for method, _, _ in rig.providers[0].got)
 
 
+def test_a_flood_over_amqp_leaves_http_its_room(tmp_path: Path) -> None:
+    # Guards: the core takes so many at once; a publisher alone could have filled it and HTTP was turned away.
+    with running(tmp_path, accept, flags=FLAGS) as rig:
+        connection = pika.BlockingConnection(parameters(rig))
+        channel = connection.channel()
+        for k in range(300):
+            channel.basic_publish("", "reminder", b"x", pika.BasicProperties(message_id=f"m{k}"))
+        connection.process_data_events(0.1)
+        until(lambda: rig.providers[0].posts >= 20)
+        answers: list[int] = []
+        thread = threading.Thread(target=lambda: answers.append(rig.invoke("h", "/lookup")[0]), daemon=True)
+        thread.start()
+        until(lambda: answers or any(target == "/lookup" for _, target, _ in rig.providers[0].got))
+        assert not answers
+        rig.providers[0].tell("h", "done", result="r")
+        thread.join(20)
+        assert answers == [200]
+
+
 def test_soft_errors_reach_the_client_with_their_codes(rig: Rig) -> None:
     connection = pika.BlockingConnection(parameters(rig))
     for do, code in (
