--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,9 @@
 
 build: .venv/built
 
-.venv/built: requirements.txt
+.venv/built: requirements.txt requirements-lab.txt
 	python3 -m venv .venv
-	.venv/bin/pip -q install -r requirements.txt
+	.venv/bin/pip -q install -r requirements-lab.txt
 	touch $@
 
 test: build
--- /dev/null
+++ b/bitternpath/cli/emulate.py
@@ -0,0 +1,65 @@
+"""`bitternpath emulate`: play a scenario."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import click
+
+from bitternpath.cli.lab import needs_lab
+
+
+@click.command(
+    epilog="""\b
+Examples:
+  bitternpath emulate scenarios/site-loss.toml --seed 3
+  bitternpath emulate scenarios/calm.toml --policy least --json calm.json
+"""
+)
+@click.argument("scenario", type=click.Path(dir_okay=False, path_type=Path))
+@click.option("--seed", default=1, show_default=True, help="which day is drawn from the scenario")
+@click.option("--seeds", default=1, show_default=True, help="so many days, from --seed on")
+@click.option(
+    "--policy", default="module", show_default=True, help="module, or a reference policy; see below"
+)
+@click.option(
+    "--json", "file", type=click.Path(dir_okay=False, path_type=Path), help="write all figures there"
+)
+@needs_lab
+def command(scenario: Path, seed: int, seeds: int, policy: str, file: Path | None, **_: Any) -> None:
+    """Play SCENARIO in virtual time and say how well clients were served and whether the rules were kept.
+
+    Policies: module (the node's own), random, round-robin, least, two-choices, ewma, oracle (sees the
+    true state). Ends with 0 where the rules were kept, with 1 where one was broken, with 2 where the
+    scenario is wrong.
+    """
+    import structlog
+    from rich.console import Console
+
+    from bitternpath.emulator.clock import StuckError
+    from bitternpath.emulator.policies import POLICIES
+    from bitternpath.emulator.report import show, summary, to_json
+    from bitternpath.emulator.scenario import ScenarioError, load
+    from bitternpath.emulator.world import play
+
+    if policy not in POLICIES:
+        raise click.UsageError(f"--policy {policy!r}: allowed are {', '.join(POLICIES)}")
+    structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
+    console = Console(highlight=False)
+    results = []
+    try:
+        told = load(scenario)
+        for k in range(max(seeds, 1)):
+            results.append(play(told, seed + k, policy))
+            show(results[-1], console)
+    except ScenarioError as error:
+        raise click.UsageError(str(error)) from error
+    except StuckError as error:
+        raise click.ClickException(str(error)) from error
+    if len(results) > 1:
+        means = ", ".join(f"{key} {value:.3f}" for key, value in summary(results).items())
+        console.print(f"mean of {len(results)}: {means}")
+    if file is not None:
+        file.write_bytes(to_json(results))
+    click.get_current_context().exit(0 if all(result.kept for result in results) else 1)
--- /dev/null
+++ b/bitternpath/cli/lab.py
@@ -0,0 +1,25 @@
+"""The lab is an extra of the package: say so where it is not installed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import wraps
+from importlib.util import find_spec
+from typing import Any
+
+import click
+
+NEEDS = ("hdrh", "rich", "xxhash")
+
+
+def needs_lab(function: Callable[..., Any]) -> Callable[..., Any]:
+    """Ends with 2 and one line where the extra's packages are missing."""
+
+    @wraps(function)
+    def checked(*arguments: Any, **more: Any) -> Any:
+        missing = [name for name in NEEDS if find_spec(name) is None]
+        if missing:
+            raise click.UsageError(f"{', '.join(missing)} missing: pip install 'bitternpath[lab]'")
+        return function(*arguments, **more)
+
+    return checked
--- a/bitternpath/cli/top.py
+++ b/bitternpath/cli/top.py
@@ -10,6 +10,7 @@
     "serve": "Run a node (the default).",
     "check-config": "Read the configuration, print every setting and where it came from, and end.",
     "user": "Make password hashes for the operator file.",
+    "emulate": "Play a scenario of the emulator in virtual time.",
     "completion": "Print the completion script of a shell.",
     "version": "Print the version.",
 }
--- /dev/null
+++ b/bitternpath/emulator/report.py
@@ -0,0 +1,60 @@
+"""What a run came to, in words: plain lines, or tables where there is a terminal (rich)."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from bitternpath.emulator.world import Result
+
+BARS = " ▁▂▃▄▅▆▇█"
+
+
+def to_json(results: list[Result]) -> bytes:
+    """All there is, for machines."""
+    return msgspec.json.format(msgspec.json.encode(results), indent=1) + b"\n"
+
+
+def spark(values: list[float]) -> str:
+    """Shares as a line of bars."""
+    return "".join(BARS[round(max(min(v, 1.0), 0.0) * (len(BARS) - 1))] for v in values)
+
+
+def show(result: Result, console: Console) -> None:
+    """Service by class and second, refusals, latencies, and whether the rules were kept."""
+    figures = result.figures
+    console.print(
+        f"{result.scenario}, seed {result.seed}, {result.policy}: service {figures['service']:.3f} "
+        f"(whole {figures['whole']:.3f}, worst 10 s {figures['worst_10_s']:.3f}, "
+        f"worst class {figures['worst_class']:.3f}; waste {figures['waste']:.3f}, "
+        f"late failures {figures['late_fail']:.3f}, crossings {figures['crossings']:.2f} a request)"
+    )
+    table = Table(title=None)
+    for head in ("class", "service", "p50 ms", "p90 ms", "p99 ms", "longest ms"):
+        table.add_column(head, justify="left" if head == "class" else "right")
+    for name, share in result.by_class.items():
+        took = result.percentiles.get(name, {})
+        cells = [f"{took[key]:.0f}" if key in took else "-" for key in ("p50", "p90", "p99", "max")]
+        table.add_row(name, f"{share:.3f}", *cells)
+    console.print(table)
+    seconds = [result.by_second.get(k, 1.0) for k in range(max(result.by_second, default=0) + 1)]
+    console.print(f"service by second  {spark(seconds)}")
+    for trouble in result.troubles:
+        on = ", ".join(trouble["on"]) or "all"
+        begin, end = trouble["at"], trouble["at"] + trouble["lasts"]
+        console.print(f"  {trouble['kind']} from {begin:.1f} to {end:.1f} s on {on}", highlight=False)
+    totals = {what: sum(by.values()) for what, by in result.counts.items()}
+    words = ", ".join(f"{what} {many}" for what, many in sorted(totals.items()))
+    console.print(f"{result.requests} first tries; {words}; lost with their nodes {result.lost_by_death}")
+    for violation in result.violations[:10]:
+        console.print(f"BROKEN {violation}", highlight=False, markup=False)
+    console.print("rules kept" if result.kept else f"{len(result.violations)} rules broken")
+
+
+def summary(results: list[Result]) -> dict[str, Any]:
+    """Means over runs."""
+    keys = results[0].figures
+    return {key: sum(r.figures[key] for r in results) / len(results) for key in keys}
--- /dev/null
+++ b/bitternpath/emulator/scenario.py
@@ -0,0 +1,208 @@
+"""Scenarios: a world and what goes wrong in it, as TOML, typed and bound-checked like the operator file.
+
+Ranges (`[low, high]`) are drawn anew for each seed, so that one file gives many days.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from random import Random
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+Share = Annotated[float, Meta(ge=0.0, le=1.0)]
+Positive = Annotated[float, Meta(gt=0.0)]
+Least0 = Annotated[float, Meta(ge=0.0)]
+Range = float | tuple[float, float]
+
+LONGEST = 3600.0  # s of a scenario
+MOST_REQUESTS = 5_000_000  # first tries that a scenario may ask for
+
+
+class ScenarioError(Exception):
+    """The scenario cannot be used; the text says why, in one line."""
+
+
+class Site(Struct, frozen=True, forbid_unknown_fields=True):
+    """A site, with the shares of traffic, workers and nodes that are there (in proportion)."""
+
+    name: str
+    traffic: Least0 = 1.0
+    workers: Annotated[int, Meta(ge=0, le=100_000)] = 4
+    nodes: Annotated[int, Meta(ge=0, le=10_000)] = 1
+
+
+class Kind(Struct, frozen=True, forbid_unknown_fields=True):
+    """A kind of machine."""
+
+    name: str
+    share: Positive = 1.0
+    cores: Annotated[int, Meta(ge=1, le=256)] = 2
+    slots: Annotated[int, Meta(ge=1, le=1024)] = 2  # jobs in work at once; beyond the cores they share them
+    speed: Range = 1.0  # of a core; 1 is the yardstick
+    queue: Annotated[int, Meta(ge=0, le=100_000)] = 30  # jobs that wait
+    crowded: Least0 = 16.0  # jobs held beyond which each one more costs `strain` of the efficiency
+    strain: Least0 = 0.03
+    cold_share: Range = 0.25  # of the capacity right after a start
+    cold_s: Range = 16.0  # s until it is warm
+    errors: Share = 0.0  # of jobs
+    drops_expired: bool = False  # a job whose time is up is not begun
+
+
+class JobClass(Struct, frozen=True, forbid_unknown_fields=True):
+    """A class of requests. Times in ms, work in ms on a core of speed 1."""
+
+    name: str
+    share: Positive
+    work: Range
+    spread: Literal["fixed", "exp", "lognormal"] = "lognormal"
+    cv: Least0 = 0.5  # of the work, where lognormal
+    aim: Positive = 100.0
+    stretch: Least0 = 2.0  # the aim grows by this multiple of the job's own work
+    give_up: Positive = 5000.0
+    worth: Positive = 1.0
+    late_worth: Share = 0.25  # of the worth, for an answer after the aim
+    safe: bool = False
+
+
+class Clients(Struct, frozen=True, forbid_unknown_fields=True):
+    """How clients behave."""
+
+    rate: Least0 = 0.0  # first tries a second; 0: by `load`
+    load: Annotated[float, Meta(ge=0.0, le=20.0)] = 0.6  # of the warm fleet's capacity
+    swing: Share = 0.1  # of the rate, as a wave over the day
+    retries: Annotated[int, Meta(ge=0, le=20)] = 2
+    backoff_ms: Positive = 15.0  # doubled for each retry, drawn from half to one and a half
+    honour: Share = 0.35  # of the clients heed Retry-After
+    longest_retry_after_ms: Least0 = 2000.0
+    marks_retry: bool = True
+    leave: Share = 0.0  # of the clients go away early
+    keys: Annotated[int, Meta(ge=0)] = 0  # route keys; 0: none
+
+
+class Net(Struct, frozen=True, forbid_unknown_fields=True):
+    """One-way delays in ms."""
+
+    same_ms: Range = 0.2
+    cross_ms: Range = 15.0
+    client_ms: Range = 0.6
+    jitter: Share = 0.2
+    dial_timeout_ms: Positive = 250.0
+    handshake_rtts: Least0 = 2.5
+    handshake_work_ms: Least0 = 1.5  # of a worker's core for each new connection
+    idle_s: Positive = 10.0
+
+
+class Discovery(Struct, frozen=True, forbid_unknown_fields=True):
+    """Late, and knows only whether a process runs. In s."""
+
+    notice_s: Range = 1.0  # until an end is told
+    silent_notice_s: Range = 8.0  # until silence is told
+    add_s: Range = 0.7  # until a start is told
+    spread_s: Least0 = 0.1  # between the first node that hears and the last
+
+
+class Rules(Struct, frozen=True, forbid_unknown_fields=True):
+    """What binds the nodes."""
+
+    drain_grace_ms: Least0 = 2000.0
+    answer_grace_ms: Least0 = 8.0
+    fall_multiple: Positive = 4.0
+    fall_ms: Positive = 1000.0
+    stated_cold_share: Share = 0.15
+    stated_warm_ms: Positive = 23_000.0
+    try_limit: Annotated[int, Meta(ge=1, le=100)] = 6
+    second_copies: bool = True
+    progress_ms: Least0 = 1000.0
+    tells_start: bool = True
+
+
+class Prices(Struct, frozen=True, forbid_unknown_fields=True):
+    """Taken off the service, each times its share."""
+
+    waste: Least0 = 0.10
+    late_fail: Least0 = 0.072
+    cross_site: Least0 = 0.03
+
+
+class Trouble(Struct, frozen=True, forbid_unknown_fields=True):
+    """Something that goes wrong, see `troubles/`. What the fields mean is the trouble's to say."""
+
+    kind: str
+    at: Range  # s
+    lasts: Range = 10.0  # s
+    part: Range = 0.2  # of the workers, or of whatever it takes
+    size: Range = 1.0
+    extra: Range = 0.0
+    site: str = ""  # "": drawn
+    other: str = ""  # the other end of a link
+    silent: bool = True  # says nothing; else connections are reset
+    nodes: bool = False  # takes its nodes along
+
+
+class Scenario(Struct, frozen=True, forbid_unknown_fields=True):
+    """A whole one."""
+
+    name: str
+    sites: Annotated[list[Site], Meta(min_length=1)]
+    classes: Annotated[list[JobClass], Meta(min_length=1)]
+    kinds: Annotated[list[Kind], Meta(min_length=1)] = msgspec.field(
+        default_factory=lambda: [Kind("standard")]
+    )
+    says: str = ""  # what it shows, in one line
+    seconds: Annotated[float, Meta(gt=0.0, le=LONGEST)] = 45.0
+    clients: Clients = Clients()
+    net: Net = Net()
+    discovery: Discovery = Discovery()
+    rules: Rules = Rules()
+    prices: Prices = Prices()
+    front_notice_s: Range = 2.0  # until the front knows that a node has died
+    start_spread_s: Least0 = 0.8  # between the first node's start and the last's
+    troubles: list[Trouble] = msgspec.field(default_factory=list)
+
+
+def load(path: str | Path) -> Scenario:
+    """Read a scenario; ScenarioError names the file, the key and what is allowed."""
+    try:
+        told = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ScenarioError(f"{path}: {error.strerror}") from error
+    except ValueError as error:
+        raise ScenarioError(f"{path}: not TOML: {' '.join(str(error).split())}") from error
+    return made_from(told, str(path))
+
+
+def made_from(told: dict[str, Any], where: str) -> Scenario:
+    """A scenario from plain values, checked as a whole."""
+    from bitternpath.emulator.troubles import KINDS
+
+    try:
+        scenario = msgspec.convert(told, Scenario)
+    except msgspec.ValidationError as error:
+        raise ScenarioError(
+            f"{where}: {str(error).replace(' - at `$.', ', at `').replace('`$`', 'the top')}"
+        ) from error
+    names = [site.name for site in scenario.sites]
+    for trouble in scenario.troubles:
+        if trouble.kind not in KINDS:
+            raise ScenarioError(
+                f"{where}: troubles: kind {trouble.kind!r}; allowed are {', '.join(sorted(KINDS))}"
+            )
+        for site in (trouble.site, trouble.other):
+            if site and site not in names:
+                raise ScenarioError(f"{where}: troubles: site {site!r}; allowed are {', '.join(names)}")
+    if not sum(site.workers for site in scenario.sites):
+        raise ScenarioError(f"{where}: sites: no workers")
+    if not sum(site.nodes for site in scenario.sites):
+        raise ScenarioError(f"{where}: sites: no nodes")
+    if scenario.clients.rate * scenario.seconds > MOST_REQUESTS:
+        raise ScenarioError(f"{where}: clients.rate: at most {MOST_REQUESTS} first tries are allowed")
+    return scenario
+
+
+def drawn(random: Random, value: Range) -> float:
+    """A value, or one out of its range."""
+    return value if isinstance(value, int | float) else random.uniform(*value)
--- /dev/null
+++ b/bitternpath/emulator/troubles/platform.py
@@ -0,0 +1,69 @@
+"""Discovery that is silent, lossy or slow; nodes that are killed, stopped or restarted one by one."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+from bitternpath.emulator.troubles import Active, trouble
+
+
+@trouble("discovery-down")
+def discovery_down(world: Any, active: Active, random: Random) -> None:
+    world.directory.down = True
+    active.undo = world.directory.back
+
+
+@trouble("discovery-lossy")
+def discovery_lossy(world: Any, active: Active, random: Random) -> None:
+    """A `part` of the changes reaches a node only with the next one, and all take `size` times as long."""
+    directory = world.directory
+    directory.dropped, directory.slower = active.part, max(active.size, 1.0)
+
+    def undo() -> None:
+        directory.dropped, directory.slower = 0.0, 1.0
+        directory.back()
+
+    active.undo = undo
+
+
+@trouble("kill-nodes")
+def kill_nodes(world: Any, active: Active, random: Random) -> None:
+    """A part of the nodes is killed and starts from nothing at the end."""
+    names = sorted(name for name, node in world.nodes.items() if node.up)
+    active.on = sorted(random.sample(names, max(round(active.part * len(names)), 1)))
+    nodes = [world.nodes[name] for name in active.on]
+    for node in nodes:
+        node.kill()
+
+    def undo() -> None:
+        for node in nodes:
+            if not node.up:
+                node.start()
+
+    active.undo = undo
+
+
+@trouble("stop-nodes")
+def stop_nodes(world: Any, active: Active, random: Random) -> None:
+    """A part of the nodes is stopped (SIGSTOP) and goes on at the end."""
+    names = sorted(name for name, node in world.nodes.items() if node.up)
+    active.on = sorted(random.sample(names, max(round(active.part * len(names)), 1)))
+    for name in active.on:
+        world.nodes[name].stop()
+
+    def undo() -> None:
+        for name in active.on:
+            if world.nodes[name].up:
+                world.nodes[name].resume()
+
+    active.undo = undo
+
+
+@trouble("rolling-restarts")
+def rolling_restarts(world: Any, active: Active, random: Random) -> None:
+    """All nodes restart, one after the other, `size` s down each."""
+    nodes = list(world.nodes.values())
+    for k, node in enumerate(nodes):
+        world.later.callLater(active.lasts * k / len(nodes), node.restart, max(active.size, 0.1))
+    active.on = [node.name for node in nodes]
