Emulator: tests of the model, the checker against broken nodes, determinism, every trouble

Need: a checker that nothing broken has been shown to is worth nothing. Change: tests; a node stopped from outside is not blamed for what fell due meanwhile.

--- a/bitternpath/emulator/checker.py
+++ b/bitternpath/emulator/checker.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 
 SLACK = 0.05  # s by which each limit in time is longer on sockets; 0 in virtual time
+HELD_UP = 0.1  # s after it goes on in which a stopped node may still be late
 KEPT = 12  # events told with a violation
 
 
@@ -104,6 +105,15 @@
                 self._note(request, now, "its node died")
         self._told = {key: since for key, since in self._told.items() if key[0] != node}
 
+    def held_up(self, now: float, node: str) -> None:
+        """A node goes on after it was stopped from outside: what fell due meanwhile is no fault of its."""
+        for request, found in self.taken.items():
+            due = found.deadline + self.answer_grace + self.slack
+            if found.node == node and not found.answer and not found.left and due < now + HELD_UP:
+                found.left = True
+                self.lost_by_death += 1
+                self._note(request, now, "its node had been stopped")
+
     # ---- what discovery says
 
     def told(self, now: float, node: str, worker: str, serving: bool) -> None:
--- a/bitternpath/emulator/nodes.py
+++ b/bitternpath/emulator/nodes.py
@@ -144,6 +144,7 @@
 
     def resume(self) -> None:
         self.stopped = False
+        self.world.checker.held_up(self.world.later.now, self.name)
         asleep, self.asleep = self.asleep, []
         for do in asleep:
             do()
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,472 @@
+"""The emulator: the world model in tables, the checker against broken nodes, determinism, scenarios end to
+end."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+import pytest
+import structlog
+
+from bitternpath import messages as m
+from bitternpath.core.broker import Broker
+from bitternpath.core.roster import Roster
+from bitternpath.emulator import policies
+from bitternpath.emulator.checker import Checker
+from bitternpath.emulator.clock import AT_ONCE, Scheduler, StuckError
+from bitternpath.emulator.policies import POLICIES, Plain, RandomPolicy
+from bitternpath.emulator.scenario import JobClass, Kind, Prices, ScenarioError, load, made_from
+from bitternpath.emulator.service import Ask, Tally
+from bitternpath.emulator.troubles import KINDS
+from bitternpath.emulator.worker import Attempt, Worker
+from bitternpath.emulator.world import Result, play
+
+ROOT = Path(__file__).parent.parent
+SMALL: dict[str, Any] = {
+    "name": "small",
+    "seconds": 12.0,
+    "sites": [{"name": "a", "workers": 3}, {"name": "b", "workers": 3}],
+    "classes": [
+        {"name": "lookup", "share": 1.0, "work": 100.0, "safe": True, "give_up": 3000.0},
+        {"name": "reminder", "share": 1.0, "work": 60.0, "give_up": 3000.0},
+    ],
+    "clients": {"load": 0.5},
+}
+
+
+@pytest.fixture(autouse=True)
+def quiet() -> None:
+    structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
+
+
+def small(**more: Any) -> Any:
+    return made_from(SMALL | more, "test")
+
+
+# ---- time
+
+
+def test_what_is_due_at_the_same_time_happens_in_the_order_asked_for() -> None:
+    clock, seen = Scheduler(), []
+    for name in "ab":
+        clock.callLater(1.0, seen.append, name)
+    clock.callLater(0.5, lambda: clock.callLater(0.5, seen.append, "c"))
+    gone = clock.callLater(1.0, seen.append, "never")
+    gone.cancel()
+    clock.callLater(1.0, lambda: clock.callLater(0.0, seen.append, "last"))
+    clock.run(2.0)
+    assert seen == ["a", "b", "c", "last"] and clock.now == 2.0 and not gone.active()
+
+
+def test_a_loop_without_delay_is_ended_with_a_plain_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("bitternpath.emulator.clock.AT_ONCE", 1000)
+    clock = Scheduler()
+
+    def again() -> None:
+        clock.callLater(0.0, again)
+
+    clock.callLater(3.0, again)
+    with pytest.raises(StuckError, match=r"3\.000000 s"):
+        clock.run(10.0)
+    assert AT_ONCE > 1000
+
+
+# ---- workers
+
+
+class Bench:
+    """One worker and what it said."""
+
+    def __init__(self, **kind: Any) -> None:
+        self.clock, self.said = Scheduler(), list[tuple[str, str, float]]()
+        given = {
+            "name": "k",
+            "cores": 2,
+            "slots": 2,
+            "queue": 4,
+            "strain": 0.0,
+            "cold_s": 10.0,
+            "cold_share": 0.2,
+        }
+        self.worker = Worker("w", "a", Kind(**(given | kind)), 0, self.clock, Random(1))
+
+    def send(self, id: str, work: float = 1.0, slots: int = 1, deadline: float = 99.0) -> bool:
+        def tell(attempt: Attempt, what: str) -> None:
+            self.said.append((attempt.id, what, round(self.clock.now, 3)))
+
+        return self.worker.arrive(Attempt(id, "c", work, slots, deadline, None, tell))
+
+    def ends(self) -> dict[str, float]:
+        return {id: at for id, what, at in self.said if what == "done"}
+
+
+@pytest.mark.parametrize(
+    ("kind", "jobs", "ends"),
+    [
+        ({}, [("a", 1.0)], {"a": 1.0}),
+        ({"speed": 0.5}, [("a", 1.0)], {"a": 2.0}),
+        ({}, [("a", 1.0), ("b", 2.0), ("c", 1.0)], {"a": 1.0, "b": 2.0, "c": 2.0}),  # c waits for a
+        ({"cores": 1}, [("a", 1.0), ("b", 1.0)], {"a": 2.0, "b": 2.0}),  # they share the core
+        ({"cores": 1}, [("a", 1.0), ("b", 2.0)], {"a": 2.0, "b": 3.0}),
+        ({"strain": 0.5, "crowded": 1.0}, [("a", 1.0), ("b", 1.0)], {"a": 1.5, "b": 1.5}),  # too many held
+    ],
+)
+def test_jobs_take_the_time_that_cores_speed_and_strain_give(
+    kind: dict[str, Any], jobs: list[tuple[str, float]], ends: dict[str, float]
+) -> None:
+    bench = Bench(**kind)
+    for id, work in jobs:
+        assert bench.send(id, work)
+    bench.clock.run(20.0)
+    assert bench.ends() == ends
+
+
+def test_the_head_of_the_queue_waits_until_it_fits_and_holds_up_what_is_behind() -> None:
+    bench = Bench(slots=4, cores=4)
+    bench.send("a", 2.0, slots=3)
+    bench.send("big", 1.0, slots=2)
+    bench.send("small", 1.0, slots=1)  # there is room for it, but it is not its turn
+    bench.clock.run(20.0)
+    assert bench.ends() == {"a": 2.0, "big": 3.0, "small": 3.0}
+
+
+def test_beyond_the_queue_jobs_are_turned_away() -> None:
+    bench = Bench(queue=2)
+    assert [bench.send(str(k)) for k in range(6)] == [True] * 4 + [False] * 2
+
+
+def test_what_changes_on_the_way_changes_the_end() -> None:
+    bench = Bench()
+    bench.send("a", 2.0)
+    bench.clock.run(1.0)
+    bench.worker.slowed = 2.0
+    bench.worker.changed()
+    bench.clock.run(2.0)
+    bench.worker.paused = True
+    bench.worker.changed()
+    bench.clock.run(5.0)
+    bench.worker.paused, bench.worker.slowed = False, 1.0
+    bench.worker.changed()
+    bench.clock.run(9.0)
+    assert bench.ends() == {"a": 5.5}  # 1 s whole, 1 s at half, 3 s none, and the half that was left
+
+
+def test_a_cold_worker_warms_up_and_falls_over_when_pushed() -> None:
+    bench = Bench(queue=100)
+    worker, falls = bench.worker, []
+    worker.on_fall = lambda worker, informed: falls.append(informed)
+    bench.clock.run(1.0)
+    worker.start()
+    assert worker.warmth(1.0) == 0.2 and round(worker.warmth(6.0), 3) == 0.6 and worker.warmth(11.0) == 1.0
+    # Four times 2 cores x 0.2 for a second is 1.6, and two mean jobs of slack.
+    for k in range(9):
+        bench.send(str(k), 0.3)
+    assert falls == [] or len(falls) == 1
+    for k in range(9):
+        bench.send(f"more{k}", 0.3)
+    assert falls == [1.0] and not worker.up and worker.fallen
+    worker.start()
+    bench.clock.run(12.5)
+    for k in range(18):
+        bench.send(f"warm{k}", 0.3)
+    assert falls == [1.0]  # warm by now: pushed, but standing
+
+
+def test_work_whose_time_is_up_may_not_be_begun() -> None:
+    for drops, begun in ((True, 1), (False, 2)):
+        bench = Bench(cores=1, slots=1, drops_expired=drops)
+        bench.send("a", 2.0)
+        bench.send("late", 1.0, deadline=1.0)
+        bench.clock.run(9.0)
+        assert sum(what == "started" for _, what, _ in bench.said) == begun
+
+
+# ---- service
+
+
+def test_service_is_worth_in_time_over_worth_asked() -> None:
+    spec = JobClass("c", 1.0, 100.0, aim=100.0, stretch=2.0, give_up=5000.0, worth=4.0, late_worth=0.25)
+    tally = Tally([spec], Prices(0.1, 0.072, 0.03))
+    for k, at in enumerate((0.2, 0.5, None, None)):  # in time by 0.1 + 2 x 0.1
+        ask = Ask(spec, "a", 0.1, float(k))
+        tally.first(ask)
+        if at is None:
+            tally.failed(ask, k + (0.1 if k == 2 else 4.0))
+        else:
+            tally.served(ask, k + at)
+    tally.crossings, tally.spent = 2, 0.3
+    told = tally.figures()
+    assert told["whole"] == (4 + 1) / 16 and told["late_fail"] == 0.25 and told["crossings"] == 0.5
+    assert told["waste"] == pytest.approx(0.1 / 0.4)
+    parts = 0.55 * 5 / 16 + 0.15 * 5 / 16 + 0.30 * 5 / 16
+    assert told["service"] == pytest.approx(parts - 0.1 * 0.25 - 0.072 * 0.25 - 0.03 * 0.5)
+
+
+# ---- scenarios
+
+
+@pytest.mark.parametrize(
+    ("wrong", "says"),
+    [
+        ({"secconds": 3}, "secconds"),
+        ({"seconds": 0}, "> 0"),
+        ({"seconds": 1e9}, "<= 3600"),
+        ({"sites": []}, "sites"),
+        ({"sites": [{"name": "a", "workers": 0}]}, "no workers"),
+        ({"sites": [{"name": "a", "nodes": 0}]}, "no nodes"),
+        ({"clients": {"rate": 1e9}}, "first tries are allowed"),
+        ({"troubles": [{"kind": "flood", "at": 1}]}, "allowed are burst"),
+        ({"troubles": [{"kind": "burst", "at": 1, "site": "z"}]}, "allowed are a, b"),
+        ({"classes": [{"name": "x", "share": 1.0, "work": 5.0, "aim": -1.0}]}, "aim"),
+    ],
+)
+def test_a_wrong_scenario_is_refused_in_one_line(wrong: dict[str, Any], says: str) -> None:
+    with pytest.raises(ScenarioError) as fault:
+        small(**wrong)
+    assert says in str(fault.value) and "\n" not in str(fault.value)
+
+
+SHIPPED = sorted((ROOT / "scenarios").glob("*.toml"))
+
+
+def test_the_shipped_scenarios_are_good_and_use_every_trouble() -> None:
+    told = [load(path) for path in SHIPPED]
+    assert len(told) >= 12 and [s.name for s in told] == [path.stem for path in SHIPPED]
+    assert all(s.says for s in told)
+    used = {trouble.kind for s in told for trouble in s.troubles}
+    assert used <= set(KINDS) and len(used) >= 14
+
+
+# ---- determinism
+
+
+def test_the_same_scenario_and_seed_give_the_same_trace_in_two_processes() -> None:
+    # Guards: anything that hangs on hashes, addresses or the real clock makes runs that nobody can repeat.
+    code = (
+        "import structlog; structlog.configure(logger_factory=structlog.ReturnLoggerFactory());"
+        "from bitternpath.emulator.scenario import load; from bitternpath.emulator.world import play;"
+        "r = play(load('scenarios/vanishing.toml'), 7); print(r.trace, r.events, r.figures)"
+    )
+    found = set()
+    for seed in ("0", "1"):
+        run = subprocess.run(
+            [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True,
+            env={"PYTHONHASHSEED": seed, "PATH": ""},
+        )  # fmt: skip
+        found.add(run.stdout)
+    assert len(found) == 1
+    one, two = play(small(), 1), play(small(), 2)
+    assert one.trace != two.trace and one.trace == play(small(), 1).trace
+
+
+def test_every_policy_meets_the_same_first_tries() -> None:
+    runs = [play(small(), 4, name) for name in ("module", "random", "oracle")]
+    assert len({run.requests for run in runs}) == 1
+    assert len({run.trace for run in runs}) == 3
+
+
+# ---- the checker against broken nodes
+
+
+class Mute(Plain):
+    """Answers nothing and sends nothing."""
+
+    def _request(self, event: m.Request) -> list[m.Action]:
+        return []
+
+
+class Resends(RandomPolicy):
+    """Sends again whatever may have run."""
+
+    def _outcome(self, event: m.Outcome) -> list[m.Action]:
+        if event.id in self.jobs and not event.final:
+            self.jobs[event.id]["ran"] = False
+            acts = super()._outcome(
+                m.Outcome(event.id, event.attempt, event.worker, m.How.FULL, event.elapsed, False)
+            )
+            return acts
+        return super()._outcome(event)
+
+
+class Refuses(RandomPolicy):
+    """Refuses what may have run."""
+
+    def _outcome(self, event: m.Outcome) -> list[m.Action]:
+        job = self.jobs.get(event.id)
+        if job is not None and not event.final and event.how not in m.NEVER_RAN:
+            self._close(event.id)
+            return [m.Refuse(event.id)]
+        return super()._outcome(event)
+
+
+class Newest(RandomPolicy):
+    """Sends everything to the worker that started last."""
+
+    def choose(self, usable: list[str], job: dict[str, Any]) -> str | None:
+        return max(usable, key=lambda w: (self.workers[w].up_since or 0.0, w))
+
+
+def broken_run(monkeypatch: pytest.MonkeyPatch, policy: type, **more: Any) -> Result:
+    monkeypatch.setitem(policies.POLICIES, "broken", policy)
+    return play(small(**more), 3, "broken")
+
+
+def rules_of(result: Result) -> set[str]:
+    return {violation.split(" at ")[0] for violation in result.violations}
+
+
+VANISH = [{"kind": "vanish", "at": 3.0, "lasts": 4.0, "part": 0.5, "silent": False}]
+
+
+def test_a_node_that_answers_nothing_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Broker, "_last_moment", lambda self, invocation: None)
+    found = broken_run(monkeypatch, Mute)
+    assert rules_of(found) == {"lost"} and "never answered" in found.violations[0]
+    assert "taken by n" in found.violations[0]  # the events that led there
+
+
+def test_a_late_answer_and_one_for_nothing_are_caught() -> None:
+    checker = Checker(2.0, 0.008)
+    for id, answered in (("in time", 3.007), ("late", 3.009)):
+        checker.took(1.0, id, "n0", 3.0, True)
+        checker.answered(answered, id, "failed")
+    checker.answered(4.0, "never asked", "refused")
+    assert [(v.rule, v.request) for v in checker.broken] == [("lost", "late"), ("invented", "never asked")]
+    assert "9 ms late" in str(checker.broken[0]) and "taken by n0" in str(checker.broken[0])
+
+
+def test_a_stopped_node_is_not_blamed_for_what_fell_due_meanwhile() -> None:
+    checker = Checker(2.0, 0.008)
+    for id, deadline in (("due", 3.0), ("not yet", 9.0)):
+        checker.took(1.0, id, "n0", deadline, True)
+    checker.held_up(5.0, "n0")
+    checker.end(20.0)
+    assert [v.request for v in checker.broken] == ["not yet"] and checker.lost_by_death == 1
+
+
+def test_a_node_that_answers_twice_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    right = Broker._answer
+
+    def twice(self: Broker, invocation: Any, how: Any, word: str) -> None:
+        right(self, invocation, how, word)
+        how()
+
+    monkeypatch.setattr(Broker, "_answer", twice)
+    found = broken_run(monkeypatch, RandomPolicy)
+    assert rules_of(found) == {"lost"} and "answered again" in found.violations[0]
+
+
+def test_a_node_that_sends_again_what_may_have_run_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    found = broken_run(monkeypatch, Resends, troubles=VANISH)
+    assert "duplicate" in rules_of(found)
+    assert play(small(troubles=VANISH), 3, "random").kept  # and one that does not is not blamed
+
+
+def test_a_node_that_refuses_what_may_have_run_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert rules_of(broken_run(monkeypatch, Refuses, troubles=VANISH)) == {"refused"}
+
+
+def test_a_node_that_sends_to_what_drains_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    right = Roster.take
+
+    def deaf(self: Roster, listing: Any) -> None:
+        if all(p.state is m.State.SERVING for p in listing.members):
+            right(self, listing)
+
+    monkeypatch.setattr(Roster, "take", deaf)
+    found = broken_run(
+        monkeypatch, RandomPolicy, troubles=[{"kind": "drain", "at": 2.0, "lasts": 8.0, "part": 0.5}]
+    )
+    assert "drain" in rules_of(found)
+
+
+def test_a_node_that_pushes_a_cold_worker_over_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    found = broken_run(
+        monkeypatch, Newest, clients={"load": 0.9}, troubles=[VANISH[0] | {"lasts": 2.0, "part": 0.2}]
+    )
+    assert "cold" in rules_of(found) and "pushed over" in "".join(found.violations)
+
+
+def test_a_node_that_makes_answers_up_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    right = Broker._answer
+
+    def invent(self: Broker, invocation: Any, how: Any, word: str) -> None:
+        right(self, invocation, lambda: invocation.consumer.served(b"made up"), word)
+
+    monkeypatch.setattr(Broker, "_answer", invent)
+    assert rules_of(broken_run(monkeypatch, RandomPolicy)) == {"invented"}
+
+
+def test_what_dies_with_its_node_is_no_fault_of_the_node() -> None:
+    checker = Checker(2.0, 0.008)
+    checker.took(1.0, "a", "n0", 3.0, False)
+    checker.took(1.0, "b", "n1", 3.0, False)
+    checker.died(2.0, "n0")
+    checker.end(9.0)
+    assert checker.lost_by_death == 1 and [v.request for v in checker.broken] == ["b"]
+    run = play(small(troubles=[{"kind": "kill-nodes", "at": 4.0, "lasts": 2.0, "part": 0.5}]), 5)
+    assert run.kept and run.lost_by_death > 0 and run.counts["reset"]
+
+
+# ---- end to end
+
+
+@pytest.mark.parametrize("name", ["site-loss-with-nodes", "rolling", "errors"])
+def test_the_node_keeps_the_rules_and_serves_through_what_goes_wrong(name: str) -> None:
+    run = play(load(ROOT / "scenarios" / f"{name}.toml"), 2)
+    assert run.kept, run.violations[:3]
+    assert run.figures["service"] > 0.7 and run.requests > 1000
+
+
+@pytest.mark.parametrize("kind", sorted(KINDS))
+def test_every_trouble_begins_ends_and_breaks_no_rule(kind: str) -> None:
+    trouble = {"kind": kind, "at": 2.0, "lasts": 4.0, "part": 0.3, "size": 1.5, "extra": 1.0}
+    run = play(small(troubles=[trouble], clients={"load": 0.4}), 6)
+    assert run.kept, (kind, run.violations[:2])
+    calm = play(small(clients={"load": 0.4}), 6)
+    assert run.trace != calm.trace
+
+
+def test_call_backs_come_early_twice_and_after_a_restart() -> None:
+    troubles = [
+        {"kind": "call-backs", "at": 1.0, "lasts": 9.0, "part": 0.3, "size": 0.5},
+        {"kind": "kill-nodes", "at": 4.0, "lasts": 0.5, "part": 0.5},
+        {"kind": "vanish", "at": 6.0, "lasts": 2.0, "part": 0.3},
+    ]
+    assert play(small(troubles=troubles), 8).kept
+
+
+def test_the_command_plays_a_scenario_and_writes_all_of_it(tmp_path: Path) -> None:
+    file = tmp_path / "run.json"
+    scenario = tmp_path / "s.toml"
+    scenario.write_text(
+        'name = "s"\nseconds = 5\n[[sites]]\nname = "a"\n[[classes]]\nname = "x"\nshare = 1\nwork = 50\n'
+    )
+    run = subprocess.run(
+        [sys.executable, "-m", "bitternpath", "emulate", str(scenario), "--seeds", "2", "--json", str(file)],
+        cwd=ROOT, capture_output=True, text=True, check=False,
+    )  # fmt: skip
+    assert run.returncode == 0 and "rules kept" in run.stdout and "mean of 2" in run.stdout
+    told = json.loads(file.read_bytes())
+    assert [r["seed"] for r in told] == [1, 2]
+    assert msgspec.convert(told[0], Result, strict=False).figures == told[0]["figures"]
+    wrong = subprocess.run(
+        [sys.executable, "-m", "bitternpath", "emulate", "nowhere.toml"],
+        cwd=ROOT,
+        capture_output=True,
+        check=False,
+    )
+    assert wrong.returncode == 2
+
+
+def test_a_node_imports_nothing_of_the_lab() -> None:
+    found = "[m for m in sys.modules if 'emulator' in m]"
+    look = f"import sys, bitternpath.cli.run, bitternpath.node; print({found})"
+    run = subprocess.run([sys.executable, "-c", look], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert run.stdout.strip() == "[]" and len(POLICIES) == 7
