--- /dev/null
+++ b/benchmarks/policy_host.py
@@ -0,0 +1,15 @@
+"""A reference policy on the simulator's wire: `python benchmarks/policy_host.py NAME`, as `sim` runs the module."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from bitternpath import simhost  # noqa: E402
+from bitternpath.emulator.policies import POLICIES  # noqa: E402
+
+if __name__ == "__main__":
+    simhost.Dispatcher = POLICIES[sys.argv[1]]  # type: ignore[misc]
+    sys.exit(simhost.main())
