--- a/benchmarks/emulator.py
+++ b/benchmarks/emulator.py
@@ -88,10 +88,13 @@
         "vanish": [{"kind": "vanish", "at": 10, "lasts": 18, "part": 0.19}],
         "site-loss": [{"kind": "site-loss", "at": 12, "lasts": 15, "site": "labasa"}],
         "site-loss, nodes": [{"kind": "site-loss", "at": 12, "lasts": 15, "site": "labasa", "nodes": True}],
-        "link-cut": [{"kind": "link-cut", "at": 12, "lasts": 12, "site": "labasa", "other": "suva", "size": 2}],
+        "link-cut": [
+            {"kind": "link-cut", "at": 12, "lasts": 12, "site": "labasa", "other": "suva", "size": 2}
+        ],
         "errors": [{"kind": "errors", "at": 10, "lasts": 20, "part": 0.15, "size": 0.9}],
         "discovery down": [
-            {"kind": "discovery-down", "at": 8, "lasts": 20}, {"kind": "vanish", "at": 10, "lasts": 12, "part": 0.12}
+            {"kind": "discovery-down", "at": 8, "lasts": 20},
+            {"kind": "vanish", "at": 10, "lasts": 12, "part": 0.12},
         ],
     }  # fmt: skip
     policies = ("module", "least", "oracle")
@@ -124,7 +127,8 @@
         worst_second = max(seconds, key=lambda s: seconds[s])
         broken = sum(not r.kept for r in found[name, "module"])
         rows.append(
-            [name, *(f"{mean(name, p):.3f}" for p in policies), f"{gap:.3f}", f"{worst} ({classes[worst]:.3f})",
+            [name, *(f"{mean(name, p):.3f}" for p in policies), f"{gap:.3f}",
+             f"{worst} ({classes[worst]:.3f})",
              f"{worst_second} s ({seconds[worst_second]:.3f})", str(broken)]
         )  # fmt: skip
     rows.sort(key=lambda row: float(row[4]), reverse=True)
@@ -174,14 +178,15 @@
     """A day of the operators' bench in our words, as far as both know the same things."""
     tier, net, zones = day["tiers"][0], day["net"], day["zones"]
     kinds = [
-        {"name": k["name"], "cores": k["cores"], "slots": k["slots"], "queue": k["queue"], "crowded": k["knee"],
-         "strain": k["thrash"], "cold_share": k["cold_from"], "cold_s": k["cold"] / 1e6,
+        {"name": k["name"], "cores": k["cores"], "slots": k["slots"], "queue": k["queue"],
+         "crowded": k["knee"], "strain": k["thrash"], "cold_share": k["cold_from"], "cold_s": k["cold"] / 1e6,
          "errors": k["error_rate"], "drops_expired": k["drops_expired"]}
         for k in tier["kinds"]
     ]  # fmt: skip
     classes = [
-        {"name": c["name"], "share": c["share"], "work": c["work"] / 1000.0, "spread": c["dist"], "cv": c["cv"],
-         "aim": c["aim"] / 1000.0, "stretch": n["stretch"], "give_up": c["deadline"] / 1000.0, "worth": c["worth"],
+        {"name": c["name"], "share": c["share"], "work": c["work"] / 1000.0, "spread": c["dist"],
+         "cv": c["cv"], "aim": c["aim"] / 1000.0, "stretch": n["stretch"],
+         "give_up": c["deadline"] / 1000.0, "worth": c["worth"],
          "late_worth": c["late_worth"], "safe": c["effect"] == "safe"}
         for c, n in zip(day["classes"], day["fam"]["needs"], strict=True)
     ]  # fmt: skip
--- a/benchmarks/policy_host.py
+++ b/benchmarks/policy_host.py
@@ -1,4 +1,4 @@
-"""A reference policy on the simulator's wire: `python benchmarks/policy_host.py NAME`, as `sim` runs the module."""
+"""A reference policy on the simulator's wire: `python benchmarks/policy_host.py NAME`."""
 
 from __future__ import annotations
 
@@ -7,8 +7,8 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from bitternpath import simhost  # noqa: E402
-from bitternpath.emulator.policies import POLICIES  # noqa: E402
+from bitternpath import simhost
+from bitternpath.emulator.policies import POLICIES
 
 if __name__ == "__main__":
     simhost.Dispatcher = POLICIES[sys.argv[1]]  # type: ignore[misc]
