--- a/bitternpath/emulator/clock.py
+++ b/bitternpath/emulator/clock.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from heapq import heappop, heappush
 from typing import Any
@@ -41,13 +42,18 @@
         self.now = 0.0
         self.done = 0  # events that have happened
         self._heap: list[tuple[float, int, Due]] = []
+        self._soon: deque[tuple[int, Due]] = deque()  # asked for without delay
         self._made = 0
 
     def callLater(self, delay: float, do: Callable[..., object], *args: Any) -> Due:
         """As Twisted's reactor: seconds from now."""
-        due = Due(self.now + max(delay, 0.0), do, args)
         self._made += 1
-        heappush(self._heap, (due.time, self._made, due))
+        if delay <= 0.0:
+            due = Due(self.now, do, args)
+            self._soon.append((self._made, due))
+        else:
+            due = Due(self.now + delay, do, args)
+            heappush(self._heap, (due.time, self._made, due))
         return due
 
     def seconds(self) -> float:
@@ -55,17 +61,23 @@
 
     def run(self, until: float) -> None:
         """Let everything happen that is due by then."""
-        heap, at_once = self._heap, 0
-        while heap and heap[0][0] <= until:
-            time, _, due = heappop(heap)
+        heap, soon, at_once = self._heap, self._soon, 0
+        while True:
+            # What was asked for without delay is due now, after what was asked for before it.
+            if soon and not (heap and heap[0][0] <= self.now and heap[0][1] < soon[0][0]):
+                due = soon.popleft()[1]
+            elif heap and heap[0][0] <= until:
+                due = heappop(heap)[2]
+            else:
+                break
             do = due.do
             if do is None:
                 continue
-            if time > self.now:
-                self.now, at_once = time, 0
+            if due.time > self.now:
+                self.now, at_once = due.time, 0
             at_once += 1
             if at_once > AT_ONCE:
-                raise StuckError(f"more than {AT_ONCE} events at {time:.6f} s: a loop without delay")
+                raise StuckError(f"more than {AT_ONCE} events at {self.now:.6f} s: a loop without delay")
             due.do = None
             self.done += 1
             do(*due.args)
--- a/bitternpath/emulator/world.py
+++ b/bitternpath/emulator/world.py
@@ -17,7 +17,7 @@
 from bitternpath.emulator.network import Network
 from bitternpath.emulator.nodes import VirtualNode
 from bitternpath.emulator.policies import POLICIES
-from bitternpath.emulator.scenario import Kind, Rules, Scenario, drawn
+from bitternpath.emulator.scenario import MOST_REQUESTS, Kind, Rules, Scenario, ScenarioError, drawn
 from bitternpath.emulator.service import Tally
 from bitternpath.emulator.troubles import Active, begin
 from bitternpath.emulator.worker import Worker
@@ -127,6 +127,9 @@
             self.trace,
         )
         self.clients.rate = scenario.clients.rate or scenario.clients.load * self.capacity()
+        if self.clients.rate * scenario.seconds > MOST_REQUESTS:
+            many = f"{self.clients.rate:.0f} first tries a second for {scenario.seconds:.0f} s"
+            raise ScenarioError(f"{scenario.name}: clients.load: {many}; at most {MOST_REQUESTS} in all")
         self.nodes = self._nodes()
         self.active: list[Active] = []
         self._asks: dict[str, Any] = {}  # request: what is asked, for the oracle alone
