Emulator: nodes reloaded by a scenario, attempts, crossings and work by second

Need: SIGHUP is one of the things that happen to nodes, and series by second are to hold everything. Change: the trouble reload-nodes (discovery moves under real nodes), tally by second.

--- a/bitternpath/emulator/nodes.py
+++ b/bitternpath/emulator/nodes.py
@@ -149,6 +149,9 @@
         for do in asleep:
             do()
 
+    def reload(self) -> None:
+        """SIGHUP: nothing changes here, for the core reads no file."""
+
     def restart(self, down: float) -> None:
         """A planned restart: no new clients, then out and in again."""
         self.world.front.drop(self)
@@ -211,8 +214,7 @@
         ask = call.invocation.payload.ask
         world.checker.sent(now, call.id, self.name, worker.id)
         world.trace("send", call.id, worker.id)
-        if self.site != worker.site:
-            world.tally.crossings += 1
+        world.tally.attempt(now, self.site != worker.site)
         delay = net.delay(self.site, worker.site)
         work, wait = ask.work, delay
         idle = self.conns.get(worker.id)
@@ -286,7 +288,7 @@
             if every:
                 attempt.progress = world.later.callLater(every, self._progress, worker, attempt)
         elif what in ("done", "failed"):
-            world.tally.spent += attempt.work
+            world.tally.worked(now, attempt.work)
             if attempt.progress is not None:
                 attempt.progress.cancel()
             if what == "done":
--- a/bitternpath/emulator/service.py
+++ b/bitternpath/emulator/service.py
@@ -40,11 +40,24 @@
         self.firsts = self.crossings = 0
         self.late_failed = 0.0  # worth
         self.offered = self.useful = self.spent = 0.0  # work, s of a core of speed 1
+        self.work_done: dict[int, float] = defaultdict(float)  # by second
         self.took: dict[str, list[float]] = defaultdict(list)  # ms of served asks by class
 
     def count(self, now: float, what: str) -> None:
         self.counts[int(now), what] += 1
 
+    def attempt(self, now: float, crossing: bool) -> None:
+        """A node has sent something to a worker."""
+        self.count(now, "attempts")
+        if crossing:
+            self.crossings += 1
+            self.count(now, "crossings")
+
+    def worked(self, now: float, work: float) -> None:
+        """A worker has ended a job, in s of a core of speed 1."""
+        self.spent += work
+        self.work_done[int(now)] += work
+
     def first(self, ask: Ask) -> None:
         self.firsts += 1
         self.offered += ask.work
--- a/bitternpath/emulator/troubles/platform.py
+++ b/bitternpath/emulator/troubles/platform.py
@@ -1,4 +1,4 @@
-"""Discovery that is silent, lossy or slow; nodes that are killed, stopped or restarted one by one."""
+"""Discovery that is silent, lossy or slow; nodes that are killed, stopped, reloaded or restarted."""
 
 from __future__ import annotations
 
@@ -67,3 +67,12 @@
     for k, node in enumerate(nodes):
         world.later.callLater(active.lasts * k / len(nodes), node.restart, max(active.size, 0.1))
     active.on = [node.name for node in nodes]
+
+
+@trouble("reload-nodes")
+def reload_nodes(world: Any, active: Active, random: Random) -> None:
+    """All nodes read their configuration again, one after the other; discovery has moved in it."""
+    nodes = list(world.nodes.values())
+    for k, node in enumerate(nodes):
+        world.later.callLater(active.lasts * k / len(nodes), node.reload)
+    active.on = [node.name for node in nodes]
--- a/bitternpath/emulator/wall.py
+++ b/bitternpath/emulator/wall.py
@@ -336,6 +336,16 @@
         self.world.checker.held_up(self.world.now(), self.name)
         self.process.send_signal(signal.SIGCONT)
 
+    def reload(self) -> None:
+        """Discovery moves: a new configuration, SIGHUP, and the old address closes after 1.5 s."""
+        old, self.discovery = self.discovery, _Server(self.world.reactor, self._watch)
+        file = self.world.folder / f"{self.name}.json"
+        told = json.loads(file.read_text())
+        told["discovery"] = f"127.0.0.1:{self.discovery.number}"
+        file.write_text(json.dumps(told))
+        self.process.send_signal(signal.SIGHUP)
+        self.world.reactor.callLater(1.5, old.close)
+
     def restart(self, down: float) -> None:
         """A planned restart, by SIGTERM; the front has been told."""
         self.world.front.drop(self)
@@ -546,8 +556,7 @@
             self.checker.arrived(now, id, worker.id, 0)
             connection.answer(400)
             return
-        if node.site != worker.site:
-            self.tally.crossings += 1
+        self.tally.attempt(now, node.site != worker.site)
         left = float(request.headers.get(b"x-budget-ms", b"5000")) / 1000.0
         number = len([v for v in self.attempts if v[0] == id])
         attempt = Attempt(
@@ -577,7 +586,7 @@
             if every:
                 attempt.progress = self.later.callLater(every, self._progress, worker, attempt)
         elif what in ("done", "failed"):
-            self.tally.spent += attempt.work
+            self.tally.worked(self.now(), attempt.work)
             if attempt.progress is not None and attempt.progress.active():
                 attempt.progress.cancel()
             news["state"] = what
--- a/bitternpath/emulator/world.py
+++ b/bitternpath/emulator/world.py
@@ -10,14 +10,14 @@
 from msgspec import Struct
 
 from bitternpath import messages as m
-from bitternpath.emulator.checker import Checker, Violation
+from bitternpath.emulator.checker import Checker
 from bitternpath.emulator.clients import Clients, Front
 from bitternpath.emulator.clock import Scheduler
 from bitternpath.emulator.discovery import EPOCH, Directory
 from bitternpath.emulator.network import Network
 from bitternpath.emulator.nodes import VirtualNode
 from bitternpath.emulator.policies import POLICIES
-from bitternpath.emulator.scenario import MOST_REQUESTS, Kind, Rules, Scenario, ScenarioError, drawn
+from bitternpath.emulator.scenario import MOST_REQUESTS, Kind, Scenario, ScenarioError, drawn
 from bitternpath.emulator.service import Tally
 from bitternpath.emulator.troubles import Active, begin
 from bitternpath.emulator.worker import Worker
@@ -37,6 +37,7 @@
     by_site: dict[str, float]
     by_second: dict[int, float]
     counts: dict[str, dict[int, int]]  # what: by second
+    work_by_second: dict[int, float]  # s of a core of speed 1
     percentiles: dict[str, dict[str, float]]  # class: ms
     requests: int
     violations: list[str]
@@ -141,13 +142,12 @@
         kinds, rules = self.scenario.kinds, self.scenario.rules
         made: dict[str, Worker] = {}
         for site in self.scenario.sites:
-            for k in range(site.workers):
+            for _ in range(site.workers):
                 kind: Kind = random.choices(kinds, [kind.share for kind in kinds])[0]
                 name = f"w{len(made)}-{site.name}"
                 worker = made[name] = Worker(name, site.name, kind, len(made) // CELL, self.later, random)
                 worker.fall_multiple, worker.fall_span = rules.fall_multiple, rules.fall_ms / 1000.0
                 worker.on_fall = self._fell
-                assert k >= 0
         return made
 
     def _nodes(self) -> dict[str, VirtualNode]:
@@ -299,6 +299,7 @@
             by_site=tally.by(2),
             by_second=tally.by(0),
             counts=counts,
+            work_by_second=dict(sorted(tally.work_done.items())),
             percentiles={name: percentiles(took) for name, took in sorted(tally.took.items())},
             requests=tally.firsts,
             violations=[str(violation) for violation in broken[:100]],
@@ -327,4 +328,4 @@
     return World(scenario, seed, policy, traced).run()
 
 
-__all__ = ["Result", "Rules", "Violation", "World", "play", "settings_of"]
+__all__ = ["Result", "World", "play", "settings_of"]
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -437,6 +437,7 @@
     run = play(small(troubles=[trouble], clients={"load": 0.4}), 6)
     assert run.kept, (kind, run.violations[:2])
     calm = play(small(clients={"load": 0.4}), 6)
+    assert run.troubles[0]["kind"] == kind
     assert run.trace != calm.trace
 
 
@@ -498,6 +499,7 @@
         {"kind": "vanish", "at": 1.5, "lasts": 1.5, "part": 0.2, "silent": False},
         {"kind": "kill-nodes", "at": 3.0, "lasts": 0.5, "part": 0.5},
         {"kind": "call-backs", "at": 0.5, "lasts": 4.0, "part": 0.0, "size": 0.5},
+        {"kind": "reload-nodes", "at": 0.5, "lasts": 1.0},
     ]
     run, told = on_sockets(tmp_path, troubles=troubles)
     if run.returncode == 1 and "void" in run.stderr:
