--- a/benchmarks/emulator.py
+++ b/benchmarks/emulator.py
@@ -284,11 +284,7 @@
                         f"{apart:.3f}",
                     ]
                 )
-    print(
-        table(
-            ["days", "policy", "number", "emulator", "simulator", "difference", "mean of |difference|"], rows
-        )
-    )
+    print(table(["days", "policy", "number", "emulator", "simulator", "difference", "mean distance"], rows))
 
 
 def main() -> None:
