Emulator: one way to draw nodes, and a demo table that fits 80 columns

Seen: the table cut the trouble's name on a terminal of 80 columns; two troubles drew nodes in the same words. Change: shorter heads, some_nodes.

--- a/bitternpath/cli/on_sockets.py
+++ b/bitternpath/cli/on_sockets.py
@@ -31,9 +31,9 @@
         "refused": str(counts[second, "refused"]),
         "failed": str(counts[second, "failed"]),
         "waiting": str(world.clients.open),
-        "workers up": str(sum(w.up and w.reachable for w in world.workers.values())),
+        "up": str(sum(w.up and w.reachable for w in world.workers.values())),
         "nodes": str(sum(len(nodes) for nodes in world.front.admitted.values())),
-        "going on": ", ".join(troubles) or "-",
+        "trouble": ", ".join(troubles) or "-",
     }
 
 
--- a/bitternpath/emulator/troubles/__init__.py
+++ b/bitternpath/emulator/troubles/__init__.py
@@ -81,5 +81,12 @@
     return [world.workers[name] for name in active.on]
 
 
+def some_nodes(world: Any, active: Active, random: Random) -> list[Any]:
+    """A part of the nodes that are up, one at least; noted in `active.on`."""
+    names = sorted(name for name, node in world.nodes.items() if node.up)
+    active.on = sorted(random.sample(names, min(max(round(active.part * len(names)), 1), len(names))))
+    return [world.nodes[name] for name in active.on]
+
+
 for found in iter_modules(__path__):
     import_module(f"{__name__}.{found.name}")
--- a/bitternpath/emulator/troubles/platform.py
+++ b/bitternpath/emulator/troubles/platform.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any
 
-from bitternpath.emulator.troubles import Active, trouble
+from bitternpath.emulator.troubles import Active, some_nodes, trouble
 
 
 @trouble("discovery-down")
@@ -30,9 +30,7 @@
 @trouble("kill-nodes")
 def kill_nodes(world: Any, active: Active, random: Random) -> None:
     """A part of the nodes is killed and starts from nothing at the end."""
-    names = sorted(name for name, node in world.nodes.items() if node.up)
-    active.on = sorted(random.sample(names, max(round(active.part * len(names)), 1)))
-    nodes = [world.nodes[name] for name in active.on]
+    nodes = some_nodes(world, active, random)
     for node in nodes:
         node.kill()
 
@@ -47,15 +45,14 @@
 @trouble("stop-nodes")
 def stop_nodes(world: Any, active: Active, random: Random) -> None:
     """A part of the nodes is stopped (SIGSTOP) and goes on at the end."""
-    names = sorted(name for name, node in world.nodes.items() if node.up)
-    active.on = sorted(random.sample(names, max(round(active.part * len(names)), 1)))
-    for name in active.on:
-        world.nodes[name].stop()
+    nodes = some_nodes(world, active, random)
+    for node in nodes:
+        node.stop()
 
     def undo() -> None:
-        for name in active.on:
-            if world.nodes[name].up:
-                world.nodes[name].resume()
+        for node in nodes:
+            if node.up:
+                node.resume()
 
     active.undo = undo
 
