Where discovery has to be asked, the module says when, spread over seconds

At fault: `Watch.lost` and `Node.start` opened a watch at once and again after 0.1 to 1 s, right for an agent on the node's own machine, though the settings said that the list has to be asked for. The module had decided the same thing for the simulator all along, and the broker threw its `Watch` action away. Now the broker carries that action out where the list is asked for, a refused or ended watch is told to the module, and the node serves on its list meanwhile. The module's own pause began at 0.2 s: it is 1/32 of the interval now, doubled each time, and the first call is spread over half of the interval.

Sites whose discovery pushes are as before.

--- a/bitternpath/brain.py
+++ b/bitternpath/brain.py
@@ -212,7 +212,7 @@
         self.ask_tries, self.begun_at = 0, now
         self.acts: list[m.Action] = [m.Wake("sweep", self.pause)]
         if settings.ask_for_list:  # spread out: a fleet that starts at once would swamp the list service
-            self.acts.append(m.Wake("watch", self.random.random() * settings.must_ask_within / 4))
+            self.acts.append(m.Wake("watch", self.random.random() * settings.must_ask_within / 2))
         self.answer: dict[type, Callable[..., None]] = {
             m.Request: self.on_request, m.JobNote: self.on_note, m.StreamBegun: self.on_note,
             m.Outcome: self.on_outcome, m.Withdrawn: self.on_withdrawn, m.WorkerList: self.on_list,
@@ -228,7 +228,7 @@
     def on_list(self, event: m.WorkerList) -> None:
         if event.kind is m.ListKind.FAILED:  # ask again, later each time: the service may be swamped or down
             self.ask_tries = min(self.ask_tries + 1, 16)
-            wait = min(self.set.tick * 50 * 2**self.ask_tries, self.set.must_ask_within / 2)
+            wait = self.set.must_ask_within * min(2**self.ask_tries / 32, 0.5)
             return self.acts.append(m.Wake("watch", wait * (0.5 + self.random.random())))
         self.ask_tries = 0
         if event.kind is not m.ListKind.CHANGES:
--- a/bitternpath/core/broker.py
+++ b/bitternpath/core/broker.py
@@ -88,6 +88,7 @@
         self.waiting = 0  # invocations that are owed an answer
         self.counts: Counter[str] = Counter()
         self.idle: Callable[[], None] = lambda: None  # called whenever nothing is owed any more
+        self.ask: Callable[[], None] = lambda: None  # has the source watch discovery, from the revision held
         self._batch: list[Event] = []
         self._scheduled = False
 
@@ -157,6 +158,10 @@
         whole = m.ListKind.WHOLE if listing.complete else m.ListKind.CHANGES
         self._append(Listed(listing, m.ListKind.AT_START if at_start else whole))
 
+    def asked_in_vain(self) -> None:
+        """Discovery did not grant what was asked for, or has ended it."""
+        self._append(Listed(Listing(0, False, ()), m.ListKind.FAILED))
+
     # ---- the loop
 
     def _append(self, event: Event) -> None:
@@ -293,6 +298,8 @@
                     if not call.over:
                         self.invokers[call.protocol].give_up(call)
                         self._append(Ended(call, m.How.CANCELLED))
+            case m.Watch():
+                self.ask()
             case m.Wake(label, delay):
                 self.later.callLater(delay / 1000.0, self._append, Due(label))
             case _:
--- a/bitternpath/http/watch.py
+++ b/bitternpath/http/watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -57,7 +58,7 @@
             if head is None:
                 return
             if getattr(head, "status", 0) != 200:
-                raise HttpError(400, "the watch was not granted")
+                raise HttpError(400, f"the watch was not granted: {getattr(head, 'status', 0)}")
             self.line += self.reader.piece()
             *lines, rest = self.line.split(b"\n")
             self.line = rest
@@ -92,10 +93,22 @@
 
 
 class Watch:
-    """Keeps a watch open on discovery. When discovery moves, the old one is kept until the new one speaks."""
-
-    def __init__(self, reactor: Any, roster: Roster, address: Address, random: Random) -> None:
+    """Keeps a watch open on discovery. When discovery moves, the old one is kept until the new one speaks.
+
+    An agent that answers at no cost is asked again soon. Where discovery is one service that all nodes have
+    to ask, `failed` is given: it hears of each watch that was refused or has ended, and whoever decides when
+    to ask again calls `start`."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        roster: Roster,
+        address: Address,
+        random: Random,
+        failed: Callable[[], None] | None = None,
+    ) -> None:
         self.reactor, self.roster, self.address, self.random = reactor, roster, address, random
+        self.failed = failed
         self.pause = FIRST_PAUSE
         self.spoke = False  # discovery has answered at least once
         self._current: _WatchProtocol | None = None  # has spoken
@@ -146,6 +159,10 @@
             return  # where another is being opened, that goes on
         if self._again is not None and self._again.active():
             return
+        if self.failed is not None:
+            log.info("watch lost", why=why)
+            self.failed()
+            return
         wait = self.pause * (0.5 + self.random.random())
         self.pause = min(2 * self.pause, LONGEST_PAUSE)
         log.info("watch lost", why=why, again_in=wait)
--- a/bitternpath/node.py
+++ b/bitternpath/node.py
@@ -51,7 +51,12 @@
         self.invokers: dict[str, Invoker] = {"http": self.pool}
         self.broker = Broker(reactor, self.clock, self.roster, self.invokers, self.module.handle)
         self.pool.broker = self.broker
-        self.watch = Watch(reactor, self.roster, config.discovery, Random(config.seed ^ 0x5EED))
+        # Where the list has to be asked for, the module decides when; else the node's own agent tells it.
+        asks = config.settings.ask_for_list
+        failed = self.broker.asked_in_vain if asks else None
+        self.watch = Watch(reactor, self.roster, config.discovery, Random(config.seed ^ 0x5EED), failed)
+        if asks:
+            self.broker.ask = self.watch.start
         self.listener = Listener(
             reactor,
             self.clock,
@@ -102,7 +107,8 @@
         if self.amqp is not None:
             self.amqp.listen(*address(self.at_start.amqp.listen))
         self.pool.run()
-        self.watch.start()
+        if not self.loaded.platform.settings.ask_for_list:
+            self.watch.start()
         self.reactor.callLater(REPORT_EVERY, self._report)
         kv = {
             "name": self.loaded.platform.name,
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -2,11 +2,20 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import Counter
+from random import Random
+from typing import Any
 
 from helpers import Talk, entry, listing, sends
+from twisted.internet.error import ConnectionDone
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
 
 from bitternpath import messages as m
+from bitternpath.core.broker import Broker
+from bitternpath.core.roster import Listing, Roster
+from bitternpath.http.watch import Watch
 
 NODES, WORKERS = 40, 60
 
@@ -75,3 +84,60 @@
             talk.say(m.JobNote(f"r{n}", 0, send.worker), 600.0)
             talk.end(f"r{n}", send.worker, m.How.OK, after=100.0)
     assert talk.d.mean_wait > 300.0
+
+
+def test_a_herd_of_nodes_does_not_swamp_a_discovery_service_of_fixed_capacity() -> None:
+    """Asked at once and again within a second, it served only calls that had already failed by waiting."""
+    serves, waits = 150.0, 2000.0  # ms for a call; ms after which a waiting call fails
+    talks = fleet(ask_for_list=True)
+    start, free, calls, granted = talks[0].now, 0.0, 0, set[int]()
+
+    def ask_in(acts: list[m.Action]) -> list[float]:
+        return [a.delay for a in acts if isinstance(a, m.Wake) and a.label == "watch"]
+
+    due = [(delay, k, "ask") for k, talk in enumerate(talks) for delay in ask_in(talk.first)]
+    heapq.heapify(due)
+    while due and due[0][0] < 20_000.0:
+        at, k, what = heapq.heappop(due)
+        talks[k].now = start + at
+        if what == "failed":
+            for delay in ask_in(talks[k].say(m.WorkerList(m.ListKind.FAILED))):
+                heapq.heappush(due, (at + delay, k, "ask"))
+        elif any(isinstance(a, m.Watch) for a in talks[k].say(m.Alarm("watch"))) and k not in granted:
+            calls += 1
+            free = max(free, at) + serves  # in turn, and at the same cost if nobody waits any more
+            if free - at > waits:
+                heapq.heappush(due, (at + waits, k, "failed"))
+            else:
+                granted.add(k)
+    assert len(granted) == NODES and calls < 2 * NODES
+
+
+def test_a_watch_that_is_refused_is_opened_again_when_the_module_says_so() -> None:
+    """The watch opened itself again within a second, whatever the module knew of an overbooked service."""
+    reactor: Any = MemoryReactorClock()
+    roster = Roster(Listing(7, True, ()))
+    handed = list[m.Event]()
+
+    def handle(now: float, event: m.Event) -> list[m.Action]:
+        handed.append(event)
+        return [m.Watch()] if isinstance(event, m.Alarm) else [m.Wake("watch", 5000.0)]
+
+    broker = Broker(reactor, reactor.seconds, roster, {}, handle)
+    watch = Watch(reactor, roster, ("10.0.0.1", 1), Random(1), broker.asked_in_vain)
+    broker.ask = watch.start
+    watch.start()
+    for turn in range(1, 4):
+        assert len(reactor.tcpClients) == turn
+        wire = StringTransport()
+        protocol = reactor.tcpClients[-1][2].buildProtocol(None)
+        protocol.makeConnection(wire)
+        assert b"index=7" in wire.value()  # from the revision held
+        protocol.dataReceived(b"HTTP/1.1 503 Overbooked\r\nContent-Length: 0\r\n\r\n")
+        protocol.connectionLost(Failure(ConnectionDone()))
+        reactor.advance(0.0)
+        assert handed[-1] == m.WorkerList(m.ListKind.FAILED, [])
+        reactor.advance(4.9)
+        assert len(reactor.tcpClients) == turn
+        reactor.advance(0.2)
+        reactor.advance(0.0)
