An idle cold home gets the next job when the last has ended, not after a time

The pace may be set by what ends there: with one own job out a cold worker can't be sent more than it does.

--- a/bitternpath/brain.py
+++ b/bitternpath/brain.py
@@ -28,7 +28,8 @@
 LOST = 4.0  # mean running times after which a job that has not begun counts as lost
 SILENT = 1.0  # of the aim: a worker not heard from for so long after a send leaves the usable set
 # Of the multiple: slots that those whose home a cold worker is, and all others, may fill at a share of 1.
-COLD_HOME, COLD_REST = 0.6, 0.15
+COLD_HOME, COLD_REST = 0.8, 0.2
+COLD_IDLE = 0.3  # of a job's work before the next goes to an idle cold home: what ends there sets the pace
 
 
 class Worker:
@@ -209,7 +210,7 @@
         self.mean_wait = self.mean_run = 0.0  # of late, over all workers and classes
         # Where starts are not told, the first note of progress comes one interval after the start.
         self.behind = 0.0 if settings.tells_start else settings.progress_every or float("inf")
-        self.ask_tries, self.begun_at = 0, now
+        self.ask_wait, self.begun_at = settings.must_ask_within / 16, now
         self.acts: list[m.Action] = [m.Wake("sweep", self.pause)]
         if settings.ask_for_list:  # spread out: a fleet that starts at once would swamp the list service
             self.acts.append(m.Wake("watch", self.random.random() * settings.must_ask_within / 2))
@@ -227,10 +228,9 @@
 
     def on_list(self, event: m.WorkerList) -> None:
         if event.kind is m.ListKind.FAILED:  # ask again, later each time: the service may be swamped or down
-            self.ask_tries = min(self.ask_tries + 1, 16)
-            wait = self.set.must_ask_within * min(2**self.ask_tries / 32, 0.5)
+            wait, self.ask_wait = self.ask_wait, min(2 * self.ask_wait, self.set.must_ask_within / 2)
             return self.acts.append(m.Wake("watch", wait * (0.5 + self.random.random())))
-        self.ask_tries = 0
+        self.ask_wait = self.set.must_ask_within / 16
         if event.kind is not m.ListKind.CHANGES:
             named = {entry.worker for entry in event.entries}
             for name in [name for name in self.workers if name not in named]:
@@ -275,9 +275,10 @@
         """When a cold worker may get the next job, for all dispatchers together must not push it over."""
         if worker.warm_at <= self.now:
             return 0.0
-        many, n = self.set.dispatchers, len(self.workers)
-        slots = COLD_HOME * n / (n + many) if worker.name in self.homes else COLD_REST / many
-        gap = worker.cold_work / (slots * self.set.fall_multiple * self.share(worker))
+        home, many, n = worker.name in self.homes, self.set.dispatchers, len(self.workers)
+        slots = COLD_HOME * n / (n + many) if home else COLD_REST / many
+        slots *= self.set.fall_multiple * self.share(worker)
+        gap = worker.cold_work * (COLD_IDLE if home and not worker.load(self.now) else 1 / slots)
         return min(worker.cold_at + gap, worker.warm_at)
 
     def on_request(self, event: m.Request) -> None:
@@ -360,8 +361,8 @@
         # No queue grows longer than the hastiest class bears, and by jobs that earn less for their time even
         # less: what has to wait is held here, out of the way.
         lines = self.lines.values()
-        share = job.line.earns() / max(max(line.earns() for line in lines), 1e-9) if job.line.run else 1.0
-        longest = share * min(line.bears() for line in lines)
+        part = job.line.earns() / max(max(line.earns() for line in lines), 1e-9) if job.line.run else 1.0
+        longest = part * min(line.bears() for line in lines)
         broken = [w for w in workers if w.faults and w.broken(job.line, now)]
         broken = broken if 2 * len(broken) <= n else []  # else it is hardly the workers' fault
         best, best_score = None, 0.0
@@ -377,15 +378,14 @@
                 age, own = now - w.wait_at, w.own_queue(self.mean_run)
                 # A queue drains since it was seen, but others send. What is late goes where none is likely,
                 # no own job is out and it can end before its deadline: else others would be late as well.
-                limit, seen, load = min(kinds.get(w.kind, 0.0), longest), max(w.wait - age, 0.0), w.load(now)
-                unseen = 0.0 if places is homes else usual
-                if w.warm_at > now:
-                    limit -= paces.get(w.kind, 0.0) * job.size * (1 / self.share(w) - 1)
-                if late and (max(seen, unseen) + load > 0.0 or paces.get(w.kind, 0.0) * job.size > left):
+                pace, share = paces.get(w.kind, 0.0) * job.size, self.share(w)
+                limit = min(kinds.get(w.kind, 0.0), longest) - pace * (1 / share - 1)
+                seen, unseen, load = max(w.wait - age, 0.0), 0.0 if places is homes else usual, w.load(now)
+                if late and (max(seen, unseen) + load > 0.0 or pace > left):
                     continue
                 if not late and max(seen, unseen if limit > 0 else 0.0) + own > max(limit, 0.0):
                     continue
-                score = q[k] / (1 + load) * self.share(w) * (1 + 0.01 * rand())
+                score = q[k] / (1 + load) * share * (1 + 0.01 * rand())
                 if score > best_score and (not job.tries or self.allowed(job, w)):
                     best, best_score = w, score
             if best is not None:
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -76,6 +76,27 @@
     assert max(carried) < multiple * 2 * share
 
 
+def test_a_cold_home_gets_the_next_job_when_the_last_has_ended() -> None:
+    """Paced by time alone, cold homes stood idle for half of it though jobs were held for want of a place."""
+    (talk,) = fleet(cold_share=0.05, warm_within=20_000.0)[:1]
+    for n in range(40):
+        (send,) = sends(talk.ask(f"t{n}"))
+        talk.say(m.JobNote(f"t{n}", 0, send.worker), 1.0)
+        talk.end(f"t{n}", send.worker, m.How.OK, after=100.0)
+    home = talk.d.homes[0]
+    talk.say(listing(*[entry(f"w{k}") for k in range(WORKERS) if f"w{k}" != home], kind=m.ListKind.WHOLE))
+    talk.say(listing(entry(home, up_since=talk.now), kind=m.ListKind.CHANGES))
+    talk.sweep(500.0)
+    for worker in talk.d.workers.values():  # no other place is free
+        worker.full_until, worker.room = (0.0 if worker.name == home else talk.now + 60_000.0), 0
+    for turn in range(5):
+        talk.ask(f"r{turn}")
+        out = [t for t in talk.d.out if t.worker.name == home]
+        assert len(out) == 1, turn
+        talk.say(m.JobNote(out[0].job.id, out[0].n, home))
+        talk.end(out[0].job.id, home, m.How.OK, after=300.0)  # three times as long as on a warm one
+
+
 def test_a_dispatcher_with_few_jobs_learns_of_long_waits_within_seconds() -> None:
     """With a fixed weight for each job it took twenty seconds, and all queues were long by then."""
     (talk,) = fleet()[:1]
