--- a/bitternpath/emulator/discovery.py
+++ b/bitternpath/emulator/discovery.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -32,6 +33,8 @@
         self.revision = 1
         self.nodes: dict[str, Tell] = {}
         self.down = False  # it says nothing
+        self.asked, self.granted = Counter[str](), Counter[str]()  # calls, by node
+        self._busy_until = 0.0  # where it has to be asked
         self.dropped = 0.0  # share of changes that a node is told later, with the next one
         self.slower = 1.0
         self._lags: dict[str, float] = {}
@@ -50,6 +53,26 @@
     def whole(self) -> Listing:
         return Listing(self.revision, True, tuple(self.rows.values()))
 
+    # ---- where nodes have to ask
+
+    def ask(self, name: str, granted: Callable[[], None], failed: Callable[[], None]) -> None:
+        """One call. Calls are served in turn; one that has waited too long has failed, but is served."""
+        self.asked[name] += 1
+        told, now = self.settings, self.later.now
+        if self.down:
+            self.later.callLater(told.call_waits_s, failed)
+            return
+        done = max(self._busy_until, now) + 1.0 / told.calls_per_s
+        if done - now > 2 * told.call_waits_s:  # no more wait than it could ever serve
+            self.later.callLater(0.0, failed)
+            return
+        self._busy_until = done
+        if done - now > told.call_waits_s:
+            self.later.callLater(told.call_waits_s, failed)
+        else:
+            self.granted[name] += 1
+            self.later.callLater(done - now, granted)
+
     # ---- what happens to workers
 
     def started(self, worker: Worker) -> None:
--- a/bitternpath/emulator/nodes.py
+++ b/bitternpath/emulator/nodes.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from random import Random
@@ -70,6 +71,9 @@
         self.broker: Any = None
         self.tickets: dict[str, Invocation] = {}
         self.conns: dict[str, list[float]] = {}  # worker: idle connections, by when they were used
+        self.open: Counter[str] = Counter()  # worker: connections, where their number is limited
+        self.dials = 0
+        self.last: Listing | None = None  # the list of the life before
 
     # ---- its lives
 
@@ -78,7 +82,8 @@
         world = self.world
         self.up, self.stopped = True, False
         self.timer = NodeTimer(self, world.later)
-        listing = known or world.directory.whole()
+        asks = world.scenario.discovery.calls_per_s > 0.0
+        listing = known or (self.last if asks and self.last else world.directory.whole())
         self.roster = Roster(listing)
         self.policy = world.make_policy(self)
         self.broker = Broker(
@@ -87,13 +92,30 @@
         self.roster.tell = self.broker.listed
         self.broker.listed(listing, at_start=True)
         # What the module asked for at its start comes with its first event's actions, as on sockets.
-        world.directory.nodes[self.name] = self.hear
+        if asks:
+            self.broker.ask = partial(self._ask, self.timer)
+        else:
+            world.directory.nodes[self.name] = self.hear
         self.conns.clear()
         world.later.callLater(0.0, world.front.admit, self)
         current = world.directory.whole()
-        if known is not None:
+        if known is not None and not asks:
             world.later.callLater(0.05, self.hear, self.name, current)
 
+    def _ask(self, life: NodeTimer) -> None:
+        """Discovery is asked for a watch; whatever it says is for this life alone."""
+
+        def granted() -> None:
+            if self.timer is life and self.up:
+                self.world.directory.nodes[self.name] = self.hear
+                self.hear(self.name, self.world.directory.whole())
+
+        def failed() -> None:
+            if self.timer is life and self.up:
+                self.broker.asked_in_vain()
+
+        self.world.directory.ask(self.name, granted, failed)
+
     def clock(self) -> float:
         return float(EPOCH + self.world.later.now * 1000.0)
 
@@ -123,6 +145,10 @@
         world = self.world
         self.up = False
         self.timer = None
+        self.last = Listing(self.roster.revision, True, tuple(self.roster.providers.values()))
+        for name, many in self.open.items():
+            world.workers[name].connections -= many
+        self.open.clear()
         self.asleep.clear()
         world.directory.nodes.pop(self.name, None)
         world.checker.died(world.later.now, self.name)
@@ -217,9 +243,8 @@
         world.tally.attempt(now, self.site != worker.site)
         delay = net.delay(self.site, worker.site)
         work, wait = ask.work, delay
+        self._idle_over(worker.id)
         idle = self.conns.get(worker.id)
-        while idle and idle[-1] < now - world.scenario.net.idle_s * KEPT_SHARE:
-            idle.pop()
         if idle:
             idle.pop()
         else:
@@ -227,9 +252,14 @@
             if not worker.reachable or not both:
                 self._not_connected(call, worker, world.dial_timeout)
                 return
-            if not worker.up:
+            most = worker.kind.connections
+            if not worker.up or (most and worker.connections >= most):
                 self._not_connected(call, worker, 2 * delay)
                 return
+            self.dials += 1
+            if most:
+                worker.connections += 1
+                self.open[worker.id] += 1
             wait += world.scenario.net.handshake_rtts * 2 * delay
             work += world.scenario.net.handshake_work_ms / 1000.0
         deadline = (call.expires - EPOCH) / 1000.0
@@ -272,7 +302,21 @@
         self.broker.ended(call, m.How.FULL)
 
     def _kept(self, worker: str) -> None:
-        self.conns.setdefault(worker, []).append(self.world.later.now)
+        world = self.world
+        self.conns.setdefault(worker, []).append(world.later.now)
+        if self.open[worker]:
+            self.timer.callLater(world.scenario.net.idle_s * KEPT_SHARE, self._idle_over, worker)
+
+    def _idle_over(self, worker: str) -> None:
+        """Connections that have been idle for long enough are closed."""
+        # A timer of just that length may fire a rounding error too early.
+        before = self.world.later.now - self.world.scenario.net.idle_s * KEPT_SHARE + 1e-9
+        idle = self.conns.get(worker) or []
+        while idle and idle[0] <= before:
+            idle.pop(0)
+            if self.open[worker]:
+                self.open[worker] -= 1
+                self.world.workers[worker].connections -= 1
 
     def give_up(self, call: InvokerCall) -> None:
         """Workers finish what they have."""
--- a/bitternpath/emulator/scenario.py
+++ b/bitternpath/emulator/scenario.py
@@ -50,6 +50,7 @@
     cold_s: Range = 16.0  # s until it is warm
     errors: Share = 0.0  # of jobs
     drops_expired: bool = False  # a job whose time is up is not begun
+    connections: Annotated[int, Meta(ge=0)] = 0  # that a worker holds at once, idle ones too; 0: any number
 
 
 class JobClass(Struct, frozen=True, forbid_unknown_fields=True):
@@ -103,6 +104,12 @@
     silent_notice_s: Range = 8.0  # until silence is told
     add_s: Range = 0.7  # until a start is told
     spread_s: Least0 = 0.1  # between the first node that hears and the last
+    # Calls a second that one service answers in turn for all nodes; 0: it tells each node by itself.
+    calls_per_s: Least0 = 0.0
+    call_waits_s: Positive = (
+        2.0  # a call fails when it has waited so long, and costs the service all the same
+    )
+    must_ask_s: Positive = 10.0  # within which a node has to ask, as it is told
 
 
 class Rules(Struct, frozen=True, forbid_unknown_fields=True):
--- a/bitternpath/emulator/troubles/workers.py
+++ b/bitternpath/emulator/troubles/workers.py
@@ -1,4 +1,4 @@
-"""Workers that are slow, pause, share their machine, answer errors, or vanish and come back cold."""
+"""Workers that are slow, pause, share their machine, err, are replaced, or vanish and come back cold."""
 
 from __future__ import annotations
 
@@ -115,6 +115,14 @@
     active.undo = undo
 
 
+@trouble("replace")
+def replace(world: Any, active: Active, random: Random) -> None:
+    """They are replaced by new machines with new names, one after the other."""
+    workers = [w for w in some_workers(world, active, random) if w.up]
+    for k, worker in enumerate(workers):
+        world.later.callLater(active.lasts * k / len(workers), world.replace, worker, random)
+
+
 @trouble("call-backs")
 def call_backs(world: Any, active: Active, random: Random) -> None:
     """`size` of the call-backs come twice; those of a `part` of the workers are held up until the end."""
--- a/bitternpath/emulator/wall.py
+++ b/bitternpath/emulator/wall.py
@@ -35,7 +35,7 @@
 from bitternpath.emulator.clients import Clients, Front, Try
 from bitternpath.emulator.discovery import Directory
 from bitternpath.emulator.network import Network
-from bitternpath.emulator.scenario import Scenario, drawn
+from bitternpath.emulator.scenario import Scenario, ScenarioError, drawn
 from bitternpath.emulator.service import Tally
 from bitternpath.emulator.troubles import Active, begin
 from bitternpath.emulator.worker import Attempt, Worker
@@ -728,10 +728,22 @@
         return result
 
 
+def _in_virtual_time_only(scenario: Scenario) -> str:
+    """What of the scenario the sockets can't show; empty where they show all."""
+    if scenario.discovery.calls_per_s:
+        return "discovery.calls_per_s"
+    if any(kind.connections for kind in scenario.kinds):
+        return "kinds.connections"
+    return "troubles: replace" if any(t.kind == "replace" for t in scenario.troubles) else ""
+
+
 def play_on_sockets(
     scenario: Scenario, seed: int, each_second: Callable[[WallWorld], None] | None = None
 ) -> Result:
     """One run with real nodes; VoidError where the machine was too busy to tell."""
+    only = _in_virtual_time_only(scenario)
+    if only:
+        raise ScenarioError(f"{scenario.name}: {only}: in virtual time only, leave out --sockets")
     from twisted.internet import reactor as installed
 
     reactor: Any = installed
--- a/bitternpath/emulator/worker.py
+++ b/bitternpath/emulator/worker.py
@@ -75,6 +75,7 @@
         self.queue: deque[Attempt] = deque()
         self.running: list[tuple[float, int, Attempt]] = []  # by the `v` at which they end
         self.used = 0  # slots
+        self.connections = 0  # held by all nodes, where their number is limited
         self.done_work = 0.0  # s of core time that ended well
         self.pressure: deque[tuple[float, float, bool]] = (
             deque()
--- a/bitternpath/emulator/world.py
+++ b/bitternpath/emulator/world.py
@@ -24,6 +24,7 @@
 
 CELL = 4  # workers that share a cell
 TAIL = 2.0  # s after the last deadline
+OVERLAP = 3.0  # s that a machine which is replaced still drains
 
 
 class Result(Struct):
@@ -83,6 +84,8 @@
         try_limit=rules.try_limit,
         max_retry_after=scenario.clients.longest_retry_after_ms,
         tick=2.0,
+        ask_for_list=scenario.discovery.calls_per_s > 0.0,
+        must_ask_within=scenario.discovery.must_ask_s * 1000.0,
         tells_start=rules.tells_start,
         in_order=True,
         marks_retry=scenario.clients.marks_retry,
@@ -93,6 +96,11 @@
     )
 
 
+def worker_name(random: Random, site: str) -> str:
+    """A machine's name; sorted, names tell nothing of age or kind, nor of the site that is written behind."""
+    return f"{random.getrandbits(32):08x}-{site}"
+
+
 class World:
     """A scenario with a seed and a policy."""
 
@@ -139,17 +147,21 @@
     # ---- its parts
 
     def _workers(self, random: Random) -> dict[str, Worker]:
-        kinds, rules = self.scenario.kinds, self.scenario.rules
+        kinds, names = self.scenario.kinds, Random(f"{self.seed} names")
         made: dict[str, Worker] = {}
         for site in self.scenario.sites:
             for _ in range(site.workers):
                 kind: Kind = random.choices(kinds, [kind.share for kind in kinds])[0]
-                name = f"w{len(made)}-{site.name}"
-                worker = made[name] = Worker(name, site.name, kind, len(made) // CELL, self.later, random)
-                worker.fall_multiple, worker.fall_span = rules.fall_multiple, rules.fall_ms / 1000.0
-                worker.on_fall = self._fell
+                name = worker_name(names, site.name)
+                made[name] = self._worker(name, site.name, kind, len(made) // CELL, random)
         return made
 
+    def _worker(self, name: str, site: str, kind: Kind, cell: int, random: Random) -> Worker:
+        worker, rules = Worker(name, site, kind, cell, self.later, random), self.scenario.rules
+        worker.fall_multiple, worker.fall_span = rules.fall_multiple, rules.fall_ms / 1000.0
+        worker.on_fall = self._fell
+        return worker
+
     def _nodes(self) -> dict[str, VirtualNode]:
         made: dict[str, VirtualNode] = {}
         for site in self.scenario.sites:
@@ -256,6 +268,8 @@
         else:
             for node in self.nodes.values():
                 node.conns.pop(worker.id, None)
+                node.open.pop(worker.id, None)
+            worker.connections = 0
             for attempt in had:  # the machine's agent saw the process die
                 attempt.tell(attempt, "lost")
         self.directory.ended(worker, silent)
@@ -265,9 +279,20 @@
         worker.reachable = True
         for node in self.nodes.values():
             node.conns.pop(worker.id, None)
+            node.open.pop(worker.id, None)
+        worker.connections = 0
         worker.start(cold)
         self.directory.started(worker)
 
+    def replace(self, old: Worker, random: Random) -> None:
+        """A machine gives way to a new one: it drains and ends, the other starts cold under a new name."""
+        self.directory.draining(old)
+        self.later.callLater(OVERLAP, self.end_process, old, False)
+        name = worker_name(random, old.site)
+        new = self.workers[name] = self._worker(name, old.site, old.kind, old.cell, random)
+        new.up = False
+        self.start_process(new)
+
     # ---- a run
 
     def run(self) -> Result:
