A console with readiness and figures

Change: http/console.py listens at the console's address, one call a connection; core/figures.py counts outcomes where an invocation ends and attempts where their last byte is written. The module says whom it avoids; the line for that came from dropping the probe's answer, which no node may ask for.

--- a/bitternpath/brain.py
+++ b/bitternpath/brain.py
@@ -1,7 +1,7 @@
 """All decisions of one dispatcher: `Dispatcher.handle` takes an event and returns actions.
 
 The types are in messages.py: Settings, JobClass; events Request, JobNote, StreamBegun, Outcome, Withdrawn,
-WorkerList, ProbeResult, Alarm; actions Send, Refuse, Fail, Cancel, Watch, Wake. Times are in ms."""
+WorkerList, Alarm; actions Send, Refuse, Fail, Cancel, Watch, Wake. Times are in ms."""
 
 from __future__ import annotations
 
@@ -217,7 +217,7 @@
         self.answer: dict[type, Callable[..., None]] = {
             m.Request: self.on_request, m.JobNote: self.on_note, m.StreamBegun: self.on_note,
             m.Outcome: self.on_outcome, m.Withdrawn: self.on_withdrawn, m.WorkerList: self.on_list,
-            m.ProbeResult: self.on_probe, m.Alarm: self.on_alarm,
+            m.Alarm: self.on_alarm,
         }  # fmt: skip
 
     def handle(self, now: float, event: m.Event) -> list[m.Action]:
@@ -517,9 +517,10 @@
         if not out:
             self.jobs.pop(job.id, None)
 
-    def on_probe(self, event: m.ProbeResult) -> None:
-        if event.ok and event.worker in self.workers:
-            self.hear(self.workers[event.worker])
+    def avoids(self, now: float) -> set[str]:
+        """Workers that are left out now, for silence or for faults."""
+        workers, lines = self.workers.values(), self.lines.values()
+        return {w.name for w in workers if w.out_until > now or all(w.broken(c, now) for c in lines)}
 
     def retry_held(self, many: int) -> None:
         """Try to place held jobs, newest first: in overload, oldest first would make all of them late."""
@@ -546,8 +547,7 @@
             if not attempt.scored:
                 attempt.scored = True
                 line.net.learn(worker, attempt.job.size / (age + line.run), whole=False)
-            overtaken = self.set.in_order and worker.last_begun > attempt.sent + OVERTAKEN
-            if overtaken and not attempt.lost:
+            if self.set.in_order and not attempt.lost and worker.last_begun > attempt.sent + OVERTAKEN:
                 self.lose(attempt)
                 self.fault(worker, line)
             if attempt.lost:
--- a/bitternpath/config/platform.py
+++ b/bitternpath/config/platform.py
@@ -33,6 +33,7 @@
     settings: m.Settings
     dial_timeout: float  # ms
     idle_timeout: float  # ms after which a provider closes an idle connection
+    console: Address | None = None  # where operators call; None: nowhere
 
 
 def address(text: str) -> Address:
@@ -75,6 +76,7 @@
     allowed, limits = conf.get("allowed") or {}, told.get("limits") or {}
     known, filed = told.get("known"), told.get("discovery")
     discovery_in_file = address(filed) if filed else None
+    console = environ.get("PROXY_CONSOLE") or told.get("console")
     config = Config(
         name=str(environ.get("PROXY_NAME") or told.get("name") or "node"),
         listen=address(environ.get("PROXY_LISTEN") or told["listen"]),
@@ -86,6 +88,7 @@
         settings=settings_from(conf),
         dial_timeout=float(allowed.get("dialTimeout") or 1000.0),
         idle_timeout=float(allowed.get("connIdle") or 10_000.0),
+        console=address(console) if console else None,
     )
     if config.sockets < 64:
         raise ValueError(f"limits.sockets: at least 64 are needed, not {config.sockets}")
--- a/bitternpath/core/broker.py
+++ b/bitternpath/core/broker.py
@@ -16,6 +16,7 @@
 
 from bitternpath import messages as m
 from bitternpath.core.clock import Later
+from bitternpath.core.figures import Figures
 from bitternpath.core.invocations import CALLS_BACK, Invocation, InvokerCall, Invokers, State
 from bitternpath.core.roster import Listing, Provider, Roster
 
@@ -87,6 +88,7 @@
         self.answer_by = float("inf")  # what arrives from now on is answered by then, whatever its deadline
         self.waiting = 0  # invocations that are owed an answer
         self.counts: Counter[str] = Counter()
+        self.figures = Figures()
         self.idle: Callable[[], None] = lambda: None  # called whenever nothing is owed any more
         self.ask: Callable[[], None] = lambda: None  # has the source watch discovery, from the revision held
         self._batch: list[Event] = []
@@ -267,6 +269,7 @@
     def _answer(self, invocation: Invocation, how: Callable[[], None], word: str) -> None:
         self._close(invocation)
         self.counts[word] += 1
+        self.figures.ended(invocation.job_class, word)
         how()
 
     def _last_moment(self, invocation: Invocation) -> None:
--- /dev/null
+++ b/bitternpath/core/figures.py
@@ -0,0 +1,52 @@
+"""What the node counts for operators, in StatsD's line form (`name:value|c` counts, `name:value|g` gauges).
+
+Counts begin at 0 with the process and only grow; each is added to at the one place where the thing happens. A
+gauge is read, when somebody asks, from the object that holds the truth: nothing here is kept twice.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+
+PREFIX = "app."
+BACKEND_CALLS = "backend_calls"  # attempts whose last byte was written to a provider
+OUTCOMES = {"served": "success", "rejected": "busy", "failed": "failure"}  # ours and the operators'
+
+
+class Figures:
+    """Counts by class, counts of the node, and gauges."""
+
+    def __init__(self, classes: Iterable[str] = ()) -> None:
+        self._calls: dict[str, dict[str, int]] = {}
+        self._counts: Counter[str] = Counter()
+        self._gauges: dict[str, Callable[[], int]] = {}
+        self.know(classes)
+
+    def know(self, classes: Iterable[str]) -> None:
+        """Classes of the settings: at 0 from their first moment. One that is dropped keeps its counts."""
+        for name in classes:
+            self._calls.setdefault(name, dict.fromkeys(OUTCOMES.values(), 0))
+
+    def ended(self, job_class: str, outcome: str) -> None:
+        """A job of the class was served, rejected or failed."""
+        if job_class not in self._calls:
+            self.know((job_class,))
+        self._calls[job_class][OUTCOMES[outcome]] += 1
+
+    def count(self, name: str) -> None:
+        self._counts[name] += 1
+
+    def has(self, counts: Iterable[str] = (), gauges: Mapping[str, Callable[[], int]] | None = None) -> None:
+        """Further figures of the node: counts that are there at 0, gauges and who knows them."""
+        for name in counts:
+            self._counts.setdefault(name, 0)
+        self._gauges |= gauges or {}
+
+    def lines(self) -> str:
+        """All of them, one a line."""
+        counts = [(f"calls.{c}.{o}", n) for c, by in self._calls.items() for o, n in by.items()]
+        counts += self._counts.items()
+        gauges = [(name, read()) for name, read in self._gauges.items()]
+        told = [f"{PREFIX}{name}:{value}|c\n" for name, value in counts]
+        return "".join(told + [f"{PREFIX}{name}:{value}|g\n" for name, value in gauges])
--- a/bitternpath/http/front.py
+++ b/bitternpath/http/front.py
@@ -370,6 +370,7 @@
             connection.keep_alive = False
             connection.rejected(self.retry_after(self.clock(), spec.name))
             self.broker.counts["no_room"] += 1
+            self.broker.figures.ended(spec.name, "rejected")
         else:
             key = headers.get(b"x-route-hash", b"")
             info = figures(headers[b"x-call-info"]) if b"x-call-info" in headers else {}
--- a/bitternpath/http/invoker.py
+++ b/bitternpath/http/invoker.py
@@ -16,6 +16,7 @@
 from bitternpath import messages as m
 from bitternpath.core.broker import Broker
 from bitternpath.core.clock import Clock
+from bitternpath.core.figures import BACKEND_CALLS
 from bitternpath.core.invocations import InvokerCall, Payload
 from bitternpath.core.roster import Listing, Provider, Roster
 from bitternpath.http import http1
@@ -79,6 +80,8 @@
             return
         if exchange is not None:
             exchange.written = True
+            if exchange.call is not None:
+                self.pool.broker.figures.count(BACKEND_CALLS)
         self.transport.unregisterProducer()
 
     def stopProducing(self) -> None:
--- a/bitternpath/messages.py
+++ b/bitternpath/messages.py
@@ -238,16 +238,7 @@
     label: str
 
 
-class ProbeResult(Struct):
-    """The answer to a `Probe`."""
-
-    worker: str
-    ok: bool
-    elapsed: float
-    report: tuple[float | None, ...] | None = None
-
-
-Event = Request | StreamBegun | JobNote | Outcome | Withdrawn | WorkerList | Alarm | ProbeResult
+Event = Request | StreamBegun | JobNote | Outcome | Withdrawn | WorkerList | Alarm
 
 # ---- actions
 
@@ -280,12 +271,6 @@
     attempt: int
 
 
-class Probe(Struct):
-    """Look at a worker."""
-
-    worker: str
-
-
 class Watch(Struct):
     """Ask to be told of changes to the worker list."""
 
@@ -299,4 +284,4 @@
     delay: float
 
 
-Action = Send | Refuse | Fail | Cancel | Probe | Watch | Wake
+Action = Send | Refuse | Fail | Cancel | Watch | Wake
--- a/bitternpath/net/sockets.py
+++ b/bitternpath/net/sockets.py
@@ -32,8 +32,8 @@
         self.resize(limit)
 
     def reserve(self, many: int) -> None:
-        """Keep so many for another front, which counts them itself."""
-        self.reserved = many
+        """Keep so many more for another front, which counts them itself."""
+        self.reserved += many
         self.resize(self.limit)
 
     def resize(self, limit: int) -> None:
--- a/bitternpath/node.py
+++ b/bitternpath/node.py
@@ -14,9 +14,10 @@
 from bitternpath.brain import Dispatcher
 from bitternpath.config.load import Loaded
 from bitternpath.config.operator import changed_at_start_only
-from bitternpath.config.platform import Config, ConfigError, address
+from bitternpath.config.platform import Address, Config, ConfigError, address
 from bitternpath.core.broker import Broker
 from bitternpath.core.clock import Clock
+from bitternpath.core.figures import BACKEND_CALLS
 from bitternpath.core.invocations import Invoker
 from bitternpath.core.roster import Listing, Roster
 from bitternpath.http.front import NEW_ONES_ARRIVE, Listener
@@ -26,6 +27,7 @@
 
 if TYPE_CHECKING:
     from bitternpath.amqp.server import AmqpServer
+    from bitternpath.http.console import Console
 
 log = structlog.get_logger(part="node")
 
@@ -33,6 +35,7 @@
 HALF_SENT = 2000.0  # ms: a request that has begun to arrive so long ago does not hold up the end
 AT_START_ONLY = ("listen", "settings")  # the module and the listener are made from these
 GOODBYE = 0.2  # s for the answers to connection.close
+RELOADS = {True: "reconfig_ok", False: "reconfig_failed"}  # files taken and turned down
 LAST_WORDS = 0.1  # s for the last answers and DELETEs to leave
 
 
@@ -51,6 +54,8 @@
         self.invokers: dict[str, Invoker] = {"http": self.pool}
         self.broker = Broker(reactor, self.clock, self.roster, self.invokers, self.module.handle)
         self.pool.broker = self.broker
+        self.broker.figures.know(c.name for c in config.settings.classes)
+        self.broker.figures.has((BACKEND_CALLS, *RELOADS.values()), {"inflight": lambda: self.broker.waiting})
         # Where the list has to be asked for, the module decides when; else the node's own agent tells it.
         asks = config.settings.ask_for_list
         failed = self.broker.asked_in_vain if asks else None
@@ -67,6 +72,7 @@
             self.module.retry_after,
         )
         self.roster.tell = self._listed
+        self.console = self._console(config.console) if config.console is not None else None
         self.amqp = self._amqp() if self.at_start.amqp.listen else None
         self._ending = False
 
@@ -92,6 +98,19 @@
             self.reactor, self.clock, told, front, subscribers, self.broker, lambda: self.sockets.invocations
         )
 
+    def _console(self, where: Address) -> Console:
+        """Where operators call. Imported here, for what is off costs nothing."""
+        from bitternpath.http.console import CALLERS, Console
+        from bitternpath.http.operations import Operations
+
+        self.sockets.reserve(CALLERS)
+        operations = Operations(self.broker, self.roster, self.clock, self.module.avoids, self._serves)
+        return Console(self.reactor, where, operations.routes())
+
+    def _serves(self) -> bool:
+        """Whether this process listens, knows providers and goes on."""
+        return self.listener.port is not None and self._ready() and not self.listener.stopping
+
     def _ready(self) -> bool:
         return self.watch.spoke or bool(self.roster.providers)
 
@@ -106,15 +125,19 @@
         self.listener.listen(*self.loaded.platform.listen)
         if self.amqp is not None:
             self.amqp.listen(*address(self.at_start.amqp.listen))
+        if self.console is not None:
+            self.console.listen()
         self.pool.run()
         if not self.loaded.platform.settings.ask_for_list:
             self.watch.start()
         self.reactor.callLater(REPORT_EVERY, self._report)
-        kv = {
+        kv: dict[str, object] = {
             "name": self.loaded.platform.name,
             "address": self.listener.address,
             "providers": len(known.members),
         }
+        if self.console is not None:
+            kv["console"] = self.console.address
         log.info("listening", **kv)
 
     def _report(self) -> None:
@@ -129,12 +152,14 @@
     def reload(self, read: Callable[[Loaded], Loaded]) -> None:
         """Take in the configuration as it is now, all of it or nothing."""
         running = self.loaded
-        before = running.platform
+        before, figures = running.platform, self.broker.figures
         try:
             loaded = read(running)
         except ConfigError as error:
+            figures.count(RELOADS[False])
             log.error("reload failed", why=error, kept="the configuration in use")
             return
+        figures.count(RELOADS[True])
         now = loaded.platform
         self.sockets.resize(now.sockets)
         self.pool.set_times(now.dial_timeout, now.idle_timeout)
--- a/bitternpath/simhost.py
+++ b/bitternpath/simhost.py
@@ -59,7 +59,6 @@
     ),
     "WITHDRAWN": lambda v: m.Withdrawn(v[2]),
     "FIRED": lambda v: m.Alarm(v[2]),
-    "PONG": lambda v: m.ProbeResult(v[4], v[3] == "GOOD", v[2], v[5] if len(v) > 5 else None),
 }
 
 ACTIONS: dict[type[Any], Callable[[int, Any], list[Any]]] = {
@@ -67,7 +66,6 @@
     m.Refuse: lambda i, a: ["PUSH_BACK", i, a.id, a.retry_after],
     m.Fail: lambda i, a: ["REPORT_FAILURE", i, a.id],
     m.Cancel: lambda i, a: ["CALL_OFF", i, a.id, a.attempt],
-    m.Probe: lambda i, a: ["SAMPLE", i, a.worker],
     m.Watch: lambda i, a: ["FOLLOW", i, a.on],
     m.Wake: lambda i, a: ["SCHEDULE", i, a.label, a.delay],
 }
--- a/tests/test_providers.py
+++ b/tests/test_providers.py
@@ -12,6 +12,7 @@
 from twisted.python.failure import Failure
 
 from bitternpath import messages as m
+from bitternpath.core.figures import Figures
 from bitternpath.core.invocations import Invocation, InvokerCall
 from bitternpath.core.roster import Listing, Provider, Roster
 from bitternpath.http.http1 import Request
@@ -43,6 +44,7 @@
         self.ends: list[m.How | str] = []
         self.now = 1e6
         self.roster = Roster(Listing(1, True, (ROW,)))
+        self.figures = Figures()
         clock: Any = lambda: self.now  # noqa: E731
         self.pool = Pool(Reactor(), clock, self.roster, Sockets(64), 250.0, 10_000.0)
         self.pool.broker = self  # type: ignore[assignment]
