Workers taken out by hand stay out, whatever the list says

Change: the roster makes one effective state of what sources say and who is out, so that every path that keeps a drain keeps a ban; a file an id under TMPDIR, made before the yes, read by both processes of an upgrade; one called back counts as cold until the list tells of a start since.

--- a/bitternpath/core/roster.py
+++ b/bitternpath/core/roster.py
@@ -43,32 +43,77 @@
 
 
 class Roster:
-    """The list in hand. `tell` hears of every change after it has been taken in."""
+    """The list in hand: what the sources say, and who is taken out by hand.
+
+    `providers` is what holds: one that is out drains, whatever its source says of it. `tell` hears of every
+    change after it has been taken in."""
 
     def __init__(self, known: Listing) -> None:
         self.revision = known.revision
-        self.providers = {p.id: p for p in known.members}
+        self.out: dict[str, float] = {}  # taken out by hand, and since when
+        self._back: dict[str, tuple[float, float]] = {}  # called back: out since, back at
+        self._said = {p.id: p for p in known.members}  # by the sources
+        self.providers = dict(self._said)
         self.tell: Callable[[Listing], None] = lambda listing: None
 
+    # ---- out by hand
+
+    def knows(self, id: str) -> bool:
+        """Whether the id is in the list or out by hand."""
+        return id in self._said or id in self.out
+
+    def take_out(self, id: str, since: float) -> None:
+        """Nothing new goes there until it is called back, whatever is said of it meanwhile."""
+        if id not in self.out:
+            self.out[id] = since
+            log.info("taken out", id=id)
+            self._changed(id)
+
+    def call_back(self, id: str, now: float) -> None:
+        """What its source says of it holds again."""
+        since = self.out.pop(id, None)
+        if since is not None:
+            self._back[id] = since, now
+            log.info("called back", id=id)
+            self._changed(id)
+
+    def _changed(self, id: str) -> None:
+        said = self._said.get(id)
+        if said is not None:
+            self.providers[id] = self._holds(said)
+            self.tell(Listing(0, False, (self.providers[id],)))
+
+    def _holds(self, said: Provider) -> Provider:
+        """What holds of a provider. Those who take one out start it anew before they call it back, and its
+        source tells of that late: one of which no start since is known may have started at the call back."""
+        if said.id in self.out and said.state is m.State.SERVING:
+            return replace(said, state=m.State.DRAINING)
+        since, at = self._back.get(said.id, (0.0, 0.0))
+        return replace(said, up_since=at) if said.up_since < since else said
+
+    # ---- the sources
+
     def take(self, listing: Listing) -> None:
         """A source speaks of its own providers; those of others are not touched, whatever it says."""
         if listing.source == DISCOVERY:
             if not listing.complete and listing.revision <= self.revision:
                 return  # an old line that came again
             self.revision = listing.revision
-        others = [p for p in self.providers.values() if p.source != listing.source]
+        others = [p for p in self._said.values() if p.source != listing.source]
         if others:
             held = {p.id for p in others}
             own = tuple(p for p in listing.members if p.id not in held)
             # To the module a whole list is the whole list: it has to name the others' providers too.
             listing = replace(listing, members=(*own, *others) if listing.complete else own)
         if listing.complete:
-            self.providers.clear()
+            self._said.clear()
         for provider in listing.members:
             if provider.state is m.State.GONE:
-                self.providers.pop(provider.id, None)
+                self._said.pop(provider.id, None)
             else:
-                self.providers[provider.id] = provider
+                self._said[provider.id] = provider
+        listing = replace(listing, members=tuple(self._holds(p) for p in listing.members))
+        self.providers = {id: self._holds(said) for id, said in self._said.items()}
         kv: dict[str, object] = {
             "revision": listing.revision,
             "whole": listing.complete,
@@ -80,14 +125,15 @@
         self.tell(listing)
 
     def listed(self) -> Listing:
-        """Discovery's list in hand."""
-        members = tuple(p for p in self.providers.values() if p.source == DISCOVERY)
+        """What discovery says, bans apart."""
+        members = tuple(p for p in self._said.values() if p.source == DISCOVERY)
         return Listing(self.revision, True, members)
 
     def replace(self, listing: Listing) -> None:
         """Begin with another list, before anybody has heard of the first."""
         self.revision = listing.revision
-        self.providers = {p.id: p for p in listing.members}
+        self._said = {p.id: p for p in listing.members}
+        self.providers = {id: self._holds(said) for id, said in self._said.items()}
 
     def serving(self, provider: str) -> Provider | None:
         """The provider, if it takes new calls."""
--- a/bitternpath/http/operations.py
+++ b/bitternpath/http/operations.py
@@ -1,15 +1,18 @@
-"""What operators can ask of a running node and have it do, whoever carries the call. No I/O."""
+"""What operators can ask of a running node and have it do: the calls of the console."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
 from bitternpath import messages as m
 from bitternpath.core.broker import Broker
 from bitternpath.core.roster import Roster
-from bitternpath.http.console import Answer, Routes
+from bitternpath.http.console import Answer, Routes, one_id
+from bitternpath.store.bans import Bans
 
 READINESS, STATS = b"/ops/readiness", b"/ops/stats"
+DOWN, UP = b"/ops/calendar-workers/down", b"/ops/calendar-workers/up"
 
 
 class Operations:
@@ -22,13 +25,20 @@
         clock: Callable[[], float],
         avoids: Callable[[float], set[str]],
         serves: Callable[[], bool],
+        bans: Bans,
     ) -> None:
+        self.bans = bans
         self.broker, self.roster, self.clock, self.avoids, self.serves = broker, roster, clock, avoids, serves
         gauges = {"hosts_listed": lambda: len(roster.providers), "hosts_down": self.down}
         broker.figures.has(gauges=gauges)
 
     def routes(self) -> Routes:
-        return {READINESS: (b"GET", self.readiness), STATS: (b"GET", self.stats)}
+        return {
+            READINESS: (b"GET", self.readiness),
+            STATS: (b"GET", self.stats),
+            DOWN: (b"POST", partial(self._by_hand, self.bans.down)),
+            UP: (b"POST", partial(self._by_hand, self.bans.up)),
+        }
 
     def readiness(self, body: bytes) -> Answer:
         return Answer(200, b"ready\n") if self.serves() else Answer(503, b"not ready\n")
@@ -36,7 +46,18 @@
     def stats(self, body: bytes) -> Answer:
         return Answer(200, self.broker.figures.lines().encode())
 
+    @staticmethod
+    def _by_hand(do: Callable[[str], bool], body: bytes) -> Answer:
+        id = one_id(body)
+        try:
+            known = do(id)
+        except OSError as error:
+            return Answer(
+                503, f"nothing has changed: it cannot be stored: {error.strerror or error}\n".encode()
+            )
+        return Answer(200, b"done\n") if known else Answer(404, b"no calendar worker has that id\n")
+
     def down(self) -> int:
-        """Listed providers that the node avoids now: the module by its choice, or because they drain."""
+        """Listed providers that the node avoids now: out by hand, draining, or left out by the module."""
         avoided = self.avoids(self.clock())
         return sum(p.id in avoided or p.state is not m.State.SERVING for p in self.roster.providers.values())
--- a/bitternpath/node.py
+++ b/bitternpath/node.py
@@ -35,6 +35,7 @@
     from bitternpath.amqp.server import AmqpServer
     from bitternpath.handover.handover import Handover
     from bitternpath.http.console import Console
+    from bitternpath.store.bans import Bans
 
 log = structlog.get_logger(part="node")
 
@@ -80,8 +81,11 @@
             self.life,
         )
         self.roster.tell = self._listed
-        self.console = self._console(config.console) if config.console is not None else None
-        self.handover = self._handover(config.name) if config.console is not None else None
+        self.console: Console | None = None
+        self.handover: Handover | None = None
+        self.bans: Bans | None = None
+        if config.console is not None:
+            self._operated(config.name, config.console)
         self.amqp = self._amqp() if self.at_start.amqp.listen else None
         self._ending, self.exit_code = False, 0
         self._look: Any = None
@@ -108,34 +112,27 @@
             self.reactor, self.clock, told, front, subscribers, self.broker, lambda: self.sockets.invocations
         )
 
-    def _console(self, where: Address) -> Console:
-        """Where operators call. Imported here, for what is off costs nothing."""
+    def _operated(self, name: str, where: Address) -> None:
+        """What a node has that operators call. Imported here, for what is off costs nothing."""
+        from bitternpath.handover.handover import DESCRIPTORS, Handover
         from bitternpath.http.console import CALLERS, Console
         from bitternpath.http.operations import Operations
+        from bitternpath.store.bans import Bans
+        from bitternpath.store.taken_out import TakenOut
 
-        self.sockets.reserve(CALLERS)
-        operations = Operations(self.broker, self.roster, self.clock, self.module.avoids, self._serves)
-        return Console(self.reactor, where, operations.routes())
-
-    def _handover(self, name: str) -> Handover:
-        """What this process and an older or a newer one of this node tell each other."""
-        from bitternpath.handover.handover import DESCRIPTORS, Handover
-
-        self.sockets.reserve(DESCRIPTORS)
-        folder = Path(tempfile.gettempdir())
-        handover = Handover(
-            self.reactor,
-            folder,
-            quote(name, safe=""),
-            self.broker,
-            self.roster,
-            self.module,
-            self.sockets,
-            self.life,
+        self.sockets.reserve(CALLERS + DESCRIPTORS)
+        folder, name = Path(tempfile.gettempdir()), quote(name, safe="")
+        bans = self.bans = Bans(
+            self.reactor, self.clock, self.roster, TakenOut(folder / f"bitternpath-{name}-out")
+        )
+        avoids = self.module.avoids
+        operations = Operations(self.broker, self.roster, self.clock, avoids, self._serves, bans)
+        self.console = Console(self.reactor, where, operations.routes())
+        handover = self.handover = Handover(
+            self.reactor, folder, name, self.broker, self.roster, self.module, self.sockets, self.life
         )
         handover.listener = lambda: self.listener.port and self.listener.port.socket
         self.listener.relay = handover.relay
-        return handover
 
     def _serves(self) -> bool:
         """Whether this process listens, knows providers and goes on."""
@@ -171,6 +168,8 @@
         """Serve; on the listening socket of that descriptor, where an older process has handed it over."""
         if self.life.phase is not Phase.STARTING:
             return
+        if self.bans is not None:
+            self.bans.run()
         known = Listing(self.roster.revision, True, tuple(self.roster.providers.values()))
         self.pool.listed(known)
         self.broker.listed(known, at_start=True)
--- /dev/null
+++ b/bitternpath/store/__init__.py
@@ -0,0 +1,1 @@
+"""What lasts longer than one process of a node."""
--- /dev/null
+++ b/bitternpath/store/bans.py
@@ -0,0 +1,59 @@
+"""Workers taken out by hand: what staff say, what is on disk and what the roster makes of it, in step."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+
+from bitternpath.core.roster import Roster
+from bitternpath.store.taken_out import TakenOut
+
+log = structlog.get_logger(part="bans")
+
+# s between looks at the folder, in which another process of the node may have made or removed a ban: what it
+# has said yes to has to be kept here within the drain's grace, 2 s on the platform.
+LOOK_EVERY = 0.25
+
+
+class Bans:
+    """The roster's bans are those on disk."""
+
+    def __init__(self, reactor: Any, clock: Callable[[], float], roster: Roster, store: TakenOut) -> None:
+        self.reactor, self.clock, self.roster, self.store = reactor, clock, roster, store
+
+    def run(self) -> None:
+        """Keep in step from now on."""
+        self.look()
+        self.reactor.callLater(LOOK_EVERY, self.run)
+
+    def look(self) -> None:
+        try:
+            found = self.store.read()
+        except FileNotFoundError:
+            return  # nobody was ever taken out, or the folder is gone: that calls nobody back
+        except OSError as error:
+            log.warning("cannot read who is out", folder=str(self.store.folder), why=error)
+            return
+        for id, since in found.items():
+            if id not in self.roster.out:
+                self.roster.take_out(id, since)
+        for id in [id for id in self.roster.out if id not in found]:
+            self.roster.call_back(id, self.clock())
+
+    def down(self, id: str) -> bool:
+        """Take a worker out; False where nobody has that id, OSError where it cannot be stored."""
+        if not self.roster.knows(id):
+            return False
+        self.store.add(id)
+        self.roster.take_out(id, self.clock())
+        return True
+
+    def up(self, id: str) -> bool:
+        """Call a worker back; False where nobody has that id, OSError where it stays out."""
+        if not self.roster.knows(id):
+            return False
+        self.store.remove(id)
+        self.roster.call_back(id, self.clock())
+        return True
--- /dev/null
+++ b/bitternpath/store/taken_out.py
@@ -0,0 +1,52 @@
+"""Workers taken out by hand, on disk: one empty file an id in a folder that all processes of a node share.
+
+Making a file is the ban, removing it the call back, and each is one system call: two processes need no lock,
+and whoever is killed in between leaves all of it or nothing. What is no file of this store is passed over.
+"""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from urllib.parse import quote, unquote
+
+SUFFIX = ".out"
+NAME_LIMIT = 255  # bytes that a file system takes for a name
+
+
+def name_of(id: str) -> str:
+    """The file's name: letters, digits, `-_~` as they are, all else escaped: no id leads elsewhere."""
+    return quote(id, safe="").replace(".", "%2E") + SUFFIX
+
+
+class TakenOut:
+    """The bans as they stand on disk. Every method may raise OSError, and then has changed nothing."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+
+    def add(self, id: str) -> None:
+        """Take it out; no difference where it is out already."""
+        name = name_of(id)
+        if len(name) > NAME_LIMIT:
+            raise OSError(f"an id of that length cannot be stored: {len(name)} of {NAME_LIMIT} bytes")
+        self.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+        os.close(os.open(self.folder / name, os.O_WRONLY | os.O_CREAT | os.O_CLOEXEC, 0o600))
+
+    def remove(self, id: str) -> None:
+        """Call it back; no difference where it is not out."""
+        (self.folder / name_of(id)).unlink(missing_ok=True)
+
+    def read(self) -> dict[str, float]:
+        """Who is out, and since when (Unix ms); FileNotFoundError where the folder is not there."""
+        found: dict[str, float] = {}
+        with os.scandir(self.folder) as entries:
+            for entry in entries:
+                id = unquote(entry.name.removesuffix(SUFFIX))
+                if name_of(id) != entry.name or not entry.is_file(follow_symlinks=False):
+                    continue
+                try:
+                    found[id] = entry.stat(follow_symlinks=False).st_mtime * 1000.0
+                except FileNotFoundError:  # called back in this moment
+                    continue
+        return found
