--- a/bitternpath/amqp/front.py
+++ b/bitternpath/amqp/front.py
@@ -59,7 +59,7 @@
         queues: Queues,
         subscribers: Subscribers,
         classes: tuple[m.JobClass, ...],
-        retry_after: Callable[[float, str], float],
+        retry_after: Callable[[str], float],
         max_waiting: int,
     ) -> None:
         self.clock, self.broker, self.queues, self.subscribers = clock, broker, queues, subscribers
@@ -132,7 +132,7 @@
             # Nothing of this message ran, but the first of that id may: not before that is forgotten.
             self._refuse(answer, REMEMBERED, "message-id in use")
         elif self.stopping or self.full:
-            self._refuse(answer, self.retry_after(now, name), "draining" if self.stopping else "full")
+            self._refuse(answer, self.retry_after(name), "draining" if self.stopping else "full")
         else:
             info = figures(work.headers.get(b"x-call-info", b""))
             self.waiting += 1
--- a/bitternpath/brain.py
+++ b/bitternpath/brain.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from copy import copy
 from math import ceil
 from random import Random
 
@@ -26,8 +27,7 @@
 OVERTAKEN = 300.0  # ms: a job that has not begun though one sent so much later has, is lost
 LOST = 4.0  # mean running times after which a job that has not begun counts as lost
 SILENT = 1.0  # of the aim: a worker not heard from for so long after a send leaves the usable set
-# Of the multiple: slots that those whose home a cold worker is, and all others, may fill at a share of 1.
-COLD_HOME, COLD_REST = 0.8, 0.2
+COLD_HOME, COLD_REST = 0.8, 0.2  # of the multiple: slots of those whose home it is, and of others, once warm
 COLD_IDLE = 0.3  # of a job's work before the next goes to an idle cold home: what ends there sets the pace
 
 
@@ -36,6 +36,7 @@
 
     def __init__(self, entry: m.Entry, warm_within: float = 0.0) -> None:
         self.name, self.kind, self.up = entry.worker, entry.kind, entry.up_since or 0.0
+        self.serves = entry.classes  # the only ones; None: all that its kind runs
         self.group = {m.Group.ALL: "", m.Group.ZONE: entry.zone, m.Group.CELL: str(entry.cell)}
         self.n = self.strikes = self.slots = 0  # own jobs in flight, silences in a row, places (0: not told)
         self.heard = self.out_until = self.full_until = 0.0
@@ -101,8 +102,7 @@
         at, n, limit = self.place.get(worker.name), len(self.workers), self.threshold
         if at is None or n < 2 or reward == limit or not limit:
             return
-        # In units of T, so that classes of any length learn alike. A worse result must punish more,
-        # not less as R itself would: a loss counts for T/R, the mirror of a win's R/T.
+        # In units of T. A worse result must punish more: a loss counts for T/R, the mirror of a win's R/T.
         size = min(max(reward / limit, limit / max(reward, limit / PAYOFF_CAP)), PAYOFF_CAP)
         step = GAIN * size * self.total / (2 * n)
         share = step / (n - 2 if n > 2 else 1)
@@ -154,7 +154,7 @@
     """A request and its attempts."""
 
     def __init__(self, request: m.Request, line: ClassLine, now: float, marked: bool) -> None:
-        self.id, self.request, self.line, self.spec = request.id, request, line, line.spec
+        self.id, self.request, self.line, self.spec, self.set = request.id, request, line, line.spec, line.set
         self.deadline, self.open = now + request.remaining, True
         self.tries: list[Attempt] = []
         if request.hint:
@@ -164,17 +164,16 @@
         line.patience = max(line.patience, request.remaining)
         used = line.patience - request.remaining if request.repeat or not marked else 0.0
         self.end_by = now - used + self.spec.aim + self.spec.stretch * (request.hint or line.work)
-        # In overload what would end late for nothing is turned away early: it would take others' place.
-        # So is what would end after the deadline: no place that comes up then could still serve it.
+        # What would end late for nothing, or after the deadline, is turned away early: it takes up a place.
         least = min(line.pace.values(), default=0.0) * self.size
         self.settle_by = (self.deadline if self.spec.late_worth else min(self.end_by, self.deadline)) - least
 
 
 class ClassLine:
-    """A class with its network and what its jobs usually take."""
+    """A class with its network and what its jobs usually take. Its jobs keep it when other settings come."""
 
-    def __init__(self, spec: m.JobClass) -> None:
-        self.spec, self.net = spec, Network()
+    def __init__(self, spec: m.JobClass, settings: m.Settings) -> None:
+        self.spec, self.set, self.net = spec, settings, Network()
         anywhere = spec.effect is m.Effect.KEYED and spec.group is m.Group.ALL
         self.harmless = anywhere or spec.effect is m.Effect.SAFE  # a repeat does no harm on any worker
         # Means of the hint, of the running time at size 1, and of that when nothing slows the fleet.
@@ -182,6 +181,11 @@
         self.pace: dict[str, float] = {}  # running time of late on each kind of machine, at size 1
         self.ended, self.patience = 0, 0.0  # jobs ended; the longest time that a client gave a try
 
+    def join(self, worker: Worker) -> None:
+        served = worker.serves is None or self.spec.name in worker.serves
+        if served and self.spec.kind in (None, worker.kind) and worker.name not in self.net.place:
+            self.net.join(worker)
+
     def earns(self) -> float:
         """Worth per time on a worker."""
         return self.spec.value / self.run if self.run else 0.0
@@ -195,29 +199,26 @@
     """One dispatcher; instances share nothing."""
 
     def __init__(self, settings: m.Settings, seed: int, now: float) -> None:
-        self.set, self.random, self.now = settings, Random(seed), now
-        self.lines = {spec.name: ClassLine(spec) for spec in settings.classes}
+        self.random, self.now, self.part = Random(seed), now, 1.0  # this process's part of the dispatcher
+        self.lines: dict[str, ClassLine] = {}
         self.workers: dict[str, Worker] = {}
         self.homes: list[str] = []  # workers that in a large fleet get this dispatcher's jobs first
         self.jobs: dict[str, Job] = {}
         self.out: dict[Attempt, None] = {}  # attempts in flight, oldest first
         self.held: list[Job] = []
         self.memory = 4 * settings.fall_span  # ms of jobs that the mean wait tells of
-        self.aim = min(spec.aim for spec in settings.classes)
-        self.pause = max(settings.tick, self.aim / 8)
-        self.margin = 2 * self.pause + settings.tick  # held jobs are settled so long before it is too late
+        self.on_settings(m.NewSettings(settings))
         self.mean_wait = self.mean_run = 0.0  # of late, over all workers and classes
         # Where starts are not told, the first note of progress comes one interval after the start.
         self.behind = 0.0 if settings.tells_start else settings.progress_every or float("inf")
-        # The last is what part of a dispatcher this process is, while a newer one takes over.
-        self.ask_wait, self.begun_at, self.part = settings.must_ask_within / 16, now, 1.0
+        self.ask_wait, self.begun_at = settings.must_ask_within / 16, now
         self.acts: list[m.Action] = [m.Wake("sweep", self.pause)]
         if settings.ask_for_list:  # spread out: a fleet that starts at once would swamp the list service
             self.acts.append(m.Wake("watch", self.random.random() * settings.must_ask_within / 2))
         self.answer: dict[type, Callable[..., None]] = {
             m.Request: self.on_request, m.JobNote: self.on_note, m.StreamBegun: self.on_note,
             m.Outcome: self.on_outcome, m.Withdrawn: self.on_withdrawn, m.WorkerList: self.on_list,
-            m.Alarm: self.on_alarm,
+            m.NewSettings: self.on_settings, m.Alarm: self.on_alarm,
         }  # fmt: skip
 
     def handle(self, now: float, event: m.Event) -> list[m.Action]:
@@ -226,6 +227,19 @@
         acts, self.acts = self.acts, []
         return acts
 
+    def on_settings(self, event: m.NewSettings) -> None:
+        """What was learned of a class that stays, stays; open jobs keep the rules under which they came."""
+        self.set, before, self.lines = event.settings, self.lines, {}
+        for spec in self.set.classes:
+            old = before.get(spec.name)
+            line = copy(old) if old and spec.same(old.spec) else ClassLine(spec, self.set)
+            line.spec, line.set, self.lines[spec.name] = spec, self.set, line
+            for worker in self.workers.values():
+                line.join(worker)
+        self.aim = min(spec.aim for spec in self.set.classes)
+        self.pause = max(self.set.tick, self.aim / 8)
+        self.margin = 2 * self.pause + self.set.tick  # held jobs are settled so long before it is too late
+
     def on_list(self, event: m.WorkerList) -> None:
         if event.kind is m.ListKind.FAILED:  # ask again, later each time: the service may be swamped or down
             wait, self.ask_wait = self.ask_wait, min(2 * self.ask_wait, self.set.must_ask_within / 2)
@@ -253,15 +267,14 @@
                 work = max(line.work for line in self.lines.values()) or self.set.fall_span
                 worker.cold_at, worker.cold_work = self.now, work * self.random.random()
             for line in self.lines.values():
-                served = entry.classes is None or line.spec.name in entry.classes
-                if served and line.spec.kind in (None, worker.kind):
-                    line.net.join(worker)
+                line.join(worker)
         if entry.state is m.State.SERVING:
             self.workers[entry.worker].slots = entry.slots
 
     def retire(self, worker: Worker) -> None:
         """Draining or gone: it gets nothing more (well before the grace ends); what is out there runs on."""
         del self.workers[worker.name]
+        worker.out_until = worker.shy_until = float("inf")  # for jobs of a class that is no more
         for line in self.lines.values():
             if worker.name in line.net.place:
                 line.net.leave(worker)
@@ -288,7 +301,7 @@
 
     def place(self, job: Job) -> bool:
         """Send the job, or hold it while that can help, or give its final answer; False if it is held."""
-        can = len(job.tries) < self.set.try_limit and job.deadline > self.now and self.could_go(job)
+        can = len(job.tries) < job.set.try_limit and job.deadline > self.now and self.could_go(job)
         worker = self.pick(job) if can else None
         if worker is not None:
             self.send(job, worker)
@@ -296,14 +309,7 @@
             ran = any(t.ran for t in job.tries) and not job.line.harmless
             self.acts.append(m.Fail(job.id) if ran else m.Refuse(job.id, self.advice(job.line)))
             self.close(job)
-        else:
-            return False
-        return True
-
-    def retry_after(self, now: float, job_class: str) -> float:
-        """The advice for a request that the node itself has no room for."""
-        self.now = now
-        return self.advice(self.lines[job_class])
+        return worker is not None or not job.open
 
     def advice(self, line: ClassLine) -> float:
         """When the client may come again: a place where its job ends in time should be free by then."""
@@ -348,8 +354,7 @@
         net, rand, now = job.line.net, self.random.random, self.now
         workers, q, n = net.workers, net.q, len(net.workers)
         many = 1 if rand() < EXPLORE else SAMPLE + 4 * n // self.set.dispatchers
-        # A worker is usable if the job can still end there in time, on a machine of that kind, and has a fair
-        # chance to end before the client gives it up.
+        # By kind: time until the job can no longer end there in time, or hardly before the client gives up.
         kinds = {
             kind: min(job.end_by - pace * job.size, job.deadline - CHANCE * pace * job.size) - now
             for kind, pace in job.line.pace.items()
@@ -358,8 +363,7 @@
         usual = (1 - 1 / self.set.dispatchers) ** UNSEEN * max(self.mean_wait - (now - self.begun_at), 0.0)
         late = job.spec.late_worth > 0 and max(kinds.values(), default=0.0) < 0
         left, paces = job.deadline - now, job.line.pace
-        # No queue grows longer than the hastiest class bears, and by jobs that earn less for their time even
-        # less: what has to wait is held here, out of the way.
+        # No queue grows longer than the hastiest class bears, by what earns less even less: it is held here.
         lines = self.lines.values()
         part = job.line.earns() / max(max(line.earns() for line in lines), 1e-9) if job.line.run else 1.0
         longest = part * min(line.bears() for line in lines)
@@ -376,14 +380,12 @@
                 if out > now or (w.full_until > now and not w.room) or w in broken or 0 < w.slots <= w.n:
                     continue
                 age, own = now - w.wait_at, w.own_queue(self.mean_run)
-                # A queue drains since it was seen, but others send. What is late goes where none is likely,
-                # no own job is out and it can end before its deadline: else others would be late as well.
+                # A queue drains since it was seen. What is late goes only where it makes no other job late.
                 pace, share = paces.get(w.kind, 0.0) * job.size, self.share(w)
                 limit = min(kinds.get(w.kind, 0.0), longest) - pace * (1 / share - 1)
                 seen, unseen, load = max(w.wait - age, 0.0), 0.0 if places is homes else usual, w.load(now)
-                if late and (max(seen, unseen) + load > 0.0 or pace > left):
-                    continue
-                if not late and max(seen, unseen if limit > 0 else 0.0) + own > max(limit, 0.0):
+                bears = -load if late else max(limit, 0.0) - own
+                if max(seen, unseen if late or limit > 0 else 0.0) > bears or (late and pace > left):
                     continue
                 score = q[k] / (1 + load) * share * (1 + 0.01 * rand())
                 if score > best_score and (not job.tries or self.allowed(job, w)):
@@ -415,8 +417,8 @@
 
     def copy(self, job: Job) -> None:
         """Send a job again whose attempts are lost, where it may run twice."""
-        can = job.open and job.line.harmless and self.set.second_copies and self.could_go(job)
-        if can and len(job.tries) < self.set.try_limit and not any(t.out and not t.lost for t in job.tries):
+        can = job.open and job.line.harmless and job.set.second_copies and self.could_go(job)
+        if can and len(job.tries) < job.set.try_limit and not any(t.out and not t.lost for t in job.tries):
             worker = self.pick(job) if job.deadline > self.now else None
             if worker is not None:
                 self.send(job, worker)
@@ -486,8 +488,7 @@
         line.net.learn(attempt.worker, size / max(goal, 1e-3))
 
     def suspect(self, worker: Worker) -> None:
-        """Leave the worker out for a while, longer each time, until it is heard from, and unsafe jobs as long
-        again."""
+        """Leave it out for a while, longer each time, until it is heard from; unsafe jobs twice as long."""
         worker.strikes += 1
         rest = 4 * self.aim * min(2**worker.strikes, 16) * (0.5 + self.random.random())
         worker.out_until, worker.shy_until = self.now + rest, self.now + 2 * rest
--- a/bitternpath/config/platform.py
+++ b/bitternpath/config/platform.py
@@ -17,6 +17,10 @@
 Address = tuple[str, int]
 
 
+SECTIONS = ("allowed", "rules")  # of the settings: objects of which every key counts
+OPTIONAL = ("known",)  # what the node once held: a file for a running node need not have it
+
+
 class ConfigError(Exception):
     """The configuration cannot be used; the text says why, in one line."""
 
@@ -34,6 +38,7 @@
     dial_timeout: float  # ms
     idle_timeout: float  # ms after which a provider closes an idle connection
     console: Address | None = None  # where operators call; None: nowhere
+    keys: frozenset[str] = frozenset()  # that the file had, as paths
 
 
 def address(text: str) -> Address:
@@ -63,14 +68,33 @@
 
 
 def reload(running: Config, environ: Mapping[str, str], path: str | None = None) -> Config:
-    """Read the file again. PROXY_DISCOVERY holds at the start: what the file says anew wins over it."""
+    """Read the file again. PROXY_DISCOVERY holds at the start: what the file says anew wins over it.
+
+    A file that lacks a key that the one in use has is cut, not changed, also where the environment or a
+    default could stand in for it."""
     told = load(environ, path)
+    lacks = sorted(running.keys - told.keys)
+    if lacks:
+        raise ConfigError(
+            f"{path or environ.get('PROXY_CONFIG')}: {lacks[0]} is missing; the file in use has it"
+        )
     filed = told.discovery_in_file
     if filed is None or filed == running.discovery_in_file:
         filed = running.discovery
     return replace(told, discovery=filed)
 
 
+def _keys(told: dict[str, Any]) -> frozenset[str]:
+    """What every later file has to name as well: all at the top and in `settings`, and in each class."""
+    conf = told["settings"]
+    inner = [*conf, *(f"{name}.{key}" for name in SECTIONS for key in conf.get(name) or ())]
+    each = set.intersection(*(set(c) for c in conf["classes"]))
+    top = [key for key in told if key not in OPTIONAL]
+    return frozenset(
+        [*top, *(f"settings.{key}" for key in inner), *(f"settings.classes.{key}" for key in each)]
+    )
+
+
 def _config(told: dict[str, Any], environ: Mapping[str, str]) -> Config:
     conf = told["settings"]
     allowed, limits = conf.get("allowed") or {}, told.get("limits") or {}
@@ -89,6 +113,7 @@
         dial_timeout=float(allowed.get("dialTimeout") or 1000.0),
         idle_timeout=float(allowed.get("connIdle") or 10_000.0),
         console=address(console) if console else None,
+        keys=_keys(told),
     )
     if config.sockets < 64:
         raise ValueError(f"limits.sockets: at least 64 are needed, not {config.sockets}")
--- a/bitternpath/core/broker.py
+++ b/bitternpath/core/broker.py
@@ -67,7 +67,11 @@
     label: str
 
 
-Event = Arrived | Left | Ended | Unusable | Noted | Listed | Due
+class Changed(Struct):
+    settings: m.Settings
+
+
+Event = Arrived | Left | Ended | Unusable | Noted | Listed | Due | Changed
 
 
 class Broker:
@@ -174,6 +178,10 @@
         whole = m.ListKind.WHOLE if listing.complete else m.ListKind.CHANGES
         self._append(Listed(listing, m.ListKind.AT_START if at_start else whole))
 
+    def settings(self, settings: m.Settings) -> None:
+        """Others hold for what is invoked from now on."""
+        self._append(Changed(settings))
+
     def asked_in_vain(self) -> None:
         """Discovery did not grant what was asked for, or has ended it."""
         self._append(Listed(Listing(0, False, ()), m.ListKind.FAILED))
@@ -246,6 +254,8 @@
                 return m.WorkerList(kind, [_entry(p) for p in listing.members])
             case Due(label):
                 return m.Alarm(label)
+            case Changed(settings):
+                return m.NewSettings(settings)
 
     def _call_over(self, call: InvokerCall, how: m.How, result: bytes, now: float) -> m.Event | None:
         if call.over:
--- a/bitternpath/http/front.py
+++ b/bitternpath/http/front.py
@@ -222,14 +222,14 @@
         sockets: Sockets,
         classes: tuple[m.JobClass, ...],
         is_ready: Callable[[], bool],
-        retry_after: Callable[[float, str], float],
+        retry_after: Callable[[str], float],
         life: LifeCycle,
     ) -> None:
         self.life = life
         # Passes news of what is not known here on to another process of this node; False where there is none.
         self.relay: Callable[[News, Callable[[bool], None]], bool] = lambda news, then: False
         self.reactor, self.clock, self.broker, self.sockets = reactor, clock, broker, sockets
-        self.classes = {c.name.encode(): c for c in classes}
+        self.set_classes(classes)
         self.is_ready, self.retry_after = is_ready, retry_after
         self.connections: dict[ConsumerConnection, None] = {}
         # Those that wait for no answer, and those answered for the last time; the oldest first.
@@ -241,6 +241,10 @@
         self.accepting = True
         self._looking = False  # a look for idle connections is due
 
+    def set_classes(self, classes: tuple[m.JobClass, ...]) -> None:
+        """What is taken from now on; what was taken of a class that is gone is answered as owed."""
+        self.classes = {c.name.encode(): c for c in classes}
+
     def listen(self, host: str, port: int, shared: bool = False, descriptor: int | None = None) -> None:
         """Listen there, or on the socket that another process of this node has handed over."""
         factory: Any = self
@@ -390,7 +394,7 @@
         elif self.broker.waiting >= self.sockets.invocations:
             # Those that wait need sockets for their call-backs; the connection goes, to make room.
             connection.keep_alive = False
-            connection.rejected(self.retry_after(self.clock(), spec.name))
+            connection.rejected(self.retry_after(spec.name))
             self.broker.counts["no_room"] += 1
             self.broker.figures.ended(spec.name, "rejected")
         else:
--- a/bitternpath/messages.py
+++ b/bitternpath/messages.py
@@ -79,6 +79,10 @@
     priority: int = 0
     stretch: float = 0.0  # the aim grows by this multiple of the job's own work
 
+    def same(self, other: JobClass) -> bool:
+        """Whether what was learned of the other holds for this one: rules, but not effects, may differ."""
+        return (self.effect, self.group, self.kind) == (other.effect, other.group, other.kind)
+
     def __post_init__(self) -> None:
         _positive("aim", self.aim)
         _positive("give_up", self.give_up)
@@ -232,13 +236,19 @@
     entries: list[Entry] = []
 
 
+class NewSettings(Struct):
+    """Other settings hold from now on; jobs that are open keep those under which they came."""
+
+    settings: Settings
+
+
 class Alarm(Struct):
     """A timer set by `Wake` is due."""
 
     label: str
 
 
-Event = Request | StreamBegun | JobNote | Outcome | Withdrawn | WorkerList | Alarm
+Event = Request | StreamBegun | JobNote | Outcome | Withdrawn | WorkerList | NewSettings | Alarm
 
 # ---- actions
 
--- a/bitternpath/node.py
+++ b/bitternpath/node.py
@@ -16,6 +16,7 @@
 from twisted.internet.error import CannotListenError
 from twisted.python.failure import Failure
 
+from bitternpath import messages as m
 from bitternpath.brain import Dispatcher
 from bitternpath.config.load import Loaded
 from bitternpath.config.operator import changed_at_start_only
@@ -41,7 +42,7 @@
 
 REPORT_EVERY = 10.0  # s between lines with the counts so far
 HALF_SENT = 2000.0  # ms: a request that has begun to arrive so long ago does not hold up the end
-AT_START_ONLY = ("listen", "settings")  # the module and the listener are made from these
+AT_START_ONLY = ("listen", "console", "name")  # the listeners are made from these
 GOODBYE = 0.2  # s for the answers to connection.close
 RELOADS = {True: "reconfig_ok", False: "reconfig_failed"}  # files taken and turned down
 LAST_WORDS = 0.1  # s for the last answers and DELETEs to leave
@@ -77,7 +78,7 @@
             self.sockets,
             config.settings.classes,
             self._ready,
-            self.module.retry_after,
+            self._retry_after,
             self.life,
         )
         self.roster.tell = self._listed
@@ -106,7 +107,7 @@
         self.sockets.reserve(told.max_connections)
         classes = self.loaded.platform.settings.classes
         front = Front(
-            self.clock, self.broker, Queues(), subscribers, classes, self.module.retry_after, told.max_waiting
+            self.clock, self.broker, Queues(), subscribers, classes, self._retry_after, told.max_waiting
         )
         return AmqpServer(
             self.reactor, self.clock, told, front, subscribers, self.broker, lambda: self.sockets.invocations
@@ -138,6 +139,10 @@
         """Whether this process listens, knows providers and goes on."""
         return self.life.does.serves and self._ready()
 
+    def _retry_after(self, job_class: str) -> float:
+        """The module's advice (ms) for a job that the node itself has no room for."""
+        return self.module.advice(self.module.lines[job_class])
+
     def _ready(self) -> bool:
         return self.watch.spoke or bool(self.roster.providers)
 
@@ -221,6 +226,8 @@
         self.sockets.resize(now.sockets)
         self.pool.set_times(now.dial_timeout, now.idle_timeout)
         self.watch.move(now.discovery)
+        if now.settings != before.settings:
+            self._settings(now.settings)
         kv: dict[str, object] = {"discovery": f"{now.discovery[0]}:{now.discovery[1]}"}
         changed = [key for key in AT_START_ONLY if getattr(before, key) != getattr(now, key)]
         # What was asked for stays different from what runs: say so again after the next reload.
@@ -233,6 +240,15 @@
         self.loaded = Loaded(config, loaded.operator)
         log.info("reloaded", **kv)
 
+    def _settings(self, settings: m.Settings) -> None:
+        """Fronts, figures and module change in one step: what comes from now on is under the new rules."""
+        self.broker.figures.know(c.name for c in settings.classes)
+        self.broker.settings(settings)
+        self.listener.set_classes(settings.classes)
+        if self.amqp is not None:
+            self.amqp.front.classes = {c.name: c for c in settings.classes}
+        log.info("settings", classes=",".join(c.name for c in settings.classes), tries=settings.try_limit)
+
     def stop(self) -> None:
         """Answer all that was taken, then end."""
         if self.life.stopping:
--- a/tests/amqp_rig.py
+++ b/tests/amqp_rig.py
@@ -344,8 +344,8 @@
         self.subscribers.broker = self.broker
         invokers["amqp"] = self.subscribers
         self.front = Front(
-            self.now, self.broker, Queues(), self.subscribers, self.classes, self.module.retry_after,
-            amqp.max_waiting,
+            self.now, self.broker, Queues(), self.subscribers, self.classes,
+            lambda name: self.module.advice(self.module.lines[name]), amqp.max_waiting,
         )  # fmt: skip
         self.server = AmqpServer(
             self.reactor, self.now, amqp, self.front, self.subscribers, self.broker, lambda: 100_000
