--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,255 @@
+"""The parts of an upgrade without processes: the life cycle, what goes over the link, what was learned."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+from helpers import Talk, job_class, sends
+from twisted.internet.task import Clock as Reactor
+from twisted.internet.testing import StringTransport
+
+from bitternpath import messages as m
+from bitternpath.core.broker import Broker
+from bitternpath.core.invocations import News, State
+from bitternpath.core.lifecycle import DOES, MOVES, LifeCycle, Phase, Word
+from bitternpath.core.roster import Listing, Provider, Roster
+from bitternpath.handover.handover import HEARD_WITHIN, Handover
+from bitternpath.handover.learned import Learned, learned_by, teach
+from bitternpath.handover.link import PATH_LIMIT, Door, Link
+from bitternpath.handover.messages import Heard, Hello, Lines, LinkError, Passed, Ready, Taken, Welcome, line
+from bitternpath.net.sockets import Sockets
+
+P = Phase
+
+
+# ---- the life cycle
+
+
+@pytest.mark.parametrize(
+    ("words", "phase"),
+    [
+        ("listens", P.READY),
+        ("listens stop", P.LEAVING),
+        ("listens stop ended", P.GONE),
+        ("listens successor_ready", P.SUCCEEDED),
+        ("listens successor_ready successor_lost", P.READY),
+        ("listens successor_ready stop", P.PASSING),
+        ("listens successor_ready stop successor_lost", P.LEAVING),
+        ("listens successor_ready stop successor_lost successor_ready", P.PASSING),
+        ("listens stop successor_ready", P.PASSING),
+        ("listens successor_ready stop ended", P.GONE),
+        ("stop", P.GONE),
+        ("stop listens", P.GONE),
+        ("successor_ready successor_lost ended listens listens", P.READY),
+        ("listens stop stop stop", P.LEAVING),
+    ],
+)
+def test_what_leads_from_one_state_to_another(words: str, phase: Phase) -> None:
+    life = LifeCycle()
+    for word in words.split():
+        life.hear(Word[word.upper()])
+    assert life.phase is phase
+
+
+def test_no_state_is_left_out_and_from_each_the_end_can_be_reached() -> None:
+    assert set(DOES) == set(Phase)
+    reached = {P.STARTING}
+    for _ in Phase:
+        reached |= {after for (before, _), after in MOVES.items() if before in reached}
+    assert reached == set(Phase)
+    assert not any(before is P.GONE for before, _ in MOVES)
+    assert all(does.accepts or does.welcome or phase in (P.STARTING, P.GONE) for phase, does in DOES.items())
+
+
+# ---- messages
+
+
+def test_messages_come_out_as_they_went_in_whatever_the_pieces() -> None:
+    provider = Provider("s", "h:1", "z", "k", 2, m.State.DRAINING, 1.5, 7.0, serves=frozenset({"a"}))
+    talk = Talk(workers=2)
+    said = [
+        Hello(1, "h:1"), Welcome(Listing(3, True, (provider,)), ["x"], learned_by(talk.d)), Ready(),
+        Taken("é\n"), Passed(1, "x", "s", "done", None, bytes(range(256))), Heard(1),
+    ]  # fmt: skip
+    data = b"".join(line(one) for one in said)
+    for seed in range(20):
+        random, lines, got, at = Random(seed), Lines(), [], 0
+        while at < len(data):
+            size = random.choice((1, 7, 100, 5000))
+            got += lines.feed(data[at : at + size])
+            at += size
+        assert got == said
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"{}\n", b"\n", b"[]\n", b'{"type":"no"}\n', b'{"type":"hello"}\n', b"\xff\n", b"{" * 5000 + b"\n",
+        b'{"type":"hello","version":"1","listen":""}\n', b'{"type":"taken","id":7}\n',
+        b'{"type":"heard","number":NaN}\n',
+    ],
+)  # fmt: skip
+def test_what_is_no_message_ends_the_link_and_nothing_else(data: bytes) -> None:
+    with pytest.raises(LinkError):
+        Lines().feed(data)
+
+
+# ---- what was learned
+
+
+def trained(seed: int, workers: int = 4) -> Talk:
+    talk = Talk(job_class("a"), job_class("b"), workers=workers, seed=seed, tells_start=True)
+    for k in range(60):
+        for name in "ab":
+            for send in sends(talk.ask(f"{name}{k}", name)):
+                slow = 5.0 if send.worker == "w1" else 1.0
+                talk.say(m.JobNote(f"{name}{k}", 0, send.worker), after=2.0)
+                talk.end(f"{name}{k}", send.worker, m.How.OK, after=30.0 * slow)
+    return talk
+
+
+def test_a_newer_module_picks_as_the_older_one_did() -> None:
+    old = trained(1)
+    new = Talk(job_class("a"), job_class("b"), workers=4, seed=9, tells_start=True)
+    new.now = old.now
+    assert teach(new.d, learned_by(old.d)) == []
+    for name in "ab":
+        mine, theirs = new.d.lines[name], old.d.lines[name]
+        assert (mine.run, mine.pace, mine.ended) == (theirs.run, theirs.pace, theirs.ended)
+        want = dict(zip((w.name for w in theirs.net.workers), theirs.net.q, strict=True))
+        got = dict(zip((w.name for w in mine.net.workers), mine.net.q, strict=True))
+        assert max(want, key=want.__getitem__) == max(got, key=got.__getitem__)
+        assert got["w1"] < min(got[w] for w in ("w0", "w2", "w3"))
+        assert got == pytest.approx(want, abs=0.05)
+
+
+def test_what_does_not_fit_is_left_out_and_the_rest_is_taken() -> None:
+    told = learned_by(trained(1).d)
+    told.classes[0].effect = "unsafe"
+    told.workers[0].up = 5.0
+    told.workers[1].times = (float("nan"), 0.0, 0.0, 0.0, 0.0)
+    fewer = Talk(job_class("a"), job_class("b"), workers=3, seed=2)
+    assert teach(fewer.d, told) == ["w0", "w1", "w3", "a"]
+    assert fewer.d.lines["a"].ended == 0 < fewer.d.lines["b"].ended
+    assert len(sends(fewer.ask("x", "b"))) == 1
+
+
+def test_jobs_of_the_older_process_weigh_on_their_workers_until_they_should_have_ended() -> None:
+    old = trained(1)
+    (send,) = sends(old.ask("open", "a"))
+    new = Talk(job_class("a"), job_class("b"), workers=4, seed=9, tells_start=True)
+    new.now = old.now
+    teach(new.d, learned_by(old.d))
+    worker = new.d.workers[send.worker]
+    assert worker.load(new.now) == 1 and worker.load(new.now + 60_000.0) == 0
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_any_figures_at_all_leave_a_module_that_works(seed: int) -> None:
+    random, told = Random(seed), learned_by(trained(1).d)
+    odd = (-1.0, 0.0, 1e300, float("inf"), float("nan"), 0.5)
+    for known in told.classes:
+        known.threshold = random.choice(odd)
+        known.neurons = {
+            w: (random.choice(odd), random.choice(odd), random.choice(odd)) for w in known.neurons
+        }
+    fresh = Talk(job_class("a"), job_class("b"), workers=4, seed=2)
+    teach(fresh.d, told)
+    for k in range(30):
+        for send in sends(fresh.ask(f"x{k}", "a")):
+            fresh.end(f"x{k}", send.worker, m.How.OK)
+    assert all(0.0 <= q <= 1.0 for q in fresh.d.lines["a"].net.q)
+
+
+# ---- the link, between two sides on a clock
+
+
+class Side:
+    """A process with its end of the link, on a clock and without sockets."""
+
+    def __init__(self, reactor: Any, folder: Path, name: str) -> None:
+        listing = Listing(1, True, (Provider("s", "h:1", "z", "k", 0, m.State.SERVING, 1.0, 0.0),))
+        self.life, self.sockets, self.roster = LifeCycle(), Sockets(256), Roster(listing)
+        self.module = Talk(workers=1).d
+        self.broker = Broker(reactor, reactor.seconds, self.roster, {}, self.module.handle)
+        self.handover = Handover(
+            reactor, folder, name, self.broker, self.roster, self.module, self.sockets, self.life
+        )
+
+    def end(self) -> Link:
+        link = Link(self.handover._hear, self.handover._lost)
+        link.makeConnection(StringTransport())
+        self.handover._add(link)
+        return link
+
+
+def test_both_have_half_while_both_live_and_the_one_left_has_the_whole(tmp_path: Path) -> None:
+    side = Side(Reactor(), tmp_path, "n")
+    whole = side.sockets.total
+    link = side.end()
+    assert side.sockets.total < whole / 2 + 1 and side.module.part == 0.5
+    link.connectionLost()
+    assert side.sockets.total == whole and side.module.part == 1.0 and side.broker.took is None
+
+
+@pytest.mark.parametrize("how", ["heard", "lost", "silence"])
+def test_a_call_back_that_was_passed_on_is_answered_when_it_was_taken_or_nobody_can(
+    tmp_path: Path, how: str
+) -> None:
+    reactor = Reactor()
+    side = Side(reactor, tmp_path, "n")
+    news, told = News("x", "s", State.DONE, None, b"r"), list[bool]()
+    assert not side.handover.relay(news, told.append)  # nobody is there
+    link = side.end()
+    transport: Any = link.transport
+    assert side.handover.relay(news, told.append) and not told
+    (said,) = Lines().feed(transport.value())
+    assert isinstance(said, Passed) and said.result == b"r"
+    if how == "heard":
+        link.dataReceived(line(Heard(said.number)))
+    elif how == "lost":
+        link.connectionLost()
+    reactor.advance(HEARD_WITHIN)
+    link.dataReceived(line(Heard(said.number)))  # too late, and so nothing
+    assert told == [how != "silence"]
+
+
+def test_news_goes_on_to_a_third_process_but_never_back(tmp_path: Path) -> None:
+    side = Side(Reactor(), tmp_path, "n")
+    passed = Passed(5, "x", "s", "done", None, b"r")
+    only = side.end()
+    only.dataReceived(line(passed))
+    transport: Any = only.transport
+    assert Lines().feed(transport.value()) == [Heard(5)]
+    further = side.end()
+    transport.clear()
+    only.dataReceived(line(passed))
+    there: Any = further.transport
+    (on,) = Lines().feed(there.value())
+    assert isinstance(on, Passed) and not transport.value()
+    further.dataReceived(line(Heard(on.number)))
+    assert Lines().feed(transport.value()) == [Heard(5)]
+
+
+def test_ids_taken_elsewhere_are_known_here(tmp_path: Path) -> None:
+    side = Side(Reactor(), tmp_path, "n")
+    side.end().dataReceived(line(Taken("x")))
+    assert side.broker.knows("x") and side.broker.taken() == ["x"] and not side.broker.waiting
+
+
+def test_a_path_too_long_for_the_system_is_reached_by_its_folder(tmp_path: Path) -> None:
+    folder = tmp_path / ("x" * 120)
+    folder.mkdir()
+    door = Door(Reactor(), folder, "name.sock")
+    address = door.address("name.sock")
+    assert len(os.fsencode(address)) <= PATH_LIMIT
+    (folder / "name.sock").write_text("here")
+    assert Path(address).read_text() == "here"
+
+
+def test_learned_of_nothing_is_nothing(tmp_path: Path) -> None:
+    assert teach(Talk(workers=2).d, Learned((0.0, 0.0, 0.0), [], [])) == []
