--- a/bitternpath/emulator/checker.py
+++ b/bitternpath/emulator/checker.py
@@ -55,6 +55,7 @@
         self.broken: list[Violation] = []
         self.lost_by_death = 0  # requests whose node died: no fault of its
         self._told: dict[tuple[str, str], float] = {}  # node, worker: since when it knows of its drain or end
+        self._out: dict[tuple[str, str], float] = {}  # node, worker: since when it is out by hand there
         self._made: dict[str, set[bytes]] = {}  # request: results that workers made for it
         self._due: deque[tuple[float, str]] = deque()
 
@@ -122,6 +123,15 @@
         else:
             self._told.setdefault((node, worker), now)
 
+    # ---- what staff say
+
+    def out_by_hand(self, now: float, node: str, worker: str) -> None:
+        """The node has said yes: from now on nothing new, whatever discovery says, also in its next life."""
+        self._out.setdefault((node, worker), now)
+
+    def called_back(self, node: str, worker: str) -> None:
+        self._out.pop((node, worker), None)
+
     # ---- attempts
 
     def sent(self, now: float, request: str, node: str, worker: str) -> None:
@@ -129,6 +139,11 @@
         self._note(request, now, f"sent to {worker}")
         if since is not None and now > since + self.drain_grace + self.slack:
             self._break("drain", now, request, worker, f"sent {now - since:.2f} s after its end was told")
+        since = self._out.get((node, worker))
+        if since is not None and now > since + self.drain_grace + self.slack:
+            self._break(
+                "drain", now, request, worker, f"sent {now - since:.2f} s after it was taken out by hand"
+            )
 
     def arrived(self, now: float, request: str, worker: str, attempt: int) -> None:
         """The last byte has come to the worker."""
--- a/bitternpath/emulator/nodes.py
+++ b/bitternpath/emulator/nodes.py
@@ -74,6 +74,7 @@
         self.open: Counter[str] = Counter()  # worker: connections, where their number is limited
         self.dials = 0
         self.last: Listing | None = None  # the list of the life before
+        self.out: dict[str, float] = {}  # workers out by hand, and since when: they outlast a life
 
     # ---- its lives
 
@@ -89,8 +90,12 @@
         self.broker = Broker(
             self.timer, self.clock, self.roster, {"http": VirtualInvoker(self)}, self.policy.handle
         )
+        for worker, since in self.out.items():
+            self.roster.take_out(worker, since)
         self.roster.tell = self.broker.listed
-        self.broker.listed(listing, at_start=True)
+        self.broker.listed(
+            Listing(listing.revision, True, tuple(self.roster.providers.values())), at_start=True
+        )
         # What the module asked for at its start comes with its first event's actions, as on sockets.
         if asks:
             self.broker.ask = partial(self._ask, self.timer)
@@ -178,6 +183,23 @@
     def reload(self) -> None:
         """SIGHUP: nothing changes here, for the core reads no file."""
 
+    def take_out(self, worker: str) -> None:
+        """Staff take a worker out by hand; a node that is down is told by what is on its disk."""
+        self.out[worker] = self.clock()
+        self.world.checker.out_by_hand(self.world.later.now, self.name, worker)
+        self._by_hand(lambda: self.roster.take_out(worker, self.out.get(worker, self.clock())))
+
+    def call_back(self, worker: str) -> None:
+        self.out.pop(worker, None)
+        self.world.checker.called_back(self.name, worker)
+        self._by_hand(lambda: self.roster.call_back(worker, self.clock()))
+
+    def _by_hand(self, do: Callable[[], None]) -> None:
+        if self.stopped:
+            self.asleep.append(do)
+        elif self.up:
+            do()
+
     def restart(self, down: float) -> None:
         """A planned restart: no new clients, then out and in again."""
         self.world.front.drop(self)
--- a/bitternpath/emulator/wall.py
+++ b/bitternpath/emulator/wall.py
@@ -46,9 +46,20 @@
 VOID_BEYOND = 0.050  # s of the world's own lateness at p99 above which a run is void
 LOOK = 0.01  # s between looks at it
 SOCKETS = 1024
+OPERATORS = ("out-by-hand", "upgrades")  # troubles for which nodes need a console
 PHASES = {m.State.SERVING: "up", m.State.DRAINING: "draining", m.State.GONE: "removed"}
 
 
+OLDER_ENDS_WITHIN = 3.7  # s after SIGTERM at which a process may be killed
+
+
+def free_port() -> int:
+    """A port that nobody listens at now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
 class VoidError(Exception):
     """The machine was too busy for the run to mean anything."""
 
@@ -264,17 +275,25 @@
         self.discovery = _Server(world.reactor, self._watch)
         self.log = world.folder / f"{name}.log"
         self.lives = 0
+        self.console = 0  # its port, where the scenario has operators
+        self.older: list[Any] = []  # processes that a newer one has taken over from
+        self.shared = world.folder / f"{name}.tmp"
+        self.shared.mkdir()
 
     # ---- its lives
 
     def start(self, known: Listing | None = None) -> None:
         world = self.world
         self.lives += 1
-        if not self.port:
-            with socket.socket() as sock:
-                sock.bind(("127.0.0.1", 0))
-                self.port = sock.getsockname()[1]
-        listing = known or world.directory.whole()
+        self.port = self.port or free_port()
+        self.process = self._spawn(known or world.directory.whole())
+        self.up = True
+        world.directory.nodes[self.name] = self.hear
+        self._look_ready(self.lives, time.monotonic())
+
+    def _spawn(self, listing: Listing) -> Any:
+        """Start a process of the node."""
+        world = self.world
         conf: dict[str, Any] = {
             "name": self.name, "listen": f"127.0.0.1:{self.port}",
             "discovery": f"127.0.0.1:{self.discovery.number}", "seed": f"{world.random.getrandbits(48):x}",
@@ -282,19 +301,19 @@
             "settings": settings_json(world.scenario, self.site, self.number, len(world.scenario.sites)),
         }  # fmt: skip
         conf["settings"]["balancers"] = max(sum(site.nodes for site in world.scenario.sites), 1)
+        if world.operated:
+            self.console = free_port()
+            conf["console"] = f"127.0.0.1:{self.console}"
         file = world.folder / f"{self.name}.json"
         file.write_text(json.dumps(conf))
         env = {k: v for k, v in os.environ.items() if not k.startswith(("PROXY_", "BITTERNPATH_"))}
-        self.process = subprocess.Popen(
+        return subprocess.Popen(
             [sys.executable, "-m", "bitternpath"],
-            env=env | {"PROXY_CONFIG": str(file)},
+            env=env | {"PROXY_CONFIG": str(file), "TMPDIR": str(self.shared)},
             cwd=Path(__file__).parent.parent.parent,
             stderr=self.log.open("ab"),
             stdin=subprocess.DEVNULL,
         )
-        self.up = True
-        world.directory.nodes[self.name] = self.hear
-        self._look_ready(self.lives, time.monotonic())
 
     def _look_ready(self, life: int, since: float) -> None:
         """The front admits a node once `/ready` has answered 200."""
@@ -346,6 +365,55 @@
         self.process.send_signal(signal.SIGHUP)
         self.world.reactor.callLater(1.5, old.close)
 
+    def upgrade(self) -> None:
+        """A newer process beside the older one, which is told to stop once the newer one can serve."""
+        if not self.up:
+            return
+        older, self.process = self.process, self._spawn(self.world.directory.whole())
+        self.older.append(older)
+        self._await_newer(older, self.process, time.monotonic())
+
+    def _await_newer(self, older: Any, newer: Any, since: float) -> None:
+        def heard(status: int) -> None:
+            if status == 200:
+                older.send_signal(signal.SIGTERM)
+                self._await_older(older, time.monotonic())
+            elif time.monotonic() > since + READY_WITHIN or newer.poll() is not None:
+                self.world.faults.append(f"{self.name}: a newer process never got ready")
+            else:
+                self.world.reactor.callLater(0.05, self._await_newer, older, newer, since)
+
+        self.operate(b"GET", b"/ops/readiness", b"", heard)
+
+    def _await_older(self, older: Any, since: float) -> None:
+        if older.poll() is None and time.monotonic() < since + OLDER_ENDS_WITHIN:
+            self.world.reactor.callLater(0.05, self._await_older, older, since)
+        elif older.poll() is None:
+            older.kill()
+        elif older.returncode:
+            self.world.faults.append(f"{self.name}: the older process ended with {older.returncode}")
+
+    def operate(self, method: bytes, path: bytes, body: bytes, heard: Callable[[int], None]) -> None:
+        """One call to the console; `heard` gets the status, or 0 where there was no answer."""
+        pool = _Pool(self.world.reactor, lambda: self.console)
+        data = http1.request(method, path, [(b"Host", b"console")], body)
+        pool.ask(
+            data, lambda answer: heard(answer.status if answer else 0), lambda: heard(0), lambda made: None
+        )
+
+    def take_out(self, worker: str) -> None:
+        def heard(status: int) -> None:
+            if status == 200:
+                self.world.checker.out_by_hand(self.world.now(), self.name, worker)
+            elif self.up:
+                self.world.faults.append(f"{self.name} said {status} to taking {worker} out")
+
+        self.operate(b"POST", b"/ops/calendar-workers/down", worker.encode(), heard)
+
+    def call_back(self, worker: str) -> None:
+        self.world.checker.called_back(self.name, worker)
+        self.operate(b"POST", b"/ops/calendar-workers/up", worker.encode(), lambda status: None)
+
     def restart(self, down: float) -> None:
         """A planned restart, by SIGTERM; the front has been told."""
         self.world.front.drop(self)
@@ -365,10 +433,11 @@
 
     def end(self) -> None:
         """At the end of a run."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(signal.SIGCONT)
-            self.process.kill()
-            self.process.wait()
+        for process in (self.process, *self.older):
+            if process is not None and process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                process.wait()
         self.up = False
 
     def crashed(self) -> bool:
@@ -514,6 +583,7 @@
         self.connections: dict[str, _Asking] = {}
         self.faults: list[str] = []
         self.lateness: list[float] = []
+        self.operated = any(t.kind in OPERATORS for t in scenario.troubles)
         self.nodes = self._wall_nodes()  # type: ignore[assignment]
         self.servers: dict[tuple[str, str], _Server] = {}
         self.attempts: dict[tuple[str, str], Attempt] = {}
