--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -7,6 +7,7 @@
 from random import Random
 from typing import Any
 
+import pytest
 from helpers import Talk, entry, listing, sends
 from twisted.internet.error import ConnectionDone
 from twisted.internet.testing import MemoryReactorClock, StringTransport
@@ -162,3 +163,23 @@
         assert len(reactor.tcpClients) == turn
         reactor.advance(0.2)
         reactor.advance(0.0)
+
+
+@pytest.mark.parametrize("heard", [True, False])
+def test_a_refused_connect_proves_no_more_than_that_there_was_no_room(heard: bool) -> None:
+    """A worker that was short of connections was left out like a dead one, longer each time."""
+    (talk,) = fleet()[:1]
+    home = talk.d.homes[0]
+    worker = talk.d.workers[home]
+    for other in talk.d.workers.values():
+        other.full_until = 0.0 if other is worker else talk.now + 60_000.0
+    (first,) = sends(talk.ask("running"))
+    assert first.worker == home
+    if heard:
+        talk.say(m.JobNote("running", 0, home))
+    worker.waiting = 0
+    (second,) = sends(talk.ask("refused"))
+    assert second.worker == home
+    talk.end("refused", home, m.How.NO_CONNECTION, after=1.0)
+    assert (worker.strikes == 0) == heard
+    assert (worker.out_until > talk.now) != heard and (worker.full_until > talk.now) == heard
