Held jobs that earn most for their time get a free place first

Change: held jobs are sorted by what they earn for their time, of the same the newest first.

A worker heard of within one and a half intervals of progress that refuses a connect is full, not silent.

--- a/bitternpath/brain.py
+++ b/bitternpath/brain.py
@@ -1,6 +1,4 @@
-"""All decisions of one dispatcher: `Dispatcher.handle` takes an event and returns actions.
-
-Settings, events and actions are in messages.py. Times are in ms."""
+"""All decisions of a dispatcher: `handle` takes an event, returns actions (messages.py). Times are in ms."""
 
 from __future__ import annotations
 
@@ -25,6 +23,7 @@
 OVERDUE = 0.5  # of the aim: a job that has not begun by then scores its long time early
 FAULTY, MOST_FAULTS = 4_000.0, 3  # ms without jobs of a class after a fault, doubled by so many before it
 OVERTAKEN = 300.0  # ms: a job that has not begun though one sent so much later has, is lost
+HEARD = 1.5  # intervals of progress: heard of since, a worker that refuses runs and holds all it may
 LOST = 4.0  # mean running times after which a job that has not begun counts as lost
 SILENT = 1.0  # of the aim: a worker not heard from for so long after a send leaves the usable set
 COLD_HOME, COLD_REST = 0.8, 0.2  # of the multiple: slots of those whose home it is, and of others, once warm
@@ -39,8 +38,7 @@
         self.serves = entry.classes  # the only ones; None: all that its kind runs
         self.group = {m.Group.ALL: "", m.Group.ZONE: entry.zone, m.Group.CELL: str(entry.cell)}
         self.n = self.strikes = self.slots = 0  # own jobs in flight, silences in a row, places (0: not told)
-        self.heard = self.out_until = self.full_until = 0.0
-        self.shy_until = self.last_begun = 0.0  # no unsafe jobs until; when the last that has begun was sent
+        self.heard = self.out_until = self.full_until = self.shy_until = self.last_begun = 0.0
         # By class: faults not made up for by a job that ended well, until when any and unsafe jobs stay away.
         self.faults: dict[str, tuple[int, float, float]] = {}
         self.warm_at = self.up + warm_within if self.up else 0.0
@@ -434,14 +432,14 @@
         attempt = self.find(event.id, event.attempt)
         if attempt is None or not attempt.out:
             return
-        job, worker, lost = attempt.job, attempt.worker, attempt.lost
+        job, worker, lost, how = attempt.job, attempt.worker, attempt.lost, event.how
         self.lose(attempt, False)
         attempt.out = False
         del self.out[attempt]
         worker.n -= 1
-        attempt.ran = event.how not in m.NEVER_RAN
+        attempt.ran = how not in m.NEVER_RAN
         worker.room = int(attempt.ran)
-        if event.how is m.How.OK:
+        if how is m.How.OK:
             self.hear(worker)
             faults = worker.faults.pop(job.spec.name, (0, 0.0, 0.0))[0]
             if faults > 1:
@@ -451,13 +449,13 @@
                 self.score(attempt, event.elapsed)
         else:
             worker.waiting -= self.set.tells_start and attempt.begun is None
-        if event.how is m.How.CANCELLED and not lost:
+        if how is m.How.CANCELLED and not lost:
             begins = attempt.begun or self.now + max(worker.wait - (self.now - worker.wait_at), 0.0)
             worker.called_off.append(begins + job.line.run * job.size)
-        if event.how not in (m.How.OK, m.How.CANCELLED):
-            if event.how is m.How.ERROR and sum(t.ran for t in job.tries) == 1:
+        if how not in (m.How.OK, m.How.CANCELLED):
+            if how is m.How.ERROR and sum(t.ran for t in job.tries) == 1:
                 self.fault(worker, job.line)  # if it failed elsewhere too, the job may itself be the cause
-            elif event.how is m.How.NO_CONNECTION:
+            elif how is m.How.NO_CONNECTION and self.now - worker.heard > HEARD * self.set.progress_every:
                 self.suspect(worker)
             elif not attempt.ran:
                 # Until then one job goes there for each own job that ends: more would race for one free slot.
@@ -524,7 +522,8 @@
         return {w.name for w in workers if w.out_until > now or all(w.broken(c, now) for c in lines)}
 
     def retry_held(self, many: int) -> None:
-        """Try to place held jobs, newest first: in overload, oldest first would make all of them late."""
+        """Try to place held jobs, of those that earn most the newest first: oldest first makes all late."""
+        self.held.sort(key=lambda job: job.line.earns())
         while self.held and many > 0:
             job = self.held.pop()
             many -= job.open
--- a/tests/test_strain.py
+++ b/tests/test_strain.py
@@ -32,6 +32,24 @@
     assert sends(freed)[0].id == "held5"  # the newest: oldest first would make all of them late
 
 
+def test_of_held_jobs_those_that_earn_most_for_their_time_get_a_free_place_first() -> None:
+    """The newest came first whatever they earn, and long jobs of little worth kept the short ones out."""
+    classes = [job_class("long", value=5.0), job_class("short", value=3.0)]
+    talk = Talk(*classes, workers=1, tells_start=True)
+    for k, (name, run) in enumerate([("long", 700.0), ("short", 80.0)] * 5):
+        (send,) = sends(talk.ask(f"t{k}", name))
+        talk.say(m.JobNote(f"t{k}", 0, send.worker))
+        talk.end(f"t{k}", send.worker, m.How.OK, after=run)
+    (send,) = sends(talk.ask("running", "long"))
+    talk.say(m.JobNote("running", 0, send.worker))
+    (extra,) = sends(talk.ask("turned away", "short"))
+    talk.end("turned away", extra.worker, m.How.FULL, after=1.0)
+    for name in ("short1", "short2", "long1", "long2"):
+        assert not sends(talk.ask(name, name[:-1]))
+    freed = talk.say(m.Outcome("running", 0, send.worker, m.How.OK, 20.0, True), 20.0)
+    assert [s.id for s in sends(freed)] == ["short2"]
+
+
 def test_full_worker_is_asked_again_after_a_rest_without_own_jobs_there() -> None:
     talk = Talk(workers=1, tells_start=True)
     teach(talk, 100.0)
