Hard cases of an upgrade as tests; a node that cannot start says so in one line

Need: a console's address that is taken ended the process with a traceback, and where joining failed at once the process could hang; AMQP's attempts were not in the figures.

Change: every failure to listen is one line and exit 1. Tests with real processes: a newer one that cannot start, never gets ready or is killed at any point; the older one killed; SIGTERM before the newer one listens; SIGHUP to either.

--- a/bitternpath/amqp/invoker.py
+++ b/bitternpath/amqp/invoker.py
@@ -18,6 +18,7 @@
 from bitternpath.amqp.queues import Channel, Message
 from bitternpath.amqp.translation import delivery_properties, text_of
 from bitternpath.core.broker import Broker
+from bitternpath.core.figures import BACKEND_CALLS
 from bitternpath.core.invocations import InvokerCall
 from bitternpath.core.roster import Listing, Provider
 
@@ -230,6 +231,7 @@
 
     def left(self, delivery: Delivery) -> None:
         """Its last byte has gone to the system: within the prefetch, it counts as begun."""
+        self.broker.figures.count(BACKEND_CALLS)
         self.broker.started(delivery.call)
 
     def result(self, token: str, correlation: str | None, body: bytes) -> bool:
--- a/bitternpath/node.py
+++ b/bitternpath/node.py
@@ -13,6 +13,7 @@
 from urllib.parse import quote
 
 import structlog
+from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.error import CannotListenError
 from twisted.python.failure import Failure
 
@@ -152,22 +153,22 @@
 
     def begin(self) -> None:
         """Start, as soon as an older process of this node has handed its work over or there is none."""
-        if self.console is not None:
-            self.console.listen()
-        if self.handover is None:
-            self.start()
-        else:
-            host, port = self.loaded.platform.listen
-            self.handover.join(f"{host}:{port}").addCallback(self.start).addErrback(self._failed)
+        joined: Any = maybeDeferred(self._join)
+        joined.addCallback(self.start).addErrback(self._failed)
+
+    def _join(self) -> Deferred[int | None] | None:
+        if self.console is None or self.handover is None:
+            return None
+        self.console.listen()
+        host, port = self.loaded.platform.listen
+        return self.handover.join(f"{host}:{port}")
 
     def _failed(self, failure: Failure) -> None:
         """A node that cannot start says why in one line, and is not there."""
-        if isinstance(failure.value, CannotListenError):
-            log.error("cannot start", why=failure.getErrorMessage())
-        else:
-            log.error("cannot start", why=failure.getTraceback())
+        known = isinstance(failure.value, CannotListenError)
+        log.error("cannot start", why=failure.getErrorMessage() if known else failure.getTraceback())
         self.exit_code = 1
-        self._stopped()
+        self.reactor.callWhenRunning(self._stopped)
 
     def start(self, descriptor: int | None = None) -> None:
         """Serve; on the listening socket of that descriptor, where an older process has handed it over."""
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -171,16 +171,8 @@
         self.start()
 
     def start(self) -> None:
-        """A process of the node; the one before, if there is one, goes on."""
-        env = {k: v for k, v in os.environ.items() if not k.startswith(("PROXY_", "BITTERNPATH_"))}
-        env |= {"PROXY_CONFIG": str(self.file), "PROXY_DISCOVERY": self.discovery.address}
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "bitternpath", *(("serve", *self.flags) if self.flags else ())],
-            env={**env, "TMPDIR": str(self.tmp)},
-            cwd=Path(__file__).parent.parent,
-            stderr=subprocess.PIPE,
-            text=True,
-        )
+        """A process of the node that listens; the one before, if there is one, goes on."""
+        self.process = self.spawn()
         assert self.process.stderr is not None
         for line in self.process.stderr:
             self.log.append(line)
@@ -190,6 +182,17 @@
         self.address, self.console = told["address"], told.get("console", "")
         threading.Thread(target=self.log.extend, args=(self.process.stderr,), daemon=True).start()
 
+    def spawn(self) -> subprocess.Popen[str]:
+        env = {k: v for k, v in os.environ.items() if not k.startswith(("PROXY_", "BITTERNPATH_"))}
+        env |= {"PROXY_CONFIG": str(self.file), "PROXY_DISCOVERY": self.discovery.address}
+        return subprocess.Popen(
+            [sys.executable, "-m", "bitternpath", *(("serve", *self.flags) if self.flags else ())],
+            env={**env, "TMPDIR": str(self.tmp)},
+            cwd=Path(__file__).parent.parent,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+
     def upgrade(self) -> subprocess.Popen[str]:
         """Start a newer process at the same address and wait until it can serve; the older one."""
         older = self.process
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
+import json
 import signal
+import socket
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 from http.client import HTTPConnection
 from pathlib import Path
+from random import Random
 
+import pytest
 from rig import Rig, accept, done, running, until
 
+from bitternpath.handover.messages import VERSION, Hello, line
+
 
 def told(rig: Rig, what: str, times: int = 1) -> None:
     until(lambda: len(rig.logged(what)) >= times)
@@ -95,6 +102,87 @@
         assert rig.invoke("b")[0] == 200
 
 
+def test_a_newer_process_that_cannot_start_or_never_gets_ready_leaves_the_older_one_serving(
+    tmp_path: Path,
+) -> None:
+    with running(tmp_path, done, console=True) as rig:
+        older, good = rig.process, rig.file.read_text()
+        rig.file.write_text(good[:100])
+        assert rig.spawn().wait(20) == 2
+        # Its console's address is taken: one line, and the end. The log of both is one.
+        rig.file.write_text(json.dumps({**rig.conf, "listen": rig.address, "console": rig.console}))
+        failed = rig.spawn()
+        assert failed.wait(20) == 1 and failed.stderr is not None
+        assert [line for line in failed.stderr.read().splitlines() if "cannot start" in line]
+        # It joins, is stopped from outside before it is ready, and is killed.
+        with socket.socket(socket.AF_UNIX) as half:
+            half.connect(str(rig.tmp / "bitternpath-n0.sock"))
+            half.sendall(line(Hello(VERSION, rig.address)))
+            assert half.recv(100)
+            assert rig.invoke("a")[0] == 200 and older.poll() is None
+        assert rig.operate("GET", "/ops/readiness")[0] == 200
+        assert rig.invoke("b")[0] == 200
+        rig.upgrade().terminate()
+        assert older.wait(20) == 0 and rig.invoke("c")[0] == 200
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_kill_of_either_process_in_the_overlap_runs_nothing_twice(tmp_path: Path, seed: int) -> None:
+    random = Random(seed)
+    with running(tmp_path, done, done, console=True) as rig, ThreadPoolExecutor(8) as pool:
+        over = threading.Event()
+
+        def client(number: int) -> list[tuple[str, object]]:
+            got: list[tuple[str, object]] = []
+            while not over.is_set():
+                id = f"{number}-{len(got)}"
+                try:
+                    got.append((id, rig.invoke(id, "/reminder", body=id.encode())[0]))
+                except OSError:
+                    got.append((id, "broken"))  # its process was killed
+            return got
+
+        clients = [pool.submit(client, number) for number in range(4)]
+        until(lambda: sum(p.posts for p in rig.providers) > 50)
+        rig.file.write_text(json.dumps({**rig.conf, "listen": rig.address}))
+        older, newer = rig.process, rig.spawn()
+        rig.older += [older, newer]
+        victim, left = (older, newer) if seed % 2 else (newer, older)
+        if random.random() < 0.5:
+            until(lambda: "joined by a newer process" in "".join(rig.log))
+        time.sleep(random.random() * 0.1)
+        victim.kill()
+        victim.wait(20)
+        before = sum(p.posts for p in rig.providers)
+        until(lambda: sum(p.posts for p in rig.providers) > before + 50)
+        over.set()
+        answers = [answer for job in clients for answer in job.result()]
+        assert {status for _, status in answers} <= {200, "broken"} and left.poll() is None
+        ran = [body for p in rig.providers for method, _, body in p.got if method == "POST"]
+        assert len(ran) == len(set(ran)) and {id.encode() for id, s in answers if s == 200} <= set(ran)
+
+
+def test_sigterm_before_the_newer_process_listens_and_sighup_to_either(tmp_path: Path) -> None:
+    with running(tmp_path, accept, console=True) as rig, ThreadPoolExecutor(2) as pool:
+        provider = rig.providers[0]
+        job = pool.submit(rig.invoke, "a", "/reminder")
+        until(lambda: provider.posts == 1)
+        older = rig.process
+        older.send_signal(signal.SIGTERM)
+        told(rig, "event=stopping")
+        rig.upgrade()
+        told(rig, "the newer process serves")
+        for process in (older, rig.process):
+            before = len(rig.logged("event=reloaded"))
+            process.send_signal(signal.SIGHUP)
+            told(rig, "event=reloaded", before + 1)
+        assert provider.tell("a", "done", result="r") == 204
+        assert job.result()[:2] == (200, b"r")
+        assert older.wait(20) == 0
+        provider.does = done
+        assert rig.invoke("b")[0] == 200
+
+
 def test_an_id_under_way_at_one_process_is_in_use_at_the_other(tmp_path: Path) -> None:
     with running(tmp_path, accept, console=True) as rig, ThreadPoolExecutor(2) as pool:
         first = pool.submit(rig.invoke, "same", "/reminder")
