--- a/benchmarks/large_fleet.py
+++ b/benchmarks/large_fleet.py
@@ -26,6 +26,7 @@
 sys.path.insert(0, str(ROOT))
 structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
 
+from bitternpath import messages  # noqa: E402
 from bitternpath.emulator.policies import POLICIES  # noqa: E402
 from bitternpath.emulator.scenario import load, made_from  # noqa: E402
 from bitternpath.emulator.world import World  # noqa: E402
@@ -44,6 +45,7 @@
         path.write_bytes(source)
         spec = importlib.util.spec_from_file_location("brain_before", path)
         assert spec is not None and spec.loader is not None
+        vars(messages).setdefault("ProbeResult", type("ProbeResult", (), {}))  # earlier revisions name it
         module = importlib.util.module_from_spec(spec)
         sys.modules["brain_before"] = module
         spec.loader.exec_module(module)
