A cold worker that got nothing for 4 s gets the next job that it may take

A cold worker's small share puts it behind every idle warm one that has learned a better q (a dispatcher with four idle workers, no exploring: 0 of 100 jobs in 5 s), so that only the 5% of random jobs reach it. Ruled out: the pace of cold workers (a home's gap is under 0.3 s). A weight of 1/share was not enough against a learned q.

Change: unused for 4 s, it goes first, once; the job's limits and the cold budget hold as before.

--- a/bitternpath/brain.py
+++ b/bitternpath/brain.py
@@ -27,7 +27,7 @@
 LOST = 4.0  # mean running times after which a job that has not begun counts as lost
 SILENT = 1.0  # of the aim: a worker not heard from for so long after a send leaves the usable set
 COLD_HOME, COLD_REST = 0.8, 0.2  # of the multiple: slots of those whose home it is, and of others, once warm
-COLD_IDLE = 0.3  # of a job's work before the next goes to an idle cold home: what ends there sets the pace
+COLD_IDLE, COLD_UNUSED = 0.3, 4_000.0  # of a job: the gap at an idle cold home; ms until it goes first
 
 
 class Worker:
@@ -377,7 +377,7 @@
                 out = max(self.next_cold(w), w.out_until if job.line.harmless else w.shy_until)
                 if out > now or (w.full_until > now and not w.room) or w in broken or 0 < w.slots <= w.n:
                     continue
-                age, own = now - w.wait_at, w.own_queue(self.mean_run)
+                age, own, unused = now - w.wait_at, w.own_queue(self.mean_run), now - w.cold_at > COLD_UNUSED
                 # A queue drains since it was seen. What is late goes only where it makes no other job late.
                 pace, share = paces.get(w.kind, 0.0) * job.size, self.share(w)
                 limit = min(kinds.get(w.kind, 0.0), longest) - pace * (1 / share - 1)
@@ -385,7 +385,7 @@
                 bears = -load if late else max(limit, 0.0) - own
                 if max(seen, unseen if late or limit > 0 else 0.0) > bears or (late and pace > left):
                     continue
-                score = q[k] / (1 + load) * share * (1 + 0.01 * rand())
+                score = q[k] / (1 + load) * share * (1 + 0.01 * rand()) + (unused and share < 1)
                 if score > best_score and (not job.tries or self.allowed(job, w)):
                     best, best_score = w, score
             if best is not None:
--- a/tests/test_strain.py
+++ b/tests/test_strain.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 from helpers import Talk, entry, finals, job_class, sends
 
@@ -32,6 +34,31 @@
     assert sends(freed)[0].id == "held5"  # the newest: oldest first would make all of them late
 
 
+def test_a_cold_worker_that_stays_unused_gets_a_job_within_seconds_though_others_are_idle(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its small share kept it behind every idle warm worker: called back by staff, it stood unused."""
+    monkeypatch.setattr(brain, "EXPLORE", 0.0)  # chance alone may do it in time, or not
+    more: dict[str, Any] = {
+        "warm_within": 23_000.0,
+        "cold_share": 0.15,
+        "fall_multiple": 4.0,
+        "tells_start": True,
+    }
+    for seed in range(5):
+        talk = Talk(workers=4, seed=seed, **more)
+        teach(talk, 200.0)
+        cold = entry("w0", up_since=talk.now)
+        talk.say(m.WorkerList(m.ListKind.CHANGES, [cold]))
+        got = []
+        for k in range(100):  # 20 jobs a second, each soon over, for 5 s
+            (send,) = sends(talk.ask(f"r{k}"))
+            talk.say(m.JobNote(f"r{k}", 0, send.worker))
+            talk.end(f"r{k}", send.worker, m.How.OK, after=50.0)
+            got.append(send.worker)
+        assert 1 <= got.count("w0") <= 5 and "w0" in got[:90]
+
+
 def test_of_held_jobs_those_that_earn_most_for_their_time_get_a_free_place_first() -> None:
     """The newest came first whatever they earn, and long jobs of little worth kept the short ones out."""
     classes = [job_class("long", value=5.0), job_class("short", value=3.0)]
