--- a/bitternpath/config/platform.py
+++ b/bitternpath/config/platform.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
+from math import inf
 from pathlib import Path
 from typing import Any
 
@@ -84,6 +85,12 @@
     return replace(told, discovery=filed)
 
 
+def _above_0(name: str, value: Any) -> None:
+    """No text, no truth value, not infinite and no NaN."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < inf:
+        raise ValueError(f"{name}: must be a number above 0, not {value!r:.40}")
+
+
 def _keys(told: dict[str, Any]) -> frozenset[str]:
     """What every later file has to name as well: all at the top and in `settings`, and in each class."""
     conf = told["settings"]
@@ -99,6 +106,11 @@
     conf = told["settings"]
     allowed, limits = conf.get("allowed") or {}, told.get("limits") or {}
     known, filed = told.get("known"), told.get("discovery")
+    for job_class in conf["classes"]:
+        _above_0("aim", job_class["aim"])
+        _above_0("giveUp", job_class["giveUp"])
+    if "tryLimit" in allowed:
+        _above_0("tryLimit", allowed["tryLimit"])
     discovery_in_file = address(filed) if filed else None
     console = environ.get("PROXY_CONSOLE") or told.get("console")
     config = Config(
--- a/bitternpath/core/roster.py
+++ b/bitternpath/core/roster.py
@@ -88,6 +88,10 @@
         source tells of that late: one of which no start since is known may have started at the call back."""
         if said.id in self.out and said.state is m.State.SERVING:
             return replace(said, state=m.State.DRAINING)
+        return self._started(said)
+
+    def _started(self, said: Provider) -> Provider:
+        """With the start that is assumed of one called back, until its source tells of one."""
         since, at = self._back.get(said.id, (0.0, 0.0))
         return replace(said, up_since=at) if said.up_since < since else said
 
@@ -107,13 +111,15 @@
             listing = replace(listing, members=(*own, *others) if listing.complete else own)
         if listing.complete:
             self._said.clear()
-        for provider in listing.members:
-            if provider.state is m.State.GONE:
-                self._said.pop(provider.id, None)
+            self.providers.clear()
+        told = tuple(self._holds(said) for said in listing.members)
+        for said, holds in zip(listing.members, told, strict=True):
+            if said.state is m.State.GONE:
+                self._said.pop(said.id, None)
+                self.providers.pop(said.id, None)
             else:
-                self._said[provider.id] = provider
-        listing = replace(listing, members=tuple(self._holds(p) for p in listing.members))
-        self.providers = {id: self._holds(said) for id, said in self._said.items()}
+                self._said[said.id], self.providers[said.id] = said, holds
+        listing = replace(listing, members=told)
         kv: dict[str, object] = {
             "revision": listing.revision,
             "whole": listing.complete,
@@ -125,8 +131,8 @@
         self.tell(listing)
 
     def listed(self) -> Listing:
-        """What discovery says, bans apart."""
-        members = tuple(p for p in self._said.values() if p.source == DISCOVERY)
+        """What holds by discovery's word, bans apart."""
+        members = tuple(self._started(p) for p in self._said.values() if p.source == DISCOVERY)
         return Listing(self.revision, True, members)
 
     def replace(self, listing: Listing) -> None:
--- a/bitternpath/handover/handover.py
+++ b/bitternpath/handover/handover.py
@@ -59,7 +59,7 @@
         self._joining: Deferred[int | None] | None = None
         self._learned: Learned | None = None
         self._timer: Any = None
-        self._passed: dict[int, tuple[Link, Callable[[bool], None], Any]] = {}
+        self._passed: dict[int, tuple[set[Link], Callable[[bool], None], Any]] = {}
         self._number = 0
 
     # ---- the newer process
@@ -167,8 +167,8 @@
         self._share()
 
     def _share(self) -> None:
-        """While both live each has a part of what the node may hold and send; the one left has the whole."""
-        part = 0.5 if self.links else 1.0
+        """While others live each has a part of what the node may hold and send, the one left the whole."""
+        part = 1.0 / (1 + len(self.links))
         self.sockets.share(part)
         self.module.part = part
         self.broker.took = self._took if self.links else None
@@ -191,7 +191,7 @@
             case Taken(id):
                 self.broker.remember(id)
             case Heard(number):
-                self._heard(number, True)
+                self._heard(number, link)
             case Passed(number, id, provider, state, share, result):
                 try:
                     news = News(id, provider, State(state), share, result)
@@ -204,8 +204,8 @@
 
     def _lost(self, link: Link) -> None:
         self.links.pop(link, None)
-        for number in [n for n, (to, _, _) in self._passed.items() if to is link]:
-            self._heard(number, True)  # its jobs have died with it
+        for number in list(self._passed):
+            self._heard(number, link)  # its jobs have died with it
         if link is self._older:
             self._older = None
             self._alone("the link broke")
@@ -219,24 +219,31 @@
     # ---- call-backs
 
     def relay(self, news: News, then: Callable[[bool], None]) -> bool:
-        """Pass a call-back on to the other process; `then` hears whether it has it. False: there is none."""
+        """Pass a call-back on to the other processes, of which one may know the job; `then` hears whether all
+        have it. False: there is none."""
         return self._pass(news, then, None)
 
     def _pass(self, news: News, then: Callable[[bool], None], source: Link | None) -> bool:
-        link = next((link for link in self.links if link is not source and link.open), None)
-        if link is None:
+        links = {link for link in self.links if link is not source and link.open}
+        if not links:
             return False
         self._number += 1
-        number = self._number
-        timer = self.reactor.callLater(HEARD_WITHIN, self._heard, number, False)
-        self._passed[number] = link, then, timer
-        link.say(Passed(number, news.id, news.provider, news.state.value, news.share, news.result))
+        timer = self.reactor.callLater(HEARD_WITHIN, self._unheard, self._number)
+        self._passed[self._number] = links, then, timer
+        for link in links:
+            link.say(Passed(self._number, news.id, news.provider, news.state.value, news.share, news.result))
         return True
 
-    def _heard(self, number: int, ok: bool) -> None:
-        passed = self._passed.pop(number, None)
-        if passed is not None:
-            _, then, timer = passed
-            if timer.active():
-                timer.cancel()
-            then(ok)
+    def _heard(self, number: int, link: Link) -> None:
+        if number not in self._passed:
+            return  # too late
+        waits, then, timer = self._passed[number]
+        waits.discard(link)
+        if not waits:
+            del self._passed[number]
+            timer.cancel()
+            then(True)
+
+    def _unheard(self, number: int) -> None:
+        _, then, _ = self._passed.pop(number)
+        then(False)
--- a/bitternpath/handover/link.py
+++ b/bitternpath/handover/link.py
@@ -48,6 +48,7 @@
                     self.hear(self, said)
         except LinkError as error:
             log.warning("link broken", why=error)
+            self.open = False  # whatever else has come by now
             self.close()
 
     def say(self, said: Said, descriptor: int | None = None) -> None:
--- a/bitternpath/node.py
+++ b/bitternpath/node.py
@@ -245,6 +245,7 @@
         """Fronts, figures and module change in one step: what comes from now on is under the new rules."""
         self.broker.figures.know(c.name for c in settings.classes)
         self.broker.settings(settings)
+        self.broker.drain()  # the module knows each class before a front takes a job of it
         self.listener.set_classes(settings.classes)
         if self.amqp is not None:
             self.amqp.front.classes = {c.name: c for c in settings.classes}
--- a/bitternpath/settings.py
+++ b/bitternpath/settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from math import inf
 from typing import Any
 
 from bitternpath import messages as m
@@ -10,13 +9,6 @@
 EFFECTS = {"pure": m.Effect.SAFE, "token": m.Effect.KEYED, "side_effect": m.Effect.UNSAFE}
 
 
-def above_0(name: str, value: Any) -> float:
-    """The value, if it is a finite number above 0: no text, no truth value, no NaN."""
-    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < inf:
-        raise ValueError(f"{name}: must be a number above 0, not {value!r:.40}")
-    return value
-
-
 def settings_from(conf: dict[str, Any]) -> m.Settings:
     """The settings in the module's words; keys that it has no use for are left out."""
     rules, allowed, family = conf.get("rules", {}), conf.get("allowed", {}), conf.get("familyInfo", {})
@@ -33,8 +25,8 @@
             m.JobClass(
                 name=c["name"],
                 effect=EFFECTS[c["effect"]],
-                aim=above_0("aim", c["aim"]),
-                give_up=above_0("giveUp", c["giveUp"]),
+                aim=c["aim"],
+                give_up=c["giveUp"],
                 value=c.get("value", 1.0),
                 late_worth=c.get("lateWorth", 0.0),
                 group=m.Group(c.get("group") or "all"),
@@ -59,7 +51,7 @@
         "may_cancel": allowed.get("cancel"),
         "may_probe": allowed.get("mayProbe"),
         "second_copies": allowed.get("secondCopies"),
-        "try_limit": ("tryLimit" in allowed and above_0("tryLimit", allowed["tryLimit"])) or None,
+        "try_limit": allowed.get("tryLimit"),
         "gives_retry_after": allowed.get("retryAfter"),
         "max_retry_after": allowed.get("maxRetryAfter"),
         "tick": conf.get("tick"),
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -218,6 +218,19 @@
     assert told == [how != "silence"]
 
 
+def test_a_process_between_two_others_asks_both_of_a_job_that_it_does_not_know(tmp_path: Path) -> None:
+    # Guards: only the older one was asked, and its word that it has the news counted for the newer one's job.
+    side, told = Side(Reactor(), tmp_path, "n"), list[bool]()
+    links = [side.end(), side.end()]
+    assert side.handover.relay(News("x", "s", State.DONE, None, b"r"), told.append)
+    for link in links:
+        transport: Any = link.transport
+        (said,) = Lines().feed(transport.value())
+        assert isinstance(said, Passed) and not told
+        link.dataReceived(line(Heard(said.number)))
+    assert told == [True] and side.module.part == pytest.approx(1 / 3)
+
+
 def test_news_goes_on_to_a_third_process_but_never_back(tmp_path: Path) -> None:
     side = Side(Reactor(), tmp_path, "n")
     passed = Passed(5, "x", "s", "done", None, b"r")
