One report from front to broker and link, one address of a port, one way to take nodes in turn

Found on reading the change: broker and link took the five fields of a provider's report one by one, and the link checked its state by itself; three listeners formed their address; three troubles scheduled all nodes in turn; a method only called another; a constructor's argument that nobody gave. Tests keep their assertions.

--- a/bitternpath/amqp/server.py
+++ b/bitternpath/amqp/server.py
@@ -322,8 +322,7 @@
         factory: Any = self
         self.port = BurstPort(port, factory, BACKLOG, host, self.reactor)
         self.port.startListening()
-        where = self.port.getHost()
-        log.info("amqp listening", address=f"{where.host}:{where.port}")
+        log.info("amqp listening", address=self.port.address)
         self.reactor.callLater(LOOK, self._look)
 
     def buildProtocol(self, addr: IAddress | None) -> Protocol | None:
--- a/bitternpath/core/broker.py
+++ b/bitternpath/core/broker.py
@@ -17,7 +17,7 @@
 from bitternpath import messages as m
 from bitternpath.core.clock import Later
 from bitternpath.core.figures import Figures
-from bitternpath.core.invocations import CALLS_BACK, Invocation, InvokerCall, Invokers, State
+from bitternpath.core.invocations import CALLS_BACK, Invocation, InvokerCall, Invokers, News, State
 from bitternpath.core.roster import Listing, Provider, Roster
 
 log = structlog.get_logger(part="broker")
@@ -144,21 +144,20 @@
         if not call.over:
             self._append(Unusable(call))
 
-    def news(self, invocation: str, provider: str, state: State, share: float | None, result: bytes) -> bool:
+    def news(self, news: News) -> bool:
         """What a provider reports by a call-back, in any order, perhaps again, perhaps of one unknown here;
         whether the invocation is under way here.
 
         Only providers that discovery names call back; others tell of their calls where they carry them."""
-        found = self.live.get(invocation)
-        calls = (
-            [c for c in found.calls if c.provider == provider and c.protocol == CALLS_BACK] if found else []
-        )
+        found, state = self.live.get(news.id), news.state
+        tried = found.calls if found else []
+        calls = [c for c in tried if c.provider == news.provider and c.protocol == CALLS_BACK]
         if not calls or calls[-1].over:
             return found is not None
         call = calls[-1]
         call.accepted = True
         if state is State.STARTED or state is State.RUNNING:
-            self._append(Noted(call, share if state is State.RUNNING else None))
+            self._append(Noted(call, news.share if state is State.RUNNING else None))
             return True
         how = ENDS[state]
         if state is State.RETURNED:
@@ -166,7 +165,7 @@
             if any(c.returned for c in calls[:-1]):
                 how = m.How.RESET
             call.returned = True
-        self._append(Ended(call, how, result))
+        self._append(Ended(call, how, news.result))
         return True
 
     def started(self, call: InvokerCall) -> None:
--- a/bitternpath/core/figures.py
+++ b/bitternpath/core/figures.py
@@ -17,11 +17,10 @@
 class Figures:
     """Counts by class, counts of the node, and gauges."""
 
-    def __init__(self, classes: Iterable[str] = ()) -> None:
+    def __init__(self) -> None:
         self._calls: dict[str, dict[str, int]] = {}
         self._counts: Counter[str] = Counter()
         self._gauges: dict[str, Callable[[], int]] = {}
-        self.know(classes)
 
     def know(self, classes: Iterable[str]) -> None:
         """Classes of the settings: at 0 from their first moment. One that is dropped keeps its counts."""
--- a/bitternpath/core/roster.py
+++ b/bitternpath/core/roster.py
@@ -135,7 +135,7 @@
         members = tuple(self._started(p) for p in self._said.values() if p.source == DISCOVERY)
         return Listing(self.revision, True, members)
 
-    def replace(self, listing: Listing) -> None:
+    def begin_with(self, listing: Listing) -> None:
         """Begin with another list, before anybody has heard of the first."""
         self.revision = listing.revision
         self._said = {p.id: p for p in listing.members}
--- a/bitternpath/emulator/nodes.py
+++ b/bitternpath/emulator/nodes.py
@@ -11,7 +11,7 @@
 
 from bitternpath import messages as m
 from bitternpath.core.broker import Broker
-from bitternpath.core.invocations import Invocation, InvokerCall, State
+from bitternpath.core.invocations import Invocation, InvokerCall, News, State
 from bitternpath.core.roster import Listing, Provider, Roster
 from bitternpath.emulator.clients import Try
 from bitternpath.emulator.discovery import EPOCH
@@ -400,10 +400,11 @@
     def _news(self, worker: str, id: str, state: State, share: float | None, result: bytes) -> None:
         if not self.up:
             return
+        news = News(id, worker, state, share, result)
         if self.stopped:
-            self.asleep.append(partial(self.broker.news, id, worker, state, share, result))
+            self.asleep.append(partial(self.broker.news, news))
         else:
-            self.broker.news(id, worker, state, share, result)
+            self.broker.news(news)
 
 
 class VirtualInvoker:
--- a/bitternpath/emulator/troubles/__init__.py
+++ b/bitternpath/emulator/troubles/__init__.py
@@ -88,5 +88,13 @@
     return [world.nodes[name] for name in active.on]
 
 
+def each_node(world: Any, active: Active, do: Callable[[Any], object]) -> None:
+    """All nodes, one after the other, over the time that the trouble lasts; noted in `active.on`."""
+    nodes = list(world.nodes.values())
+    for k, node in enumerate(nodes):
+        world.later.callLater(active.lasts * k / len(nodes), do, node)
+    active.on = [node.name for node in nodes]
+
+
 for found in iter_modules(__path__):
     import_module(f"{__name__}.{found.name}")
--- a/bitternpath/emulator/troubles/operators.py
+++ b/bitternpath/emulator/troubles/operators.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any
 
-from bitternpath.emulator.troubles import Active, some_workers, trouble
+from bitternpath.emulator.troubles import Active, each_node, some_workers, trouble
 
 RESTARTED_AFTER = 0.3  # of the time for which a worker is out: by then it has done what it had
 BACK_AFTER = 0.6  # of that time: its process runs again, cold
@@ -32,7 +32,4 @@
 @trouble("upgrades")
 def upgrades(world: Any, active: Active, random: Random) -> None:
     """Every node is upgraded under load, one after the other: a newer process beside the older one."""
-    nodes = list(world.nodes.values())
-    for k, node in enumerate(nodes):
-        world.later.callLater(active.lasts * k / len(nodes), node.upgrade)
-    active.on = [node.name for node in nodes]
+    each_node(world, active, lambda node: node.upgrade())
--- a/bitternpath/emulator/troubles/platform.py
+++ b/bitternpath/emulator/troubles/platform.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any
 
-from bitternpath.emulator.troubles import Active, some_nodes, trouble
+from bitternpath.emulator.troubles import Active, each_node, some_nodes, trouble
 
 
 @trouble("discovery-down")
@@ -60,16 +60,10 @@
 @trouble("rolling-restarts")
 def rolling_restarts(world: Any, active: Active, random: Random) -> None:
     """All nodes restart, one after the other, `size` s down each."""
-    nodes = list(world.nodes.values())
-    for k, node in enumerate(nodes):
-        world.later.callLater(active.lasts * k / len(nodes), node.restart, max(active.size, 0.1))
-    active.on = [node.name for node in nodes]
+    each_node(world, active, lambda node: node.restart(max(active.size, 0.1)))
 
 
 @trouble("reload-nodes")
 def reload_nodes(world: Any, active: Active, random: Random) -> None:
     """All nodes read their configuration again, one after the other; discovery has moved in it."""
-    nodes = list(world.nodes.values())
-    for k, node in enumerate(nodes):
-        world.later.callLater(active.lasts * k / len(nodes), node.reload)
-    active.on = [node.name for node in nodes]
+    each_node(world, active, lambda node: node.reload())
--- a/bitternpath/handover/handover.py
+++ b/bitternpath/handover/handover.py
@@ -15,7 +15,7 @@
 
 from bitternpath.brain import Dispatcher
 from bitternpath.core.broker import Broker
-from bitternpath.core.invocations import News, State
+from bitternpath.core.invocations import News
 from bitternpath.core.lifecycle import LifeCycle, Word
 from bitternpath.core.roster import Roster
 from bitternpath.handover.learned import Learned, learned_by, teach
@@ -27,9 +27,7 @@
 connect: Any = connectProtocol
 log = structlog.get_logger(part="handover")
 
-WELCOME_WITHIN = (
-    1.5  # s: a process under load answers within milliseconds; without an answer the node serves alone
-)
+WELCOME_WITHIN = 1.5  # s: one under load answers within milliseconds; without an answer the node is alone
 HEARD_WITHIN = 1.0  # s for the other process to take a call-back in; then the provider is asked to come again
 DESCRIPTORS = 4  # the door, a link each way, the folder
 
@@ -110,7 +108,7 @@
             return
         os.set_inheritable(descriptor, False)
         if said.listing.revision >= self.roster.revision:
-            self.roster.replace(said.listing)
+            self.roster.begin_with(said.listing)
         for id in said.taken:
             self.broker.remember(id)
         self._learned = said.learned
@@ -192,14 +190,10 @@
                 self.broker.remember(id)
             case Heard(number):
                 self._heard(number, link)
-            case Passed(number, id, provider, state, share, result):
-                try:
-                    news = News(id, provider, State(state), share, result)
-                except ValueError:
-                    log.warning("no such state of a call", state=state[:40])
-                    return
-                known = self.broker.news(news.id, news.provider, news.state, news.share, news.result)
-                if known or not self._pass(news, lambda ok: link.say(Heard(number)) if ok else None, link):
+            case Passed(number, news):
+                if self.broker.news(news) or not self._pass(
+                    news, lambda ok: link.say(Heard(number)) if ok else None, link
+                ):
                     link.say(Heard(number))
 
     def _lost(self, link: Link) -> None:
@@ -231,7 +225,7 @@
         timer = self.reactor.callLater(HEARD_WITHIN, self._unheard, self._number)
         self._passed[self._number] = links, then, timer
         for link in links:
-            link.say(Passed(self._number, news.id, news.provider, news.state.value, news.share, news.result))
+            link.say(Passed(self._number, news))
         return True
 
     def _heard(self, number: int, link: Link) -> None:
--- a/bitternpath/handover/messages.py
+++ b/bitternpath/handover/messages.py
@@ -10,6 +10,7 @@
 import msgspec
 from msgspec import Struct
 
+from bitternpath.core.invocations import News
 from bitternpath.core.roster import Listing
 from bitternpath.handover.learned import Learned
 
@@ -50,11 +51,7 @@
     """A call-back for an invocation that the sender does not know."""
 
     number: int
-    id: str
-    provider: str
-    state: str
-    share: float | None
-    result: bytes
+    news: News
 
 
 class Heard(Struct, tag="heard"):
--- a/bitternpath/http/console.py
+++ b/bitternpath/http/console.py
@@ -153,12 +153,6 @@
         self.port = BurstPort(port, factory, BACKLOG, host, self.reactor)
         self.port.startListening()
 
-    @property
-    def address(self) -> str:
-        """Where it listens; the port may have been left to the system."""
-        where = self.port.getHost()
-        return f"{where.host}:{where.port}"
-
     def buildProtocol(self, addr: IAddress | None) -> Protocol:
         return Caller(self)
 
--- a/bitternpath/http/front.py
+++ b/bitternpath/http/front.py
@@ -256,15 +256,9 @@
             os.close(descriptor)
         self.port.shared = shared
         self.port.startListening()
-        self.life.changed.append(self._life_changed)
+        self.life.changed.append(self._accept_if_room)
         self._look_for_slow()
 
-    @property
-    def address(self) -> str:
-        """Where it listens; the port may have been left to the system."""
-        where = self.port.getHost()
-        return f"{where.host}:{where.port}"
-
     def buildProtocol(self, addr: IAddress | None) -> Protocol:
         return ConsumerConnection(self)
 
@@ -366,8 +360,7 @@
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             connection.answer(400, str(error).encode())
             return
-        known = self.broker.news(news.id, news.provider, news.state, news.share, news.result)
-        if known or not self.relay(news, partial(self._relayed, connection)):
+        if self.broker.news(news) or not self.relay(news, partial(self._relayed, connection)):
             connection.answer(204)
         else:
             connection.relayed = True
@@ -430,9 +423,6 @@
         over = self.stopped_at is not None and self.clock() > self.stopped_at + HELD
         return not over and any(c.open and not c.only_news for c in self.connections)
 
-    def _life_changed(self) -> None:
-        self._accept_if_room()
-
     def _close_idle(self) -> None:
         self.reactor.callLater(LOOK_AGAIN, self._close_idle)
         if not self.life.does.drops_idle and self.held:
--- a/bitternpath/net/sockets.py
+++ b/bitternpath/net/sockets.py
@@ -29,6 +29,12 @@
     _shouldShutdown = property(lambda self: False, lambda self, value: None)
     shared = False
 
+    @property
+    def address(self) -> str:
+        """Where it listens, as HOST:PORT; the port may have been left to the system."""
+        where = self.getHost()  # type: ignore[no-untyped-call]
+        return f"{where.host}:{where.port}"
+
     def createInternetSocket(self) -> socket:
         made: socket = super().createInternetSocket()  # type: ignore[no-untyped-call]
         if self.shared:
--- a/bitternpath/node.py
+++ b/bitternpath/node.py
@@ -186,7 +186,7 @@
         self.listener.listen(*self.loaded.platform.listen, shared, descriptor)
         self.life.hear(Word.LISTENS)
         if self.handover is not None:
-            self.handover.listen = self.listener.address
+            self.handover.listen = self.listener.port.address
             self.handover.ready()
         if self.amqp is not None:
             self.amqp.listen(*address(self.at_start.amqp.listen))
@@ -196,11 +196,11 @@
         self.reactor.callLater(REPORT_EVERY, self._report)
         kv: dict[str, object] = {
             "name": self.loaded.platform.name,
-            "address": self.listener.address,
+            "address": self.listener.port.address,
             "providers": len(known.members),
         }
         if self.console is not None:
-            kv["console"] = self.console.address
+            kv["console"] = self.console.port.address
         log.info("listening", **kv)
 
     def _report(self) -> None:
--- a/tests/test_amqp_flow.py
+++ b/tests/test_amqp_flow.py
@@ -550,14 +550,14 @@
 
 def test_call_backs_over_http_say_nothing_of_calls_at_subscribers() -> None:
     # Guards: anybody who reaches the HTTP listener could end a subscriber's job as 'returned'.
-    from bitternpath.core.invocations import State
+    from bitternpath.core.invocations import News, State
 
     rig, publisher, _, _ = rig_with("hold")
     rig.ask(publisher, "a")
     rig.settle()
     for provider in list(rig.subscribers.by_provider):
-        rig.broker.news("a", provider, State.RETURNED, None, b"")
-        rig.broker.news("a", provider, State.DONE, None, b"forged")
+        rig.broker.news(News("a", provider, State.RETURNED, None, b""))
+        rig.broker.news(News("a", provider, State.DONE, None, b"forged"))
     rig.settle()
     assert publisher.answers() == []
 
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -10,7 +10,7 @@
 from bitternpath import messages as m
 from bitternpath.brain import Dispatcher
 from bitternpath.core.broker import Broker
-from bitternpath.core.invocations import Invocation, InvokerCall, State
+from bitternpath.core.invocations import Invocation, InvokerCall, News, State
 from bitternpath.core.roster import Listing, Provider, Roster
 
 
@@ -45,7 +45,7 @@
         return invocation
 
     def news(self, state: State, provider: str, id: str = "a", result: bytes = b"") -> None:
-        self.broker.news(id, provider, state, None, result)
+        self.broker.news(News(id, provider, state, None, result))
         self.pass_time(1.0)
 
     def start(self, call: InvokerCall, provider: Provider) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -73,7 +73,7 @@
     talk = Talk(workers=2)
     said = [
         Hello(1, "h:1"), Welcome(Listing(3, True, (provider,)), ["x"], learned_by(talk.d)), Ready(),
-        Taken("é\n"), Passed(1, "x", "s", "done", None, bytes(range(256))), Heard(1),
+        Taken("é\n"), Passed(1, News("x", "s", State.DONE, None, bytes(range(256)))), Heard(1),
     ]  # fmt: skip
     data = b"".join(line(one) for one in said)
     for seed in range(20):
@@ -208,7 +208,7 @@
     transport: Any = link.transport
     assert side.handover.relay(news, told.append) and not told
     (said,) = Lines().feed(transport.value())
-    assert isinstance(said, Passed) and said.result == b"r"
+    assert isinstance(said, Passed) and said.news.result == b"r"
     if how == "heard":
         link.dataReceived(line(Heard(said.number)))
     elif how == "lost":
@@ -233,7 +233,7 @@
 
 def test_news_goes_on_to_a_third_process_but_never_back(tmp_path: Path) -> None:
     side = Side(Reactor(), tmp_path, "n")
-    passed = Passed(5, "x", "s", "done", None, b"r")
+    passed = Passed(5, News("x", "s", State.DONE, None, b"r"))
     only = side.end()
     only.dataReceived(line(passed))
     transport: Any = only.transport
