--- a/bitternpath/cli/options.py
+++ b/bitternpath/cli/options.py
@@ -10,10 +10,24 @@
 from bitternpath.config.operator import flag, keys, meant, variable
 
 
+def operator_options(function: Callable[..., Any]) -> Callable[..., Any]:
+    """Adds `--operator-file` and the flags of what a process without a front has: log and fleet."""
+    return _options(function, ("log", "fleet"))
+
+
 def settings_options(function: Callable[..., Any]) -> Callable[..., Any]:
     """Adds `--config`, `--operator-file` and a flag for every key; they arrive as `config`, `operator_file`
     and the keys' names with underscores."""
+    function = _options(function, None)
+    return click.option(
+        "--config", metavar="FILE", help="the platform's JSON file; else PROXY_CONFIG names it"
+    )(function)
+
+
+def _options(function: Callable[..., Any], sections: tuple[str, ...] | None) -> Callable[..., Any]:
     for path, hint in reversed(list(keys())):
+        if sections is not None and path.partition(".")[0] not in sections:
+            continue
         function = click.option(
             flag(path),
             path.replace(".", "__"),
@@ -21,14 +35,11 @@
             default=None,
             help=f"{meant(hint).description} [{variable(path)}]",
         )(function)
-    function = click.option(
+    return click.option(
         "--operator-file",
         metavar="FILE",
         help="the operators' TOML file; else BITTERNPATH_OPERATOR_FILE names it",
     )(function)
-    return click.option(
-        "--config", metavar="FILE", help="the platform's JSON file; else PROXY_CONFIG names it"
-    )(function)
 
 
 def given(flags: dict[str, str | None]) -> dict[str, str]:
--- /dev/null
+++ b/bitternpath/cli/steward.py
@@ -0,0 +1,57 @@
+"""`bitternpath steward`: run one of the processes that keep the fleet's record."""
+
+from __future__ import annotations
+
+import os
+from typing import Any
+
+import click
+
+from bitternpath.cli.options import given, operator_options
+from bitternpath.cli.run import fault
+from bitternpath.config import logs
+from bitternpath.config.operator import Fleet, read
+from bitternpath.config.platform import ConfigError
+
+
+def _fit(fleet: Fleet) -> Fleet:
+    """What a steward cannot do without."""
+    names = [each.partition("=")[0] for each in fleet.stewards]
+    if fleet.name not in names:
+        raise ConfigError(
+            f"fleet.name = {fleet.name!r}: allowed are those of fleet.stewards: {', '.join(names)}"
+        )
+    if not fleet.folder:
+        raise ConfigError("fleet.folder: a steward needs a folder that lasts")
+    return fleet
+
+
+@click.command(
+    epilog="""\b
+Examples:
+  bitternpath steward --operator-file s1.toml --found     # the first one, once
+  bitternpath steward --operator-file s2.toml             # then: bitternpath fleet members add S2
+  bitternpath steward --fleet-name S1 --fleet-folder /var/lib/bitternpath --fleet-stewards S1=10.0.0.1:7000
+"""
+)
+@operator_options
+@click.option("--found", is_flag=True, help="begin a new fleet, where the folder is empty")
+def command(operator_file: str | None, found: bool, **flags: Any) -> None:
+    """Run a steward: it keeps the fleet's record together with the others.
+
+    Ends with 0 after SIGTERM, with 1 where its disk fails, with 2 where configuration or folder are wrong.
+    """
+    context = click.get_current_context()
+    try:
+        settings = read(operator_file, os.environ, given(flags)).settings
+        fleet = _fit(settings.fleet)
+    except ConfigError as error:
+        context.exit(fault(error))
+    from bitternpath.fleet.steward import StoreError, run
+
+    told = settings.log
+    logs.start(told.level, told.format, told.per_second)
+    try:
+        context.exit(run(fleet, found))
+    except StoreError as error:
+        context.exit(fault(error))
--- a/bitternpath/cli/top.py
+++ b/bitternpath/cli/top.py
@@ -9,6 +9,8 @@
 COMMANDS = {  # in the order in which --help names them
     "serve": "Run a node (the default).",
     "check-config": "Read the configuration, print every setting and where it came from, and end.",
+    "steward": "Run one of the processes that keep the fleet's record.",
+    "fleet": "Ask the fleet, and change what all nodes act on.",
     "user": "Make password hashes for the operator file.",
     "demo": "Real nodes, workers and clients on loopback for 20 s, one site lost on the way.",
     "emulate": "Play a scenario of the emulator, in virtual time or with real nodes.",
--- a/bitternpath/config/operator.py
+++ b/bitternpath/config/operator.py
@@ -101,15 +101,59 @@
     ] = 4 << 20
 
 
+Steward = Annotated[str, Meta(pattern=r"^[A-Za-z0-9_-]{1,64}=[^\s:]+:[0-9]{1,5}$", title="NAME=HOST:PORT")]
+
+
+class Fleet(Struct, frozen=True, forbid_unknown_fields=True):
+    """Many processes that agree (docs/operate/fleet.md). Off, and not imported, while `stewards` is empty."""
+
+    name: Annotated[
+        str, Meta(pattern=r"^[A-Za-z0-9_-]{0,64}$", title="letters, digits, - and _",
+                  description="a steward's name, as `stewards` has it; a node's own is the platform's"),
+    ] = ""  # fmt: skip
+    listen: Annotated[
+        str, Meta(pattern=r"^$|^[^\s:]+:[0-9]{1,5}$", title="HOST:PORT, or empty",
+                  description="where a steward listens; empty: as `stewards` says of it"),
+    ] = ""  # fmt: skip
+    folder: Annotated[
+        str,
+        Meta(description="what lasts: a steward's record, a node's acts; empty: a node keeps them in memory"),
+    ] = ""
+    stewards: Annotated[
+        list[Steward],
+        Meta(description="all stewards, each as NAME=HOST:PORT; none: off"),
+    ] = msgspec.field(default_factory=list)  # fmt: skip
+    site: Annotated[str, Meta(description="the site of this process; a node's own is the platform's")] = ""
+    lease: Annotated[
+        float,
+        Meta(ge=1.0, le=60.0, description="s that a node's lease holds; counts when a fleet is founded"),
+    ] = 4.0
+    catch_up: Annotated[
+        float,
+        Meta(ge=1.0, le=600.0, description="s for which a node may lag; counts when a fleet is founded"),
+    ] = 5.0
+    drift: Annotated[
+        float,
+        Meta(ge=0.0, le=0.2, description="share by which clocks run apart; counts when a fleet is founded"),
+    ] = 0.02
+    alone: Annotated[
+        Literal["serve", "leave"], Meta(description="what a node does without a lease: serve on, or leave")
+    ] = "serve"
+
+
 class Operator(Struct, frozen=True, forbid_unknown_fields=True):
     """All sections."""
 
     log: Log = Log()
     amqp: Amqp = Amqp()
+    fleet: Fleet = Fleet()
 
 
 # What a running node cannot change; a reload names those that differ.
-AT_START_ONLY = ("log.level", "log.format", "log.per_second", "amqp.listen", "amqp.max_connections")
+AT_START_ONLY = (
+    "log.level", "log.format", "log.per_second", "amqp.listen", "amqp.max_connections",
+    *(f"fleet.{key}" for key in Fleet.__struct_fields__),
+)  # fmt: skip
 
 
 class Effective:
@@ -251,8 +295,12 @@
         return f"allowed is {meta.title}"
     if get_origin(kind) is Literal:
         return f"allowed are {_some(get_args(kind))}"
+    if kind is float:
+        return f"allowed is a number from {meta.ge:g} to {meta.le:g}"
     if kind is int:
         return f"allowed is a whole number from {meta.ge} to {meta.le}"
+    if kind is str:
+        return "allowed is a text"
     return "allowed is a list of texts" if get_origin(kind) is list else "allowed is a table"
 
 
--- a/bitternpath/emulator/fleet/world.py
+++ b/bitternpath/emulator/fleet/world.py
@@ -127,6 +127,8 @@
             self.name, kept_copy(self.disk), Random(self.world.random.random()), self.clock(),
             lambda: self.world.later.now, self.world.times,
         )  # fmt: skip
+        for name in self.world.stewards:
+            self.desk.met(name)
         self.settle()
 
     def kill(self) -> None:
@@ -348,7 +350,8 @@
         self.check: Callable[[p.Plan], str] = lambda plan: ""
         names = [f"S{k}" for k in range(stewards)]
         self.stewards = {
-            name: StewardHost(self, name, founded(name, terms) if name == "S0" else Kept()) for name in names
+            name: StewardHost(self, name, founded(name, terms, "f") if name == "S0" else Kept())
+            for name in names
         }
         self.nodes = {f"n{k}": NodeHost(self, f"n{k}", f"site{k % 3}") for k in range(nodes)}
         self.operator = OperatorHost(self, "operator")
@@ -433,9 +436,5 @@
     if write.cut is not None:
         kept.entries = [entry for entry in kept.entries if entry.index < write.cut]
     kept.entries += write.entries
-    gone = [entry for entry in kept.entries if entry.index < write.first]
-    if gone:
-        kept.before = gone[-1].index, gone[-1].term
-        kept.entries = kept.entries[len(gone) :]
-    if kept.before[0] < write.first - 1:  # a snapshot from elsewhere, after all that was here
-        kept.before = kept.snapshot.index, kept.snapshot.term
+    kept.before = write.before
+    kept.entries = [entry for entry in kept.entries if entry.index > write.before[0]]
--- /dev/null
+++ b/bitternpath/fleet/client.py
@@ -0,0 +1,82 @@
+"""Asking the stewards from a command: blocking sockets, one steward after the other."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from bitternpath.config.platform import Address
+from bitternpath.fleet import messages as m
+
+ANSWER_WITHIN = 2.0  # s that one steward is waited for
+AGAIN_AFTER = 0.3  # s before all of them are asked again
+MANY_BYTES = 1 << 16
+
+
+class NoAnswerError(Exception):
+    """Nobody who could answer did in time; the text says what each said."""
+
+
+def _ask_one(at: Address, ask: m.Ask, name: str, within: float) -> m.Answer:
+    until = time.monotonic() + within
+    with socket.create_connection(at, within) as link:
+        link.sendall(m.frame(m.Hello(m.VERSION, "", "command", name)) + m.frame(ask))
+        frames = m.Frames()
+        while (left := until - time.monotonic()) > 0:
+            link.settimeout(left)
+            data = link.recv(MANY_BYTES)
+            if not data:
+                break
+            for said in frames.feed(data):
+                if isinstance(said, m.Answer) and said.number == ask.number:
+                    return said
+                if isinstance(said, m.Refused):
+                    return m.Answer(ask.number, False, said.why)
+    raise TimeoutError("no answer")
+
+
+def passing(answer: m.Answer) -> bool:
+    """Whether the same question may be answered soon."""
+    return not answer.ok and ("leader" in answer.text or "again" in answer.text)
+
+
+def ask(stewards: Mapping[str, Address], command: m.Command, name: str, within: float) -> m.Answer:
+    """Ask any steward, again until one answers or the time is up; NoAnswerError then."""
+    until, said = time.monotonic() + within, dict.fromkeys(stewards, "not asked")
+    while True:
+        for steward, at in stewards.items():
+            try:
+                answer = _ask_one(at, m.Ask(1, command), name, min(ANSWER_WITHIN, within))
+            except (OSError, m.WireError) as error:
+                said[steward] = str(error) or type(error).__name__
+                continue
+            if not passing(answer):
+                return answer
+            said[steward] = answer.text
+        if time.monotonic() >= until:
+            raise NoAnswerError("; ".join(f"{steward}: {why}" for steward, why in said.items()))
+        time.sleep(AGAIN_AFTER)
+
+
+def look(
+    stewards: Mapping[str, Address], command: m.Look, name: str, within: float
+) -> tuple[dict[str, Any], str]:
+    """What is known, and why it may be old: empty where a majority stands behind it."""
+    try:
+        answer, why = ask(stewards, command, name, within), ""
+    except NoAnswerError as error:
+        why, found = str(error), []
+        stale = msgspec.structs.replace(command, stale=True)
+        for at in stewards.values():
+            try:
+                found.append(_ask_one(at, m.Ask(1, stale), name, ANSWER_WITHIN))
+            except (OSError, m.WireError):
+                continue
+        if not found:
+            raise
+        answer = max(found, key=lambda each: msgspec.msgpack.decode(each.data)["applied"])
+    return dict(msgspec.msgpack.decode(answer.data)), why
--- a/bitternpath/fleet/desk.py
+++ b/bitternpath/fleet/desk.py
@@ -106,6 +106,7 @@
         self.applied = kept.snapshot.index
         self.raft = Raft(me, kept, random, now, times)
         self.tenure: Tenure | None = None
+        self.known: dict[str, str] = {}  # a steward's name: the member that it is, as it last said
         self._send: list[tuple[str, m.Consensus | m.Passed | m.Back]] = []
         self._replies: list[tuple[int, m.ToOutside]] = []
 
@@ -157,6 +158,10 @@
         self._send, self._replies = [], []
         return effects
 
+    def met(self, id: str) -> None:
+        """A steward has said who it is: its name, a dot, and its incarnation."""
+        self.known[id.partition(".")[0]] = id
+
     # ---- what is said
 
     def _said(self, now: float, route: Route, said: m.FromOutside, passed: bool) -> None:
@@ -415,6 +420,13 @@
             case m.Withdraw(version, author, reason):
                 index = self.raft.propose(now, CHANGE, p.item_bytes(p.Void(version, author, reason)))
             case m.ChangeMembers(add, remove):
+                if add and add not in self.known:
+                    self._reply(
+                        route, _answer(said.number, f"{add} has not been heard of; does it run?", None)
+                    )
+                    return
+                add = self.known.get(add, "")
+                remove = next((id for id in self.raft.members.all if id.partition(".")[0] == remove), remove)
                 why = self._members_fault(add, remove)
                 if why:
                     self._reply(route, _answer(said.number, why, None))
@@ -424,6 +436,7 @@
                 learners = tuple(name for name in members.learners if name != remove)
                 index = self._propose_members(now, Members(voters, (*learners, add) if add else learners))
             case m.PassOn(to):
+                to = next((id for id in self.raft.members.voters if id.partition(".")[0] == to), to)
                 done = self.raft.pass_on(now, to)
                 self._reply(route, _answer(said.number, "" if done else f"{to} is no other voter", None))
                 return
@@ -452,6 +465,8 @@
         watches = tenure.watches if tenure is not None else {}
         found: dict[str, Any] = {
             "steward": self.me,
+            "applied": self.applied,
+            "terms": record.terms,
             "leader": raft.leader,
             "term": raft.term,
             "voters": raft.members.voters,
--- a/bitternpath/fleet/founding.py
+++ b/bitternpath/fleet/founding.py
@@ -8,8 +8,8 @@
 from bitternpath.fleet.raft import CHANGE, MEMBERS, Entry, Kept, Members
 
 
-def founded(me: str, terms: p.Terms) -> Kept:
+def founded(me: str, terms: p.Terms, id: str) -> Kept:
     """What the disk of a fleet's only member holds: that it is one, and the fleet's terms."""
     members = Entry(1, 1, MEMBERS, msgspec.msgpack.encode(Members((me,))))
-    found = Entry(2, 1, CHANGE, p.item_bytes(p.Found(terms)))
+    found = Entry(2, 1, CHANGE, p.item_bytes(p.Found(terms, id)))
     return Kept(term=1, vote=me, entries=[members, found])
--- a/bitternpath/fleet/messages.py
+++ b/bitternpath/fleet/messages.py
@@ -230,7 +230,7 @@
                 break
             at += _HEAD.size
             try:
-                found.append(_decoder.decode(memoryview(self._data)[at : at + size]))
+                found.append(_decoder.decode(bytes(self._data[at : at + size])))
             except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
                 raise WireError(f"not a message of the fleet: {error}") from error
             at += size
--- a/bitternpath/fleet/plan.py
+++ b/bitternpath/fleet/plan.py
@@ -158,9 +158,10 @@
 
 
 class Found(Struct, frozen=True, tag="found"):
-    """The first entry of a fleet."""
+    """The first entry of a fleet; `id` is its own, so that no two fleets are taken for one."""
 
     terms: Terms
+    id: str
 
 
 class Adopt(Struct, frozen=True, tag="adopt"):
@@ -233,6 +234,7 @@
 class Record(Struct):
     """All that is agreed; only `apply` changes it, and the same entries make the same record."""
 
+    fleet: str = ""
     terms: Terms = Terms()
     released: Plan = Plan()
     latest: Plan = Plan()  # with all that is agreed
@@ -261,8 +263,8 @@
     def apply(self, index: int, item: Item) -> str:
         """Take an entry in; empty, or why it changes nothing."""
         match item:
-            case Found(terms):
-                self.terms = terms
+            case Found(terms, id):
+                self.terms, self.fleet = terms, id
                 return ""
             case Adopt():
                 return self._adopt(item)
--- a/bitternpath/fleet/raft.py
+++ b/bitternpath/fleet/raft.py
@@ -150,7 +150,7 @@
     cut: int | None  # entries from this index on are gone, before the new ones are added
     entries: tuple[Entry, ...]
     snapshot: Snapshot | None  # takes the place of the one before
-    first: int  # entries below this index are not needed any more
+    before: tuple[int, int]  # index and term of the last entry that is not needed any more
 
 
 class Kept(Struct):
@@ -428,8 +428,8 @@
     def _flush(self) -> Write:
         self._written += 1
         self._pending.append([self._written, self.last])
-        first, new = self.before[0] + 1, tuple(self._new)
-        write = Write(self._written, self.term, self.vote, self._cut, new, self._new_snapshot, first)
+        new, snapshot = tuple(self._new), self._new_snapshot
+        write = Write(self._written, self.term, self.vote, self._cut, new, snapshot, self.before)
         self._dirty, self._cut, self._new, self._new_snapshot = False, None, [], None
         return write
 
@@ -531,6 +531,7 @@
         if 2 * (heard + (self.me in self.members.voters)) <= len(self.members.voters):
             self._become_follower(self.term)
             return
+        self.heard = self.now
         self._begin_round()
 
     def _votes(self, name: str) -> bool:
--- /dev/null
+++ b/bitternpath/fleet/steward.py
@@ -0,0 +1,288 @@
+"""A steward's process: the desk with its disk, the links to the other stewards, and a listener (Twisted).
+
+What comes goes into the desk; what follows is carried out at once, but for writes: a thread of its own does
+them one batch after the other, and the desk hears when they are on disk. A disk that fails ends the process:
+a steward that can't keep its word must not give it.
+"""
+
+from __future__ import annotations
+
+import secrets
+import signal
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import structlog
+from twisted.internet.interfaces import IAddress
+from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.threads import deferToThreadPool
+from twisted.python.failure import Failure
+from twisted.python.threadpool import ThreadPool
+
+from bitternpath.config.operator import Fleet
+from bitternpath.config.platform import Address, address
+from bitternpath.fleet import clock
+from bitternpath.fleet import messages as m
+from bitternpath.fleet import plan as p
+from bitternpath.fleet.desk import Desk, Effects
+from bitternpath.fleet.founding import founded
+from bitternpath.fleet.raft import Kept, Role, Times, Write
+from bitternpath.fleet.store import DamagedError, Store, StoreError, set_aside
+from bitternpath.fleet.wire import Wire
+from bitternpath.net.sockets import dial
+
+log = structlog.get_logger(part="steward")
+
+DIAL_WITHIN = 1.0  # s
+FIRST_PAUSE, LONGEST_PAUSE = 0.1, 1.0  # s before a steward is dialled again
+CONNECTIONS = 1024  # at once; beyond them the one that has been silent for longest goes
+
+
+def where(fleet: Fleet) -> dict[str, Address]:
+    """The stewards' addresses by name."""
+    return {name: address(at) for name, _, at in (each.partition("=") for each in fleet.stewards)}
+
+
+def opened(folder: Path, name: str, found: p.Terms | None) -> tuple[Store, Any]:
+    """The steward's folder and what it holds. A damaged one is set aside, where others have the record;
+    StoreError where it is the only word, or cannot be used. `found`: a new folder begins a fleet."""
+    try:
+        store = Store(folder, name)
+    except DamagedError as error:
+        raise StoreError(f"{error}: move it away if other stewards have the record") from error
+    try:
+        kept = store.read()
+    except DamagedError as error:
+        voters = store.state.voters
+        store.close()
+        if voters <= 1:
+            raise StoreError(f"{error}: it is the fleet's only copy; put back one that is whole") from error
+        aside = set_aside(folder)
+        log.error("the record here is damaged and was set aside", why=error, aside=str(aside))
+        store = Store(folder, name)
+        kept = store.read()
+    if found is not None and kept == Kept():
+        kept = founded(store.me, found, secrets.token_hex(8))
+        begin = Write(0, kept.term, kept.vote, None, tuple(kept.entries), None, kept.before)
+        store.write([begin], voters=1)
+    return store, kept
+
+
+class Link:
+    """The way to another steward: dialled again and again, and what cannot be sent is dropped."""
+
+    def __init__(self, steward: Steward, name: str, at: Address) -> None:
+        self.steward, self.name, self.at = steward, name, at
+        self.wire: Wire | None = None
+        self.pause = FIRST_PAUSE
+
+    def dial(self) -> None:
+        steward = self.steward
+        wire = Wire(steward.reactor, steward.hello, self._hear, self._lost)
+        made = dial(steward.reactor, *self.at, DIAL_WITHIN, wire)
+        made.addErrback(lambda failure: self._again())
+
+    def _again(self) -> None:
+        self.steward.reactor.callLater(self.pause * (0.5 + self.steward.random.random()), self.dial)
+        self.pause = min(2 * self.pause, LONGEST_PAUSE)
+
+    def _hear(self, wire: Wire, said: m.Said) -> None:
+        if isinstance(said, m.Hello):
+            if said.role != "steward" or said.name.partition(".")[0] != self.name:
+                wire.drop(f"is not the steward {self.name}")
+                return
+            self.wire, self.pause = wire, FIRST_PAUSE
+            self.steward.met(said.name)
+
+    def _lost(self, wire: Wire) -> None:
+        if self.wire is wire:
+            self.wire = None
+            self.steward.desk.known.pop(self.name, None)  # who comes next may be another
+        self._again()
+
+    def say(self, to: str, said: m.Said) -> None:
+        wire = self.wire
+        if wire is not None and wire.peer is not None and wire.peer.name == to and not wire.full:
+            wire.say(said)
+
+
+class Steward:
+    """The parts put together."""
+
+    def __init__(self, reactor: Any, fleet: Fleet, store: Store, kept: Any, times: Times) -> None:
+        self.reactor, self.fleet, self.store = reactor, fleet, store
+        self.random = Random()
+        self.desk = Desk(store.me, kept, Random(), clock.elapsed(), time.time, times)
+        self.links = {
+            name: Link(self, name, at) for name, at in where(fleet).items() if name != fleet.name
+        }  # fmt: skip
+        self.wires: dict[int, Wire] = {}  # those that others opened
+        self._tokens = 0
+        self.disk = ThreadPool(1, 1, name="disk")
+        self._writing: list[Write] = []
+        self._queued: list[Write] = []
+        self._alarm: Any = None
+        self._settling = False
+        self.port: Any = None
+        self.exit_code = 0
+        self.role = Role.FOLLOWER
+
+    def begin(self) -> None:
+        host, port = address(self.fleet.listen) if self.fleet.listen else where(self.fleet)[self.fleet.name]
+        self.port = self.reactor.listenTCP(port, _Listening(self), 128, host)
+        self.disk.start()
+        for link in self.links.values():
+            link.dial()
+        at = self.port.getHost()
+        members = self.desk.raft.members.all
+        log.info("listening", name=self.store.me, address=f"{at.host}:{at.port}", members=len(members))
+        if self.store.me not in members:
+            log.info("no member of a fleet yet", do=f"bitternpath fleet members add {self.fleet.name}")
+        self.settle()
+
+    @property
+    def hello(self) -> m.Hello:
+        return m.Hello(m.VERSION, self.desk.record.fleet, "steward", self.store.me)
+
+    # ---- who speaks
+
+    def accept(self) -> Protocol:
+        self._tokens += 1
+        token = self._tokens
+
+        def hear(wire: Wire, said: m.Said) -> None:
+            self._heard(token, wire, said)
+
+        def lost(wire: Wire) -> None:
+            self.wires.pop(token, None)
+
+        wire = self.wires[token] = Wire(self.reactor, self.hello, hear, lost)
+        while len(self.wires) > CONNECTIONS:
+            oldest = next(iter(self.wires))
+            self.wires.pop(oldest).drop("too many connections")
+        return wire
+
+    def _heard(self, token: int, wire: Wire, said: m.Said) -> None:
+        assert wire.peer is not None
+        now = clock.elapsed()
+        if wire.peer.role == "steward":
+            if isinstance(said, m.Hello):
+                self.met(said.name)
+            elif isinstance(said, m.Consensus | m.Passed | m.Back):
+                self.desk.hear(now, wire.peer.name, said)
+            else:
+                wire.drop(f"a steward does not say {type(said).__name__}")
+        elif isinstance(said, m.Renew | m.Parting | m.Ask):
+            self.wires[token] = self.wires.pop(token)  # the one heard last is at the end
+            self.desk.say(now, token, said)
+        elif not isinstance(said, m.Hello):
+            wire.drop(f"only a steward says {type(said).__name__}")
+        self.settle()
+
+    def met(self, id: str) -> None:
+        self.desk.met(id)
+
+    # ---- what follows
+
+    def settle(self) -> None:
+        """Have what follows carried out at the end of this turn."""
+        if not self._settling:
+            self._settling = True
+            self.reactor.callLater(0, self._settle)
+
+    def _settle(self) -> None:
+        self._settling = False
+        now = clock.elapsed()
+        effects = self.desk.take(now)
+        self._carry_out(effects)
+        if self.desk.raft.role is not self.role:
+            self.role = self.desk.raft.role
+            log.info("role", role=self.role.value, term=self.desk.raft.term)
+        if self._alarm is not None and self._alarm.active():
+            self._alarm.cancel()
+        self._alarm = self.reactor.callLater(max(self.desk.alarm - now, 0.0), self._tick)
+
+    def _carry_out(self, effects: Effects) -> None:
+        self._queued += effects.writes
+        self._write()
+        for to, said in effects.send:
+            link = self.links.get(to.partition(".")[0])
+            if link is not None:
+                link.say(to, said)
+        for token, answer in effects.replies:
+            wire = self.wires.get(token)
+            if wire is not None:
+                wire.say(answer)
+
+    def _tick(self) -> None:
+        self.desk.tick(clock.elapsed())
+        self.settle()
+
+    def _write(self) -> None:
+        if self._writing or not self._queued:
+            return
+        self._writing, self._queued = self._queued, []
+        voters = len(self.desk.raft.members.voters)
+        done: Any = deferToThreadPool(self.reactor, self.disk, self.store.write, self._writing, voters)
+        done.addCallbacks(self._written, self._not_written)
+
+    def _written(self, _: None) -> None:
+        number = self._writing[-1].number
+        self._writing = []
+        self.desk.stored(clock.elapsed(), number)
+        self._write()
+        self.settle()
+
+    def _not_written(self, failure: Failure) -> None:
+        log.error(
+            "cannot write, so this steward ends", folder=str(self.store.folder), why=failure.getErrorMessage()
+        )
+        self.exit_code = 1
+        self.stop()
+
+    def stop(self) -> None:
+        if self.reactor.running:
+            self.reactor.stop()
+
+    def end(self) -> None:
+        self.disk.stop()
+        self.store.close()
+
+
+class _Listening(Factory):
+    noisy = False
+
+    def __init__(self, steward: Steward) -> None:
+        self.steward = steward
+
+    def buildProtocol(self, addr: IAddress | None) -> Protocol:
+        return self.steward.accept()
+
+
+def run(fleet: Fleet, found: bool, reactor: Any = None, times: Times | None = None) -> int:
+    """Run a steward until it is told to stop; the exit code. StoreError where its folder can't be used."""
+    if reactor is None:
+        from twisted.internet import reactor as installed
+
+        reactor = installed
+    terms = p.Terms(fleet.lease, fleet.drift, fleet.catch_up) if found else None
+    store, kept = opened(Path(fleet.folder), fleet.name, terms)
+    steward = Steward(reactor, fleet, store, kept, times or Times())
+
+    def on_signal(number: int, frame: object) -> None:
+        reactor.callFromThread(steward.stop)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, on_signal)
+    begin: Callable[[], None] = steward.begin
+    reactor.callWhenRunning(begin)
+    reactor.run(installSignalHandlers=False)
+    steward.end()
+    log.info("stopped")
+    return steward.exit_code
+
+
+__all__ = ["StoreError", "run", "where"]
--- /dev/null
+++ b/bitternpath/fleet/store.py
@@ -0,0 +1,202 @@
+"""A steward's disk: term, vote, entries and snapshot in LMDB, one synced transaction a batch.
+
+A folder belongs to one steward on one disk. It has a lock that one process holds, and remembers the file
+that it was made as: a copy of it would vote a second time under the same name, and is refused. Each value is
+kept with a checksum; what is damaged is never read as if it were whole.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import secrets
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import lmdb
+import msgspec
+from blake3 import blake3
+from msgspec import Struct
+
+from bitternpath.fleet.raft import Entry, Kept, Snapshot, Write
+
+MAP_SIZE = 1 << 30  # bytes of address space; the file is as large as what it holds
+SUM = 8  # bytes of a checksum
+FORM = 1  # of what is kept here
+LOCK, DATA = "lock", "data.mdb"
+STATE, SNAPSHOT = b"state", b"snapshot"
+
+
+class StoreError(Exception):
+    """The folder cannot be used; the text says why, in one line."""
+
+
+class DamagedError(StoreError):
+    """What the folder holds is not whole."""
+
+
+class State(Struct, frozen=True):
+    form: int
+    name: str
+    incarnation: str  # drawn when the folder was made: a steward that lost its disk is another one
+    file: tuple[int, int]  # device and inode
+    voters: int  # how many the fleet had, as last written
+    term: int = 0
+    vote: str = ""
+    before: tuple[int, int] = (0, 0)
+
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+def _sealed(value: Any) -> bytes:
+    data = _encoder.encode(value)
+    return blake3(data).digest(SUM) + data
+
+
+def _opened(sealed: bytes | None, kind: Any, what: str) -> Any:
+    if sealed is None:
+        raise DamagedError(f"{what} is missing")
+    data = bytes(sealed[SUM:])
+    if blake3(data).digest(SUM) != sealed[:SUM]:
+        raise DamagedError(f"{what} does not match its checksum")
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except msgspec.DecodeError as error:
+        raise DamagedError(f"{what}: {error}") from error
+
+
+class Store:
+    """An open folder. `write` may be called in one other thread, all else in the one that opened it."""
+
+    def __init__(self, folder: Path, name: str) -> None:
+        self.folder = folder
+        try:
+            folder.mkdir(parents=True, exist_ok=True, mode=0o700)
+            self._lock = os.open(folder / LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        except OSError as error:
+            raise StoreError(f"{folder}: {error.strerror}") from error
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(self._lock)
+            raise StoreError(f"{folder}: another steward runs on this folder") from error
+        try:
+            self._open(name)
+        except BaseException:
+            self.close()
+            raise
+
+    def _open(self, name: str) -> None:
+        self._env: Any = None
+        self.is_new = not (self.folder / DATA).exists()
+        try:
+            self._env = lmdb.open(
+                str(self.folder), map_size=MAP_SIZE, max_dbs=2, lock=False, readahead=False, mode=0o600
+            )
+            self._meta = self._env.open_db(b"meta")
+            self._log = self._env.open_db(b"log")
+        except (lmdb.Error, OSError) as error:
+            raise DamagedError(f"{self.folder}: {error}") from error
+        if self.is_new:
+            self.state = State(FORM, name, secrets.token_hex(4), self._file(), 0)
+            self._put_state()
+        self.state = self._get(STATE, State)
+        if self.state.form != FORM:
+            raise StoreError(f"{self.folder}: written in form {self.state.form}; this release reads {FORM}")
+        if self.state.name != name:
+            raise StoreError(f"{self.folder}: is the folder of {self.state.name}, not of {name}")
+        if self.state.file != self._file():
+            raise StoreError(
+                f"{self.folder}: a copy of another folder; a steward votes from one disk: empty it, and add "
+                f"{name} as new"
+            )
+
+    @property
+    def me(self) -> str:
+        """The steward's name with its incarnation: the member that it is."""
+        return f"{self.state.name}.{self.state.incarnation}"
+
+    def _file(self) -> tuple[int, int]:
+        found = os.stat(self.folder / DATA)
+        return found.st_dev, found.st_ino
+
+    def _get(self, key: bytes, kind: Any) -> Any:
+        try:
+            with self._env.begin(db=self._meta) as reading:
+                return _opened(reading.get(key), kind, f"{self.folder}: {key.decode()}")
+        except lmdb.Error as error:
+            raise DamagedError(f"{self.folder}: {error}") from error
+
+    def _put_state(self) -> None:
+        with self._env.begin(write=True) as writing:
+            writing.put(STATE, _sealed(self.state), db=self._meta)
+
+    def read(self) -> Kept:
+        """What is kept; DamagedError where any of it is not whole."""
+        state, entries = self.state, list[Entry]()
+        with self._env.begin() as reading:
+            has = reading.get(SNAPSHOT, db=self._meta) is not None
+        snapshot = self._get(SNAPSHOT, Snapshot) if has else Snapshot()
+        try:
+            with self._env.begin(db=self._log) as reading:
+                for key, value in reading.cursor():
+                    index = int.from_bytes(key, "big")
+                    entry = _opened(value, Entry, f"{self.folder}: entry {index}")
+                    if entry.index != state.before[0] + len(entries) + 1 or entry.index != index:
+                        raise DamagedError(
+                            f"{self.folder}: entry {state.before[0] + len(entries) + 1} is missing"
+                        )
+                    entries.append(entry)
+        except lmdb.Error as error:
+            raise DamagedError(f"{self.folder}: {error}") from error
+        if snapshot.index < state.before[0] or snapshot.index > state.before[0] + len(entries):
+            raise DamagedError(f"{self.folder}: the snapshot at {snapshot.index} does not meet the log")
+        return Kept(state.term, state.vote, snapshot, state.before, entries)
+
+    def write(self, writes: Sequence[Write], voters: int) -> None:
+        """Do them in order, in one transaction that is on disk when this returns; OSError or lmdb.Error."""
+        state = self.state
+        with self._env.begin(write=True) as writing:
+            for write in writes:
+                state = self._do(writing, state, write, voters)
+            writing.put(STATE, _sealed(state), db=self._meta)
+        self.state = state
+
+    def _do(self, writing: Any, state: State, write: Write, voters: int) -> State:
+        log = self._log
+        if write.cut is not None:
+            self._delete(writing, write.cut, None)
+        for entry in write.entries:
+            writing.put(entry.index.to_bytes(8, "big"), _sealed(entry), db=log)
+        if write.snapshot is not None:
+            writing.put(SNAPSHOT, _sealed(write.snapshot), db=self._meta)
+        if write.before != state.before:
+            self._delete(writing, state.before[0] + 1, write.before[0])
+        return msgspec.structs.replace(
+            state, term=write.term, vote=write.vote, before=write.before, voters=voters
+        )  # fmt: skip
+
+    def _delete(self, writing: Any, first: int, last: int | None) -> None:
+        """The entries from one index to another, or to the end."""
+        with writing.cursor(db=self._log) as cursor:
+            found = cursor.set_range(first.to_bytes(8, "big"))
+            while found and (last is None or int.from_bytes(cursor.key(), "big") <= last):
+                found = cursor.delete()
+
+    def close(self) -> None:
+        if getattr(self, "_env", None) is not None:
+            self._env.close()
+            self._env = None
+        if self._lock >= 0:
+            os.close(self._lock)
+            self._lock = -1
+
+
+def set_aside(folder: Path) -> Path:
+    """Move a damaged folder away, so that the steward can begin anew; where it is now."""
+    aside = folder.with_name(f"{folder.name}.damaged-{int(time.time())}")
+    os.rename(folder, aside)
+    return aside
--- /dev/null
+++ b/bitternpath/fleet/wire.py
@@ -0,0 +1,115 @@
+"""Connections that carry the fleet's messages (Twisted)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from bitternpath.fleet import messages as m
+
+log = structlog.get_logger(part="fleet")
+
+UNREAD = 4 << 20  # bytes written that the other side has not taken, beyond which it is given up
+HELLO_WITHIN = 3.0  # s for the first message after connecting
+
+
+@implementer(IPushProducer)
+class Wire(Protocol):
+    """One connection. `hear` gets the peer's `Hello` and then every message; `lost` is called at the end."""
+
+    transport: Any
+
+    def __init__(
+        self, reactor: Any, hello: m.Hello, hear: Callable[[Wire, m.Said], None], lost: Callable[[Wire], None]
+    ) -> None:  # fmt: skip
+        self.reactor, self.hello, self._hear, self._lost = reactor, hello, hear, lost
+        self.frames = m.Frames()
+        self.peer: m.Hello | None = None  # who it says to be
+        self.open = self.full = False
+        self.unread = 0  # bytes since the other side last kept up
+        self._alarm: Any = None
+
+    def connectionMade(self) -> None:
+        self.open = True
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self._alarm = self.reactor.callLater(HELLO_WITHIN, self.drop, "said nothing")
+        self.say(self.hello)
+
+    # What we write is made elsewhere; as a producer we only hear whether the other side reads.
+
+    def pauseProducing(self) -> None:
+        self.full = True
+
+    def resumeProducing(self) -> None:
+        self.full, self.unread = False, 0
+
+    def stopProducing(self) -> None:
+        self.full = True
+
+    def say(self, said: m.Said) -> None:
+        if not self.open:
+            return
+        data = m.frame(said)
+        if self.full:
+            self.unread += len(data)
+            if self.unread > UNREAD:
+                self.drop(f"has not read {self.unread} bytes")
+                return
+        self.transport.write(data)
+
+    def dataReceived(self, data: bytes) -> None:
+        try:
+            for said in self.frames.feed(data):
+                if not self.open:
+                    return
+                if self.peer is None and not self._greeted(said):
+                    return
+                self._hear(self, said)
+        except m.WireError as error:
+            self.drop(str(error))
+
+    def _greeted(self, said: m.Said) -> bool:
+        refused = ""
+        if isinstance(said, m.Refused):
+            self.drop(f"refused us: {said.why}")
+            return False
+        if not isinstance(said, m.Hello):
+            refused = "the first message must be hello"
+        elif said.version != m.VERSION:
+            refused = f"version {said.version} of the fleet's messages; {m.VERSION} is spoken here"
+        elif said.fleet and self.hello.fleet and said.fleet != self.hello.fleet:
+            refused = "another fleet"
+        else:
+            self.peer = said
+            self._alarm.cancel()
+            return True
+        log.warning("connection refused", peer=str(self.transport.getPeer()), why=refused)
+        self.say(m.Refused(refused))
+        self.close()
+        return False
+
+    def drop(self, why: str) -> None:
+        """Close now, and say why in one line."""
+        if self.open:
+            peer = self.peer.name if self.peer is not None else str(self.transport.getPeer())
+            log.warning("connection given up", peer=peer, why=why)
+            self.open = False
+            self.transport.abortConnection()
+
+    def close(self) -> None:
+        if self.open:
+            self.open = False
+            self.transport.loseConnection()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.open = False
+        if self._alarm is not None and self._alarm.active():
+            self._alarm.cancel()
+        self._lost(self)
--- a/tests/test_fleet_record.py
+++ b/tests/test_fleet_record.py
@@ -123,7 +123,7 @@
 
 
 def test_the_only_member_leads_once_its_vote_is_stored() -> None:
-    member = Raft("a", founded("a", p.Terms()), Random(1), 0.0)
+    member = Raft("a", founded("a", p.Terms(), "f"), Random(1), 0.0)
     member.tick(9.0)
     first = member.take(9.0)
     assert member.role is Role.ASKING or first.writes
