Nodes act under the fleet's word: leases looked at in each act, bans and settings, the audit

Need: stewards agreed on versions that no node acted on.

Change: fleet/agent.py puts the pure agency on a connection and gives the node a gate, asked before each invocation is taken, where the lease is looked at; fleet/overlay.py lays the plan over the node's own configuration, through the way that SIGHUP takes; the roster knows who keeps a provider out, so that the fleet's ban and one by hand do not undo each other. Acts are lines chained by hash (fleet/audit.py), written before they are done, sent until they are acknowledged, and kept in the record with what is missing named. `fleet audit` and `fleet explain`. Without stewards configured nothing of it is imported. Ways not taken: counting invocations by a hook in the figures (a span of its own costs one dictionary entry); files of acts shared by the processes of a node (two write during an upgrade).

Virtual time: rule 4 (audit against what happened) checked in every run; it found false accusations by late messages.

--- a/bitternpath/cli/fleet.py
+++ b/bitternpath/cli/fleet.py
@@ -39,12 +39,12 @@
             raise click.ClickException(answer.text)
         return msgspec.msgpack.decode(answer.data)
 
-    def look(self) -> tuple[dict[str, Any], str]:
+    def look(self, what: str = "status") -> tuple[dict[str, Any], str]:
         from bitternpath.fleet.client import NoAnswerError, look
         from bitternpath.fleet.messages import Look
 
         try:
-            return look(self.stewards, Look("status"), self.author, self.within)
+            return look(self.stewards, Look(what), self.author, self.within)
         except NoAnswerError as error:
             raise click.ClickException(f"no steward answers: {error}") from error
 
@@ -192,6 +192,128 @@
     return time.strftime("%Y-%m-%d %H:%M:%S", time.localtime(at))
 
 
+# ---- the audit
+
+WHEN = "%Y-%m-%d %H:%M:%S"
+
+
+def _moment(text: str) -> float:
+    """Unix s of `YYYY-MM-DD HH:MM:SS`, of `HH:MM:SS` today, or as it stands."""
+    try:
+        return float(text)
+    except ValueError:
+        pass
+    full = text if "-" in text else f"{time.strftime('%Y-%m-%d')} {text}"
+    try:
+        return time.mktime(time.strptime(full.replace("T", " "), WHEN))
+    except ValueError as error:
+        raise click.UsageError(
+            f"--at {text}: allowed are YYYY-MM-DD HH:MM:SS, HH:MM:SS, Unix seconds"
+        ) from error
+
+
+def acted(account: dict[str, Any], at: float) -> str:
+    """On what a process acted at a moment, in words."""
+    told = [
+        line for line in account["lines"] if line[1] <= at and line[2] in ("joined", "acts", "lost", "left")
+    ]
+    if not told:
+        return "no lease yet" if account["lines"] else "not known: its lines are not kept any more"
+    _, since, what, version, fence, *_ = told[-1]
+    if what in ("lost", "left"):
+        return (
+            f"{'alone, as in' if what == 'lost' else 'ended, after'} version {version}, since {_time(since)}"
+        )
+    return f"version {version} under fence {fence}, since {_time(since)}"
+
+
+@command.command()
+@asks
+@as_json
+@click.option("--node", help="of this node alone")
+@click.option("--version", type=int, help="what was done under this version alone")
+@click.option("--at", metavar="TIME", help="on what each acted at that time")
+def audit(fleet: Fleet, node: str | None, version: int | None, at: str | None, json: bool) -> None:
+    """Who acted on which version, from when to when, and what is missing."""
+    when = _moment(at) if at is not None else None
+    found, why = fleet.look("audit")
+    accounts = [a for a in found["accounts"] if node in (None, a["node"])]
+    accounts.sort(key=lambda a: (a["node"], a["lines"][0][1] if a["lines"] else 0.0))
+    if json:
+        _print({"accounts": accounts, "no_majority": why})
+        click.get_current_context().exit(1 if why else 0)
+    _old(found, why)
+    if when is not None:
+        _table(
+            ("node", "process", f"at {_time(when)}"),
+            [
+                (a["node"], a["boot"], acted(a, when))
+                for a in accounts
+                if a["lines"] and a["lines"][0][1] <= when
+            ],
+        )
+    else:
+        rows = [
+            (a["node"], a["boot"], number, _time(since), what, of, fence, detail)
+            for a in accounts
+            for number, since, what, of, fence, detail, _ in a["lines"]
+            if version in (None, of)
+        ]
+        _table(("node", "process", "act", "time", "what", "version", "fence", ""), rows)
+    for account in accounts:
+        for wrong in [*account["faults"], *account["unheard"]]:
+            click.echo(f"{account['node']}#{account['boot']}: {wrong}")
+    click.get_current_context().exit(1 if why else 0)
+
+
+@command.command()
+@asks
+@click.argument("node")
+def explain(fleet: Fleet, node: str) -> None:
+    """Why a node is where it is: what was last heard, what it acts on, what stops it, what to do."""
+    found, why = fleet.look("audit")
+    _old(found, why)
+    holders = [h for h in found["holders"] if h["node"] == node]
+    accounts = [a for a in found["accounts"] if a["node"] == node]
+    if not holders and not accounts:
+        raise click.ClickException(f"nobody has heard of {node}")
+    for holder in holders:
+        click.echo(f"{node}#{holder['boot']}: {explained(found, holder)}")
+    held = {h["boot"] for h in holders}
+    gone = [a for a in accounts if a["boot"] not in held]
+    if gone:
+        last = max(gone, key=lambda a: a["lines"][-1][1] if a["lines"] else 0.0)
+        click.echo(f"{node}#{last['boot']}: no lease; {acted(last, time.time())}")
+        if not holders:
+            click.echo("It gets a lease by itself once it reaches a steward and can take what is released:")
+            click.echo("look whether it runs, whether its log says `alone` or `withheld`, and at its links.")
+    click.get_current_context().exit(1 if why else 0)
+
+
+def explained(found: dict[str, Any], holder: dict[str, Any]) -> str:
+    """How a holder stands, and what to do, in words."""
+    state = lag(found, holder)
+    heard = f"heard {holder['heard']:.1f} s ago" if holder.get("heard") is not None else "not heard yet"
+    if state == "not heard":
+        return (
+            f"has a lease by the record, and the leader has not heard of it; if that stays so it is let go "
+            f"of in {max(holder.get('until', 0.0), 0.0):.1f} s. Nothing to do."
+        )
+    where = f"{heard}, acts on {holder['acting']}, has {holder['have']}, {found['released']} is released"
+    if state == "refuses":
+        return (
+            f"{where}. It cannot take the next version: {holder['refuses']}. Mend its file and send SIGHUP, "
+            f"start a newer release, or `bitternpath fleet withdraw {found['released'] + 1}`"
+        )
+    if state == "straggler":
+        return f"{where}. It lags for {holder['behind']:.1f} s; its lease is not renewed until it acts on it."
+    if holder["heard"] > found["terms"]["lease"] / 2:
+        return f"{where}. It is silent; its lease ends in {max(holder['until'], 0.0):.1f} s if that stays so."
+    return f"{where}. " + (
+        "All is well." if state == "ok" else "It is about to take or to act on what is new."
+    )
+
+
 # ---- changes
 
 
--- a/bitternpath/core/broker.py
+++ b/bitternpath/core/broker.py
@@ -94,6 +94,9 @@
         self.counts: Counter[str] = Counter()
         self.figures = Figures()
         self.took: Callable[[str], None] | None = None  # hears of each invocation taken, where somebody asks
+        # Asked before an invocation of that class is taken, where somebody has a say: None, or the ms after
+        # which it may come again.
+        self.gate: Callable[[str], float | None] | None = None
         self.idle: Callable[[], None] = lambda: None  # called whenever nothing is owed any more
         self.ask: Callable[[], None] = lambda: None  # has the source watch discovery, from the revision held
         self._batch: list[Event] = []
@@ -117,6 +120,11 @@
         self._taken[id] = now
 
     def invoke(self, invocation: Invocation) -> None:
+        if self.gate is not None and (wait := self.gate(invocation.job_class)) is not None:
+            self.counts["turned_away"] += 1
+            self.figures.ended(invocation.job_class, "rejected")
+            invocation.consumer.rejected(wait)
+            return
         now = self.clock()
         self.remember(invocation.id)
         if self.took is not None:
--- a/bitternpath/core/roster.py
+++ b/bitternpath/core/roster.py
@@ -12,6 +12,7 @@
 log = structlog.get_logger(part="roster")
 
 DISCOVERY = "discovery"  # the source of the platform's own list
+BY_HAND = "hand"  # who takes providers out: staff at this node's console
 
 
 @dataclass(slots=True, frozen=True)
@@ -43,37 +44,52 @@
 
 
 class Roster:
-    """The list in hand: what the sources say, and who is taken out by hand.
+    """The list in hand: what the sources say, and who is taken out, by hand or by others who may.
 
     `providers` is what holds: one that is out drains, whatever its source says of it. `tell` hears of every
-    change after it has been taken in."""
+    change after it has been taken in, `noted` of who takes whom out and back."""
 
     def __init__(self, known: Listing) -> None:
         self.revision = known.revision
-        self.out: dict[str, float] = {}  # taken out by hand, and since when
+        self.out: dict[str, float] = {}  # taken out, and since when
+        self._by: dict[str, set[str]] = {}  # who keeps each of them out
         self._back: dict[str, tuple[float, float]] = {}  # called back: out since, back at
         self._said = {p.id: p for p in known.members}  # by the sources
         self.providers = dict(self._said)
         self.tell: Callable[[Listing], None] = lambda listing: None
+        self.noted: Callable[[str, str, bool], None] = lambda id, by, out: None
 
-    # ---- out by hand
+    # ---- out
 
     def knows(self, id: str) -> bool:
         """Whether the id is in the list or out by hand."""
         return id in self._said or id in self.out
 
-    def take_out(self, id: str, since: float) -> None:
-        """Nothing new goes there until it is called back, whatever is said of it meanwhile."""
+    def kept_out(self, by: str) -> list[str]:
+        """Those that somebody keeps out."""
+        return [id for id, whom in self._by.items() if by in whom]
+
+    def take_out(self, id: str, since: float, by: str = BY_HAND) -> None:
+        """Nothing new goes there until all who took it out have called it back, whatever is said of it."""
+        whom = self._by.setdefault(id, set())
+        if by not in whom:
+            whom.add(by)
+            self.noted(id, by, True)
         if id not in self.out:
             self.out[id] = since
             log.info("taken out", id=id)
             self._changed(id)
 
-    def call_back(self, id: str, now: float) -> None:
-        """What its source says of it holds again."""
-        since = self.out.pop(id, None)
-        if since is not None:
-            self._back[id] = since, now
+    def call_back(self, id: str, now: float, by: str = BY_HAND) -> None:
+        """What its source says of it holds again, where nobody else keeps it out."""
+        whom = self._by.get(id, set())
+        if by not in whom:
+            return
+        whom.remove(by)
+        self.noted(id, by, False)
+        if not whom:
+            del self._by[id]
+            self._back[id] = self.out.pop(id), now
             log.info("called back", id=id)
             self._changed(id)
 
--- a/bitternpath/emulator/fleet/checker.py
+++ b/bitternpath/emulator/fleet/checker.py
@@ -3,6 +3,7 @@
 1. A version, once agreed, is never lost nor changed.
 2. No two processes with a lease act more than one version apart.
 3. No act under a lease that is over, nor with a fence lower than one already used by that process.
+4. For each act that happened the audit has a line or names it as missing; for each line there was an act.
 
 Times are the world's own, which nobody in it can read.
 """
@@ -11,6 +12,7 @@
 
 from msgspec import Struct
 
+from bitternpath.fleet import audit
 from bitternpath.fleet import plan as p
 
 APART = 1  # versions that two processes may be apart
@@ -45,6 +47,7 @@
         self.last = 0  # the highest index applied anywhere
         self.leaders: dict[int, str] = {}  # term: who led it
         self.acts = 0
+        self.happened: dict[str, list[tuple[str, int, int]]] = {}  # process: what it did, in order
 
     def _break(self, rule: str, at: float, says: str) -> None:
         self.broken.append(Broken(rule, at, says))
@@ -95,6 +98,10 @@
             self._break("changed", at, f"{process} acts on another version {plan.version} than was released")
         self.acting[process] = Acting(fence, plan.version, at)
 
+    def did(self, process: str, what: str, version: int, fence: int) -> None:
+        """Something that the audit must have a line of."""
+        self.happened.setdefault(process, []).append((what, version, fence))
+
     def hold(self, at: float, holding: dict[str, int]) -> None:
         """Who could act under a lease in this moment, and on which version."""
         if holding and max(holding.values()) - min(holding.values()) > APART:
@@ -108,7 +115,24 @@
         for id, version in self.promised.items():
             if record.ids.get(id) != version:
                 self._break("lost", at, f"change {id} was answered as version {version} and is not there")
+        self._audited(at, record)
         for version, digest in self.digests.items():
             found = record.digest_of(version)
             if version > record.released.version or (found is not None and found != digest):
                 self._break("lost", at, f"version {version} was released and is not there")
+
+    def _audited(self, at: float, record: p.Record) -> None:
+        told = (audit.JOINED, audit.ACTS, *audit.LAST)
+        for process, account in record.accounts.items():
+            did = self.happened.get(process, [])
+            lines = [line for line in account.lines if line.what in told]
+            heard = [(line.what, line.version, line.fence) for line in lines]
+            if account.faults:
+                self._break("audit", at, f"{process}: {account.faults[0]}, though nobody changed it")
+            if heard != did[: len(heard)] and not account.missing and not account.dropped:
+                self._break("audit", at, f"{process} did {did}, and the audit has {heard}")
+            if len(heard) < len(did) and not account.says_missing(process in record.holders):
+                self._break("audit", at, f"{process} did {did[len(heard) :]}, of which nothing is said")
+        for process, did in self.happened.items():
+            if did and process not in record.accounts:
+                self._break("audit", at, f"{process} did {did}, and is not in the audit")
--- a/bitternpath/emulator/fleet/world.py
+++ b/bitternpath/emulator/fleet/world.py
@@ -18,6 +18,7 @@
 
 from bitternpath.emulator.clock import Scheduler
 from bitternpath.emulator.fleet.checker import FleetChecker
+from bitternpath.fleet import audit
 from bitternpath.fleet import messages as m
 from bitternpath.fleet import plan as p
 from bitternpath.fleet.agency import Agency, Who
@@ -186,9 +187,13 @@
 
 
 class NodeHost(Host):
+    """A process of a node; every other one has a folder in which its audit lasts."""
+
     def __init__(self, world: FleetWorld, name: str, site: str) -> None:
         super().__init__(world, name)
         self.site = site
+        self.keeps = int(name[1:]) % 2 == 1  # whether it has a folder that lasts
+        self.folder: dict[str, list[audit.Line]] = {}
         self.agency: Any = None
         self.token = 0
         self.steward = ""
@@ -198,8 +203,13 @@
         self.steward = ""
         who = Who(self.name, f"b{self.life}", self.site, RELEASE)
         self.agency = Agency(
-            who, list(self.world.stewards), Random(self.world.random.random()), self.clock(), self.world.check
+            who, list(self.world.stewards), Random(self.world.random.random()), self.clock(),
+            lambda: self.world.later.now, self.world.check,
         )  # fmt: skip
+        for boot, lines in self.folder.items():
+            ledger, why = audit.read_back(boot, lines)
+            assert not why
+            self.agency.older.append(ledger)
         self.settle()
         self._act(self.life)
 
@@ -270,9 +280,14 @@
         if agency.dial is not None:
             dial, agency.dial = agency.dial, None
             self._connect(dial)
+        if agency.ledger.fresh:
+            if self.keeps:
+                self.folder.setdefault(agency.who.boot, []).extend(agency.ledger.fresh)
+            agency.ledger.fresh = []
         if agency.acts:
             acts, agency.acts = agency.acts, []
             for act in acts:
+                world.checker.did(self.process, act.what, act.version, act.fence)
                 if act.what in ("joined", "acts"):
                     world.checker.act(world.later.now, self.process, agency.plan, act.fence)
             world.look()
@@ -419,6 +434,8 @@
                 return f"{node.name} has no lease: {agency.withheld}"
             if node.up and agency.plan.version != record.released.version:
                 return f"{node.name} acts on {agency.plan.version} of {record.released.version}"
+            if node.up and not node.stalled and (agency.ledger.unheard or agency.older):
+                return f"{node.name}: lines of its audit are not heard of"
         if self.operator.open:
             return f"unanswered: {self.operator.open}"
         return ""
--- a/bitternpath/fleet/agency.py
+++ b/bitternpath/fleet/agency.py
@@ -17,12 +17,14 @@
 
 from msgspec import Struct
 
+from bitternpath.fleet import audit
 from bitternpath.fleet import messages as m
 from bitternpath.fleet import plan as p
 
 SHARE = 1 / 3  # of a lease, after which it is renewed
 FIRST = 1.0  # s between requests while nobody has told how long a lease is
 ANSWER_WITHIN = 1.0  # s after which another steward is tried
+OLDER_AT_ONCE = 4  # processes of which lines are sent at a time
 FIRST_PAUSE, LONGEST_PAUSE = 0.2, 3.0  # s before another is tried, doubled each time and drawn from half on
 
 
@@ -49,9 +51,12 @@
     """One process's side. What it wants done is in `sends`, `acts` and `dial` until it is taken."""
 
     def __init__(
-        self, who: Who, stewards: list[str], random: Random, now: float, check: Callable[[p.Plan], str]
-    ) -> None:
-        self.who, self.random, self.check = who, random, check
+        self, who: Who, stewards: list[str], random: Random, now: float, wall: Callable[[], float],
+        check: Callable[[p.Plan], str],
+    ) -> None:  # fmt: skip
+        self.who, self.random, self.wall, self.check = who, random, wall, check
+        self.ledger = audit.Ledger(who.boot)
+        self.older: list[audit.Ledger] = []  # of processes of this node before, not acknowledged yet
         self.plan = p.Plan()  # acted on
         self.taken = p.Plan()  # the last one that was checked whole
         self._next: list[p.Plan] = []  # taken and not acted on
@@ -64,6 +69,8 @@
         self.stewards = stewards[:]
         self.random.shuffle(self.stewards)
         self.connected = ""  # the steward spoken to
+        self.ended = False
+        self.hang_up = False  # the connection, or the dialling, is given up
         self.dial: str | None = self.stewards[0]  # to be connected to now
         self._tried = 0
         self._pause = FIRST_PAUSE
@@ -76,12 +83,17 @@
     def holds(self, now: float) -> bool:
         """Whether this process may act under the fleet's word in this very moment."""
         if self.fence and now >= self.until:
-            self._act(self.until, "lost")
+            self._act(self.until, audit.LOST)
             self.fence = 0
         return bool(self.fence)
 
-    def _act(self, at: float, what: str) -> None:
-        self.acts.append(Act(at, what, self.plan.version, self.fence))
+    def _act(self, now: float, what: str, detail: str = "") -> None:
+        self.acts.append(Act(now, what, self.plan.version, self.fence))
+        self.ledger.add(self.wall(), what, self.plan.version, self.fence, detail)
+
+    def note(self, what: str, detail: str) -> None:
+        """Something that the node did by itself."""
+        self.ledger.add(self.wall(), what, self.plan.version, self.fence, detail)
 
     # ---- inputs
 
@@ -108,12 +120,16 @@
 
     def lost(self, now: float) -> None:
         """There is no connection, or nobody answers on it: another steward is tried after a while."""
-        self.connected, self.dial = "", None
+        self.connected, self.dial, self.hang_up = "", None, True
         self._renew_at = self._answer_by = float("inf")
+        if self.ended:
+            return
         self._dial_at = now + self._pause * (0.5 + self.random.random())
         self._pause = min(2 * self._pause, LONGEST_PAUSE)
 
     def hear(self, now: float, said: m.ToOutside) -> None:
+        if self.ended:
+            return
         match said:
             case m.Lease():
                 self._answered(now)
@@ -128,16 +144,25 @@
                 self._take(now, changes)
             case m.Whole(plan, changes):
                 self._whole(now, plan, changes)
+            case m.Heard(boot, upto):
+                self._heard(boot, upto)
             case m.News(_, latest):
                 self.latest = max(self.latest, latest)
                 self._renew(now)
 
+    @property
+    def in_hand(self) -> list[p.Plan]:
+        """The plan that is acted on, and those that were taken and may be acted on any moment."""
+        return [self.plan, *self._next]
+
     def end(self, now: float) -> None:
         """It acts no more."""
         if self.holds(now):
+            self._act(now, audit.LEFT)
+            self._report()
             self.sends.append(m.Parting(self.who.node, self.who.boot, self.fence))
-            self._act(now, "left")
             self.fence = 0
+        self.ended = True
         self._renew_at = self._dial_at = self._answer_by = float("inf")
 
     # ---- asking
@@ -151,9 +176,28 @@
                 self.taken.version, self.taken.digest, self.refuses,
             )
         )  # fmt: skip
+        self._report()
         self._renew_at = now + (self.length * SHARE if self.length else FIRST)
         self._answer_by = min(self._answer_by, now + ANSWER_WITHIN)
 
+    def _report(self) -> None:
+        """What was done and is not acknowledged, the oldest process first."""
+        for ledger in [*self.older, self.ledger][:OLDER_AT_ONCE]:
+            if ledger.unheard or ledger is not self.ledger:
+                final = ledger.number if ledger.ended else 0
+                self.sends.append(m.Acts(self.who.node, ledger.boot, ledger.next, final))
+
+    def _heard(self, boot: str, upto: int) -> None:
+        for ledger in [*self.older, self.ledger]:
+            if ledger.boot != boot:
+                continue
+            before = len(ledger.unheard)
+            ledger.heard(upto)
+            if not ledger.unheard and ledger in self.older:
+                self.older.remove(ledger)
+            if len(ledger.unheard) < before and (ledger.unheard or self.older):
+                self._report()  # there is more
+
     def _answered(self, now: float) -> None:
         self._answer_by = float("inf")
         self._pause = FIRST_PAUSE
@@ -172,9 +216,9 @@
         self.until = max(self.until, lease.sent + lease.length)
         if joins:
             self.fence = lease.fence
-            self._act(now, "joined")
+            self._act(now, audit.JOINED)
         elif self.plan.version != before:
-            self._act(now, "acts")
+            self._act(now, audit.ACTS)
         if self.plan.version != before:
             self._renew(now)
 
@@ -204,6 +248,8 @@
                 break
             self.refuses, self.taken = "", plan
             self._next.append(plan)
+        if self.refuses and self.refuses != refused:
+            self.note(audit.REFUSES, self.refuses)
         if (had, refused) != (self.taken, self.refuses):
             self._soon(now)
 
--- /dev/null
+++ b/bitternpath/fleet/agent.py
@@ -0,0 +1,289 @@
+"""A node's side of the fleet on sockets: the agency with its connection, its files and what it does.
+
+The node gives three things: a check of a plan, a way to act on one, and its roster. In return it asks `gate`
+before it takes an invocation: there the lease is looked at, in the very turn in which the act happens.
+Files (in `fleet.folder`, where one is given): `acts-BOOT` with a process's audit, a line of JSON each, and
+`plan` with what was last acted on, so that a node which starts without a steward serves as last agreed.
+"""
+
+from __future__ import annotations
+
+import os
+import secrets
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+import structlog
+from msgspec import Struct
+
+from bitternpath import __version__
+from bitternpath.config.operator import Fleet
+from bitternpath.config.platform import Address
+from bitternpath.core.roster import BY_HAND, Roster
+from bitternpath.fleet import audit, clock
+from bitternpath.fleet import messages as m
+from bitternpath.fleet import plan as p
+from bitternpath.fleet.agency import Agency, Who
+from bitternpath.fleet.steward import DIAL_WITHIN, where
+from bitternpath.fleet.wire import Wire
+from bitternpath.net.sockets import dial
+
+log = structlog.get_logger(part="agent")
+
+BY_FLEET = "fleet"  # who takes providers out
+PLAN, ACTS = "plan", "acts-"
+ALONE = 0  # the fence of what is done without a lease
+
+
+class Span(Struct):
+    """What was taken under one version and one fence, or without a lease."""
+
+    version: int
+    fence: int
+    first: float = 0.0  # Unix s
+    last: float = 0.0
+    taken: Counter[str] = msgspec.field(default_factory=Counter)  # by class
+
+    def detail(self) -> str:
+        return msgspec.json.encode(
+            {"first": round(self.first, 3), "last": round(self.last, 3), "taken": dict(self.taken)}
+        ).decode()
+
+
+def release_of(version: str) -> tuple[int, ...]:
+    """The numbers that a version begins with."""
+    numbers = []
+    for part in version.split("."):
+        if not part.isdigit():
+            break
+        numbers.append(int(part))
+    return tuple(numbers)
+
+
+class Agent:
+    """One process of a node."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        fleet: Fleet,
+        node: str,
+        site: str,
+        roster: Roster,
+        check: Callable[[p.Plan], str],
+        act: Callable[[p.Plan], None],
+        advice: Callable[[str], float],
+    ) -> None:
+        self.reactor, self.fleet, self.roster, self.act, self.advice = reactor, fleet, roster, act, advice
+        self.stewards: dict[str, Address] = where(fleet)
+        who = Who(node, secrets.token_hex(4), fleet.site or site, release_of(__version__), fleet.alone)
+        self.agency = Agency(who, list(self.stewards), Random(), clock.elapsed(), time.time, check)
+        self.folder = Path(fleet.folder) if fleet.folder else None
+        self._file: int | None = None  # of the audit
+        self.wire: Wire | None = None
+        self.fleet_id = ""  # of the first fleet that granted a lease
+        self._alarm: Any = None
+        self.span = Span(0, ALONE)
+        roster.noted = self._noted
+        if self.folder is not None:
+            self._read_back(self.folder)
+
+    # ---- what the node asks
+
+    def gate(self, job_class: str) -> float | None:
+        """An invocation has come; None, or the ms after which it may come again where this node leaves."""
+        agency = self.agency
+        if agency.fence != self.span.fence or (agency.fence and clock.elapsed() >= agency.until):
+            self.settle()
+        span = self.span
+        if span.fence == ALONE and self.fleet.alone == "leave":
+            return self.advice(job_class)
+        span.last = time.time()
+        span.first = span.first or span.last
+        span.taken[job_class] += 1
+        return None
+
+    def welcome(self) -> bool:
+        """Whether consumers may be sent here."""
+        return self.fleet.alone == "serve" or self.agency.holds(clock.elapsed())
+
+    # ---- files
+
+    def _read_back(self, folder: Path) -> None:
+        """What earlier processes did and had agreed. Nothing of it keeps a node from starting."""
+        try:
+            folder.mkdir(parents=True, exist_ok=True, mode=0o700)
+            own = folder / f"{ACTS}{self.agency.who.boot}"
+            self._file = os.open(own, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
+            files = sorted(folder.glob(f"{ACTS}*"), key=lambda file: file.stat().st_mtime)
+        except OSError as error:
+            log.error("no file for the audit: kept in memory", folder=str(folder), why=error)
+            return
+        for file in files:
+            boot = file.name.removeprefix(ACTS)
+            if boot != self.agency.who.boot:
+                self._read_acts(file, boot)
+        try:
+            plan = msgspec.msgpack.decode((folder / PLAN).read_bytes(), type=p.Plan)
+        except FileNotFoundError:
+            return
+        except (OSError, msgspec.DecodeError) as error:
+            log.warning("the plan last acted on cannot be read", why=error)
+            return
+        if why := self.agency.check(plan):
+            log.warning("the plan last acted on cannot be taken", version=plan.version, why=why)
+            return
+        self.agency.plan = self.agency.taken = plan
+        self.span.version = plan.version
+
+    def _read_acts(self, file: Path, boot: str) -> None:
+        lines, why = [], ""
+        try:
+            for text in file.read_bytes().splitlines():
+                lines.append(msgspec.json.decode(text, type=audit.Line))
+        except (OSError, msgspec.DecodeError) as error:
+            why = f"line {len(lines) + 1}: {error}"  # the last one is torn, or somebody has been at it
+        ledger, fault = audit.read_back(boot, lines)
+        if why or fault:
+            log.error("the audit of an earlier process is not whole", file=str(file), why=fault or why)
+        if lines:
+            self.agency.older.append(ledger)
+        else:
+            file.unlink(missing_ok=True)
+
+    def _write_down(self) -> None:
+        """Before what the lines tell of is done."""
+        fresh, self.agency.ledger.fresh = self.agency.ledger.fresh, []
+        if fresh and self._file is not None:
+            try:
+                os.write(self._file, b"".join(msgspec.json.encode(line) + b"\n" for line in fresh))
+            except OSError as error:
+                log.error("the audit cannot be written: kept in memory", why=error)
+                os.close(self._file)
+                self._file = None
+
+    def _keep_plan(self, plan: p.Plan) -> None:
+        if self.folder is None:
+            return
+        draft = self.folder / f"{PLAN}.{self.agency.who.boot}"
+        try:
+            draft.write_bytes(msgspec.msgpack.encode(plan))
+            os.replace(draft, self.folder / PLAN)
+        except OSError as error:
+            log.error("the plan cannot be kept", why=error)
+
+    # ---- what is done
+
+    def begin(self) -> None:
+        """Serve as last agreed, and ask for a lease."""
+        if self.agency.plan.version:
+            self._do(self.agency.plan)
+        self.settle()
+
+    def settle(self) -> None:
+        """Carry out what follows, in its order: written down, then done, then said."""
+        agency, now = self.agency, clock.elapsed()
+        under = agency.fence if agency.holds(now) else ALONE
+        if (agency.plan.version, under) != (self.span.version, self.span.fence):
+            self._turn(under)
+        self._write_down()
+        agency.acts.clear()
+        sends, agency.sends = agency.sends, []
+        for said in sends:
+            if self.wire is not None:
+                self.wire.say(said)
+        if agency.hang_up:
+            agency.hang_up = False
+            wire, self.wire = self.wire, None
+            if wire is not None:
+                wire.close()
+        if agency.dial is not None:
+            name, agency.dial = agency.dial, None
+            self._dial(name)
+        if self._alarm is not None and self._alarm.active():
+            self._alarm.cancel()
+        self._alarm = None
+        if agency.alarm != float("inf"):
+            self._alarm = self.reactor.callLater(max(agency.alarm - now, 0.0), self._tick)
+
+    def _turn(self, under: int) -> None:
+        """Another version, or a lease got or lost: what comes from now on is under that."""
+        plan, before = self.agency.plan, self.span.version
+        self._close_span()
+        self.span = Span(plan.version, under)
+        self._write_down()
+        if plan.version != before:
+            self._do(plan)
+            self._keep_plan(plan)
+        log.info("alone" if under == ALONE else "under the fleet's word", version=plan.version, fence=under)
+
+    def _close_span(self) -> None:
+        span = self.span
+        if span.taken:
+            self.agency.ledger.add(time.time(), audit.SERVED, span.version, span.fence, span.detail())
+            span.taken = Counter()
+
+    def _do(self, plan: p.Plan) -> None:
+        for id in plan.bans:
+            self.roster.take_out(id, time.time() * 1000.0, BY_FLEET)
+        for id in self.roster.kept_out(BY_FLEET):
+            if id not in plan.bans:
+                self.roster.call_back(id, time.time() * 1000.0, BY_FLEET)
+        self.act(plan)
+
+    def _noted(self, id: str, by: str, out: bool) -> None:
+        """Staff have taken a provider out, or back, at this node's own console."""
+        if by == BY_HAND:
+            self.agency.note(audit.OUT if out else audit.BACK, id)
+            self._write_down()
+
+    def stop(self) -> None:
+        """The node ends: it acts no more."""
+        self._close_span()
+        self.agency.end(clock.elapsed())
+        self.settle()
+        if self.wire is not None:
+            self.wire.close()
+
+    # ---- the connection
+
+    def _tick(self) -> None:
+        self.agency.tick(clock.elapsed())
+        self.settle()
+
+    def _dial(self, name: str) -> None:
+        who = self.agency.who
+        hello = m.Hello(m.VERSION, self.fleet_id, "agent", f"{who.node}#{who.boot}")
+        wire = Wire(self.reactor, hello, self._hear, self._lost)
+        wire.name = name
+        self.wire = wire
+        made = dial(self.reactor, *self.stewards[name], DIAL_WITHIN, wire)
+        made.addErrback(lambda failure: self._lost(wire))
+
+    def _hear(self, wire: Wire, said: m.Said) -> None:
+        if wire is not self.wire:
+            return
+        now = clock.elapsed()
+        if isinstance(said, m.Hello):
+            self.agency.up(now, wire.name)
+        elif isinstance(said, m.Lease | m.Withheld | m.Changes | m.Whole | m.News | m.Heard):
+            if isinstance(said, m.Lease) and not self.fleet_id and wire.peer is not None:
+                self.fleet_id = wire.peer.fleet
+            before = self.agency.withheld
+            self.agency.hear(now, said)
+            if isinstance(said, m.Withheld) and said.why != before:
+                log.warning("withheld", steward=wire.name, why=said.why)
+        else:
+            wire.drop(f"a steward does not say {type(said).__name__} to an agent")
+        self.settle()
+
+    def _lost(self, wire: Wire) -> None:
+        if wire is self.wire:
+            self.wire = None
+            self.agency.lost(clock.elapsed())
+            self.settle()
--- a/bitternpath/fleet/desk.py
+++ b/bitternpath/fleet/desk.py
@@ -69,7 +69,7 @@
     at: int  # the round, or the entry's index
     came: float
     route: Route
-    said: m.Renew | m.Ask
+    said: m.Renew | m.Acts | m.Ask
 
 
 class Tenure:
@@ -204,6 +204,8 @@
                 holder = self.record.holders.get(f"{node}#{boot}")
                 if holder is not None and holder.fence == fence:
                     self._part(tenure, holder, "it ended")
+            case m.Acts():
+                self._noted(now, tenure, route, said)
             case m.Ask():
                 self._asked(now, tenure, route, said)
 
@@ -296,6 +298,21 @@
             item = p.Parted(holder.node, holder.boot, holder.fence, why, self.wall())
             watch.ending = self.raft.propose(self.raft.now, CHANGE, p.item_bytes(item)) is not None
 
+    # ---- the audit
+
+    def _noted(self, now: float, tenure: Tenure, route: Route, said: m.Acts) -> None:
+        """Lines are acknowledged once the record has them."""
+        account = self.record.accounts.get(f"{said.node}#{said.boot}")
+        upto = account.upto if account is not None else 0
+        fresh = any(line.number > upto for line in said.lines)
+        if not fresh and not 0 < said.final < upto and account is not None and account.agrees(said.lines):
+            self._reply(route, m.Heard(said.boot, upto))
+            return
+        item = p.Noted(said.node, said.boot, said.lines, said.final, self.wall())
+        index = self.raft.propose(now, CHANGE, p.item_bytes(item))
+        if index is not None:
+            tenure.entries[index] = Waiting(index, now, route, said)
+
     # ---- leading
 
     def _lead(self, now: float) -> None:
@@ -395,6 +412,10 @@
                     for watch in tenure.watches.values():
                         if watch.route is not None:
                             self._reply(watch.route, news)
+            case p.Noted(node, boot):
+                if waiting is not None:
+                    upto = self.record.accounts[f"{node}#{boot}"].upto
+                    self._reply(waiting.route, m.Heard(boot, upto))
         if waiting is not None and isinstance(waiting.said, m.Ask):
             data = {"version": self.record.ids.get(item.id, 0)} if isinstance(item, p.Adopt) else None
             self._reply(waiting.route, _answer(waiting.said.number, why, data))
@@ -481,6 +502,11 @@
             "release_times": record.release_times,
             "holders": [self._seen(now, holder, watches.get(key)) for key, holder in record.holders.items()],
         }
+        if isinstance(said.command, m.Look) and said.command.what == "audit":
+            found["accounts"] = [
+                msgspec.to_builtins(account) | {"unheard": account.says_missing(key in record.holders)}
+                for key, account in record.accounts.items()
+            ]
         return _answer(said.number, "", found)
 
     @staticmethod
--- a/bitternpath/fleet/messages.py
+++ b/bitternpath/fleet/messages.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 
 from bitternpath.fleet import raft
+from bitternpath.fleet.audit import Line
 from bitternpath.fleet.plan import Agreed, Change, Plan
 
 VERSION = 1  # of these messages
@@ -47,14 +48,14 @@
     """What somebody connected to the sender said, for the leader."""
 
     token: int  # the connection there
-    said: Renew | Parting | Ask
+    said: Renew | Parting | Acts | Ask
 
 
 class Back(Struct, frozen=True, tag="back"):
     """The leader's answer to it."""
 
     token: int
-    said: Lease | Withheld | Changes | Whole | News | Answer
+    said: Lease | Withheld | Changes | Whole | News | Heard | Answer
 
 
 # ---- an agent to its steward
@@ -84,6 +85,15 @@
     fence: int
 
 
+class Acts(Struct, frozen=True, tag="acts"):
+    """Lines of a process's audit that are not acknowledged yet."""
+
+    node: str
+    boot: str
+    lines: tuple[Line, ...]
+    final: int  # of one that has ended: how many lines its file has; 0: more may come
+
+
 # ---- a steward to an agent
 
 
@@ -125,6 +135,13 @@
     latest: int
 
 
+class Heard(Struct, frozen=True, tag="heard"):
+    """The record has the lines of that process up to this one."""
+
+    boot: str
+    upto: int
+
+
 # ---- commands
 
 
@@ -187,18 +204,20 @@
     | Back
     | Renew
     | Parting
+    | Acts
     | Lease
     | Withheld
     | Changes
     | Whole
     | News
+    | Heard
     | Ask
     | Answer
 )
 
-FromAgent = Renew | Parting
-FromOutside = Renew | Parting | Ask  # what a steward passes on
-ToOutside = Lease | Withheld | Changes | Whole | News | Answer
+FromAgent = Renew | Parting | Acts
+FromOutside = Renew | Parting | Acts | Ask  # what a steward passes on
+ToOutside = Lease | Withheld | Changes | Whole | News | Heard | Answer
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Said)
--- /dev/null
+++ b/bitternpath/fleet/overlay.py
@@ -0,0 +1,51 @@
+"""The plan on top of a node's own configuration. Pure."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+
+from bitternpath import messages as m
+from bitternpath.config.platform import Config
+from bitternpath.fleet.plan import Plan, PlanError
+
+# The platform's words, and the settings' own.
+CLASS_FIELDS = {"aim": "aim", "giveUp": "give_up", "value": "value", "lateWorth": "late_worth"}
+RULES = {
+    "rules.drainGrace": "drain_grace",
+    "rules.graceToAnswer": "answer_grace",
+    "rules.warmWithin": "warm_within",
+    "rules.coldFrom": "cold_share",
+    "rules.tipMultiple": "fall_multiple",
+    "allowed.tryLimit": "try_limit",
+    "allowed.maxRetryAfter": "max_retry_after",
+    "allowed.secondCopies": "second_copies",
+    "allowed.cancel": "may_cancel",
+}
+
+
+def overlaid(config: Config, plan: Plan) -> Config:
+    """The configuration with what the fleet has agreed; PlanError where the two are at odds."""
+    return replace(config, settings=_settings(config.settings, plan))
+
+
+def _settings(settings: m.Settings, plan: Plan) -> m.Settings:
+    known = {spec.name for spec in settings.classes}
+    for name in plan.classes:
+        if name not in known:
+            raise PlanError(f"no class {name} in this node's file; it has {', '.join(sorted(known))}")
+    classes = tuple(
+        msgspec.structs.replace(
+            spec, **{CLASS_FIELDS[key]: value for key, value in plan.classes.get(spec.name, {}).items()}
+        )
+        for spec in settings.classes
+    )
+    rules: dict[str, Any] = {}
+    for section, keys in plan.rules.items():
+        for key, value in keys.items():
+            name = RULES[f"{section}.{key}"]
+            kind = type(getattr(settings, name))
+            rules[name] = kind(value)
+    return msgspec.structs.replace(settings, classes=classes, **rules)
--- a/bitternpath/fleet/plan.py
+++ b/bitternpath/fleet/plan.py
@@ -16,7 +16,10 @@
 from blake3 import blake3
 from msgspec import Struct
 
+from bitternpath.fleet.audit import Account, Line
+
 KEPT_CHANGES = 256  # released ones that are kept for those who lag; who lags more gets the whole plan
+KEPT_FOR = 7 * 86400.0  # s for which lines of the audit are kept
 KEPT_IDS = 4096  # ids of changes, by which one that is asked for again is known
 CLASS_FIELDS = ("aim", "giveUp", "value", "lateWorth")  # numbers that operators may set for a class
 RULES = ("drainGrace", "graceToAnswer", "warmWithin", "coldFrom", "tipMultiple")
@@ -212,7 +215,17 @@
     time: float
 
 
-Item = Found | Adopt | Void | Release | Joined | Parted
+class Noted(Struct, frozen=True, tag="noted"):
+    """Lines of a process's audit have come."""
+
+    node: str
+    boot: str
+    lines: tuple[Line, ...]
+    final: int
+    time: float
+
+
+Item = Found | Adopt | Void | Release | Joined | Parted | Noted
 
 
 class Holder(Struct):
@@ -242,6 +255,7 @@
     release_times: dict[int, float] = {}
     holders: dict[str, Holder] = {}
     ids: dict[str, int] = {}  # of changes: their version
+    accounts: dict[str, Account] = {}  # process: what it did, as far as was heard
 
     @property
     def waiting(self) -> list[Agreed]:
@@ -288,6 +302,7 @@
                     item.node, item.boot, item.site, item.release, item.alone, index, item.time
                 )  # fmt: skip
                 self.holders[holder.key] = holder
+                self.accounts.setdefault(holder.key, Account(item.node, item.boot)).granted = index
                 return ""
             case Parted(node, boot, fence):
                 holder_ = self.holders.get(f"{node}#{boot}")
@@ -295,6 +310,20 @@
                     return f"{node} does not hold fence {fence}"
                 del self.holders[holder_.key]
                 return ""
+            case Noted(node, boot, lines, final, time):
+                key = f"{node}#{boot}"
+                account = self.accounts.setdefault(key, Account(node, boot))
+                account.take(lines, final)
+                self._forget(time - KEPT_FOR)
+                return ""
+
+    def _forget(self, before: float) -> None:
+        """What is too old, and processes of which nothing is left."""
+        for key, account in list(self.accounts.items()):
+            if account.lines and account.lines[0].at < before:
+                account.forget(before)
+            if not account.lines and key not in self.holders:
+                del self.accounts[key]
 
     def _adopt(self, item: Adopt) -> str:
         if item.id in self.ids:
--- a/bitternpath/fleet/steward.py
+++ b/bitternpath/fleet/steward.py
@@ -175,7 +175,7 @@
                 self.desk.hear(now, wire.peer.name, said)
             else:
                 wire.drop(f"a steward does not say {type(said).__name__}")
-        elif isinstance(said, m.Renew | m.Parting | m.Ask):
+        elif isinstance(said, m.FromOutside):
             self.wires[token] = self.wires.pop(token)  # the one heard last is at the end
             self.desk.say(now, token, said)
         elif not isinstance(said, m.Hello):
--- a/bitternpath/fleet/wire.py
+++ b/bitternpath/fleet/wire.py
@@ -29,6 +29,7 @@
         self, reactor: Any, hello: m.Hello, hear: Callable[[Wire, m.Said], None], lost: Callable[[Wire], None]
     ) -> None:  # fmt: skip
         self.reactor, self.hello, self._hear, self._lost = reactor, hello, hear, lost
+        self.name = ""  # of whom was dialled, for those who dial
         self.frames = m.Frames()
         self.peer: m.Hello | None = None  # who it says to be
         self.open = self.full = False
--- a/bitternpath/http/front.py
+++ b/bitternpath/http/front.py
@@ -236,6 +236,7 @@
         self.resting: OrderedDict[ConsumerConnection, None] = OrderedDict()
         self.lingering: OrderedDict[ConsumerConnection, None] = OrderedDict()
         self.going: set[ConsumerConnection] = set()  # told to close
+        self.welcome: Callable[[], bool] = lambda: True  # whether others agree that consumers are sent here
         self.stopped_at: float | None = None  # when the word to stop came
         self.port: Any = None
         self.accepting = True
@@ -343,7 +344,8 @@
             if message.method != b"GET":
                 connection.answer(405, b"", ((b"Allow", b"GET"),))
             else:
-                connection.answer(200 if self.is_ready() and self.life.does.welcome else 503)
+                yes = self.is_ready() and self.life.does.welcome and self.welcome()
+                connection.answer(200 if yes else 503)
         elif path.split(b"/", 2)[1] not in self.classes:
             connection.answer(404)
         elif message.method != b"POST":
--- a/bitternpath/node.py
+++ b/bitternpath/node.py
@@ -35,6 +35,8 @@
 
 if TYPE_CHECKING:
     from bitternpath.amqp.server import AmqpServer
+    from bitternpath.fleet.agent import Agent
+    from bitternpath.fleet.plan import Plan
     from bitternpath.handover.handover import Handover
     from bitternpath.http.console import Console
     from bitternpath.store.bans import Bans
@@ -53,6 +55,7 @@
     def __init__(self, loaded: Loaded, reactor: Any) -> None:
         config = loaded.platform
         self.loaded, self.reactor = loaded, reactor
+        self.filed = loaded  # as the files have it, without what the fleet has agreed
         self.at_start = loaded.operator.settings
         self.clock, self.life = Clock(), LifeCycle()
         self.roster = Roster(config.known)
@@ -89,6 +92,7 @@
         if config.console is not None:
             self._operated(config.name, config.console)
         self.amqp = self._amqp() if self.at_start.amqp.listen else None
+        self.agent = self._agent() if self.at_start.fleet.stewards else None
         self._ending, self.exit_code = False, 0
         self._look: Any = None
 
@@ -136,6 +140,47 @@
         handover.listener = lambda: self.listener.port and self.listener.port.socket
         self.listener.relay = handover.relay
 
+    def _agent(self) -> Agent:
+        """This node's part of the fleet. Imported here, for what is off costs nothing."""
+        from bitternpath.fleet.agent import Agent
+
+        config = self.loaded.platform
+        agent = Agent(
+            self.reactor, self.at_start.fleet, config.name, config.settings.zone, self.roster,
+            self._plan_fault, self._act, self._retry_after,
+        )  # fmt: skip
+        self.broker.gate = agent.gate
+        self.listener.welcome = agent.welcome
+        return agent
+
+    def _act(self, plan: Plan) -> None:
+        """The fleet's word has changed."""
+        self._take(self.filed)
+
+    def _plan_fault(self, plan: Plan) -> str:
+        """Why this node cannot act on that plan; empty: it can."""
+        from bitternpath.fleet.overlay import overlaid
+        from bitternpath.fleet.plan import PlanError
+
+        try:
+            overlaid(self.filed.platform, plan)
+        except (PlanError, ValueError) as error:
+            return str(error)
+        return ""
+
+    def _overlaid(self, loaded: Loaded) -> Loaded:
+        """With what the fleet has agreed on top; ConfigError where the two are at odds, now or soon."""
+        if self.agent is None:
+            return loaded
+        from bitternpath.fleet.overlay import overlaid
+        from bitternpath.fleet.plan import PlanError
+
+        try:
+            now, *_ = [overlaid(loaded.platform, plan) for plan in self.agent.agency.in_hand]
+        except (PlanError, ValueError) as error:
+            raise ConfigError(f"at odds with what the fleet has agreed: {error}") from error
+        return Loaded(now, loaded.operator)
+
     def _serves(self) -> bool:
         """Whether this process listens, knows providers and goes on."""
         return self.life.does.serves and self._ready()
@@ -193,6 +238,8 @@
         self.pool.run()
         if not self.loaded.platform.settings.ask_for_list:
             self.watch.start()
+        if self.agent is not None:
+            self.agent.begin()
         self.reactor.callLater(REPORT_EVERY, self._report)
         kv: dict[str, object] = {
             "name": self.loaded.platform.name,
@@ -214,16 +261,21 @@
 
     def reload(self, read: Callable[[Loaded], Loaded]) -> None:
         """Take in the configuration as it is now, all of it or nothing."""
-        running = self.loaded
-        before, figures = running.platform, self.broker.figures
+        figures = self.broker.figures
         try:
-            loaded = read(running)
+            filed = read(self.filed)
+            self._overlaid(filed)
         except ConfigError as error:
             figures.count(RELOADS[False])
             log.error("reload failed", why=error, kept="the configuration in use")
             return
         figures.count(RELOADS[True])
-        now = loaded.platform
+        log.info("reloaded", **self._take(filed))
+
+    def _take(self, filed: Loaded) -> dict[str, object]:
+        """Run with these files, and with what the fleet has agreed on top; what to say of it."""
+        before, loaded = self.loaded.platform, self._overlaid(filed)
+        self.filed, now = filed, loaded.platform
         self.sockets.resize(now.sockets)
         self.pool.set_times(now.dial_timeout, now.idle_timeout)
         self.watch.move(now.discovery)
@@ -239,7 +291,7 @@
         if changed:
             kv["needs_restart"] = ",".join(changed)
         self.loaded = Loaded(config, loaded.operator)
-        log.info("reloaded", **kv)
+        return kv
 
     def _settings(self, settings: m.Settings) -> None:
         """Fronts, figures and module change in one step: what comes from now on is under the new rules."""
@@ -261,6 +313,8 @@
             self._stopped()
             return
         self.listener.stop()
+        if self.agent is not None:
+            self.agent.stop()
         if self.amqp is not None:
             self.amqp.stop()
         self.reactor.callLater(NEW_ONES_ARRIVE / 1000.0 + 2 * LAST_WORDS, self._close_when_idle)
--- a/bitternpath/store/bans.py
+++ b/bitternpath/store/bans.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from bitternpath.core.roster import Roster
+from bitternpath.core.roster import BY_HAND, Roster
 from bitternpath.store.taken_out import TakenOut
 
 log = structlog.get_logger(part="bans")
@@ -36,11 +36,12 @@
         except OSError as error:
             log.warning("cannot read who is out", folder=str(self.store.folder), why=error)
             return
-        for id, since in found.items():
-            if id not in self.roster.out:
-                self.roster.take_out(id, since)
-        for id in [id for id in self.roster.out if id not in found]:
-            self.roster.call_back(id, self.clock())
+        held = self.roster.kept_out(BY_HAND)
+        for id in found.keys() - held:
+            self.roster.take_out(id, found[id])
+        for id in held:
+            if id not in found:
+                self.roster.call_back(id, self.clock())
 
     def down(self, id: str) -> bool:
         """Take a worker out; False where nobody has that id, OSError where it cannot be stored."""
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -40,14 +40,14 @@
         self.log = fleet.folder / f"{name}.log"
         self.process: Any = None
 
-    def start(self, found: bool = False, limit: str = "", environ: Mapping[str, str] | None = None) -> None:
+    def start(self, found: bool = False, limit: str = "") -> None:
         """`limit`: what the shell's ulimit is told first."""
         command = [sys.executable, "-m", "bitternpath", "steward", "--fleet-name", self.name]
         command += ["--fleet-folder", str(self.folder)] + ["--found"] * found
         if limit:
             command = ["bash", "-c", f'ulimit {limit}; trap "" XFSZ; exec "$@"', "steward", *command]
         clean = {k: v for k, v in os.environ.items() if not k.startswith("BITTERNPATH_")}
-        clean |= {"BITTERNPATH_FLEET_STEWARDS": self.fleet.addresses, **(environ or {})}
+        clean |= {"BITTERNPATH_FLEET_STEWARDS": self.fleet.addresses, **self.fleet.settings}
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 command, cwd=ROOT, env=clean | {"PYTHONPATH": str(ROOT)}, stderr=log
@@ -71,8 +71,9 @@
 class Fleet:
     """So many stewards; the first one founds, the others are added."""
 
-    def __init__(self, folder: Path, stewards: int) -> None:
-        self.folder = folder
+    def __init__(self, folder: Path, stewards: int, settings: Mapping[str, str]) -> None:
+        self.folder, self.settings = folder, settings
+        folder.mkdir(exist_ok=True)
         self.stewards = {f"S{k}": StewardProcess(self, f"S{k}") for k in range(1, stewards + 1)}
         self.at = {name: ("127.0.0.1", s.held.number) for name, s in self.stewards.items()}
 
@@ -115,8 +116,9 @@
 
 
 @contextlib.contextmanager
-def fleet(folder: Path, stewards: int) -> Iterator[Fleet]:
-    made = Fleet(folder, stewards)
+def fleet(folder: Path, stewards: int, settings: Mapping[str, str] | None = None) -> Iterator[Fleet]:
+    """`settings`: further variables of the stewards."""
+    made = Fleet(folder, stewards, settings or {})
     try:
         yield made
     finally:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -631,8 +631,8 @@
     assert not any(Path(f"/proc/{child}").exists() for child in children)
 
 
-def test_a_node_imports_nothing_of_the_lab() -> None:
-    found = "[m for m in sys.modules if 'emulator' in m]"
+def test_a_node_imports_nothing_of_the_lab_nor_of_the_fleet() -> None:
+    found = "[m for m in sys.modules if m.rpartition('.')[2] in ('emulator', 'fleet', 'lmdb', 'blake3')]"
     look = f"import sys, bitternpath.cli.run, bitternpath.node; print({found})"
     run = subprocess.run([sys.executable, "-c", look], cwd=ROOT, capture_output=True, text=True, check=True)
     assert run.stdout.strip() == "[]" and len(POLICIES) == 7
--- a/tests/test_fleet_stewards.py
+++ b/tests/test_fleet_stewards.py
@@ -129,7 +129,6 @@
         assert made.change("b", p.Ban("w2")) == 2
     with fleet(tmp_path / "one", 1) as alone:
         (only,) = alone.stewards.values()
-        (tmp_path / "one").mkdir()
         alone.start()
         alone.change("a", p.Ban("w1"))
         only.kill()
