--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # build: a virtual environment with what requirements.txt pins; test, lint, run; sim: the simulator's adapter
 PYTHON = .venv/bin/python
 
-.PHONY: build demo test fuzz lint format run sim check-config clean
+.PHONY: build demo fleet-demo campaign test fuzz lint format run sim check-config clean
 
 build: .venv/built
 
@@ -14,6 +14,16 @@
 demo: build
 	$(PYTHON) -m bitternpath demo
 
+# three stewards, six nodes, workers and clients for 30 s; a leader killed, a node stalled, a site cut off
+fleet-demo: build
+	$(PYTHON) -m bitternpath demo --fleet
+
+# many runs of the fleet with faults: make campaign WAY=runs|walks|days MANY=10000
+WAY = runs
+MANY = 10000
+campaign: build
+	$(PYTHON) -m bitternpath campaign --way $(WAY) --many $(MANY)
+
 test: build
 	$(PYTHON) -m pytest
 
--- /dev/null
+++ b/bitternpath/cli/campaign.py
@@ -0,0 +1,103 @@
+"""`bitternpath campaign`: many runs of the fleet with faults, on all cores."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterable
+from concurrent.futures import ProcessPoolExecutor, ThreadPoolExecutor
+from typing import Any
+
+import click
+
+from bitternpath.cli.lab import needs_lab
+
+CORES_OF_A_DAY = 2  # that a run with real processes keeps busy
+
+
+def _run(seed: int, faults: int) -> tuple[bool, str]:
+    from bitternpath.emulator.fleet.campaign import play
+
+    outcome = play(seed, faults)
+    return outcome.kept, str(outcome)
+
+
+def _walk(seed: int, _: int) -> tuple[bool, str]:
+    from bitternpath.emulator.fleet.walk import walk
+
+    broken = walk(seed).broken
+    return not broken, f"seed {seed}: {broken[0] if broken else 'rules kept'}"
+
+
+def _day(seed: int, faults: int) -> tuple[bool, str]:
+    """In a process of its own: a reactor runs once."""
+    code = f"import sys; from bitternpath.cli.campaign import one_day; sys.exit(one_day({seed}, {faults}))"
+    run = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=False)
+    return run.returncode == 0, f"seed {seed}: {run.stdout.strip() or run.stderr.strip()}"
+
+
+def one_day(seed: int, faults: int) -> int:
+    """Play one day with real processes and say in one line what came of it."""
+    import structlog
+
+    from bitternpath.emulator.fleet.days import day
+    from bitternpath.emulator.wall import VoidError, play_on_sockets
+
+    structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
+    scenario = day(seed, faults)
+    kinds = ", ".join(f"{t.kind} {t.at:.1f}+{t.lasts:.1f}" for t in scenario.troubles[1:])
+    try:
+        result = play_on_sockets(scenario, seed)
+    except VoidError as error:
+        print(f"{error} ({kinds})")
+        return 0
+    says = "; ".join(result.violations[:3]) or f"rules kept, {result.requests} requests"
+    print(f"{says} ({kinds})")
+    return 0 if result.kept else 1
+
+
+WAYS: dict[str, Callable[[int, int], tuple[bool, str]]] = {"runs": _run, "walks": _walk, "days": _day}
+
+
+@click.command(
+    epilog="""\b
+Examples:
+  bitternpath campaign --many 10000                 # in virtual time, 20 faults each
+  bitternpath campaign --way walks --many 100000    # stewards under the worst scheduler
+  bitternpath campaign --way days --many 100        # real processes, 5 faults each
+"""
+)
+@click.option("--way", type=click.Choice(list(WAYS)), default="runs", show_default=True, help="how to play")
+@click.option("--many", default=1000, show_default=True, help="how many seeds")
+@click.option("--first", default=0, show_default=True, help="the first of them")
+@click.option("--faults", type=int, help="in each run [default: 20, and 5 with real processes]")
+@needs_lab
+def command(way: str, many: int, first: int, faults: int | None, **_: Any) -> None:
+    """Play the fleet with faults, seed after seed, on all cores, and say which seeds broke a rule.
+
+    Ends with 0 where the rules were kept in all, with 1 where one was broken.
+    """
+    faults = faults if faults is not None else (5 if way == "days" else 20)
+    cores = os.cpu_count() or 1
+    begun, done, bad, void = time.monotonic(), 0, 0, 0
+    pool: Any = (
+        ThreadPoolExecutor(max(cores // CORES_OF_A_DAY, 1)) if way == "days" else ProcessPoolExecutor(cores)
+    )
+    with pool:
+        outcomes: Iterable[tuple[bool, str]] = pool.map(
+            WAYS[way], range(first, first + many), [faults] * many,
+            **({} if way == "days" else {"chunksize": max(min(many // cores // 4, 50), 1)}),
+        )  # fmt: skip
+        for kept, says in outcomes:
+            done += 1
+            bad += not kept
+            void += "void" in says
+            if not kept or way == "days":
+                click.echo(says)
+            elif done % max(many // 20, 1) == 0:
+                click.echo(f"{done} of {many}, {time.monotonic() - begun:.0f} s")
+    voids = f", {void} of them void" if void else ""
+    click.echo(f"{done} {way}{voids}: {bad} broke a rule or got stuck, {time.monotonic() - begun:.0f} s")
+    click.get_current_context().exit(1 if bad else 0)
--- a/bitternpath/cli/demo.py
+++ b/bitternpath/cli/demo.py
@@ -48,25 +48,46 @@
     "troubles": [{"kind": "site-loss", "at": 6.0, "lasts": 6.0, "site": "labasa"}],
 }
 
+FLEET: dict[str, Any] = DEMO | {
+    "name": "fleet-demo",
+    "seconds": 30.0,
+    "front_notice_s": 0.5,
+    "sites": [site | {"workers": 4, "nodes": 2} for site in DEMO["sites"]],
+    "clients": {"load": 0.35},
+    "fleet": {"stewards": 3},
+    "troubles": [
+        {"kind": "fleet-changes", "at": 2.0, "lasts": 24.0, "size": 2.0},
+        {"kind": "fleet-ban", "at": 3.0, "lasts": 18.0},
+        {"kind": "stop-nodes", "at": 5.0, "lasts": 5.0, "part": 0.16},
+        {"kind": "kill-leader", "at": 12.0, "lasts": 4.0},
+        {"kind": "cut-fleet-site", "at": 18.0, "lasts": 6.0, "site": "labasa"},
+    ],
+}
+
 
 @click.command(
     epilog="""\b
 Examples:
   bitternpath demo
+  bitternpath demo --fleet
   bitternpath demo --json demo.json
 """
 )
+@click.option("--fleet", is_flag=True, help="six nodes under three stewards, some of which fail; 30 s")
 @click.option("--seed", default=1, show_default=True, help="which day is drawn")
 @click.option(
     "--json", "file", type=click.Path(dir_okay=False, path_type=Path), help="write all figures there"
 )
 @needs_lab
-def command(seed: int, file: Path | None, **_: Any) -> None:
+def command(fleet: bool, seed: int, file: Path | None, **_: Any) -> None:
     """Three real nodes, 14 workers and their clients on loopback for 20 s; one site is lost on the way.
 
+    With --fleet: six nodes and three stewards; changes, a node stalled through some of them, the leader
+    killed, one site cut off.
+
     Needs no file, no flag and no root. Ends with 0 where the rules were kept, with 1 where one was broken.
     """
     from bitternpath.cli.on_sockets import run
     from bitternpath.emulator.scenario import made_from
 
-    click.get_current_context().exit(run(made_from(DEMO, "demo"), seed, file))
+    click.get_current_context().exit(run(made_from(FLEET if fleet else DEMO, "demo"), seed, file))
--- a/bitternpath/cli/on_sockets.py
+++ b/bitternpath/cli/on_sockets.py
@@ -24,6 +24,7 @@
     got = sum(worth for key, worth in world.tally.got.items() if key[0] == second)
     now = world.now()
     troubles = [a.kind for a in world.active if a.at <= now < a.at + a.lasts]
+    fleet = world.fleet.row() if world.fleet is not None else {}
     return {
         "s": str(max(second, 0)),
         "asked": f"{asked:.0f}",
@@ -33,6 +34,7 @@
         "waiting": str(world.clients.open),
         "up": str(sum(w.up and w.reachable for w in world.workers.values())),
         "nodes": str(sum(len(nodes) for nodes in world.front.admitted.values())),
+        **fleet,
         "trouble": ", ".join(troubles) or "-",
     }
 
--- a/bitternpath/cli/top.py
+++ b/bitternpath/cli/top.py
@@ -14,6 +14,7 @@
     "user": "Make password hashes for the operator file.",
     "demo": "Real nodes, workers and clients on loopback for 20 s, one site lost on the way.",
     "emulate": "Play a scenario of the emulator, in virtual time or with real nodes.",
+    "campaign": "Many runs of the fleet with faults, on all cores.",
     "completion": "Print the completion script of a shell.",
     "version": "Print the version.",
 }
--- /dev/null
+++ b/bitternpath/emulator/fleet/days.py
@@ -0,0 +1,44 @@
+"""Runs with real processes, drawn from a seed: three stewards, six nodes, their clients, and some faults."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+from bitternpath.emulator.scenario import Scenario, made_from
+
+FAULTS = (
+    "kill-stewards", "kill-leader", "stall-stewards", "stall-leader", "cut-fleet-links", "slow-fleet-links",
+    "reset-fleet-links", "half-open-fleet-links", "cut-fleet-site", "kill-nodes", "stop-nodes", "fleet-ban",
+)  # fmt: skip
+BEGIN, LASTS = (1.5, 9.0), (0.5, 5.0)  # s
+
+DAY: dict[str, Any] = {
+    "seconds": 15.0,
+    "front_notice_s": 0.5,
+    "sites": [{"name": name, "workers": 3, "nodes": 2} for name in ("suva", "lautoka", "labasa")],
+    "kinds": [{"name": "standard", "speed": [0.8, 1.1], "cold_s": 8.0}],
+    "classes": [
+        {"name": "lookup", "share": 50, "work": 40, "aim": 80, "worth": 2, "safe": True, "give_up": 3000},
+        {"name": "reminder", "share": 50, "work": 40, "aim": 80, "worth": 3, "give_up": 3000},
+    ],
+    "clients": {"load": 0.3},
+    "fleet": {"stewards": 3, "lease": 1.5, "catch_up": 2.0},
+}
+
+
+def day(seed: int, faults: int = 5) -> Scenario:
+    """The scenario of that seed: changes all the while, and so many faults."""
+    random = Random(f"{seed} day")
+    troubles: list[dict[str, Any]] = [{"kind": "fleet-changes", "at": 0.5, "lasts": 12.0, "size": 0.7}]
+    for _ in range(faults):
+        kind = random.choice(FAULTS)
+        told = {"kind": kind, "at": random.uniform(*BEGIN), "lasts": random.uniform(*LASTS), "part": 0.2}
+        if kind == "slow-fleet-links":
+            told |= {
+                "size": random.choice([0.05, 0.4, 1.5]),
+                "extra": random.choice([0.0, 2000.0]),
+                "part": 0.4,
+            }
+        troubles.append(told)
+    return made_from(DAY | {"name": f"day-{seed}", "troubles": troubles}, f"day {seed}")
--- a/bitternpath/emulator/scenario.py
+++ b/bitternpath/emulator/scenario.py
@@ -135,6 +135,16 @@
     cross_site: Least0 = 0.03
 
 
+class FleetOf(Struct, frozen=True, forbid_unknown_fields=True):
+    """Stewards, and nodes under their word; on sockets alone."""
+
+    stewards: Annotated[int, Meta(ge=0, le=9)] = 0  # one a site in turn; 0: none
+    lease: Annotated[float, Meta(ge=1.0, le=60.0)] = 2.0
+    catch_up: Annotated[float, Meta(ge=1.0, le=600.0)] = 3.0
+    drift: Annotated[float, Meta(ge=0.0, le=0.2)] = 0.02
+    alone: Literal["serve", "leave"] = "serve"
+
+
 class Trouble(Struct, frozen=True, forbid_unknown_fields=True):
     """Something that goes wrong, see `troubles/`. What the fields mean is the trouble's to say."""
 
@@ -166,6 +176,7 @@
     discovery: Discovery = Discovery()
     rules: Rules = Rules()
     prices: Prices = Prices()
+    fleet: FleetOf = FleetOf()
     front_notice_s: Range = 2.0  # until the front knows that a node has died
     start_spread_s: Least0 = 0.8  # between the first node's start and the last's
     troubles: list[Trouble] = msgspec.field(default_factory=list)
@@ -192,12 +203,16 @@
         raise ScenarioError(
             f"{where}: {str(error).replace(' - at `$.', ', at `').replace('`$`', 'the top')}"
         ) from error
+    from bitternpath.emulator.troubles.fleet import FLEET
+
     names = [site.name for site in scenario.sites]
     for trouble in scenario.troubles:
         if trouble.kind not in KINDS:
             raise ScenarioError(
                 f"{where}: troubles: kind {trouble.kind!r}; allowed are {', '.join(sorted(KINDS))}"
             )
+        if trouble.kind in FLEET and not scenario.fleet.stewards:
+            raise ScenarioError(f"{where}: troubles: kind {trouble.kind!r} needs fleet.stewards")
         for site in (trouble.site, trouble.other):
             if site and site not in names:
                 raise ScenarioError(f"{where}: troubles: site {site!r}; allowed are {', '.join(names)}")
--- a/bitternpath/emulator/wall.py
+++ b/bitternpath/emulator/wall.py
@@ -23,7 +23,7 @@
 from functools import partial
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import ujson
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -44,6 +44,9 @@
 from bitternpath.emulator.world import Result, World
 from bitternpath.http import http1
 
+if TYPE_CHECKING:
+    from bitternpath.emulator.fleet.processes import FleetOnSockets
+
 READY_WITHIN = 30.0  # s for a node to come up
 VOID_BEYOND = 0.050  # s of the world's own lateness at p99 above which a run is void
 LOOK = 0.01  # s between looks at it
@@ -275,6 +278,7 @@
         self.discovery = _Server(world.reactor, self._watch)
         self.log = world.folder / f"{name}.log"
         self.lives = 0
+        self.ending = False
         self.console = 0  # its port, where the scenario has operators
         self.consoles: list[HeldPort] = []
         self.older: list[Any] = []  # processes that a newer one has taken over from
@@ -309,13 +313,24 @@
         file.write_text(json.dumps(conf))
         env = {k: v for k, v in os.environ.items() if not k.startswith(("PROXY_", "BITTERNPATH_"))}
         return subprocess.Popen(
-            [sys.executable, "-m", "bitternpath"],
-            env=env | {"PROXY_CONFIG": str(file), "TMPDIR": str(self.shared)},
+            self._program(),
+            env=env | {"PROXY_CONFIG": str(file), "TMPDIR": str(self.shared)} | self._under(),
             cwd=Path(__file__).parent.parent.parent,
             stderr=self.log.open("ab"),
             stdin=subprocess.DEVNULL,
         )
 
+    def _program(self) -> list[str]:
+        if self.world.fleet is None:
+            return [sys.executable, "-m", "bitternpath"]
+        from bitternpath.emulator.fleet.processes import program
+
+        return program()
+
+    def _under(self) -> dict[str, str]:
+        """What tells a process of this node of its stewards."""
+        return self.world.fleet.environ(self.name) if self.world.fleet is not None else {}
+
     def _look_ready(self, life: int, since: float) -> None:
         """The front admits a node once `/ready` has answered 200."""
         if not self.up or life != self.lives:
@@ -432,6 +447,13 @@
         self.news.close()
         self.world.reactor.callLater(down, self.start)
 
+    def say_stop(self) -> None:
+        """Have it end by itself."""
+        if self.up and self.process.poll() is None:
+            self.ending = True
+            self.process.send_signal(signal.SIGCONT)
+            self.process.send_signal(signal.SIGTERM)
+
     def end(self) -> None:
         """At the end of a run."""
         for process in (self.process, *self.older):
@@ -444,7 +466,8 @@
         self.up = False
 
     def crashed(self) -> bool:
-        return self.up and self.process.poll() is not None
+        ended = self.process.poll()
+        return self.up and ended is not None and not (self.ending and ended == 0)
 
     # ---- discovery
 
@@ -638,6 +661,7 @@
         self.starved = Starved()
         self._waited: dict[int, float] = {}  # process: s it had waited for a core at the last look
         self.operated = any(t.kind in OPERATORS for t in scenario.troubles)
+        self.fleet = self._fleet() if scenario.fleet.stewards else None
         self.nodes = self._wall_nodes()  # type: ignore[assignment]
         self.servers: dict[tuple[str, str], _Server] = {}
         self.attempts: dict[tuple[str, str], Attempt] = {}
@@ -646,6 +670,11 @@
                 serve = partial(self._serve, worker, node)
                 self.servers[node.name, worker.id] = _Server(reactor, serve)
 
+    def _fleet(self) -> FleetOnSockets:
+        from bitternpath.emulator.fleet.processes import FleetOnSockets
+
+        return FleetOnSockets(self)
+
     def _wall_nodes(self) -> dict[str, WallNode]:
         made: dict[str, WallNode] = {}
         for site in self.scenario.sites:
@@ -818,13 +847,16 @@
         """Start the nodes; once all are ready, the clients and what goes wrong; `over` is called at the
         end."""
         self._look_late(self.reactor.seconds())
+        if self.fleet is not None:
+            self.fleet.start()
         for node in self.nodes.values():
             node.start()
         self._await_ready(over, time.monotonic())
 
     def _await_ready(self, over: Callable[[], None], since: float) -> None:
         admitted = sum(len(nodes) for nodes in self.front.admitted.values())
-        if admitted < len(self.nodes) and time.monotonic() < since + READY_WITHIN:
+        waits = admitted < len(self.nodes) or (self.fleet is not None and self.fleet.unsettled())
+        if waits and time.monotonic() < since + READY_WITHIN:
             self.reactor.callLater(0.02, self._await_ready, over, since)
             return
         self.later.begun = self.reactor.seconds()
@@ -839,7 +871,11 @@
     def _await_end(self, over: Callable[[], None]) -> None:
         longest = max(c.give_up for c in self.scenario.classes) / 1000.0
         ended = self.now() > self.scenario.seconds and not self.clients.open and not self.connections
-        if ended or self.now() > self.scenario.seconds + longest + READ_ON + 1.0:
+        late = self.now() > self.scenario.seconds + longest + READ_ON + 1.0
+        if self.fleet is not None and (ended or late):
+            self.checker.end(self.now())
+            self.fleet.finish(over)
+        elif ended or self.now() > self.scenario.seconds + longest + READ_ON + 1.0:
             self.checker.end(self.now())
             over()
         else:
@@ -867,11 +903,15 @@
             node.end()  # type: ignore[attr-defined]
         for server in self.servers.values():
             server.close()
+        if self.fleet is not None:
+            self.fleet.close()
 
     def finished(self, wall: float) -> Result:
         result = self.result(wall)
         result.violations += self.faults
-        for name in self.nodes:
+        if self.fleet is not None:
+            result.violations += self.fleet.faults
+        for name in [*self.nodes, *(self.fleet.stewards if self.fleet is not None else ())]:
             text = (self.folder / f"{name}.log").read_text(errors="replace")
             result.violations += [f"{name}: {line[:300]}" for line in re.findall(r".*trace=.*", text)[:3]]
         return result
--- a/bitternpath/emulator/world.py
+++ b/bitternpath/emulator/world.py
@@ -299,6 +299,8 @@
         begun = time.perf_counter()
         if any(trouble.kind == "upgrades" for trouble in self.scenario.troubles):
             raise ScenarioError(f"{self.scenario.name}: troubles: upgrades: on sockets only, give --sockets")
+        if self.scenario.fleet.stewards:
+            raise ScenarioError(f"{self.scenario.name}: fleet.stewards: on sockets only, give --sockets")
         spread = Random(f"{self.seed} starts")
         for node in self.nodes.values():
             self.later.callLater(spread.random() * self.scenario.start_spread_s, node.start)
--- a/bitternpath/fleet/audit.py
+++ b/bitternpath/fleet/audit.py
@@ -16,6 +16,7 @@
 LINK = 16  # bytes of a link of the chain
 LEDGER_LINES = 2000  # that a process keeps while nobody acknowledges them; the oldest go first
 ACCOUNT_LINES = 500  # that the stewards keep of one process
+LET_GO = 50  # ends of leases that are kept of one
 AT_ONCE = 100  # lines of one message
 
 # What a line may tell, beside version and fence.
@@ -92,6 +93,7 @@
     node: str
     boot: str
     granted: int = 0  # the last fence that it got
+    let_go: list[tuple[int, float, str]] = []  # fences that are over: when, by the leader's clock, and why
     upto: int = 0
     link: bytes = b""
     lines: list[Line] = []
@@ -119,6 +121,11 @@
             self.dropped += len(self.lines) - ACCOUNT_LINES
             del self.lines[:-ACCOUNT_LINES]
 
+    def part(self, fence: int, at: float, why: str) -> None:
+        """Its lease is over for the stewards."""
+        self.let_go.append((fence, at, why))
+        del self.let_go[:-LET_GO]
+
     def agrees(self, lines: tuple[Line, ...]) -> bool:
         """Whether lines that were heard before are the same again."""
         kept = {line.number: line for line in self.lines}
--- a/bitternpath/fleet/desk.py
+++ b/bitternpath/fleet/desk.py
@@ -503,6 +503,7 @@
             "holders": [self._seen(now, holder, watches.get(key)) for key, holder in record.holders.items()],
         }
         if isinstance(said.command, m.Look) and said.command.what == "audit":
+            found["ids"] = record.ids
             found["accounts"] = [
                 msgspec.to_builtins(account) | {"unheard": account.says_missing(key in record.holders)}
                 for key, account in record.accounts.items()
--- a/bitternpath/fleet/plan.py
+++ b/bitternpath/fleet/plan.py
@@ -304,11 +304,12 @@
                 self.holders[holder.key] = holder
                 self.accounts.setdefault(holder.key, Account(item.node, item.boot)).granted = index
                 return ""
-            case Parted(node, boot, fence):
+            case Parted(node, boot, fence, why, time):
                 holder_ = self.holders.get(f"{node}#{boot}")
                 if holder_ is None or holder_.fence != fence:
                     return f"{node} does not hold fence {fence}"
                 del self.holders[holder_.key]
+                self.accounts.setdefault(holder_.key, Account(node, boot)).part(fence, time, why)
                 return ""
             case Noted(node, boot, lines, final, time):
                 key = f"{node}#{boot}"
