Every order of events in small scopes: the consensus and the leases searched state by state

Design: emulator/fleet/search.py explores the pure parts, breadth-first (shortest trails) or depth-first; a connection keeps its order, a cut loses one way. Two scopes: three stewards' consensus; one steward with two nodes whose clocks drift apart. Not taken: all in one scope (it would not end), a model in another language (it would prove the model, not the program).

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 fleet-demo: build
 	$(PYTHON) -m bitternpath demo --fleet
 
-# many runs of the fleet with faults: make campaign WAY=runs|walks|days MANY=10000
+# many runs of the fleet with faults: make campaign WAY=runs|walks|days|search MANY=10000
 WAY = runs
 MANY = 10000
 campaign: build
--- a/bitternpath/cli/campaign.py
+++ b/bitternpath/cli/campaign.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+from collections import deque
 from collections.abc import Callable, Iterable
 from concurrent.futures import ProcessPoolExecutor, ThreadPoolExecutor
 from typing import Any
@@ -14,6 +15,7 @@
 
 from bitternpath.cli.lab import needs_lab
 
+EACH = ("days", "search")  # ways of which each outcome is told
 CORES_OF_A_DAY = 2  # that a run with real processes keeps busy
 
 
@@ -38,6 +40,15 @@
     return run.returncode == 0, f"seed {seed}: {run.stdout.strip() or run.stderr.strip()}"
 
 
+def _search(number: int, most: int) -> tuple[bool, str]:
+    from bitternpath.emulator.fleet.search import SCOPES, begun, search
+
+    found = search(begun(SCOPES[number]), most, deque.pop)
+    says = f"{found.broken}, after {'; '.join(found.trail)}" if found.broken else "rules kept"
+    whole = "all" if found.whole else "the first"
+    return not found.broken, f"{SCOPES[number]}: {says} in {whole} {found.states} states, {found.moves} moves"
+
+
 def one_day(seed: int, faults: int) -> int:
     """Play one day with real processes and say in one line what came of it."""
     import structlog
@@ -58,7 +69,9 @@
     return 0 if result.kept else 1
 
 
-WAYS: dict[str, Callable[[int, int], tuple[bool, str]]] = {"runs": _run, "walks": _walk, "days": _day}
+WAYS: dict[str, Callable[[int, int], tuple[bool, str]]] = {
+    "runs": _run, "walks": _walk, "days": _day, "search": _search,
+}  # fmt: skip
 
 
 @click.command(
@@ -67,10 +80,11 @@
   bitternpath campaign --many 10000                 # in virtual time, 20 faults each
   bitternpath campaign --way walks --many 100000    # stewards under the worst scheduler
   bitternpath campaign --way days --many 100        # real processes, 5 faults each
+  bitternpath campaign --way search --many 1000000  # each state within small scopes, so many of each at most
 """
 )
 @click.option("--way", type=click.Choice(list(WAYS)), default="runs", show_default=True, help="how to play")
-@click.option("--many", default=1000, show_default=True, help="how many seeds")
+@click.option("--many", default=1000, show_default=True, help="how many seeds, or states of a scope")
 @click.option("--first", default=0, show_default=True, help="the first of them")
 @click.option("--faults", type=int, help="in each run [default: 20, and 5 with real processes]")
 @needs_lab
@@ -79,6 +93,10 @@
 
     Ends with 0 where the rules were kept in all, with 1 where one was broken.
     """
+    if way == "search":
+        from bitternpath.emulator.fleet.search import SCOPES
+
+        faults, many = many, len(SCOPES)
     faults = faults if faults is not None else (5 if way == "days" else 20)
     cores = os.cpu_count() or 1
     begun, done, bad, void = time.monotonic(), 0, 0, 0
@@ -88,13 +106,13 @@
     with pool:
         outcomes: Iterable[tuple[bool, str]] = pool.map(
             WAYS[way], range(first, first + many), [faults] * many,
-            **({} if way == "days" else {"chunksize": max(min(many // cores // 4, 50), 1)}),
+            **({} if way in EACH else {"chunksize": max(min(many // cores // 4, 50), 1)}),
         )  # fmt: skip
         for kept, says in outcomes:
             done += 1
             bad += not kept
             void += "void" in says
-            if not kept or way == "days":
+            if not kept or way in EACH:
                 click.echo(says)
             elif done % max(many // 20, 1) == 0:
                 click.echo(f"{done} of {many}, {time.monotonic() - begun:.0f} s")
--- a/bitternpath/emulator/fleet/world.py
+++ b/bitternpath/emulator/fleet/world.py
@@ -28,7 +28,7 @@
 
 QUICK = 0.0002, 0.003  # s on the way, usually
 SYNC = 0.001, 0.01  # s that a disk takes
-WRITE, HELD_UP = (0.0002, 0.003), (0.05, 1.5)  # s that a node's disk takes, mostly and now and then
+WRITE, HELD_UP = (0.0002, 0.003), (0.05, 1.5)  # s that a node's disk takes, mostly and often
 ACT_EVERY = 0.25  # s between acts of a node
 RELEASE = (1, 0, 0)
 
@@ -292,7 +292,7 @@
         if agency.ledger.fresh:
             lines, agency.ledger.fresh = agency.ledger.fresh, []
             if self.keeps:
-                takes = world.random.uniform(*(WRITE if world.random.random() < 0.9 else HELD_UP))
+                takes = world.random.uniform(*(WRITE if world.random.random() < 0.6 else HELD_UP))
                 self.disk_free = max(self.disk_free, world.later.now) + takes
                 world.later.callLater(
                     self.disk_free - world.later.now, self.do, self.life, partial(self._wrote, lines)
--- a/bitternpath/emulator/wall.py
+++ b/bitternpath/emulator/wall.py
@@ -904,7 +904,9 @@
         """Stop all that was started."""
         for node in self.nodes.values():
             if node.crashed():  # type: ignore[attr-defined]
-                self.faults.append(f"{node.name} ended by itself with {node.process.returncode}")  # type: ignore[attr-defined]
+                last = (self.folder / f"{node.name}.log").read_text(errors="replace").splitlines()[-1:]
+                code = node.process.returncode  # type: ignore[attr-defined]
+                self.faults.append(f"{node.name} ended by itself with {code}: {' '.join(last)[:300]}")
             node.end()  # type: ignore[attr-defined]
         for server in self.servers.values():
             server.close()
--- a/bitternpath/fleet/agency.py
+++ b/bitternpath/fleet/agency.py
@@ -225,9 +225,8 @@
     def _lease(self, now: float, lease: m.Lease) -> None:
         if lease.sent > now or lease.sent + lease.length <= now or lease.fence < self.fence:
             return  # long on the way, or of an earlier fence
-        joins = lease.fence != self.fence
-        if joins and self.holds(now):
-            return  # a lease in hand is kept to its end
+        joins = lease.fence != self.fence  # while one is in hand, too: two requests to join were on the way
+        self.holds(now)
         before = self.plan.version
         current = self._advance(lease)
         if joins and not current:
--- a/tests/test_fleet_record.py
+++ b/tests/test_fleet_record.py
@@ -12,9 +12,11 @@
 
 from bitternpath.emulator.fleet.broken import BUILDS, broken
 from bitternpath.emulator.fleet.campaign import play
+from bitternpath.emulator.fleet.search import SCOPES, LeaseScope, Scope, begun, search
 from bitternpath.emulator.fleet.walk import Walk, walk
 from bitternpath.fleet import messages as m
 from bitternpath.fleet import plan as p
+from bitternpath.fleet.agency import Agency, Who
 from bitternpath.fleet.founding import founded
 from bitternpath.fleet.raft import (
     CHANGE,
@@ -65,13 +67,13 @@
     "other_terms_counted": ("walk", 70),
     "no_round": ("walk", 205),
     "no_wait_for_leases": ("play", 0),
-    "drift_forgotten": ("play", 23),
+    "drift_forgotten": ("play", 62),
     "two_versions_off": ("play", 0),
-    "lease_from_arrival": ("play", 4),
+    "lease_from_arrival": ("play", 19),
     "lease_by_timer": ("play", 0),
-    "fence_ignored": ("play", 27),
-    "digest_ignored": ("play", 135),
-    "told_before_written": ("play", 307),
+    "fence_ignored": ("play", 10),
+    "digest_ignored": ("play", 147),
+    "told_before_written": ("play", 6),
     "lease_not_looked_at": ("play", 0),
 }
 MOST = {"walk": 3000, "play": 300}  # seeds tried where another change has moved what each seed means
@@ -92,6 +94,39 @@
         assert any(found_by(way, seed) for seed in [first, *range(MOST[way])])
 
 
+@pytest.mark.parametrize("scope", SCOPES[:4], ids=str)
+def test_no_order_of_events_within_a_small_scope_breaks_a_rule(scope: Scope | LeaseScope) -> None:
+    found = search(begun(scope), 100_000)
+    assert found.whole and not found.broken and found.states > 2000
+
+
+@pytest.mark.parametrize(
+    ("name", "scope", "moves"),
+    [
+        ("two_versions_off", LeaseScope(steps=0, changes=2, crashes=0), 9),
+        ("no_wait_for_leases", LeaseScope(steps=1, changes=0, crashes=1), 3),
+        ("lease_from_arrival", LeaseScope(steps=3, changes=0, crashes=0), 6),
+        ("lease_not_looked_at", LeaseScope(steps=3, changes=0, crashes=0), 7),
+        ("vote_not_on_disk", Scope(rings=2, changes=0, crashes=1), 11),
+    ],
+)
+def test_the_search_finds_the_shortest_way_to_a_fault(
+    name: str, scope: Scope | LeaseScope, moves: int
+) -> None:
+    with broken(name):
+        found = search(begun(scope), 20_000)
+    assert found.broken and len(found.trail) == moves, found
+
+
+def test_two_requests_to_join_leave_a_node_the_later_lease() -> None:
+    """It kept the earlier one, which could not be renewed, and was without a lease once that was over."""
+    agency = Agency(Who("n", "b", "s", (1,)), ["S"], Random(1), 0.0, lambda: 0.0, lambda plan: "")
+    agency.up(0.0, "S")
+    for fence in (6, 7, 6):
+        agency.hear(0.1, m.Lease(0.0, 1.0, fence, 0, b""))
+    assert agency.fence == 7 and [act.fence for act in agency.acts] == [6, 7]
+
+
 def test_one_seed_is_one_run() -> None:
     code = "from bitternpath.emulator.fleet.campaign import play; print(play(5).trace)"
     traces = {
