A lease that is over is not found again; runs end when no dead process holds one

Cause: a renewal that was on its way when the lease ended by the node's clock brought the same fence back (agency.py, _lease), so that 'lost' was not the last word of that fence; and a run was taken for settled while a killed process still held its lease. Ruled out: lines lost on the way (all were in the file and heard).

Change: a fence is over for good once its holder knows that it is; a run waits for the leases of the dead.

--- a/bitternpath/emulator/fleet/search.py
+++ b/bitternpath/emulator/fleet/search.py
@@ -406,8 +406,9 @@
             (w.at, w.came, _bytes(w.said)) for w in (*tenure.rounds, *tenure.entries.values())
         ) if tenure is not None else ()  # fmt: skip
         nodes = tuple(
-            (a.fence, a.until, a.plan.version, a.plan.digest, a.taken.version, a.taken.digest, a.connected,
-             tuple((n.version, n.digest) for n in a._next), a.latest, a._renew_at, a._answer_by, a._dial_at)
+            (a.fence, a._lost, a.until, a.plan.version, a.plan.digest, a.taken.version, a.taken.digest,
+             a.connected, a.latest, a._renew_at, a._answer_by, a._dial_at,
+             tuple((n.version, n.digest) for n in a._next))
             for a in self.nodes.values()
         )  # fmt: skip
         return (
--- a/bitternpath/emulator/fleet/world.py
+++ b/bitternpath/emulator/fleet/world.py
@@ -449,6 +449,9 @@
                 return f"{node.name} acts on {agency.plan.version} of {record.released.version}"
             if node.up and not node.stalled and (agency.ledger.unheard or agency.older):
                 return f"{node.name}: lines of its audit are not heard of"
+        alive = {node.process for node in self.nodes.values() if node.up}
+        if dead := record.holders.keys() - alive:
+            return f"{sorted(dead)[0]} has ended, and its lease is not over yet"
         if self.operator.open:
             return f"unanswered: {self.operator.open}"
         return ""
--- a/bitternpath/fleet/agency.py
+++ b/bitternpath/fleet/agency.py
@@ -63,6 +63,7 @@
         self.refuses = ""
         self.withheld = "no steward has answered yet"  # why there is no lease, as last told
         self.fence, self.until, self.length = 0, now, 0.0
+        self._lost = 0  # the last fence of which the lease was over
         self.latest = 0  # the last version heard of
         self.sends: list[m.FromAgent] = []
         self.acts: list[Act] = []
@@ -85,7 +86,7 @@
         """Whether this process may act under the fleet's word in this very moment."""
         if self.fence and now >= self.until:
             self._act(self.until, audit.LOST)
-            self.fence = 0
+            self._lost, self.fence = self.fence, 0
         return bool(self.fence)
 
     def _act(self, now: float, what: str, detail: str = "") -> None:
@@ -223,10 +224,11 @@
         self._pause = FIRST_PAUSE
 
     def _lease(self, now: float, lease: m.Lease) -> None:
-        if lease.sent > now or lease.sent + lease.length <= now or lease.fence < self.fence:
-            return  # long on the way, or of an earlier fence
-        joins = lease.fence != self.fence  # while one is in hand, too: two requests to join were on the way
         self.holds(now)
+        old = lease.fence < self.fence or lease.fence <= self._lost  # that one is over, renewed or not
+        if old or lease.sent > now or lease.sent + lease.length <= now:
+            return
+        joins = lease.fence != self.fence  # while one is in hand, too: two requests to join were on the way
         before = self.plan.version
         current = self._advance(lease)
         if joins and not current:
