Nothing begins for a consumer that has closed: late connections, stalls, too much sent ahead

Cause, each seen to fail before the fix in tests/test_consumers_gone.py (real connections): - http/invoker.py `Pool._free` asked `call.over` only. Where settings allow no cancel, a call that waited for a dial went out whenever the connection came up, its consumer long gone. - http/front.py stopped reading a connection with over 128 KiB ahead of an answer (`PENDING_LIMIT`); a paused connection is not heard to close, so its jobs went on being sent and retried. - A request and the close behind it that came while the process stood still: read, sent on in the same turn, and only then was the close looked at (core/broker.py `_send`). Ruled out by reading and by the unit test: held jobs, retries and second copies decided in the batch in which the consumer left (`_send` sees the invocation answered; the module closes the job).

Change: `Consumer.gone` tells what the system knows of its connection; `Broker.wanted` is asked right before a call begins, in `_send` and where a connection becomes free. What comes too far ahead is read and dropped, and answered with one 413 after the answers that are due.

--- a/bitternpath/amqp/front.py
+++ b/bitternpath/amqp/front.py
@@ -48,6 +48,9 @@
     def failed(self) -> None:
         self.front.answer(self, "failed", b"")
 
+    def gone(self) -> bool:
+        return False  # a publisher is told through a queue, which may outlive its connection
+
 
 class Front:
     """Takes what is published, on all connections."""
--- a/bitternpath/core/broker.py
+++ b/bitternpath/core/broker.py
@@ -142,6 +142,19 @@
         if not invocation.answered:
             self._append(Left(invocation))
 
+    def wanted(self, call: InvokerCall) -> bool:
+        """Whether a call that has not begun may begin: somebody still waits for what it would bring.
+
+        Guards against a consumer that left while the call waited for a connection, or while this process did
+        not come to look: what begins then is work for nobody."""
+        invocation = call.invocation
+        if call.over or invocation.answered:
+            return False
+        if invocation.consumer.gone():
+            self.withdraw(invocation)
+            return False
+        return True
+
     def ended(self, call: InvokerCall, how: m.How, result: bytes = b"") -> None:
         """The end of a call; the first one told counts."""
         if not call.over:
@@ -356,6 +369,9 @@
         if invocation.answered or timeout < 0 or provider is None:
             self._append(Ended(call, m.How.NOT_SENT))
             return
+        if not self.wanted(call):
+            self._append(Ended(call, m.How.CANCELLED))
+            return
         call.protocol = provider.protocol
         self.counts["calls"] += 1
         call.timer = self.later.callLater(max(expires - now, 0.0) / 1000.0, self._expired, call)
--- a/bitternpath/core/invocations.py
+++ b/bitternpath/core/invocations.py
@@ -20,7 +20,7 @@
 
 
 class Consumer(Protocol):
-    """The side that waits for the answer of one invocation; exactly one of these is called, once."""
+    """The side that waits for the answer of one invocation; exactly one of its answers is called, once."""
 
     def served(self, result: bytes) -> None: ...
 
@@ -28,6 +28,10 @@
 
     def failed(self) -> None: ...
 
+    def gone(self) -> bool:
+        """Whether it has left, though nobody may have heard of that yet."""
+        ...
+
 
 class Payload(Protocol):
     """What an invoker sends on: a request in the platform's own words (PROTOCOL, 'Clients to nodes').
--- a/bitternpath/emulator/nodes.py
+++ b/bitternpath/emulator/nodes.py
@@ -59,6 +59,9 @@
     def failed(self) -> None:
         self.node.answer(self.told, "failed", 0.0, b"")
 
+    def gone(self) -> bool:
+        return False  # virtual time knows no moment between a close and the word of it
+
 
 class VirtualNode:
     """One node, through its lives."""
--- a/bitternpath/http/front.py
+++ b/bitternpath/http/front.py
@@ -7,7 +7,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from functools import partial
-from socket import AF_INET
+from socket import AF_INET, MSG_PEEK
 from typing import Any
 
 import structlog
@@ -34,7 +34,9 @@
 # After an error the rest of what the consumer sends is read and dropped, for a close with unread input would
 # reset the connection and destroy the answer: all of a body of 60 MB, and for as long as that may take.
 LINGER_FOR, LINGER_BYTES = 3000.0, 64 << 20  # ms, bytes
-PENDING_LIMIT = 2 * http1.BODY_LIMIT  # bytes read ahead of the answer that is due
+# Bytes kept ahead of the answer that is due. More is read and dropped, for one that is not read is not heard
+# to close either; the request that it cuts off is answered as too large, and ends the connection.
+PENDING_LIMIT = 2 * http1.BODY_LIMIT
 BACKLOG = 1024
 SPARED = 100.0  # ms: connections idle for less are not closed to make room, their request may be on the way
 FRESH = 100.0  # ms: at the end, connections idle for less are not closed, for the same reason
@@ -70,11 +72,11 @@
         self.invocation: Invocation | None = None
         self.keep_alive = True  # of the request that is being answered
         self.open = False
-        self.paused = False
+        self.cut = False  # more came ahead of an answer than is kept
         self.answered = False  # at least once
         self.relayed = False  # a call-back of it is on its way to another process of this node
         self.only_news = True  # has carried no invocation
-        self.dropped = 0  # bytes read and thrown away after the last answer
+        self.dropped = 0  # bytes read and thrown away: beyond what is kept, and after the last answer
 
     def connectionMade(self) -> None:
         self.open = True
@@ -83,22 +85,26 @@
         self.listener.joined(self)
 
     def dataReceived(self, data: bytes) -> None:
-        if not self.open:
-            self.dropped += len(data)
-            if self.dropped > LINGER_BYTES:
-                self.transport.abortConnection()
+        if not self.open or self.cut:
+            self._drop(data)
             return
         if not self.reader.begun:
             self.begun_at = self.listener.clock()
             if self.answered and not self.busy:
                 self.listener.rests(self)
+        room = max(PENDING_LIMIT - len(self.reader.buffer), 0)
+        if self.busy and len(data) > room:
+            self.cut = True
+            self._drop(data[room:])
+            data = data[:room]
         self.reader.feed(data)
-        if self.busy:
-            if len(self.reader.buffer) > PENDING_LIMIT and not self.paused:
-                self.paused = True
-                self.transport.pauseProducing()
-            return
-        self.advance()
+        if not self.busy:
+            self.advance()
+
+    def _drop(self, data: bytes) -> None:
+        self.dropped += len(data)
+        if self.dropped > LINGER_BYTES:
+            self.transport.abortConnection()
 
     def advance(self) -> None:
         """Take the requests that are whole, up to one that has to wait for its answer."""
@@ -111,6 +117,9 @@
                 self.answer(error.status, str(error).encode())
                 return
             if not isinstance(message, http1.Request):
+                if self.cut:
+                    self.keep_alive = False
+                    self.answer(413, b"too much ahead of an answer")
                 break
             self.keep_alive = message.keep_alive
             try:
@@ -170,8 +179,6 @@
         if self.open:
             self.open = False
             self.reader = http1.RequestReader()  # what it held is of no more use
-            if self.paused:
-                self.transport.resumeProducing()
             self.transport.loseWriteConnection()
             self.listener.lingers(self)
 
@@ -188,6 +195,17 @@
             self.listener.broker.withdraw(invocation)
         self.listener.left(self)
 
+    def gone(self) -> bool:
+        """Whether the consumer has closed; what the system knows counts, heard of or not."""
+        if not self.open:
+            return True
+        try:
+            return bool(self.transport.getHandle().recv(1, MSG_PEEK) == b"")
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     # ---- the broker's Consumer
 
     def served(self, result: bytes) -> None:
@@ -202,10 +220,7 @@
     def reply(self, status: int, body: bytes = b"", headers: tuple[tuple[bytes, bytes], ...] = ()) -> None:
         """Write an answer that was not given in the turn in which the request was read."""
         self.answer(status, body, headers)
-        if self.paused and self.open:
-            self.paused = False
-            self.transport.resumeProducing()
-        if self.reader.begun:  # what came meanwhile; not at once, for the broker is busy
+        if self.reader.begun or self.cut:  # what came meanwhile; not at once, for the broker is busy
             self.listener.reactor.callLater(0, self.advance)
 
 
--- a/bitternpath/http/invoker.py
+++ b/bitternpath/http/invoker.py
@@ -321,7 +321,8 @@
         while line.waiting and connection.open:
             exchange = line.waiting.popleft()
             call = exchange.call
-            if call is not None and call.over:
+            if call is not None and not self.broker.wanted(call):
+                self.broker.ended(call, m.How.CANCELLED)
                 continue
             if call is not None and self.roster.serving(call.provider) is None:
                 self._unsent(exchange)  # its drain was told while the call waited for a connection
--- a/tests/amqp_rig.py
+++ b/tests/amqp_rig.py
@@ -302,6 +302,7 @@
 
     def __init__(self) -> None:
         self.answers: list[tuple[Any, ...]] = []
+        self.left = False
 
     def served(self, result: bytes) -> None:
         self.answers.append(("served", result))
@@ -312,6 +313,9 @@
     def failed(self) -> None:
         self.answers.append(("failed",))
 
+    def gone(self) -> bool:
+        return self.left
+
 
 class AmqpRig:
     """The node's core with its AMQP side."""
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -151,6 +151,7 @@
         sockets: int = 256,
         flags: tuple[str, ...] = (),
         console: bool = False,
+        allowed: dict[str, Any] | None = None,
     ) -> None:
         self.over = threading.Event()
         self.revision = 1
@@ -158,7 +159,8 @@
         self.discovery = Discovery(self)
         self.conf = {
             "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "8c1f",
-            "limits": {"sockets": sockets}, "known": self.listing(), "settings": SETTINGS,
+            "limits": {"sockets": sockets}, "known": self.listing(),
+            "settings": {**SETTINGS, "allowed": {**SETTINGS["allowed"], **(allowed or {})}},
         }  # fmt: skip
         if console:
             self.conf["console"] = "127.0.0.1:0"
@@ -309,9 +311,10 @@
     sockets: int = 256,
     flags: tuple[str, ...] = (),
     console: bool = False,
+    allowed: dict[str, Any] | None = None,
 ) -> Iterator[Rig]:
     given = [p if isinstance(p, tuple) else (p, 0.0) for p in providers]
-    rig = Rig(path, *given, sockets=sockets, flags=flags, console=console)
+    rig = Rig(path, *given, sockets=sockets, flags=flags, console=console, allowed=allowed)
     try:
         yield rig
     finally:
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -24,6 +24,7 @@
         self.calls: list[InvokerCall] = []
         self.given_up: list[InvokerCall] = []
         self.answers: list[tuple[Any, ...]] = []
+        self.left = False
         spec = m.JobClass("job", effect, 80.0, 5000.0, late_worth=0.5, window=5000.0)
         settings = m.Settings((spec,), second_copies=True, try_limit=6, tells_start=True)
         module = self.module = Dispatcher(settings, 1, self.now())
@@ -63,6 +64,9 @@
     def failed(self) -> None:
         self.answers.append(("failed",))
 
+    def gone(self) -> bool:
+        return self.left
+
 
 @pytest.mark.parametrize("effect", list(m.Effect))
 def test_a_silent_provider_costs_an_answer_before_the_deadline(effect: m.Effect) -> None:
@@ -133,6 +137,15 @@
     assert not desk.broker.live and not desk.broker.waiting
 
 
+def test_a_call_for_a_consumer_that_is_gone_before_anybody_heard_of_it_does_not_begin() -> None:
+    # Guards: a process that did not come to look sent what its consumer had long left.
+    desk = Desk()
+    desk.left = True
+    desk.invoke()
+    desk.pass_time(2.0)
+    assert desk.calls == [] and desk.answers == [] and not desk.broker.live and not desk.broker.waiting
+
+
 def test_an_exception_in_the_module_costs_one_failed_answer_and_no_more() -> None:
     # Guards: an exception must not lose the invocation, the rest of the batch, or the module's alarms.
     heard: list[m.Event] = []
--- /dev/null
+++ b/tests/test_consumers_gone.py
@@ -0,0 +1,85 @@
+"""A consumer that closes is gone: nothing begins for it any more, wherever its request is just then."""
+
+from __future__ import annotations
+
+import signal
+from pathlib import Path
+
+from peers import Crowded, answer, message
+from rig import Rig, done, running, until
+
+NO_CANCEL = {"cancel": False, "dialTimeout": 60000.0}  # nobody calls off what waits for a connection
+
+
+def crowded(rig: Rig) -> Crowded:
+    """The one provider moves to a place where no new connection comes up yet."""
+    peer = Crowded()
+    rig.providers[0].server = peer  # type: ignore[assignment]
+    rig.change(rig.providers[0], "up")
+    return peer
+
+
+def job(id: str, budget: int = 60_000) -> bytes:
+    lines = [
+        "POST /lookup HTTP/1.1",
+        "Host: x",
+        f"X-Call-Id: {id}",
+        f"X-Budget-Ms: {budget}",
+        "Content-Length: 1",
+    ]
+    return ("\r\n".join(lines) + "\r\n\r\nb").encode()
+
+
+def test_a_call_that_waits_for_a_connection_is_not_sent_once_its_consumer_has_left(tmp_path: Path) -> None:
+    # Guards: the connection came up late, and what its consumer had left went out on it.
+    with running(tmp_path, done, console=True, allowed=NO_CANCEL) as rig, crowded(rig) as peer:
+        first = rig.socket()
+        first.sendall(job("a"))
+        until(lambda: rig.figures()["app.inflight"] == 1)
+        first.close()
+        until(lambda: rig.figures()["app.inflight"] == 0)
+        second = rig.socket()
+        second.sendall(job("b"))
+        until(lambda: rig.figures()["app.inflight"] == 1)
+        peer.let_in()  # type: ignore[attr-defined]
+        got = message(at := peer.accept())
+        assert b"X-Call-Id: b\r\n" in got
+        answer(at, 202)
+        rig.providers[0].tell("b", "done", result="made")
+        assert message(second).endswith(b"made")
+
+
+def test_one_that_sends_on_and_on_and_then_leaves_is_heard_to_leave(tmp_path: Path) -> None:
+    # Guards: a consumer that had sent too much was not read any more, and so not heard to close.
+    with running(tmp_path, done, console=True, allowed=NO_CANCEL) as rig, crowded(rig):
+        with rig.socket() as sock:
+            sock.sendall(job("a") + b"".join(job(f"b{k}") for k in range(4000)))
+            until(lambda: rig.figures()["app.inflight"] == 1)
+        until(lambda: rig.figures()["app.inflight"] == 0)
+
+
+def test_what_was_sent_too_far_ahead_gets_one_error_after_the_answers_that_are_due(tmp_path: Path) -> None:
+    with running(tmp_path, done) as rig, rig.socket() as sock:
+        many = 4000
+        sock.sendall(b"".join(job(f"a{k}") for k in range(many)))
+        got = b""
+        while more := sock.recv(65536):
+            got += more
+        served = got.count(b"HTTP/1.1 200")
+        assert (
+            1000 < served < many and got.count(b"HTTP/1.1 413") == 1 and got.count(b"HTTP/1.1 ") == served + 1
+        )
+        assert rig.posts == served and rig.invoke("z")[0] == 200
+
+
+def test_a_request_whose_consumer_left_while_the_node_stood_still_is_not_sent(tmp_path: Path) -> None:
+    # Guards: the request was read and sent on before the close behind it was looked at.
+    with running(tmp_path, done) as rig:
+        assert rig.invoke("a")[0] == 200
+        rig.process.send_signal(signal.SIGSTOP)
+        for k in range(5):
+            with rig.socket() as sock:
+                sock.sendall(job(f"b{k}"))
+        rig.process.send_signal(signal.SIGCONT)
+        assert rig.invoke("c")[0] == 200
+        assert rig.posts == 2
--- a/tests/test_providers.py
+++ b/tests/test_providers.py
@@ -58,6 +58,9 @@
     def ended(self, call: InvokerCall, how: m.How) -> None:
         self.ends.append(how)
 
+    def wanted(self, call: InvokerCall) -> bool:
+        return not call.over
+
     def unusable(self, call: InvokerCall) -> None:
         self.ends.append("unusable")
 
