--- a/bitternpath/amqp/invoker.py
+++ b/bitternpath/amqp/invoker.py
@@ -97,7 +97,7 @@
     def __init__(
         self,
         clock: Callable[[], float],
-        take: Callable[[Listing], None],
+        take: Callable[[Listing], object],
         prefetch_cap: int,
         requeue_unstarted: frozenset[str],
     ) -> None:
--- a/bitternpath/core/roster.py
+++ b/bitternpath/core/roster.py
@@ -12,6 +12,7 @@
 log = structlog.get_logger(part="roster")
 
 DISCOVERY = "discovery"  # the source of the platform's own list
+MOST_LEFT = 4096  # of those that drain or are gone, so many are remembered
 BY_HAND = "hand"  # who takes providers out: staff at this node's console
 
 
@@ -55,6 +56,7 @@
         self._by: dict[str, set[str]] = {}  # who keeps each of them out
         self._back: dict[str, tuple[float, float]] = {}  # called back: out since, back at
         self._said = {p.id: p for p in known.members}  # by the sources
+        self._left: dict[str, float] = {}  # told to drain or to be gone, and the start of which that was told
         self.providers = dict(self._said)
         self.tell: Callable[[Listing], None] = lambda listing: None
         self.noted: Callable[[str, str, bool], None] = lambda id, by, out: None
@@ -113,11 +115,15 @@
 
     # ---- the sources
 
-    def take(self, listing: Listing) -> None:
-        """A source speaks of its own providers; those of others are not touched, whatever it says."""
+    def take(self, listing: Listing, anew: bool = False) -> bool:
+        """A source speaks of its own providers; those of others are not touched, whatever it says.
+
+        False for changes older than the list in hand, which are passed over, unless they are the answer
+        (`anew`) of a discovery that was asked for all it has."""
         if listing.source == DISCOVERY:
-            if not listing.complete and listing.revision <= self.revision:
-                return  # an old line that came again
+            if not (listing.complete or anew) and listing.revision <= self.revision:
+                return listing.revision == self.revision or not listing.members
+            listing = self._lagging(listing) if listing.revision < self.revision else self._leaving(listing)
             self.revision = listing.revision
         others = [p for p in self._said.values() if p.source != listing.source]
         if others:
@@ -145,6 +151,31 @@
             kv["source"] = listing.source
         log.info("roster", **kv)
         self.tell(listing)
+        return True
+
+    def _leaving(self, listing: Listing) -> Listing:
+        """Write down who drains and who is gone."""
+        if listing.complete:
+            for id in self._said.keys() - {p.id for p in listing.members}:
+                self._left[id] = self._said[id].up_since
+        for said in listing.members:
+            self._left.pop(said.id, None)
+            if said.state is not m.State.SERVING:
+                self._left[said.id] = said.up_since
+        while len(self._left) > MOST_LEFT:
+            del self._left[next(iter(self._left))]
+        return listing
+
+    def _lagging(self, listing: Listing) -> Listing:
+        """A whole list older than the one in hand, from a discovery that lags or counts anew: what was told
+        of those that drain or are gone stays told, until they start anew or a newer list has them back."""
+        members = (
+            replace(said, state=m.State.DRAINING)
+            if said.state is m.State.SERVING and said.up_since <= self._left.get(said.id, -1.0)
+            else said
+            for said in listing.members
+        )
+        return replace(listing, members=tuple(members))
 
     def listed(self) -> Listing:
         """What holds by discovery's word, bans apart."""
--- a/bitternpath/node.py
+++ b/bitternpath/node.py
@@ -48,6 +48,9 @@
 AT_START_ONLY = ("listen", "console", "name")  # the listeners are made from these
 GOODBYE = 0.2  # s for the answers to connection.close
 RELOADS = {True: "reconfig_ok", False: "reconfig_failed"}  # files taken and turned down
+# s for which the start waits for discovery's first word, which an agent gives at once: what it holds counts
+# as told from the start on, and the list of the process before lags.
+FIRST_WORD = 0.5
 LAST_WORDS = 0.1  # s for the last answers and DELETEs to leave
 
 
@@ -227,6 +230,23 @@
         if self.handover is not None:
             self.broker.drain()  # so that the module knows the workers of which it is told what was learned
             self.handover.teach()
+        if self.loaded.platform.settings.ask_for_list:
+            self._serve(descriptor)
+            return
+        listen = self.reactor.callLater(FIRST_WORD, self._serve, descriptor)
+        self.watch.first_word = lambda: listen.active() and listen.reset(0)
+        self.watch.start()
+
+    def _serve(self, descriptor: int | None) -> None:
+        """Take work: once discovery has spoken or kept silent, where it tells by itself."""
+        if self.life.phase is not Phase.STARTING:
+            return  # told to stop meanwhile
+        try:
+            self._listen(descriptor)
+        except Exception:
+            self._failed(Failure())  # type: ignore[no-untyped-call]
+
+    def _listen(self, descriptor: int | None) -> None:
         shared = self.handover is not None
         self.listener.listen(*self.loaded.platform.listen, shared, descriptor)
         self.life.hear(Word.LISTENS)
@@ -236,15 +256,13 @@
         if self.amqp is not None:
             self.amqp.listen(*address(self.at_start.amqp.listen))
         self.pool.run()
-        if not self.loaded.platform.settings.ask_for_list:
-            self.watch.start()
         if self.agent is not None:
             self.agent.begin()
         self.reactor.callLater(REPORT_EVERY, self._report)
         kv: dict[str, object] = {
             "name": self.loaded.platform.name,
             "address": self.listener.port.address,
-            "providers": len(known.members),
+            "providers": len(self.roster.providers),
         }
         if self.console is not None:
             kv["console"] = self.console.port.address
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -22,6 +22,20 @@
         self.accepted.append(made)
         return made
 
+    def asked(self) -> tuple[socket.socket, bytes]:
+        """The next message on any connection, and that; those that end without one are passed over."""
+        silent = list(self.accepted)
+        while True:
+            ready = select.select([self.listener, *silent], [], [], 20)[0]
+            assert ready, "nobody asks"
+            for sock in ready:
+                if sock is self.listener:
+                    silent.append(self.accept())
+                elif got := message(sock):
+                    return sock, got
+                else:
+                    silent.remove(sock)
+
     def __enter__(self) -> Peer:
         return self
 
--- a/tests/test_consumers_gone.py
+++ b/tests/test_consumers_gone.py
@@ -42,7 +42,7 @@
         second.sendall(job("b"))
         until(lambda: rig.figures()["app.inflight"] == 1)
         peer.let_in()  # type: ignore[attr-defined]
-        got = message(at := peer.accept())
+        at, got = peer.asked()  # type: ignore[attr-defined]
         assert b"X-Call-Id: b\r\n" in got
         answer(at, 202)
         rig.providers[0].tell("b", "done", result="made")
