All end-to-end headers reach the provider: keyed jobs never had their key

A log of one request and of what was sent for it: the client's carried `Idempotency-Key` (a class of effect `token`) and `X-Caller` (a tenant), ours neither. Ruled out: method, path, query, body and id, byte for byte the same.

Cause: http/invoker.py `PASSED_ON` named five headers; all others were dropped, also the key by which a provider drops repeats. Now what RFC 9110 calls end-to-end is passed on (`http1.end_to_end`); what concerns one connection is not.

The new test fails without the fix. Also: a list with a revision beyond any number ends its watch in one line, not in a trace.

--- a/bitternpath/http/http1.py
+++ b/bitternpath/http/http1.py
@@ -26,6 +26,11 @@
     b"content-length transfer-encoding host content-type x-call-id x-call-class x-route-hash x-budget-ms"
     b" x-again x-call-info".split()
 )
+# What concerns one connection alone (RFC 9110, 7.6.1), or is given anew by whoever writes a message.
+HOP_BY_HOP = frozenset(
+    b"connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer upgrade"
+    b" transfer-encoding content-length host expect".split()
+)
 _CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
@@ -275,6 +280,12 @@
     return headers
 
 
+def end_to_end(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """The headers that a gateway passes on: neither hop by hop nor named in Connection."""
+    named = {name.strip().lower() for name in headers.get(b"connection", b"").split(b",")}
+    return [header for header in headers.items() if header[0] not in HOP_BY_HOP and header[0] not in named]
+
+
 def _keeps(headers: Headers, minor: bytes) -> bool:
     options = {option.strip().lower() for option in headers.get(b"connection", b"").split(b",")}
     return b"close" not in options and (minor == b"1" or b"keep-alive" in options)
--- a/bitternpath/http/invoker.py
+++ b/bitternpath/http/invoker.py
@@ -35,7 +35,7 @@
 WORD_WITHIN = 1.0  # s for the answer to a DELETE, and for one that a call no longer waits for
 DELETES, DELETES_EACH = 32, 2  # at once in all and at one provider; more are not sent
 
-PASSED_ON = (b"x-call-class", b"x-route-hash", b"x-again", b"x-call-info", b"content-type")
+OWN = frozenset((b"x-call-id", b"x-budget-ms"))  # headers that each call has anew
 
 
 class Exchange:
@@ -312,7 +312,7 @@
             (b"Host", address.encode()),
             (b"X-Call-Id", call.id.encode()),
             (b"X-Budget-Ms", b"%d" % left),
-            *((name, message.headers[name]) for name in PASSED_ON if name in message.headers),
+            *(header for header in http1.end_to_end(message.headers) if header[0] not in OWN),
         ]
         return http1.request(message.method, message.target, headers, message.body)
 
--- a/bitternpath/http/watch.py
+++ b/bitternpath/http/watch.py
@@ -108,7 +108,7 @@
                     raise HttpError(400, f"revision {listing.revision} is older than the list in hand")
             if self.reader.ended:
                 raise HttpError(400, "the watch ended")
-        except (HttpError, ValueError, KeyError, TypeError, AttributeError) as error:
+        except (HttpError, ValueError, KeyError, TypeError, AttributeError, OverflowError) as error:
             log.warning("watch broken", why=repr(error))
             self.transport.abortConnection()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import pytest
+from peers import Peer
 from rig import Discovery, Provider, Rig, accept, done, reject, reply, reset, running, silent, until
 
 from bitternpath.http.http1 import BODY_LIMIT, HEAD_LIMIT
@@ -102,6 +103,24 @@
         assert rig.providers[0].got == [("POST", "/lookup/x%20y?b=%2F&c", body)]
 
 
+def test_end_to_end_headers_reach_the_provider_and_those_of_a_connection_do_not(tmp_path: Path) -> None:
+    # Guards: a provider that drops repeats by a key of the consumer's (Idempotency-Key) never saw the key.
+    with running(tmp_path, done) as rig, Peer() as peer, rig.socket() as sock:
+        rig.providers[0].server = peer  # type: ignore[assignment]
+        rig.change(rig.providers[0], "up")
+        sent = ["Host: x", "X-Call-Id: a", "X-Budget-Ms: 60000", "Idempotency-Key: k 1", "X-Caller: east"]
+        sent += ["Traceparent: 00-1", "Connection: keep-alive, X-Mine", "X-Mine: 1", "Keep-Alive: 5", "TE: x"]
+        sent += ["Accept: a", "Accept: b", "Transfer-Encoding: chunked"]
+        head = "\r\n".join(["POST /lookup HTTP/1.1", *sent])
+        sock.sendall(f"{head}\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n".encode())
+        _, got = peer.asked()
+        lines = got.lower().split(b"\r\n")
+        names = [line.partition(b":")[0] for line in lines[1 : lines.index(b"")]]
+        assert {b"idempotency-key: k 1", b"x-caller: east", b"traceparent: 00-1", b"accept: a,b"} <= {*lines}
+        assert not {b"x-mine", b"keep-alive", b"te", b"transfer-encoding", b"connection"} & {*names}
+        assert len(names) == len({*names}) and got.endswith(b"\r\n\r\nbody")
+
+
 def test_the_id_of_an_open_invocation_is_refused_to_others_and_the_first_is_not_disturbed(
     tmp_path: Path,
 ) -> None:
