Repeats begin inside their window; what crosses on resting connections costs no other call

Causes, from reading, each with a test that fails without the fix (test_providers, test_idle_connections, test_broker, test_rules): - A repeat of a keyed job was chosen inside 0.9 of its window, then waited for a dial of 250 ms and more: `Send.within` and `InvokerCall.begin_by` hold it to the window where it begins (http/invoker.py `_free`). - Half a line on a resting connection was kept, and the next call's answer read as its other half; a second answer some ms late passed for that to the next call, "never ran" too. What comes unasked ends the connection, and one rests for 50 ms after an answer. The budget is cut by how many homes a worker has, no more by their mean.

--- a/bitternpath/brain.py
+++ b/bitternpath/brain.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from copy import copy
-from math import ceil
+from math import ceil, inf
 from random import Random
 
 from bitternpath import messages as m
@@ -26,6 +26,7 @@
 HEARD = 1.5  # intervals of progress: heard of since, a worker that refuses runs and holds all it may
 LOST = 4.0  # mean running times after which a job that has not begun counts as lost
 SILENT = 1.0  # of the aim: a worker not heard from for so long after a send leaves the usable set
+ASK_AGAIN = 3_000.0  # ms, and half of it more: a change counts as told after 6 s, whatever call failed
 COLD_HOME, COLD_REST = 0.8, 0.2  # of the multiple: slots of those whose home it is, and of others, once warm
 COLD_IDLE, COLD_UNUSED = 0.3, 4_000.0  # of a job: the gap at an idle cold home; ms until it goes first
 
@@ -200,19 +201,19 @@
         self.random, self.now, self.part = Random(seed), now, 1.0  # this process's part of the dispatcher
         self.lines: dict[str, ClassLine] = {}
         self.workers: dict[str, Worker] = {}
-        self.homes: list[str] = []  # workers that in a large fleet get this dispatcher's jobs first
+        self.homes: dict[str, int] = {}  # workers that get this dispatcher's jobs first, and of how many so
         self.jobs: dict[str, Job] = {}
         self.out: dict[Attempt, None] = {}  # attempts in flight, oldest first
         self.held: list[Job] = []
-        self.memory = 4 * settings.fall_span  # ms of jobs that the mean wait tells of
         self.on_settings(m.NewSettings(settings))
         self.mean_wait = self.mean_run = 0.0  # of late, over all workers and classes
         # Where starts are not told, the first note of progress comes one interval after the start.
         self.behind = 0.0 if settings.tells_start else settings.progress_every or float("inf")
-        self.ask_wait, self.begun_at = settings.must_ask_within / 16, now
+        self.ask_wait, self.begun_at = ASK_AGAIN / 8, now
         self.acts: list[m.Action] = [m.Wake("sweep", self.pause)]
         if settings.ask_for_list:  # spread out: a fleet that starts at once would swamp the list service
-            self.acts.append(m.Wake("watch", self.random.random() * settings.must_ask_within / 2))
+            first = self.random.random() * min(settings.must_ask_within / 2, 1.5 * ASK_AGAIN)
+            self.acts.append(m.Wake("watch", first))
         self.answer: dict[type, Callable[..., None]] = {
             m.Request: self.on_request, m.JobNote: self.on_note, m.StreamBegun: self.on_note,
             m.Outcome: self.on_outcome, m.Withdrawn: self.on_withdrawn, m.WorkerList: self.on_list,
@@ -240,9 +241,9 @@
 
     def on_list(self, event: m.WorkerList) -> None:
         if event.kind is m.ListKind.FAILED:  # ask again, later each time: the service may be swamped or down
-            wait, self.ask_wait = self.ask_wait, min(2 * self.ask_wait, self.set.must_ask_within / 2)
+            wait, self.ask_wait = self.ask_wait, min(2 * self.ask_wait, ASK_AGAIN)
             return self.acts.append(m.Wake("watch", wait * (0.5 + self.random.random())))
-        self.ask_wait = self.set.must_ask_within / 16
+        self.ask_wait = ASK_AGAIN / 8
         if event.kind is not m.ListKind.CHANGES:
             named = {entry.worker for entry in event.entries}
             for name in [name for name in self.workers if name not in named]:
@@ -250,8 +251,9 @@
         for entry in event.entries:
             self.on_entry(entry)
         # All dispatchers cut the same ring of names into as many pieces as they are: theirs overlap little.
-        names, piece = sorted(self.workers), len(self.workers) / self.set.dispatchers
-        self.homes = names[int(self.set.me * piece) : ceil((self.set.me + 1) * piece)]
+        names, n, many, me = sorted(self.workers), len(self.workers), self.set.dispatchers, self.set.me
+        mine = range(me * n // many, ceil((me + 1) * n / many))
+        self.homes = {names[k]: ceil((k + 1) * many / n) - k * many // n for k in mine}
 
     def on_entry(self, entry: m.Entry) -> None:
         worker = self.workers.get(entry.worker)
@@ -286,8 +288,8 @@
         """When a cold worker may get the next job, for all dispatchers together must not push it over."""
         if worker.warm_at <= self.now:
             return 0.0
-        home, many, n = worker.name in self.homes, self.set.dispatchers, len(self.workers)
-        slots = COLD_HOME * n / (n + many) if home else COLD_REST / many
+        home = self.homes.get(worker.name, 0)
+        slots = COLD_HOME / home if home else COLD_REST / self.set.dispatchers
         slots *= self.set.fall_multiple * self.share(worker) * self.part
         gap = worker.cold_work * (COLD_IDLE / self.part if home and not worker.load(self.now) else 1 / slots)
         return min(worker.cold_at + gap, worker.warm_at)
@@ -299,7 +301,7 @@
 
     def place(self, job: Job) -> bool:
         """Send the job, or hold it while that can help, or give its final answer; False if it is held."""
-        can = len(job.tries) < job.set.try_limit and job.deadline > self.now and self.could_go(job)
+        can = len(job.tries) < job.set.try_limit and job.deadline > self.now and self.within(job) > 0
         worker = self.pick(job) if can else None
         if worker is not None:
             self.send(job, worker)
@@ -317,12 +319,12 @@
             + w.own_queue(self.mean_run)
             for w in line.net.workers
         ]
-        running = sum(w.n - w.waiting for w in line.net.workers)
-        ahead = len(self.held) * self.mean_run / max(running, 1)  # held jobs go first
-        wait = min(waits, default=longest) - max(line.bears(), 0.0) + ahead
+        held_first = len(self.held) * self.mean_run / max(sum(w.n - w.waiting for w in line.net.workers), 1)
+        wait = min(waits, default=longest) - max(line.bears(), 0.0) + held_first
         return min(max(wait, self.pause), longest)
 
     def send(self, job: Job, worker: Worker) -> None:
+        self.acts.append(m.Send(job.id, worker.name, within=self.within(job)))
         attempt = Attempt(job, len(job.tries), worker, self.now)
         job.tries.append(attempt)
         self.out[attempt] = None
@@ -332,14 +334,13 @@
         if worker.warm_at > self.now:
             work = (job.line.work or self.set.fall_span) * job.size * job.request.slots
             worker.cold_at, worker.cold_work = self.now, work * (0.5 + self.random.random())
-        self.acts.append(m.Send(job.id, worker.name))
 
-    def could_go(self, job: Job) -> bool:
-        """Whether the class lets the job be sent again, to some worker at least."""
+    def within(self, job: Job) -> float:
+        """For how long (ms) the class still lets the job be sent, to some worker at least."""
         sent = [t.sent for t in job.tries if t.ran]
-        # A little less than the window: the attempt must arrive inside it too.
-        keyed = job.spec.effect is m.Effect.KEYED and (not sent or self.now - sent[0] < 0.9 * job.spec.window)
-        return not sent or keyed or job.spec.effect is m.Effect.SAFE
+        if not sent or job.spec.effect is not m.Effect.KEYED:
+            return inf if not sent or job.spec.effect is m.Effect.SAFE else 0.0
+        return sent[0] + 0.9 * job.spec.window - self.now  # the attempt must arrive inside the window too
 
     def allowed(self, job: Job, worker: Worker) -> bool:
         """Where earlier attempts may have run: another worker, of the group that drops the repeat."""
@@ -391,10 +392,9 @@
             if best is not None:
                 return best
         if any(w.out_until <= now for w in workers):
-            return None  # else all are suspect: better a silent worker than none
-        some = self.random.sample(workers, min(n, SAMPLE))  # not all: each held job comes here at each look
-        some = [w for w in some if self.next_cold(w) <= now and not 0 < w.slots <= w.n]
-        return next((w for w in some if self.allowed(job, w)), None)
+            return None  # else all are suspect: better a silent one of a few than none
+        some = [w for w in self.random.sample(workers, min(n, SAMPLE)) if not 0 < w.slots <= w.n]
+        return next((w for w in some if self.next_cold(w) <= now and self.allowed(job, w)), None)
 
     def on_note(self, event: m.JobNote | m.StreamBegun) -> None:
         attempt = self.find(event.id, event.attempt)
@@ -408,14 +408,14 @@
         self.lose(attempt, False)
         attempt.begun, worker = max(self.now - since, attempt.sent), attempt.worker
         worker.waiting -= self.set.tells_start
-        weight = min((self.now - self.begun_at) / self.memory, 0.5)  # few jobs must not mean learning late
+        weight = min((self.now - self.begun_at) / (4 * self.set.fall_span), 0.5)  # by time, not by jobs
         worker.wait, worker.wait_at, self.begun_at = attempt.begun - attempt.sent, self.now, self.now
         worker.last_begun = max(worker.last_begun, attempt.sent)
         self.mean_wait += weight * (worker.wait - self.mean_wait)
 
     def copy(self, job: Job) -> None:
         """Send a job again whose attempts are lost, where it may run twice."""
-        can = job.open and job.line.harmless and job.set.second_copies and self.could_go(job)
+        can = job.open and job.line.harmless and job.set.second_copies and self.within(job) > 0
         if can and len(job.tries) < job.set.try_limit and not any(t.out and not t.lost for t in job.tries):
             worker = self.pick(job) if job.deadline > self.now else None
             if worker is not None:
@@ -449,9 +449,9 @@
                 self.score(attempt, event.elapsed)
         else:
             worker.waiting -= self.set.tells_start and attempt.begun is None
-        if how is m.How.CANCELLED and not lost:
+        if how in m.MAY_RUN_ON and not lost:
             begins = attempt.begun or self.now + max(worker.wait - (self.now - worker.wait_at), 0.0)
-            worker.called_off.append(begins + job.line.run * job.size)
+            worker.called_off.append(begins + (job.line.run or self.set.fall_span) * job.size)
         if how not in (m.How.OK, m.How.CANCELLED):
             if how is m.How.ERROR and sum(t.ran for t in job.tries) == 1:
                 self.fault(worker, job.line)  # if it failed elsewhere too, the job may itself be the cause
--- a/bitternpath/core/broker.py
+++ b/bitternpath/core/broker.py
@@ -183,8 +183,10 @@
         how = ENDS[state]
         if state is State.RETURNED:
             # The report that an earlier call there was handed back may have come again: it proves nothing.
+            # This one may be running, and is called off: another may not be out beside it.
             if any(c.returned for c in calls[:-1]):
                 how = m.How.RESET
+                self.invokers[call.protocol].give_up(call)
             call.returned = True
         self._append(Ended(call, how, news.result))
         return True
@@ -330,8 +332,8 @@
 
     def _carry_out(self, action: m.Action) -> None:
         match action:
-            case m.Send(id, worker, timeout):
-                self._send(id, worker, timeout)
+            case m.Send(id, worker, timeout, within):
+                self._send(id, worker, timeout, within)
             case m.Refuse(id, retry_after):
                 if (owed := self._owed(id)) is not None:
                     self._answer(owed, partial(owed.consumer.rejected, retry_after), "rejected")
@@ -356,14 +358,14 @@
         invocation = self.live.get(id)
         return invocation if invocation is not None and not invocation.answered else None
 
-    def _send(self, id: str, worker: str, timeout: float) -> None:
+    def _send(self, id: str, worker: str, timeout: float, within: float) -> None:
         invocation = self.live.get(id)
         if invocation is None:
             return
         now = self.clock()
         until = invocation.deadline - ANSWER_AHEAD
         expires = min(now + timeout, until) if timeout > 0 else until
-        call = InvokerCall(invocation, len(invocation.calls), worker, now, expires)
+        call = InvokerCall(invocation, len(invocation.calls), worker, now, expires, now + within)
         invocation.calls.append(call)
         provider = self.roster.serving(worker)
         if invocation.answered or timeout < 0 or provider is None:
--- a/bitternpath/core/invocations.py
+++ b/bitternpath/core/invocations.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Mapping
 from enum import Enum
+from math import inf
 from typing import TYPE_CHECKING, Any, Protocol
 
 from msgspec import Struct
@@ -95,6 +96,7 @@
     provider: str
     sent: float
     expires: float
+    begin_by: float = inf  # later it may not go out: what has run is no longer known to be the same job
     protocol: str = CALLS_BACK  # of the provider, and so whose invoker carries it
     over: bool = False  # its outcome is known; what comes later is passed over
     ran: bool = True  # it may have run, as far as is known
--- a/bitternpath/http/invoker.py
+++ b/bitternpath/http/invoker.py
@@ -20,7 +20,7 @@
 from bitternpath.core.invocations import InvokerCall, Payload
 from bitternpath.core.roster import Listing, Provider, Roster
 from bitternpath.http import http1
-from bitternpath.net.sockets import Sockets, dial
+from bitternpath.net.sockets import Sockets, dial, peek
 
 log = structlog.get_logger(part="invoker")
 
@@ -31,6 +31,9 @@
 # None are used again while calls on kept connections are reset more often, by RISK, than those on new ones.
 # Each call counts for RECENT of its share; every look for idle ones forgives a little (half of it in 17 s).
 RISK, RECENT, FORGIVEN = 0.1, 0.1, 0.98
+# s for which a connection rests after an answer. A spoilt provider may answer twice, the second time some ms
+# later; on a connection that is in use again that would pass for the answer to another call.
+SECOND_ANSWER = 0.05
 SWEEP = 0.5  # s between looks for connections that have been idle too long
 WORD_WITHIN = 1.0  # s for the answer to a DELETE, and for one that a call no longer waits for
 DELETES, DELETES_EACH = 32, 2  # at once in all and at one provider; more are not sent
@@ -92,6 +95,12 @@
             self.timer = self.pool.reactor.callLater(seconds, self.abort)
 
     def dataReceived(self, data: bytes) -> None:
+        exchange = self.exchange
+        if exchange is None or not exchange.written:
+            # Said to nothing, be it half a line: what comes next would pass for the answer to another call.
+            self.pool.counts["unasked"] += 1
+            self.abort()
+            return
         self.reader.feed(data)
         try:
             message = self.reader.next()
@@ -103,10 +112,6 @@
             return
         if message is None:
             return
-        exchange = self.exchange
-        if exchange is None or not exchange.written:  # an answer to nothing
-            self.abort()
-            return
         self._answered(exchange, message)
 
     def _answered(self, exchange: Exchange, message: http1.Message) -> None:
@@ -156,7 +161,7 @@
         self.idle: list[Connection] = []  # the last used at the end
         self.waiting: deque[Exchange] = deque()
         self.dials = self.deletes = 0
-        self.busy = 0  # connections that carry something
+        self.busy: dict[Connection, None] = {}  # connections that carry something or rest after it
 
 
 class Pool:
@@ -247,7 +252,7 @@
             connection = line.idle.pop()
             if connection.idle_since < since:
                 connection.abort()
-            elif connection.open:
+            elif connection.open and peek(connection.transport) is None:  # else it is told soon that it ends
                 self._carry(connection, exchange)
                 return
         line.waiting.append(exchange)
@@ -279,6 +284,7 @@
 
     def _dialled(self, connection: Connection) -> None:
         connection.line.dials -= 1
+        connection.idle_since = self.clock()
         self._free(connection, connection.line)
 
     def _not_dialled(self, failure: Failure, line: Line) -> None:
@@ -296,7 +302,7 @@
             self.broker.ended(exchange.call, m.How.NO_CONNECTION)
 
     def _carry(self, connection: Connection, exchange: Exchange) -> None:
-        connection.line.busy += 1
+        connection.line.busy[connection] = None
         call = exchange.call
         if call is None:
             connection.answer_within(WORD_WITHIN)
@@ -324,13 +330,15 @@
             if call is not None and not self.broker.wanted(call):
                 self.broker.ended(call, m.How.CANCELLED)
                 continue
-            if call is not None and self.roster.serving(call.provider) is None:
-                self._unsent(exchange)  # its drain was told while the call waited for a connection
+            # Its drain was told, or its time to begin went by, while the call waited for a connection.
+            if call is not None and (
+                self.roster.serving(call.provider) is None or self.clock() > call.begin_by
+            ):
+                self._unsent(exchange)
                 continue
             self._carry(connection, exchange)
             return
         if connection.open and self._keeps():
-            connection.idle_since = self.clock()
             line.idle.append(connection)
         elif connection.open:
             connection.abort()
@@ -343,15 +351,19 @@
         self.resets[connection.kept] += RECENT * (reset - self.resets[connection.kept])
 
     def answered(self, connection: Connection, exchange: Exchange, message: http1.Message) -> None:
-        connection.line.busy -= 1
         call = exchange.call
         if call is not None and isinstance(message, http1.Response):
             call.carrier = None
             self._learn(connection, False)
             if not call.accepted:
                 self._outcome(call, message)
-        connection.kept = True
-        self._free(connection, connection.line)
+        connection.kept, connection.idle_since = True, self.clock()
+        self.reactor.callLater(SECOND_ANSWER, self._rested, connection)
+
+    def _rested(self, connection: Connection) -> None:
+        if connection.open:
+            del connection.line.busy[connection]
+            self._free(connection, connection.line)
 
     def _outcome(self, call: InvokerCall, message: http1.Response) -> None:
         if message.status == 202:
@@ -368,11 +380,9 @@
         self.sockets.providers -= 1
         if connection in connection.line.idle:
             connection.line.idle.remove(connection)
-        if exchange is None:
-            return
-        connection.line.busy -= 1
-        call = exchange.call
-        if call is not None:
+        connection.line.busy.pop(connection, None)
+        call = exchange.call if exchange is not None else None
+        if exchange is not None and call is not None:
             call.carrier = None
             if not call.accepted:
                 if exchange.written and not call.over:
@@ -396,6 +406,9 @@
         for line in self.lines.values():
             while line.idle and line.idle[0].idle_since <= due:
                 line.idle.pop(0).abort()
+            for connection in line.busy:  # an answer may never end, though a call-back has told of the job
+                if connection.exchange and connection.exchange.call and connection.exchange.call.over:
+                    connection.answer_within(WORD_WITHIN)
         known = {provider.host_port for provider in self.roster.providers.values()}
         for line in [line for line in self.lines.values() if line.address not in known]:
             if not (line.idle or line.waiting or line.dials or line.deletes):
--- a/bitternpath/messages.py
+++ b/bitternpath/messages.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from math import inf
 
 from msgspec import Struct
 
@@ -41,6 +42,8 @@
 
 # These outcomes prove that the job never ran on that worker.
 NEVER_RAN = frozenset({How.FULL, How.NO_CONNECTION, How.NOT_SENT})
+# After these it may still be running, though nobody hears of it any more.
+MAY_RUN_ON = frozenset({How.TIMEOUT, How.RESET, How.CANCELLED})
 
 
 class State(Enum):
@@ -254,11 +257,13 @@
 
 
 class Send(Struct):
-    """Start an attempt; it may take until `timeout` (0: until the client gives up)."""
+    """Start an attempt; it may take until `timeout` (0: until the client gives up), and has to begin `within`
+    ms, for example before the window closes in which repeats are dropped."""
 
     id: str
     worker: str
     timeout: float = 0.0
+    within: float = inf
 
 
 class Refuse(Struct):
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -17,7 +17,13 @@
 class Desk:
     """A broker between a consumer and an invoker that write down what they are told."""
 
-    def __init__(self, effect: m.Effect = m.Effect.UNSAFE, providers: int = 2, handle: Any = None) -> None:
+    def __init__(
+        self,
+        effect: m.Effect = m.Effect.UNSAFE,
+        providers: int = 2,
+        handle: Any = None,
+        window: float = 5000.0,
+    ) -> None:
         self.reactor = Reactor()
         rows = (Provider(f"s{k}", f"h:{k}", "z", "k", 0, m.State.SERVING, 1.0, 0.0) for k in range(providers))
         listing = Listing(1, True, tuple(rows))
@@ -25,7 +31,7 @@
         self.given_up: list[InvokerCall] = []
         self.answers: list[tuple[Any, ...]] = []
         self.left = False
-        spec = m.JobClass("job", effect, 80.0, 5000.0, late_worth=0.5, window=5000.0)
+        spec = m.JobClass("job", effect, 80.0, 5000.0, late_worth=0.5, window=window)
         settings = m.Settings((spec,), second_copies=True, try_limit=6, tells_start=True)
         module = self.module = Dispatcher(settings, 1, self.now())
         self.broker = Broker(self.reactor, self.now, Roster(listing), {"http": self}, handle or module.handle)  # type: ignore[arg-type]
@@ -118,6 +124,18 @@
     assert len(desk.calls) == 2
     desk.news(State.RETURNED, "s0")
     assert desk.answers == [("failed",)] and len(desk.calls) == 2
+    assert desk.given_up == [desk.calls[1]]  # it may be running
+
+
+def test_a_repeat_of_a_keyed_job_may_begin_only_inside_the_window_of_the_first() -> None:
+    desk = Desk(m.Effect.KEYED, window=1000.0)
+    desk.invoke(budget=4000.0)
+    first = desk.calls[0]
+    desk.pass_time(200.0)
+    desk.broker.ended(first, m.How.RESET)
+    desk.pass_time(1.0)
+    assert len(desk.calls) == 2 and first.sent < desk.calls[1].sent < desk.calls[1].begin_by
+    assert desk.calls[1].begin_by < first.sent + 1000.0
 
 
 def test_a_call_not_sent_because_its_provider_drains_goes_elsewhere() -> None:
--- a/tests/test_providers.py
+++ b/tests/test_providers.py
@@ -16,11 +16,12 @@
 from bitternpath.core.invocations import Invocation, InvokerCall
 from bitternpath.core.roster import Listing, Provider, Roster
 from bitternpath.http.http1 import Request
-from bitternpath.http.invoker import Connection, Pool
+from bitternpath.http.invoker import SECOND_ANSWER, Connection, Pool
 from bitternpath.net.sockets import Sockets
 
 ROW = Provider("s0", "127.0.0.1:1", "z", "k", 0, m.State.SERVING, 1.0, 5.0)
 ACCEPTED = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+REJECTED = b"HTTP/1.1 503 x\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
 
 
 class Wire(StringTransport):  # type: ignore[misc]
@@ -32,6 +33,16 @@
 
     def setTcpNoDelay(self, on: bool) -> None: ...
 
+    def getHandle(self) -> Any:
+        return self
+
+    come: bytes | None = None  # what the system has and nobody has read
+
+    def recv(self, size: int, flags: int) -> bytes:
+        if self.come is None:
+            raise BlockingIOError
+        return self.come
+
     def written(self) -> None:
         if self.producer is not None:
             self.producer.resumeProducing()
@@ -46,7 +57,8 @@
         self.roster = Roster(Listing(1, True, (ROW,)))
         self.figures = Figures()
         clock: Any = lambda: self.now  # noqa: E731
-        self.pool = Pool(Reactor(), clock, self.roster, Sockets(64), 250.0, 10_000.0)
+        self.reactor = Reactor()
+        self.pool = Pool(self.reactor, clock, self.roster, Sockets(64), 250.0, 10_000.0)
         self.pool.broker = self  # type: ignore[assignment]
         self.pool._dial = self.dial  # type: ignore[method-assign]
         self.pool.listed(Listing(1, True, (ROW,)))
@@ -70,6 +82,10 @@
         self.pool.start(call, ROW)
         return call
 
+    def rest(self) -> None:
+        """The time in which a spoilt provider may answer a second time goes by."""
+        self.reactor.advance(SECOND_ANSWER)
+
     def connect(self) -> tuple[Connection, Wire]:
         connection, wire = Connection(self.pool, self.pool.lines[ROW.host_port]), Wire()
         connection.makeConnection(wire)
@@ -105,7 +121,7 @@
     connection.dataReceived(answer)
     connection.connectionLost()
     assert bench.ends == want
-    assert bench.pool.lines[ROW.host_port].busy == 0
+    assert not bench.pool.lines[ROW.host_port].busy
 
 
 def test_a_call_whose_provider_drains_while_it_dials_is_not_sent() -> None:
@@ -117,6 +133,48 @@
     assert bench.ends == [m.How.NO_CONNECTION] and wire.value() == b""
 
 
+def test_a_call_that_waits_for_a_connection_past_its_time_to_begin_is_not_sent() -> None:
+    # Guards: a repeat was chosen inside the window in which it is dropped, and went out after it.
+    bench = Bench()
+    bench.call().begin_by = bench.now + 100.0
+    bench.now += 101.0
+    _, wire = bench.connect()
+    assert bench.ends == [m.How.NO_CONNECTION] and wire.value() == b""
+
+
+@pytest.mark.parametrize("second", [ACCEPTED, REJECTED, b"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n"])
+def test_a_second_answer_some_ms_late_is_not_taken_for_that_to_the_next_call(second: bytes) -> None:
+    # Guards: "never ran" passed for proven of a call that was just being carried out, and it was sent again.
+    bench = Bench()
+    bench.call()
+    connection, wire = bench.connect()
+    wire.written()
+    connection.dataReceived(ACCEPTED)
+    bench.reactor.advance(SECOND_ANSWER / 2)
+    wire.clear()
+    bench.call()
+    assert wire.value() == b"" and bench.pool.lines[ROW.host_port].dials == 1
+    connection.dataReceived(second)
+    assert bench.ends == [] and wire.disconnecting
+    _, other = bench.connect()
+    assert other.value().startswith(b"POST /job")
+
+
+@pytest.mark.parametrize("come", [b"", b"H"])
+def test_a_connection_that_ends_or_speaks_before_anybody_has_heard_it_carries_no_call(come: bytes) -> None:
+    # Guards: a close that came while the batch was worked on made the call on it a reset.
+    bench = Bench()
+    bench.call()
+    connection, wire = bench.connect()
+    wire.written()
+    connection.dataReceived(ACCEPTED)
+    bench.rest()
+    wire.come = come
+    wire.clear()
+    bench.call()
+    assert wire.value() == b"" and bench.pool.lines[ROW.host_port].dials == 1
+
+
 def test_connections_to_a_process_that_has_started_anew_are_closed() -> None:
     # Guards: the next call on one would have ended as a reset, which costs jobs that must not run twice.
     bench = Bench()
@@ -124,6 +182,7 @@
     connection, wire = bench.connect()
     wire.written()
     connection.dataReceived(ACCEPTED)
+    bench.rest()
     line = bench.pool.lines[ROW.host_port]
     assert line.idle == [connection]
     bench.pool.listed(Listing(2, False, (replace(ROW, up_since=9.0),)))
@@ -138,6 +197,7 @@
     bench.call()
     wire.clear()
     connection.dataReceived(ACCEPTED)
+    bench.rest()
     assert wire.value().startswith(b"POST /job HTTP/1.1\r\n") and not bench.pool.lines[ROW.host_port].waiting
 
 
@@ -154,6 +214,7 @@
     for connection, wire in pair:
         wire.written()
         connection.dataReceived(ACCEPTED)
+    bench.rest()
     line = bench.pool.lines[ROW.host_port]
     assert len(line.idle) == 2
     bench.now += 1000.0
@@ -187,6 +248,7 @@
             connection.connectionLost(Failure(ConnectionLost()))
         else:
             connection.dataReceived(ACCEPTED)
+            bench.rest()
             reused[0] = connection
 
     reused: list[Any] = [None]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Any
 
 import pytest
@@ -105,6 +106,42 @@
     assert delays[-1] > 3 * delays[0] and max(delays) < 10_000.0
 
 
+@pytest.mark.parametrize("must_ask_within", [2_000.0, 10_000.0, 60_000.0])
+def test_discovery_is_asked_again_in_time_for_what_it_had_meanwhile(must_ask_within: float) -> None:
+    # Guards: the pause grew to 7.5 s; a change counts as told after 6 s, and a call may hang for 1 s.
+    for seed in range(50):
+        talk = Talk(ask_for_list=True, must_ask_within=must_ask_within, seed=seed)
+        acts = list(talk.first)
+        for _ in range(6):
+            acts += talk.say(m.WorkerList(m.ListKind.FAILED))
+        assert max(a.delay for a in acts if isinstance(a, m.Wake) and a.label == "watch") <= 4_500.0
+
+
+@pytest.mark.parametrize(
+    ("many", "count"), [(1, 5), (3, 10), (20, 12), (30, 12), (7, 7), (40, 60), (200, 180)]
+)
+def test_each_dispatcher_knows_of_how_many_a_worker_is_the_home(many: int, count: int) -> None:
+    # Guards: the budget of a cold worker was cut by how many homes there are on average, and one had more.
+    homes = [Talk(workers=count, dispatchers=many, me=me).d.homes for me in range(many)]
+    shared = Counter(name for each in homes for name in each)
+    assert len(shared) == count and all(shared[name] == n for each in homes for name, n in each.items())
+
+
+@pytest.mark.parametrize("how", [m.How.RESET, m.How.TIMEOUT, m.How.CANCELLED])
+def test_a_cold_worker_that_may_run_a_job_of_which_no_more_is_heard_is_not_idle(how: m.How) -> None:
+    # Guards: each job that was reset at once made the worker idle and drew the next, past its budget.
+    cold = {"cold_share": 0.2, "warm_within": 15_000.0, "fall_span": 1000.0, "fall_multiple": 4.0}
+    for seed in range(30):
+        talk = Talk(workers=[entry("cold", up_since=1_000_000.0)], seed=seed, **cold)
+        sent, k = list[m.Send](), 0
+        while not sent:
+            sent, k = sends(talk.ask(f"r{k}") + talk.sweep(10.0)), k + 1
+        acts = talk.end(sent[0].id, "cold", how, after=1.0)
+        for more in range(10):  # for 500 of the 1000 ms that a job is taken for where none has ended yet
+            acts += talk.ask(f"s{more}") + talk.sweep(10.0)
+        assert not sends(acts)
+
+
 class Bench:
     """Keeps the books that the rules are judged by."""
 
