--- a/benchmarks/acceptance.py
+++ b/benchmarks/acceptance.py
@@ -1,7 +1,7 @@
 """The tables of docs/results/acceptance.md: `python benchmarks/acceptance.py journal/ENTRY.json ...`.
 
-One line for each run whose entry is named: its days, on how many a rule was broken or a node crashed, the gate, the
-score, and the mean score by kind of day. `--days` gives a line for each day instead."""
+One line for each run whose entry is named: its days, on how many a rule was broken or a node crashed, the
+gate, the score, and the mean score by kind of day. `--days` gives a line for each day instead."""
 
 from __future__ import annotations
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import resource
 import socket
 from itertools import product
 from pathlib import Path
@@ -308,5 +309,19 @@
         assert rig.invoke("a")[0] == 200 and ready(rig)
 
 
+def test_discovery_is_reached_again_though_idle_consumers_fill_the_descriptors(tmp_path: Path) -> None:
+    with running(tmp_path, done, sockets=64) as rig:
+        resource.prlimit(rig.process.pid, resource.RLIMIT_NOFILE, (64, 64))
+        rig.discovery.watched.get(timeout=20)
+        crowd = [rig.socket() for _ in range(80)]
+        rig.discovery.changes.put(None)  # the watch ends
+        rig.discovery.watched.get(timeout=20)
+        rig.change(rig.providers[0], "draining")
+        rig.change(rig.providers[0], "up")
+        assert rig.invoke("a")[0] == 200 and ready(rig)
+        for sock in crowd:
+            sock.close()
+
+
 def ready(rig: Rig) -> bool:
     return rig.raw(b"GET /ready HTTP/1.1\r\n\r\n").startswith(b"HTTP/1.1 200")
