--- a/tests/test_consumers_gone.py
+++ b/tests/test_consumers_gone.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import resource
+import select
 import signal
+import socket
 from pathlib import Path
 
 from peers import Crowded, answer, message
@@ -83,3 +86,25 @@
         rig.process.send_signal(signal.SIGCONT)
         assert rig.invoke("c")[0] == 200
         assert rig.posts == 2
+
+
+def test_one_that_closes_only_its_sending_side_has_gone(tmp_path: Path) -> None:
+    # Nothing tells the two apart before an answer is written (docs/questions/acceptance.md).
+    with running(tmp_path, done, console=True, allowed=NO_CANCEL) as rig, crowded(rig), rig.socket() as sock:
+        sock.sendall(job("a"))
+        until(lambda: rig.figures()["app.inflight"] == 1)
+        sock.shutdown(socket.SHUT_WR)
+        until(lambda: rig.figures()["app.inflight"] == 0)
+
+
+def test_connections_that_find_no_descriptor_do_not_stop_the_node(tmp_path: Path) -> None:
+    with running(tmp_path, done) as rig:
+        assert rig.invoke("a")[0] == 200
+        soft, hard = resource.prlimit(rig.process.pid, resource.RLIMIT_NOFILE)
+        resource.prlimit(rig.process.pid, resource.RLIMIT_NOFILE, (32, hard))
+        crowd = [rig.socket() for _ in range(64)]  # the node counts on 256
+        until(lambda: sum(bool(select.select([sock], [], [], 0)[0]) for sock in crowd) > 10)  # turned away
+        resource.prlimit(rig.process.pid, resource.RLIMIT_NOFILE, (soft, hard))
+        for sock in crowd:
+            sock.close()
+        assert rig.invoke("b")[0] == 200
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -93,3 +93,36 @@
         assert message(sock).startswith(b"HTTP/1.1 500 ")
         assert time.monotonic() - told_at < 3.0  # due after 0.8 s
         assert rig.process.wait(20) == 0
+
+
+def test_a_node_that_cannot_reach_discovery_ends_in_good_order(tmp_path: Path) -> None:
+    with running(tmp_path, done) as rig, Peer() as peer:
+        rig.reload(json.dumps(rig.conf | {"discovery": peer.address}))
+        peer.accept()  # and says nothing
+        rig.discovery.changes.put(None)
+        assert rig.invoke("a")[0] == 200
+        rig.terminate()
+        assert rig.process.wait(20) == 0
+
+
+@pytest.mark.parametrize("turn", range(3))
+def test_a_request_that_crosses_the_close_of_its_connection_is_answered_or_not_sent_on(
+    tmp_path: Path, turn: int
+) -> None:
+    # Both are right; to send it on and end the connection without an answer loses it.
+    with running(tmp_path, done) as rig, rig.socket() as sock:
+        sock.sendall(b"POST /lookup HTTP/1.1\r\nX-Call-Id: a\r\nContent-Length: 0\r\n\r\n")
+        assert message(sock).startswith(b"HTTP/1.1 200")
+        rig.terminate()
+        rig.says("event=stopping")
+        rig.process.send_signal(signal.SIGSTOP)
+        time.sleep(0.2 * turn)  # the look for resting connections falls due by time alone: before, at, after
+        sock.sendall(b"POST /lookup HTTP/1.1\r\nX-Call-Id: b\r\nContent-Length: 0\r\n\r\n")
+        time.sleep(0.6)
+        rig.process.send_signal(signal.SIGCONT)
+        try:
+            served = message(sock).startswith(b"HTTP/1.1 200")
+        except ConnectionResetError:
+            served = False
+        assert rig.process.wait(20) == 0
+        assert rig.posts == 1 + served
