--- a/tests/test_providers.py
+++ b/tests/test_providers.py
@@ -92,6 +92,14 @@
         self.pool._dialled(connection)
         return connection, wire
 
+    def carried(self) -> tuple[Connection, Wire]:
+        """A connection that has just carried a call, which was accepted."""
+        self.call()
+        connection, wire = self.connect()
+        wire.written()
+        connection.dataReceived(ACCEPTED)
+        return connection, wire
+
 
 @pytest.mark.parametrize(
     ("written", "answer", "want"),
@@ -146,10 +154,7 @@
 def test_a_second_answer_some_ms_late_is_not_taken_for_that_to_the_next_call(second: bytes) -> None:
     # Guards: "never ran" passed for proven of a call that was just being carried out, and it was sent again.
     bench = Bench()
-    bench.call()
-    connection, wire = bench.connect()
-    wire.written()
-    connection.dataReceived(ACCEPTED)
+    connection, wire = bench.carried()
     bench.reactor.advance(SECOND_ANSWER / 2)
     wire.clear()
     bench.call()
@@ -164,10 +169,7 @@
 def test_a_connection_that_ends_or_speaks_before_anybody_has_heard_it_carries_no_call(come: bytes) -> None:
     # Guards: a close that came while the batch was worked on made the call on it a reset.
     bench = Bench()
-    bench.call()
-    connection, wire = bench.connect()
-    wire.written()
-    connection.dataReceived(ACCEPTED)
+    _, wire = bench.carried()
     bench.rest()
     wire.come = come
     wire.clear()
@@ -179,10 +181,7 @@
 def test_connections_to_a_process_that_has_started_anew_are_closed(rested: bool) -> None:
     # Guards: the next call on one would have ended as a reset, which costs jobs that must not run twice.
     bench = Bench()
-    bench.call()
-    connection, wire = bench.connect()
-    wire.written()
-    connection.dataReceived(ACCEPTED)
+    connection, wire = bench.carried()
     if rested:
         bench.rest()
     line = bench.pool.lines[ROW.host_port]
