--- /dev/null
+++ b/tests/system/test_queue_campaign.py
@@ -0,0 +1,248 @@
+"""Seeded campaigns over a queue in virtual time, and the broken builds that the checkers must catch."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import dataclass, field, replace
+
+from bitternpath.queue.actions import Action, ProposeCommand
+from bitternpath.queue.ceilings import CeilingShare, TokenBucket
+from bitternpath.queue.commands import AppendMessage, Command, EndAttempt, GrantLease
+from bitternpath.queue.entries import Entry
+from bitternpath.queue.lanes import LaneTable
+from bitternpath.queue.owner import ShardOwner
+from bitternpath.queue.placement import Placement
+from bitternpath.queue.records import AttemptOutcome, MessageState
+from bitternpath.queue.results import AttemptTaken, Result
+from bitternpath.queue.state import QueueState
+from bitternpath.queue.tracked import Tracked
+from tests.system.test_queue_checkers import Rule, check_all
+from tests.system.test_queue_world import CALM, RESTLESS, Build, Faults, World
+
+SOUND_SEEDS = range(1, 21)
+RESTLESS_SEEDS = range(1, 7)
+CATCHING_SEEDS = range(1, 13)  # within these each broken build is caught
+
+
+class SuccessorBeforeTheEnd(QueueState):
+    """Leases any message of an order key."""
+
+    def is_head(self, entry: Entry) -> bool:
+        return True
+
+
+class OrderByRouteAndKey(QueueState):
+    """Takes equal keys of two routes for different ones."""
+
+    def apply_command(self, index: int, command: Command) -> Result:
+        if isinstance(command, AppendMessage) and command.message.order_key:
+            message = command.message
+            command = AppendMessage(replace(message, order_key=f"{message.route} {message.order_key}"))
+        return super().apply_command(index, command)
+
+
+class LeaseOverAtTakeOver(ShardOwner):
+    """Hands out at once what an earlier owner has leased."""
+
+    def _take_in(self, now: float, entry: Entry) -> None:
+        tracked = self._tracked[entry.message.request_id] = Tracked(entry, accepted_here=False)
+        self._place(now, tracked)
+
+
+class HandsOutBeforeTheGrant(ShardOwner):
+    """Gives a job to a worker when its lease is proposed."""
+
+    def _finish(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for action in super()._finish(now):
+            actions.append(action)
+            if isinstance(action, ProposeCommand) and isinstance(action.command, GrantLease):
+                tracked = self._tracked[action.command.request_id]
+                handed = self._leases.hand_out(now, tracked, action.command)
+                actions.extend(() if handed is None else (handed,))
+        return actions
+
+
+class TwoEndsTaken(QueueState):
+    """Takes a success of any lease of a message that is done."""
+
+    def _end_attempt(self, command: EndAttempt) -> AttemptTaken:
+        result = super()._end_attempt(command)
+        entry = self.find(command.request_id)
+        done = entry is not None and entry.state is MessageState.DONE
+        late = done and command.outcome is AttemptOutcome.SUCCEEDED
+        return replace(result, taken=result.taken or late)
+
+
+class EndsForgottenAtRestore(QueueState):
+    """Loses the memory of ended leases with a restart."""
+
+    def restore(self, data: bytes) -> None:
+        super().restore(data)
+        for entry in self:
+            entry.ended_leases.clear()
+
+
+class LeasedForgottenAtRestore(QueueState):
+    """Loses the messages that are leased with a restart."""
+
+    def restore(self, data: bytes) -> None:
+        super().restore(data)
+        for entry in [entry for entry in self if entry.lease is not None]:
+            del self._entries[entry.message.request_id]
+
+
+class BodiesForgottenAtRestore(QueueState):
+    """Loses the bodies of messages with a restart."""
+
+    def restore(self, data: bytes) -> None:
+        super().restore(data)
+        for entry in self:
+            entry.message = replace(entry.message, body=b"")
+
+
+class SilenceCountsAsAttempt(QueueState):
+    """Takes a delivery without an answer for a failed one."""
+
+    def _end_attempt(self, command: EndAttempt) -> AttemptTaken:
+        if command.outcome is AttemptOutcome.UNKNOWN:
+            command = replace(command, outcome=AttemptOutcome.FAILED)
+        return super()._end_attempt(command)
+
+
+class StampOfNobody(QueueState):
+    """Ends a message without the stamp of its run."""
+
+    def _end_attempt(self, command: EndAttempt) -> AttemptTaken:
+        return super()._end_attempt(replace(command, stamp="unknown"))
+
+
+class _AnyTableEnds(Placement):
+    def _place_unrouted(self, now: float, tracked: Tracked) -> None:
+        return self._end(tracked)
+
+
+class OlderTableEndsMessages(ShardOwner):
+    """Ends messages whose route is missing in a table that is older than they are."""
+
+    def __init__(self, *arguments: object) -> None:
+        super().__init__(*arguments)
+        self._placement = _AnyTableEnds(self._state, self._routes, self._lanes, self._timers)
+
+
+class _FullBuckets(LaneTable):
+    def new_bucket(self, now: float, service: str, share: CeilingShare) -> TokenBucket:
+        return TokenBucket(share, now - 1_000.0)
+
+
+class BucketFullAtTakeOver(ShardOwner):
+    """Gives a new owner a whole burst, which its predecessor may just have spent."""
+
+    def __init__(self, state: QueueState, shard: int, shards: int, *rest: object) -> None:
+        super().__init__(state, shard, shards, *rest)
+        self._lanes = _FullBuckets(shards, self._bounds.ceiling_window_s, self._bounds.origin_rate_over)
+        self._placement = Placement(state, self._routes, self._lanes, self._timers)
+        self._leases._lanes = self._lanes
+
+
+class NoCeilingShares(ShardOwner):
+    """Gives each shard the whole rate of a service."""
+
+    def __init__(self, state: QueueState, shard: int, shards: int, *rest: object) -> None:
+        super().__init__(state, shard, 1, *rest)
+
+
+@dataclass(frozen=True, slots=True)
+class BrokenBuild:
+    """A build with a fault, and the rule whose checker must see it."""
+
+    rule: Rule
+    build: Build
+    faults: Faults = field(default_factory=Faults)
+
+
+BROKEN_BUILDS = (
+    BrokenBuild(Rule.ORDER, Build(state=SuccessorBeforeTheEnd)),
+    BrokenBuild(Rule.ORDER, Build(state=OrderByRouteAndKey)),
+    BrokenBuild(Rule.TWICE, Build(owner=LeaseOverAtTakeOver)),
+    BrokenBuild(Rule.TWICE, Build(owner=HandsOutBeforeTheGrant)),
+    BrokenBuild(Rule.TWICE, Build(state=TwoEndsTaken)),
+    BrokenBuild(Rule.TWICE, Build(state=EndsForgottenAtRestore)),
+    BrokenBuild(Rule.LOST, Build(state=LeasedForgottenAtRestore)),
+    BrokenBuild(Rule.MIXED, Build(state=BodiesForgottenAtRestore)),
+    BrokenBuild(Rule.MIXED, Build(state=SilenceCountsAsAttempt)),
+    BrokenBuild(Rule.MIXED, Build(state=StampOfNobody)),
+    BrokenBuild(Rule.MIXED, Build(owner=OlderTableEndsMessages)),
+    BrokenBuild(Rule.CEILING, Build(owner=BucketFullAtTakeOver), RESTLESS),
+    BrokenBuild(Rule.CEILING, Build(owner=NoCeilingShares)),
+)
+
+
+def first_catch(broken: BrokenBuild) -> int | None:
+    """The first seed with which the rule's checker sees the fault; None: it doesn't."""
+    for seed in CATCHING_SEEDS:
+        world = World(seed, broken.build, broken.faults)
+        if any(violation.rule is broken.rule for violation in check_all(world.run(), world.terms)):
+            return seed
+    return None
+
+
+class SoundBuild(unittest.TestCase):
+    """No rule is broken, whatever the seed."""
+
+    def test_under_faults(self) -> None:
+        for seed in SOUND_SEEDS:
+            with self.subTest(seed=seed):
+                world = World(seed)
+                self.assertEqual(check_all(world.run(), world.terms), [])
+                self.assertGreater(len(world.history.accepted), 400)
+
+    def test_with_owners_that_hardly_last(self) -> None:
+        for seed in RESTLESS_SEEDS:
+            with self.subTest(seed=seed):
+                world = World(seed, faults=RESTLESS)
+                self.assertEqual(check_all(world.run(), world.terms), [])
+
+    def test_without_faults(self) -> None:
+        world = World(1, faults=CALM)
+        self.assertEqual(check_all(world.run(), world.terms), [])
+
+    def test_each_call_back_is_made(self) -> None:
+        world = World(3)
+        world.run()
+        owed = {
+            entry.message.request_id
+            for shard in world.shards
+            for entry in shard.state
+            if entry.ended and entry.message.callback_url
+        }
+        self.assertGreater(len(owed), 50)
+        self.assertLessEqual(owed, world.called_back)
+
+    def test_replicas_agree(self) -> None:
+        world = World(4)
+        world.run()
+        for shard in world.shards:
+            replica = shard._new_state()
+            for index, command in enumerate(shard.log, start=1):
+                replica.apply(index, command)
+            self.assertEqual(
+                [replicated(entry) for entry in replica], [replicated(entry) for entry in shard.state]
+            )
+
+
+def replicated(entry: Entry) -> Entry:
+    """An entry without its local times."""
+    return replace(entry, accepted=0.0, due=0.0, ended_at=0.0)
+
+
+class BrokenBuilds(unittest.TestCase):
+    """Each fault is seen by the checker of its rule, so that a silent checker means something."""
+
+    def test_each_is_caught(self) -> None:
+        for broken in BROKEN_BUILDS:
+            name = (
+                broken.build.state if broken.build.state is not QueueState else broken.build.owner
+            ).__name__
+            with self.subTest(name):
+                self.assertIsNotNone(first_catch(broken), f"{broken.rule.name} saw nothing of {name}")
--- /dev/null
+++ b/tests/system/test_shards.py
@@ -0,0 +1,347 @@
+"""An edge node's side of the shards: appends and their promises, reports, pulls, look-ups. Virtual time."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from bitternpath.configuration.placement import shard_group
+from bitternpath.ingress.service import Acceptance, AcceptResult, FoundMessage, LeaseAnswer, LookupFailure
+from bitternpath.queue.records import AttemptOutcome, Message, MessageState
+from bitternpath.queue.sharding import lease_id, message_id, shard_for
+from bitternpath.shards.appends import Appender
+from bitternpath.shards.lookups import MessageLookup
+from bitternpath.shards.owners import ShardOwners
+from bitternpath.shards.pulls import Pulls, outcome_of
+from bitternpath.shards.reports import AttemptReport, LeaseReports
+from bitternpath.transport.connections import LinkLost
+from bitternpath.transport.messages import (
+    Appended,
+    Ended,
+    EndRequest,
+    NodeDescriptor,
+    NodeKind,
+    Ownership,
+    PullAnswer,
+    PullCancel,
+    RefusalReason,
+    Refused,
+    StateAnswer,
+    Undecided,
+)
+
+SHARDS = 3
+
+
+def message(request_id: str = "r1", order_key: str = "") -> Message:
+    """A message."""
+    return Message(
+        request_id, "POST", "a.example", "/x", (), order_key, "route", 1, 0, "", "edge-1", 0, b"body"
+    )
+
+
+class FakeLink:
+    """A link to a storage node; the test answers its requests."""
+
+    def __init__(self, name: str, zone: str) -> None:
+        self.peer = NodeDescriptor(name, "10.0.0.1:1", NodeKind.STORAGE, zone, True, "d", 1, 0)
+        self.requests: list[tuple[Any, Deferred[Any]]] = []
+        self.sent: list[Any] = []
+
+    def request(self, make: Callable[[int], Any]) -> Deferred[Any]:
+        waiting: Deferred[Any] = Deferred()
+        self.requests.append((make(len(self.requests) + 1), waiting))
+        return waiting
+
+    def send(self, record: Any) -> None:
+        self.sent.append(record)
+
+    def answer(self, record: Any) -> None:
+        self.requests.pop(0)[1].callback(record)
+
+    def lose(self) -> None:
+        self.requests.pop(0)[1].errback(LinkLost())
+
+
+class ShardTest(unittest.TestCase):
+    """Three shards; shard 0 is owned in this node's zone."""
+
+    def setUp(self) -> None:
+        self.clock = Clock()
+        self.owners = ShardOwners(lambda group: None)
+        self.links = [FakeLink(f"storage-{n}", f"z{n}") for n in range(SHARDS)]
+        for shard in range(SHARDS):
+            self.owned(shard, self.links[shard], 1)
+
+    def owned(self, shard: int, link: FakeLink, epoch: int, owns: bool = True) -> None:
+        self.owners.told(link, Ownership(shard_group(shard), epoch, owns))  # type: ignore[arg-type]
+
+    def result(self, waiting: Deferred[Any]) -> Any:
+        """What has come, or None."""
+        results: list[Any] = []
+        waiting.addCallback(lambda value: results.append(value) or value)  # type: ignore[func-returns-value]
+        return results[0] if results else None
+
+
+class OwnersTest(ShardTest):
+    """Epochs fence."""
+
+    def test_a_later_epoch_wins_and_an_earlier_one_is_passed_over(self) -> None:
+        self.owned(0, self.links[1], 5)
+        self.owned(0, self.links[2], 4)
+        owner = self.owners.owner(shard_group(0))
+        self.assertIs(owner.link if owner else None, self.links[1])
+        self.owned(0, self.links[0], 1, owns=False)  # the old owner's farewell comes late
+        self.assertIsNotNone(self.owners.owner(shard_group(0)))
+
+    def test_a_closed_link_owns_nothing(self) -> None:
+        self.owners.closed(self.links[0])  # type: ignore[arg-type]
+        self.assertIsNone(self.owners.owner(shard_group(0)))
+
+
+class AppendTest(ShardTest):
+    """A promise is given only where nothing can come of the message (RULES, REFUSED)."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.appender = Appender(self.clock, self.owners, "z0", Random(1))
+        self.appender.shards = SHARDS
+
+    def accept(self, order_key: str = "", deadline_ms: int = 400) -> Deferred[Acceptance]:
+        return self.appender.accept(message(order_key=order_key), deadline_ms)
+
+    def test_an_unordered_message_goes_to_the_owner_in_the_zone(self) -> None:
+        waiting = self.accept()
+        self.links[0].answer(Appended(1))
+        self.assertEqual(self.result(waiting), Acceptance(AcceptResult.ACCEPTED, message_id(0, "r1")))
+
+    def test_without_one_in_the_zone_it_goes_to_another(self) -> None:
+        self.owners.closed(self.links[0])  # type: ignore[arg-type]
+        self.accept()
+        self.assertEqual(sum(len(link.requests) for link in self.links), 1)
+
+    def test_an_ordered_message_goes_to_the_shard_of_its_key_or_nowhere(self) -> None:
+        shard = shard_for("k", 0, SHARDS)
+        self.accept("k")
+        self.assertEqual(
+            [len(link.requests) for link in self.links], [int(n == shard) for n in range(SHARDS)]
+        )
+        self.owners.closed(self.links[shard])  # type: ignore[arg-type]
+        refused = self.result(self.accept("k"))
+        self.assertEqual(refused.result, AcceptResult.REFUSED)
+        self.assertGreaterEqual(refused.retry_after_s, 1)
+
+    def test_before_the_placement_is_known_all_are_refused(self) -> None:
+        self.appender.shards = 0
+        self.assertEqual(self.result(self.accept()).result, AcceptResult.REFUSED)
+
+    def test_what_the_owner_makes_of_it(self) -> None:
+        refusal = Refused(1, RefusalReason.NOT_OWNER)
+        cases: tuple[tuple[str, list[Any], AcceptResult], ...] = (
+            ("appended", [Appended(1)], AcceptResult.ACCEPTED),
+            ("refused", [refusal], AcceptResult.REFUSED),
+            ("full", [Refused(1, RefusalReason.FULL)], AcceptResult.REFUSED),
+            ("undecided, then appended", [Undecided(1), Appended(1)], AcceptResult.ACCEPTED),
+            ("undecided, then refused, to the end", [Undecided(1), refusal, refusal], AcceptResult.UNDECIDED),
+            ("answer lost, then appended", [None, Appended(1)], AcceptResult.ACCEPTED),
+            ("answer lost, then refused", [None, refusal], AcceptResult.UNDECIDED),
+            ("silence", [], AcceptResult.UNDECIDED),
+        )
+        for label, answers, expected in cases:
+            with self.subTest(label):
+                self.links[0].requests.clear()
+                waiting = self.accept()
+                for answer in answers:
+                    self.clock.advance(0.03)
+                    if answer is None:
+                        self.links[0].lose()
+                    else:
+                        self.links[0].answer(answer)
+                self.clock.advance(0.5)
+                self.assertEqual(self.result(waiting).result, expected)
+                self.assertEqual(self.appender.open, 0)
+
+    def test_after_an_answer_was_lost_it_stays_with_its_shard_and_id(self) -> None:
+        waiting = self.accept()
+        self.links[0].lose()
+        self.owners.closed(self.links[0])  # type: ignore[arg-type]
+        self.clock.pump([0.05, 0.05])
+        self.owned(0, self.links[2], 2)
+        self.clock.advance(0.05)
+        request = self.links[2].requests[0][0]
+        self.assertEqual((request.group, request.message.request_id), (shard_group(0), "r1"))
+        self.links[2].answer(Appended(1))
+        self.assertEqual(self.result(waiting).message_id, message_id(0, "r1"))
+
+    def test_an_answer_after_the_end_changes_nothing(self) -> None:
+        waiting = self.accept()
+        self.clock.advance(0.5)
+        self.links[0].answer(Appended(1))
+        self.assertEqual(self.result(waiting).result, AcceptResult.UNDECIDED)
+
+
+class ReportTest(ShardTest):
+    """An end is told until an owner has answered."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.reports = LeaseReports(self.clock, self.owners)
+        self.report = AttemptReport(shard_group(0), "r1", "l1", AttemptOutcome.SUCCEEDED, "stamp")
+
+    def test_it_follows_the_shard_to_its_next_owner(self) -> None:
+        waiting = self.reports.send(self.report)
+        self.links[0].lose()
+        self.owned(0, self.links[1], 2)
+        self.clock.advance(0.2)
+        request = self.links[1].requests[0][0]
+        self.assertEqual(
+            (request.lease_id, request.outcome, request.stamp), ("l1", AttemptOutcome.SUCCEEDED, "stamp")
+        )
+        self.links[1].answer(Ended(1, True))
+        self.assertIs(self.result(waiting), True)
+
+    def test_refusals_and_open_fates_are_repeated(self) -> None:
+        waiting = self.reports.send(self.report)
+        for answer in (Refused(1, RefusalReason.NOT_OWNER), Undecided(1), Ended(1, False)):
+            self.links[0].answer(answer)
+            self.clock.advance(0.2)
+        self.assertIs(self.result(waiting), False)
+
+    def test_it_is_idle_when_all_are_out(self) -> None:
+        idle: list[bool] = []
+        self.reports.send(self.report)
+        self.reports.when_idle(lambda: idle.append(True))
+        self.assertEqual(idle, [])
+        self.links[0].answer(Ended(1, True))
+        self.assertEqual(idle, [True])
+
+
+class PullTest(ShardTest):
+    """Workers that pull."""
+
+    STATUSES = (
+        (200, "s", AttemptOutcome.SUCCEEDED),
+        (204, "s", AttemptOutcome.SUCCEEDED),
+        (200, "", AttemptOutcome.UNKNOWN),
+        (500, "", AttemptOutcome.FAILED),
+        (422, "", AttemptOutcome.REJECTED),
+        (503, "", AttemptOutcome.NOT_RUN),
+        (429, "", AttemptOutcome.NOT_RUN),
+        (400, "", AttemptOutcome.NOT_RUN),
+        (504, "", AttemptOutcome.UNKNOWN),
+        (302, "", AttemptOutcome.UNKNOWN),
+    )
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.reports = LeaseReports(self.clock, self.owners)
+        self.pulls = Pulls(self.clock, self.owners, self.reports, Random(1))
+
+    def asked(self) -> FakeLink:
+        return next(link for link in self.links if link.requests)
+
+    def test_statuses(self) -> None:
+        for status, stamp, outcome in self.STATUSES:
+            with self.subTest(status=status, stamp=stamp):
+                self.assertEqual(outcome_of(status, stamp), outcome)
+
+    def test_a_job_comes_or_the_wait_ends(self) -> None:
+        job = self.pulls.pull("s", "i", 1000)
+        self.asked().answer(PullAnswer(1, "l1", message()))
+        self.assertEqual(self.result(job.result).lease_id, "l1")
+        empty = self.pulls.pull("s", "i", 1000)
+        self.asked().answer(PullAnswer(1, "", None))
+        self.assertTrue(empty.result.called)
+
+    def test_a_job_for_a_worker_that_has_gone_is_handed_back_as_not_run(self) -> None:
+        ticket = self.pulls.pull("s", "i", 1000)
+        link = self.asked()
+        group = link.requests[0][0].group
+        ticket.cancel()
+        self.assertIsInstance(link.sent[0], PullCancel)
+        link.answer(PullAnswer(1, "l1", message()))
+        owner = self.owners.owner(group)
+        returned = [request for request, _ in (owner.link.requests if owner else [])]  # type: ignore[attr-defined]
+        self.assertIsInstance(returned[0], EndRequest)
+        self.assertEqual((returned[0].lease_id, returned[0].outcome), ("l1", AttemptOutcome.NOT_RUN))
+
+    def test_without_an_owner_a_worker_waits_its_time(self) -> None:
+        for link in self.links:
+            self.owners.closed(link)  # type: ignore[arg-type]
+        ticket = self.pulls.pull("s", "i", 1000)
+        self.clock.advance(0.9)
+        self.assertFalse(ticket.result.called)
+        self.clock.advance(0.2)
+        self.assertTrue(ticket.result.called)
+
+    def test_ends_and_extensions(self) -> None:
+        lease = lease_id(1, 3, 9)
+        cases = ((Ended(1, True), LeaseAnswer.TAKEN), (Ended(1, False), LeaseAnswer.GONE))
+        for record, expected in cases:
+            end = self.pulls.end(lease, "r1", 200, "stamp")
+            self.links[1].answer(record)
+            extension = self.pulls.extend(lease, "r1")
+            self.links[1].answer(record)
+            self.assertEqual([self.result(end), self.result(extension)], [expected] * 2)
+
+    def test_without_an_owner_they_are_unavailable_in_the_end(self) -> None:
+        self.owners.closed(self.links[1])  # type: ignore[arg-type]
+        lease = lease_id(1, 3, 9)
+        waiting = [self.pulls.end(lease, "r1", 200, "s"), self.pulls.extend(lease, "r1")]
+        self.clock.pump([0.1] * 60)
+        self.assertEqual([self.result(each) for each in waiting], [LeaseAnswer.UNAVAILABLE] * 2)
+
+    def test_a_lease_that_is_none_is_gone(self) -> None:
+        self.assertEqual(self.result(self.pulls.end("nonsense", "r1", 200, "s")), LeaseAnswer.GONE)
+        self.assertEqual(self.result(self.pulls.extend("nonsense", "r1")), LeaseAnswer.GONE)
+
+
+class LookupTest(ShardTest):
+    """States by message id and by request id."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.lookup = MessageLookup(self.clock, self.owners)
+        self.lookup.shards = SHARDS
+
+    def test_an_id_that_names_its_shard_asks_there_alone(self) -> None:
+        waiting = self.lookup.find(message_id(2, "r1"), True)
+        self.assertEqual([len(link.requests) for link in self.links], [0, 0, 1])
+        self.links[2].answer(StateAnswer(1, True, MessageState.DONE, "stamp", b"x"))
+        self.assertEqual(self.result(waiting), FoundMessage(MessageState.DONE, "stamp", b"x"))
+
+    def test_a_request_id_asks_all(self) -> None:
+        waiting = self.lookup.find("r1", False)
+        for shard, link in enumerate(self.links):
+            link.answer(StateAnswer(1, shard == 1, MessageState.QUEUED, "", None))
+        self.assertEqual(self.result(waiting), FoundMessage(MessageState.QUEUED, "", None))
+
+    def test_unknown_only_where_all_have_answered(self) -> None:
+        waiting = self.lookup.find("r1", False)
+        for link in self.links:
+            link.answer(StateAnswer(1, False, MessageState.QUEUED, "", None))
+        self.assertEqual(self.result(waiting), LookupFailure.UNKNOWN_MESSAGE)
+        waiting = self.lookup.find("r1", False)
+        for link in self.links[:2]:
+            link.answer(StateAnswer(1, False, MessageState.QUEUED, "", None))
+        self.links[2].lose()
+        self.owners.closed(self.links[2])  # type: ignore[arg-type]
+        self.clock.pump([0.1] * 20)
+        self.assertEqual(self.result(waiting), LookupFailure.UNAVAILABLE)
+
+    def test_an_owner_that_isnt_any_more_is_not_believed(self) -> None:
+        waiting = self.lookup.find(message_id(0, "r1"), False)
+        self.links[0].answer(Refused(1, RefusalReason.NOT_OWNER))
+        self.owned(0, self.links[1], 2)
+        self.clock.advance(0.2)
+        self.links[1].answer(StateAnswer(1, True, MessageState.QUEUED, "", None))
+        self.assertEqual(self.result(waiting).state, MessageState.QUEUED)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_fleet_record.py
+++ b/tests/test_fleet_record.py
@@ -18,7 +18,7 @@
 from bitternpath.fleet import plan as p
 from bitternpath.fleet.agency import Agency, Who
 from bitternpath.fleet.founding import founded
-from bitternpath.fleet.raft import (
+from bitternpath.replication.consensus import (
     CHANGE,
     MEMBERS,
     Append,
