--- a/bitternpath/queue/ready.py
+++ b/bitternpath/queue/ready.py
@@ -7,9 +7,7 @@
 
 from bitternpath.queue.tracked import Phase, Tracked
 
-LATE_LIMIT_S = (
-    15.0  # after a message was due, a start is worth little (SYSTEM, the tables of requests: "late")
-)
+LATE_LIMIT_S = 15.0  # after a message was due, a start is worth little (SYSTEM, tables of requests: "late")
 
 
 @dataclass(slots=True, eq=False)
@@ -34,6 +32,9 @@
         item = (candidate.start_by, tracked.entry.index, candidate.serial, candidate)
         heapq.heappush(self._heap, item)
 
+    def __len__(self) -> int:
+        return len(self._heap)
+
     def first(self) -> _Candidate | None:
         while self._heap and not self._heap[0][3].valid:
             heapq.heappop(self._heap)
@@ -70,6 +71,11 @@
         self._classes: dict[int, _PriorityClass] = {}
         self._expired = _Tier()
 
+    def __len__(self) -> int:
+        """How many messages wait, at most: those that left out of turn count until they come first."""
+        timely_and_late = sum(len(members.timely) + len(members.late) for members in self._classes.values())
+        return timely_and_late + len(self._expired)
+
     def push(self, tracked: Tracked) -> None:
         """Add a message in phase READY with its route."""
         route = tracked.route
--- a/bitternpath/replication/consensus.py
+++ b/bitternpath/replication/consensus.py
@@ -193,12 +193,13 @@
 class Peer:
     """What a leader knows of another member."""
 
-    __slots__ = ("heard", "match", "next", "offset", "round")
+    __slots__ = ("heard", "match", "next", "offset", "piece_round", "round")
 
     def __init__(self, next: int, now: float) -> None:
         self.next, self.match, self.round = next, 0, 0
         self.heard = now
         self.offset: int | None = None  # of the snapshot, while one is being sent
+        self.piece_round = 0  # in which the piece at `offset` was sent
 
 
 class Raft:
@@ -557,17 +558,21 @@
         self.round += 1
         self._round_wanted = False
         for name, peer in self.peers.items():
-            # What was sent and not answered may be lost: a peer that says nothing is asked where it stands.
-            if peer.heard < self.now - self.times.heartbeat:
-                peer.next = peer.match + 1 if peer.match else peer.next
-            self._feed(name, beat=True)
+            # A peer that says nothing is only asked where it stands. If what was sent is lost, it says no.
+            silent = peer.heard < self.now - self.times.heartbeat
+            if silent and peer.offset is None and peer.next > self.before[0]:
+                self._send_empty(name, peer)
+            else:
+                self._feed(name, beat=True)
 
     def _feed(self, name: str, beat: bool = False) -> None:
         """Send a peer what it lacks; a heartbeat is sent even where that is nothing."""
         peer = self.peers[name]
         if peer.next <= self.before[0] or peer.offset is not None:
-            if beat or peer.offset is None:
-                self._feed_snapshot(name, peer)
+            if peer.offset is None:
+                self._feed_snapshot(name, peer, 0)
+            elif beat:
+                self._send_piece(name, peer.offset, b"")
             return
         entries: list[Entry] = []
         size = 0
@@ -586,10 +591,17 @@
             self._send.append((name, told))
             peer.next += len(entries)
 
-    def _feed_snapshot(self, name: str, peer: Peer) -> None:
-        at, snapshot = peer.offset or 0, self.snapshot
-        peer.offset = at
-        piece = snapshot.data[at : at + PIECE]
+    def _send_empty(self, name: str, peer: Peer) -> None:
+        at = peer.next - 1
+        self._send.append((name, Append(self.term, at, self.term_at(at), (), self.commit, self.round)))
+
+    def _feed_snapshot(self, name: str, peer: Peer, at: int) -> None:
+        peer.offset, peer.piece_round = at, self.round
+        self._send_piece(name, at, self.snapshot.data[at : at + PIECE])
+
+    def _send_piece(self, name: str, at: int, piece: bytes) -> None:
+        """An empty piece is a heartbeat to a peer that is being sent a snapshot."""
+        snapshot = self.snapshot
         self._send.append(
             (
                 name,
@@ -604,16 +616,7 @@
         peer.heard = self.now
         peer.round = max(peer.round, answer.round)
         if isinstance(answer, Installed):
-            if peer.offset is not None and answer.index == self.snapshot.index:
-                if answer.offset >= len(self.snapshot.data):
-                    peer.offset = None
-                    peer.match, peer.next = max(peer.match, answer.index), answer.index + 1
-                    self._feed(name)
-                elif answer.offset > peer.offset:
-                    peer.offset = answer.offset
-                    self._feed_snapshot(name, peer)
-            elif peer.offset is not None:
-                peer.offset = 0  # it speaks of an older one: from the start
+            self._installed(name, peer, answer)
         elif answer.ok:
             peer.match = max(peer.match, answer.index)
             peer.next = max(peer.next, peer.match + 1)
@@ -627,6 +630,18 @@
             self._feed(name, beat=True)
         self._count()
 
+    def _installed(self, name: str, peer: Peer, answer: Installed) -> None:
+        """A peer's word on a snapshot. If it was asked after the last piece went out, and doesn't have it,
+        that piece is lost; or all of them, where it was started again."""
+        if peer.offset is None or answer.index != self.snapshot.index:  # it speaks of an older one
+            return
+        if answer.offset >= len(self.snapshot.data):
+            peer.offset = None
+            peer.match, peer.next = max(peer.match, answer.index), answer.index + 1
+            self._feed(name)
+        elif answer.offset > peer.offset or answer.round > peer.piece_round:
+            self._feed_snapshot(name, peer, answer.offset)
+
     def _count(self) -> None:
         """What do majorities have, and which rounds have they answered?"""
         voters = self.members.voters
@@ -650,10 +665,7 @@
         """A leader that is no voter any more says what was agreed before it goes (T 4.2.2)."""
         for name, peer in self.peers.items():
             if peer.next > self.before[0] and peer.offset is None:
-                at = peer.next - 1
-                self._send.append(
-                    (name, Append(self.term, at, self.term_at(at), (), self.commit, self.round))
-                )
+                self._send_empty(name, peer)
 
     def _hand_over(self) -> None:
         if self.heir in self.peers and self.peers[self.heir].match == self.last:
--- a/bitternpath/replication/group.py
+++ b/bitternpath/replication/group.py
@@ -29,6 +29,7 @@
 COMPACTION_BYTES = 8 << 20  # of entries applied since the last snapshot
 COMPACTION_ENTRIES = 20_000  # likewise
 KEPT_ENTRIES = 256  # left before a snapshot, for followers that are a little behind
+COMPACTION_SPREAD = 0.25  # the bounds grow by up to this share, so that replicas don't compact together
 ENTRY_OVERHEAD_BYTES = 64  # of an entry besides its data, roughly
 CAUGHT_UP_ENTRIES = 64  # a learner that lacks no more than these is close to the leader
 
@@ -88,6 +89,8 @@
         self._applied = kept.snapshot.index
         self._size = 0  # bytes of entries applied since the last snapshot
         self._snapshot_size = len(kept.snapshot.data)
+        self._random = random
+        self._stretch = 1.0 + random.random() * COMPACTION_SPREAD
         self.owned_epoch = 0  # 0: not the owner
         if kept.snapshot.index:
             machine.restore(kept.snapshot.data)
@@ -242,11 +245,13 @@
         The bound on bytes grows with the state, so that writing snapshots costs no more than writing entries.
         """
         entries = self._applied - self.raft.snapshot.index
-        if entries <= self._bounds.entries and self._size <= max(self._bounds.size, self._snapshot_size):
+        size = max(self._bounds.size, self._snapshot_size) * self._stretch
+        if entries <= self._bounds.entries * self._stretch and self._size <= size:
             return False
         data = self._machine.snapshot()
         self.raft.compact(self._applied, data, self._kept_entries())
         self._size, self._snapshot_size = 0, len(data)
+        self._stretch = 1.0 + self._random.random() * COMPACTION_SPREAD
         return True
 
     def _kept_entries(self) -> int:
--- a/bitternpath/replication/host.py
+++ b/bitternpath/replication/host.py
@@ -45,7 +45,7 @@
         self._reactor, self._journal, self._send = reactor, journal, send
         self._random, self._times = random, times
         self._bounds = bounds or CompactionBounds()
-        self._groups: dict[str, ReplicaGroup] = {}
+        self.groups: dict[str, ReplicaGroup] = {}
         self._dirty: dict[str, ReplicaGroup] = {}
         self._flush_call: Any = None
         self._timer: Any = None
@@ -58,7 +58,7 @@
     ) -> None:
         """Take part. What the journal holds goes first; else founders that name this member; else it begins
         as an empty member that only a leader can fill."""
-        if group in self._groups:
+        if group in self.groups:
             raise ValueError(f"group {group} is open")
         kept = self._journal.take_kept(group)
         if kept is None:
@@ -68,14 +68,14 @@
                 kept = Kept(snapshot=Snapshot(members=founders))
                 self._journal.found(group, kept)
         now = self._reactor.seconds()
-        self._groups[group] = ReplicaGroup(
+        self.groups[group] = ReplicaGroup(
             self.member_id, kept, machine, listener, self._random, now, self._times, self._bounds
         )
         self._set_timer()
 
     def close_group(self, group: str) -> None:
         """Stop taking part, and forget the group's state on disk."""
-        closed = self._groups.pop(group, None)
+        closed = self.groups.pop(group, None)
         self._dirty.pop(group, None)
         if closed is not None:
             closed.close()
@@ -87,7 +87,7 @@
         for call in (self._flush_call, self._timer):
             if call is not None and call.active():
                 call.cancel()
-        groups, self._groups = self._groups, {}
+        groups, self.groups = self.groups, {}
         self._dirty.clear()
         for group in groups.values():
             group.close()
@@ -95,8 +95,8 @@
     # ---- inputs
 
     def hear(self, group: str, sender: str, body: bytes) -> None:
-        """Take a message from another member. It is dropped where the group isn't open or it can't be read."""
-        found = self._groups.get(group)
+        """Take a message from another member; dropped where the group isn't open or it can't be read."""
+        found = self.groups.get(group)
         if found is None or sender == self.member_id:
             return
         try:
@@ -109,7 +109,7 @@
     def propose(self, group: str, command: bytes) -> Deferred[object]:
         """Fires with what `StateMachine.apply` gave here once the command is committed. Errors: `NotOwner`
         (it was not proposed), `FateOpen` (it may or may not be committed)."""
-        found = self._groups.get(group)
+        found = self.groups.get(group)
         if found is None:
             return fail(NotOwner())
         self._mark(group, found)
@@ -118,7 +118,7 @@
     def barrier(self, group: str) -> Deferred[None]:
         """Fires once a majority has confirmed, after this call, that this replica leads: a read of the state
         machine then is linearizable. Error: `NotOwner`."""
-        found = self._groups.get(group)
+        found = self.groups.get(group)
         if found is None:
             return fail(NotOwner())
         self._mark(group, found)
@@ -127,7 +127,7 @@
     def change_members(self, group: str, members: Members) -> bool:
         """Propose other members; False where that can't be now. Voters change one at a time, and a new voter
         must have caught up as a learner."""
-        found = self._groups.get(group)
+        found = self.groups.get(group)
         if found is None:
             return False
         self._mark(group, found)
@@ -135,7 +135,7 @@
 
     def hand_over(self, group: str) -> bool:
         """Pass ownership to the voter that has most of the log; whether that was begun."""
-        found = self._groups.get(group)
+        found = self.groups.get(group)
         if found is None:
             return False
         self._mark(group, found)
@@ -145,32 +145,32 @@
 
     def is_owner(self, group: str) -> bool:
         """Whether this replica leads and has applied all that was committed before."""
-        found = self._groups.get(group)
+        found = self.groups.get(group)
         return found is not None and found.is_owner
 
     def epoch(self, group: str) -> int:
         """The highest term that this replica knows; 0 for a group not open here."""
-        found = self._groups.get(group)
+        found = self.groups.get(group)
         return found.raft.term if found is not None else 0
 
     def leader(self, group: str) -> str:
         """The member that leads, as far as is known; else empty."""
-        found = self._groups.get(group)
+        found = self.groups.get(group)
         return found.raft.leader if found is not None else ""
 
     def members(self, group: str) -> Members:
         """The last members in the log, committed or not."""
-        found = self._groups.get(group)
+        found = self.groups.get(group)
         return found.raft.members if found is not None else Members()
 
     def caught_up(self, group: str, member: str) -> bool:
         """Whether a member lacks little of the log, as this leader sees it; False on other replicas."""
-        found = self._groups.get(group)
+        found = self.groups.get(group)
         return found is not None and found.caught_up(member)
 
     def silent_for(self, group: str, member: str) -> float:
         """Seconds since this leader heard a member; infinite on other replicas."""
-        found = self._groups.get(group)
+        found = self.groups.get(group)
         return found.silent_for(self._reactor.seconds(), member) if found is not None else math.inf
 
     # ---- turns
@@ -185,7 +185,7 @@
         now = self._reactor.seconds()
         dirty, self._dirty = self._dirty, {}
         for name, group in dirty.items():
-            if self._groups.get(name) is group:
+            if self.groups.get(name) is group:
                 self._flush_group(now, name, group)
         self._set_timer()
 
@@ -195,10 +195,10 @@
         except Exception:
             # The state machine may have missed a command: the group must not go on here.
             log.exception(f"group {name}: a command failed, and the group has stopped here")
-            self._groups.pop(name, None)
+            self.groups.pop(name, None)
             group.close()
             return
-        if self._groups.get(name) is not group:  # closed by its listener; nothing may be written any more
+        if self.groups.get(name) is not group:  # closed by its listener; nothing may be written any more
             return
         for write in effects.writes:
             done = partial(self._stored, name, group, write.number)
@@ -207,14 +207,14 @@
             self._send(name, receiver, encode_message(message))
 
     def _stored(self, name: str, group: ReplicaGroup, number: int) -> None:
-        if self._groups.get(name) is group:
+        if self.groups.get(name) is group:
             group.raft.stored(self._reactor.seconds(), number)
             self._mark(name, group)
 
     def _set_timer(self) -> None:
-        if self._stopped or not self._groups:
+        if self._stopped or not self.groups:
             return
-        alarm = min(group.raft.alarm for group in self._groups.values())
+        alarm = min(group.raft.alarm for group in self.groups.values())
         due = math.ceil(alarm / TIMER_GRID_SECONDS) * TIMER_GRID_SECONDS
         if self._timer is not None and self._timer.active():
             if self._timer.getTime() <= due:
@@ -225,7 +225,7 @@
 
     def _tick(self) -> None:
         now = self._reactor.seconds()
-        for name, group in list(self._groups.items()):
+        for name, group in list(self.groups.items()):
             if group.raft.alarm <= now:
                 group.raft.tick(now)
                 self._mark(name, group)
--- a/bitternpath/replication/simulation.py
+++ b/bitternpath/replication/simulation.py
@@ -1,12 +1,13 @@
 """A cluster of replica hosts in virtual time, played from one seed, with checkers. For tests.
 
 Each node has a simulated disk, a journal and a host with one group. Faults: messages lost, repeated,
-reordered and cut off; processes killed, frozen; power lost; disks wiped, full and slow; ownership handed over.
-A wiped node comes back under another member id, as the identity of its disk is another one.
+reordered and cut off; processes killed, frozen; power lost; disks wiped, full and slow; ownership handed
+over. A wiped node comes back under another member id, as the identity of its disk is another one.
 """
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -15,7 +16,6 @@
 from typing import Any, NoReturn
 
 import msgspec
-from twisted.internet.task import Clock
 from twisted.python.failure import Failure
 
 from bitternpath.replication.consensus import Members, Times
@@ -129,17 +129,73 @@
         """The state machine has told the checker."""
 
 
+class Timer:
+    """A call to come, as a reactor's `callLater` gives it."""
+
+    __slots__ = ("_arguments", "_call", "_time")
+
+    def __init__(self, time: float, call: Callable[..., object], arguments: tuple[Any, ...]) -> None:
+        self._time, self._arguments = time, arguments
+        self._call: Callable[..., object] | None = call
+
+    def getTime(self) -> float:
+        """When it is due."""
+        return self._time
+
+    def active(self) -> bool:
+        """Whether it is still to come."""
+        return self._call is not None
+
+    def cancel(self) -> None:
+        """It doesn't come."""
+        self._call = None
+
+    def fire(self) -> None:
+        """Call, unless it was cancelled."""
+        call, self._call = self._call, None
+        if call is not None:
+            call(*self._arguments)
+
+
+class EventClock:
+    """Virtual time with a heap of timers: cheaper than `twisted.internet.task.Clock` in runs of many events."""
+
+    def __init__(self) -> None:
+        self._now = 0.0
+        self._serial = count()
+        self._timers: list[tuple[float, int, Timer]] = []
+
+    def seconds(self) -> float:
+        """The virtual time."""
+        return self._now
+
+    def callLater(self, delay: float, call: Callable[..., object], *arguments: Any) -> Timer:
+        """As a reactor's."""
+        timer = Timer(self._now + delay, call, arguments)
+        heapq.heappush(self._timers, (timer.getTime(), next(self._serial), timer))
+        return timer
+
+    def step(self, end: float) -> bool:
+        """Fire the next timer; False where none is due until `end`, which it then is."""
+        if not self._timers or self._timers[0][0] > end:
+            self._now = end
+            return False
+        self._now, _, timer = heapq.heappop(self._timers)
+        timer.fire()
+        return True
+
+
 class ProcessClock:
     """The reactor of one process: nothing happens while it is frozen, and nothing more once it has ended."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: EventClock) -> None:
         self._clock = clock
         self._ended = self._frozen = False
         self._held: list[Callable[[], object]] = []
 
     def seconds(self) -> float:
         """The steady clock; goes on while the process is frozen."""
-        return float(self._clock.seconds())
+        return self._clock.seconds()
 
     def callLater(self, delay: float, call: Callable[..., Any], *arguments: Any) -> Any:
         """As a reactor's."""
@@ -211,7 +267,7 @@
 
     def __init__(self, seed: int, plan: Plan = Plan()) -> None:
         self.plan, self.random = plan, Random(seed)
-        self.clock, self.checker = Clock(), Checker()
+        self.clock, self.checker = EventClock(), Checker()
         self.nodes = {f"n{i}": Node(f"n{i}") for i in range(plan.nodes)}
         self.founders = Members(tuple(node.member for node in self.nodes.values()))
         self.blocked: set[tuple[str, str]] = set()
@@ -326,16 +382,18 @@
                 host.change_members(GROUP, members)
 
     def _may_wipe(self) -> bool:
-        """One disk at a time may be lost: the voters must be the nodes' present members, and all caught up."""
+        """One disk at a time may be lost: an owner's members must be the nodes' present ones, that must be
+        committed, and all must have caught up."""
         desired = {node.member for node in self.nodes.values()}
         for node in self.nodes.values():
             process = node.process
             if process is not None and process.host.is_owner(GROUP):
-                members = process.host.members(GROUP)
-                caught_up = all(
-                    process.host.caught_up(GROUP, member) for member in desired - {process.member}
-                )
-                return set(members.voters) == desired and not members.learners and caught_up
+                host = process.host
+                raft = host.groups[GROUP].raft
+                settled = set(raft.members.voters) == desired and not raft.members.learners
+                settled = settled and raft.members_at <= raft.commit
+                others = desired - {process.member}
+                return settled and all(host.caught_up(GROUP, member) for member in others)
         return False
 
     # ---- faults
@@ -343,8 +401,14 @@
     def _fault(self) -> None:
         self.faults += 1
         kinds: list[Callable[[Node], None]] = [
-            self._kill, self._lose_power, self._freeze, self._isolate, self._hand_over, self._fill, self._slow,
-        ]  # fmt: skip
+            self._kill,
+            self._lose_power,
+            self._freeze,
+            self._isolate,
+            self._hand_over,
+            self._fill,
+            self._slow,
+        ]
         if self.plan.wipes:
             kinds.append(self._wipe)
         node = self.random.choice(list(self.nodes.values()))
@@ -449,13 +513,11 @@
     def run_until(self, holds: Callable[[], bool], seconds: float) -> bool:
         """Play events until something holds, for so long at most; whether it does."""
         end = self.clock.seconds() + seconds
-        while self.clock.calls and self.clock.calls[0].getTime() <= end:
-            self.clock.advance(max(self.clock.calls[0].getTime() - self.clock.seconds(), 0.0))
+        while self.clock.step(end):
             if error := self.checker.violation or self._error:
                 raise error
             if holds():
                 return True
-        self.clock.advance(max(end - self.clock.seconds(), 0.0))
         return holds()
 
     def _describe(self) -> str:
--- a/bitternpath/roles/logs.py
+++ b/bitternpath/roles/logs.py
@@ -18,7 +18,8 @@
 
     def format(self, record: Any) -> str:
         level = record.level_name.lower()
-        return f"t={time.monotonic():.3f} level={level} part={record.channel} {record.message}"
+        trace = f" traceback={record.formatted_exception!r}" if record.exc_info else ""
+        return f"t={time.monotonic():.3f} level={level} part={record.channel} {record.message}{trace}"
 
 
 def start_logging(node_name: str, level: str | None = None) -> None:
--- a/tests/system/test_queue_owner.py
+++ b/tests/system/test_queue_owner.py
@@ -11,6 +11,7 @@
 )
 from bitternpath.queue.edges import MAX_LEASES_PER_EDGE
 from bitternpath.queue.leases import PUSH_LEASE_MARGIN_MS
+from bitternpath.queue.owner import POLLS_ASKED_EVERY_S
 from bitternpath.queue.placement import UNROUTED_GRACE_S
 from bitternpath.queue.ready import LATE_LIMIT_S
 from bitternpath.queue.records import MessageState
@@ -366,10 +367,18 @@
     """Work for an event doesn't grow with what waits."""
 
     def test_wakeups_and_proposals_with_a_backlog(self) -> None:
+        rig = Rig(edges=())
+        for number in range(5_000):
+            rig.append(f"m{number}")
+        self.assertEqual(rig.owner.next_wakeup(rig.now), rig.now + 90.0)
+        rig.do(rig.owner.edge_joined(rig.now, "edge-1", "north"))
+        self.assertEqual(request_ids(rig.take_sent())[0], "m0")
+
+    def test_waiting_jobs_wake_the_owner_only_to_ask_for_workers(self) -> None:
         rig = Rig()
         for number in range(5_000):
             rig.append(f"m{number}", "/jobs/x")
-        self.assertEqual(rig.owner.next_wakeup(rig.now), rig.now + 90.0)
+        self.assertEqual(rig.owner.next_wakeup(rig.now), rig.now + POLLS_ASKED_EVERY_S)
         rig.poll(1)
         self.assertEqual(rig.answer().message.request_id, "m0")
 
--- a/tests/system/test_queue_pulls.py
+++ b/tests/system/test_queue_pulls.py
@@ -7,11 +7,13 @@
 from bitternpath.queue.actions import (
     Action,
     AnswerPoll,
+    AskForPolls,
     ExpirePoll,
 )
 from bitternpath.queue.commands import (
     GrantLease,
 )
+from bitternpath.queue.owner import POLLS_ASKED_EVERY_S
 from tests.system.test_queue_rig import NOT_RUN, PULL_LEASE_S, SUCCEEDED, Rig
 
 
@@ -29,6 +31,27 @@
         rig.append("n", "/jobs/x")
         self.assertEqual(rig.answer().poll_id, 2)
 
+    def test_jobs_without_a_worker_are_told_of_again_and_again(self) -> None:
+        rig = Rig()
+        rig.append("m", "/jobs/x")
+        rig.append("n", "/jobs/x")
+        self.assertEqual(rig.asked, [AskForPolls("puller", 1)])
+        rig.advance(POLLS_ASKED_EVERY_S)
+        self.assertEqual(rig.asked[1:], [AskForPolls("puller", 2)])
+        rig.advance(POLLS_ASKED_EVERY_S * 9.5)
+        self.assertEqual(len(rig.asked), 11)
+
+    def test_nobody_is_asked_where_no_job_waits_or_workers_do_not_pull(self) -> None:
+        rig = Rig(edges=())
+        rig.append("pushed")
+        rig.append("m", "/jobs/x", delay_ms=1_000)
+        rig.advance(0.9)
+        rig.poll(1)
+        rig.advance(0.2)
+        self.assertEqual(rig.answer().message.request_id, "m")
+        rig.advance(1.0)
+        self.assertEqual(rig.asked, [])
+
     def test_the_lease_names_the_worker(self) -> None:
         rig = Rig()
         rig.automatic = False
--- a/tests/system/test_queue_rig.py
+++ b/tests/system/test_queue_rig.py
@@ -11,6 +11,7 @@
 from bitternpath.queue.actions import (
     Action,
     AnswerPoll,
+    AskForPolls,
     ProposeCommand,
     SendDelivery,
 )
@@ -62,7 +63,10 @@
 
 
 class Rig:
-    """An owner over a state. Proposals wait in `proposed` until `commit`; other actions go to `sent`."""
+    """An owner over a state. Proposals wait in `proposed` until `commit`.
+
+    Calls for workers that pull go to `asked`, other actions to `sent`.
+    """
 
     def __init__(self, routing: RoutingTable | None = TABLE, edges: Iterable[str] = ("edge-1",)) -> None:
         self.now = 100.0
@@ -75,6 +79,7 @@
         """A new owner takes over."""
         self.proposed: list[Command] = []
         self.sent: list[Action] = []
+        self.asked: list[AskForPolls] = []
         bounds = OwnerBounds(visible_ms=3_000, status_s=120.0)
         self.owner = ShardOwner(self.state, 0, 1, "north", bounds, Random(1))
         self.do(self.owner.take_over(self.now, 1 + self.index))
@@ -88,6 +93,8 @@
         for action in actions:
             if isinstance(action, ProposeCommand):
                 self.proposed.append(action.command)
+            elif isinstance(action, AskForPolls):
+                self.asked.append(action)
             else:
                 self.sent.append(action)
         if self.automatic and self.proposed:
