Storage nodes are replaced, retired, and own their preferred shards again

Cause: a machine that goes for good, or is to be emptied, kept its replicas; after restarts all shards could stay with one owner, in another zone than the edge nodes that append. Change: presence of nodes at the configuration's owner; nodes away with a spare present are replaced after 1.5 s; POST and GET /retire; owners report committed members; ownership goes back to the preferred member.

--- a/bitternpath/configuration/orders.py
+++ b/bitternpath/configuration/orders.py
@@ -41,6 +41,9 @@
     FATE_OPEN = 1201
     NO_CONFIGURATION = 1202
     UNKNOWN_CALL = 1203
+    UNKNOWN_NODE = 1300
+    TOO_FEW_NODES = 1301
+    RETIRING = 1302
 
 
 _STATUS = {
@@ -52,6 +55,9 @@
     OrderCode.FATE_OPEN: 503,
     OrderCode.NO_CONFIGURATION: 404,
     OrderCode.UNKNOWN_CALL: 404,
+    OrderCode.UNKNOWN_NODE: 404,
+    OrderCode.TOO_FEW_NODES: 409,
+    OrderCode.RETIRING: 200,
 }
 
 
--- a/bitternpath/configuration/placement.py
+++ b/bitternpath/configuration/placement.py
@@ -8,12 +8,17 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import replace
 
-from bitternpath.membership.founding import member_address, member_id
+from bitternpath.membership.founding import MOST_FOUNDERS, member_address, member_id
+from bitternpath.replication.consensus import Members
 from bitternpath.transport.messages import GroupPlacement, MemberAddress, NodeDescriptor
 
+# A node that is away is replaced soon where another waits that keeps nothing yet: it has come for that. Else
+# the node is waited for: most come back within seconds, and moving its shards costs more than waiting.
+AWAY_WITH_SPARE_S = 1.5
+AWAY_WITHOUT_SPARE_S = 30.0
 LEAST_SHARDS = 3
 MOST_SHARDS = 256
 
@@ -48,6 +53,40 @@
     return tuple(_repaired(group, by_name, gone, tolerated, load) for group in groups)
 
 
+def nodes_to_replace(
+    groups: Sequence[GroupPlacement],
+    present: Sequence[NodeDescriptor],
+    retired: Collection[str],
+    away_for: Callable[[str], float],
+) -> frozenset[str]:
+    """Names of nodes whose replicas are to move: retired ones, and those that have been away too long."""
+    placed = {member.node for group in groups for member in group.members}
+    spares = {node.name for node in present} - placed - set(retired)
+    patience = AWAY_WITH_SPARE_S if spares else AWAY_WITHOUT_SPARE_S
+    return frozenset(retired) | frozenset(name for name in placed if away_for(name) > patience)
+
+
+def desired_members(
+    current: Members, present: Sequence[NodeDescriptor], away_for: Callable[[str], float], wanted: int
+) -> list[str]:
+    """Members that the configuration group should have, with these counted nodes present.
+
+    A node that has come back with another disk takes its own place. New nodes join, up to `MOST_FOUNDERS`.
+    Members that are away go only while `wanted` others are present.
+    """
+    members = {node.name: member_id(node) for node in present}
+    kept = [members.get(voter.partition("/")[0], voter) for voter in current.voters]
+    joining = [member for member in sorted(members.values()) if member not in kept]
+    desired = list(dict.fromkeys(kept))
+    desired += joining[: max(MOST_FOUNDERS - len(desired), 0)]
+    here = [member for member in desired if member in members.values()]
+    for member in list(desired):
+        away = away_for(member.partition("/")[0]) > AWAY_WITH_SPARE_S
+        if away and member not in here and len(here) >= wanted:
+            desired.remove(member)
+    return desired
+
+
 def _repaired(
     group: GroupPlacement,
     nodes: dict[str, NodeDescriptor],
--- a/bitternpath/replication/group.py
+++ b/bitternpath/replication/group.py
@@ -129,14 +129,15 @@
             return False
         return all(self.caught_up(name) for name in voters - old)
 
-    def hand_over(self, now: float) -> bool:
-        """Pass leadership to the voter that has most of the log, of those that were heard lately."""
+    def hand_over(self, now: float, to: str = "") -> bool:
+        """Pass leadership to a voter that was heard lately: `to`, or the one that has most of the log."""
         peers = [
             (peer.match, name)
             for name, peer in self.raft.peers.items()
             if name in self.raft.members.voters and now - peer.heard < self._times.election
         ]
-        return bool(peers) and self.raft.pass_on(now, max(peers)[1])
+        wanted = [each for each in peers if to in ("", each[1])]
+        return bool(wanted) and self.raft.pass_on(now, max(wanted)[1])
 
     # ---- views
 
--- a/bitternpath/replication/host.py
+++ b/bitternpath/replication/host.py
@@ -133,13 +133,13 @@
         self._mark(group, found)
         return found.change_members(self._reactor.seconds(), members)
 
-    def hand_over(self, group: str) -> bool:
-        """Pass ownership to the voter that has most of the log; whether that was begun."""
+    def hand_over(self, group: str, to: str = "") -> bool:
+        """Pass ownership to `to`, or to the voter that has most of the log; whether that was begun."""
         found = self.groups.get(group)
         if found is None:
             return False
         self._mark(group, found)
-        return found.hand_over(self._reactor.seconds())
+        return found.hand_over(self._reactor.seconds(), to)
 
     # ---- views
 
@@ -163,6 +163,11 @@
         found = self.groups.get(group)
         return found.raft.members if found is not None else Members()
 
+    def committed_members(self, group: str) -> Members | None:
+        """The members, where this replica owns the group and no change of them is open; else None."""
+        found = self.groups.get(group)
+        return found.raft.members if found is not None and found.raft.may_change_members else None
+
     def caught_up(self, group: str, member: str) -> bool:
         """Whether a member lacks little of the log, as this leader sees it; False on other replicas."""
         found = self.groups.get(group)
--- a/bitternpath/roles/configuration_member.py
+++ b/bitternpath/roles/configuration_member.py
@@ -14,9 +14,23 @@
 from twisted.internet.defer import Deferred
 
 from bitternpath.configuration.feed import FeedServer
-from bitternpath.configuration.machine import COMMANDS, ConfigurationState, SetPlacement
-from bitternpath.configuration.orders import Order, OrderDesk, OrderResult
-from bitternpath.configuration.placement import first_placement, repaired_placement
+from bitternpath.configuration.machine import COMMANDS, ConfigurationState, RetireNode, SetPlacement
+from bitternpath.configuration.orders import Order, OrderCode, OrderDesk, OrderResult, result
+from bitternpath.configuration.placement import (
+    desired_members,
+    first_placement,
+    nodes_to_replace,
+    repaired_placement,
+)
+from bitternpath.configuration.presence import Presence
+from bitternpath.configuration.retirement import (
+    GroupReports,
+    RetireCheck,
+    RetireState,
+    check,
+    progress,
+    state_body,
+)
 from bitternpath.discovery.platform_list import PlatformList
 from bitternpath.discovery.reader import ListReader
 from bitternpath.membership.founding import (
@@ -38,6 +52,7 @@
     FeedSubscribe,
     Founding,
     FoundingAnswer,
+    GroupReport,
     MemberAddress,
     NodeDescriptor,
     NodeKind,
@@ -81,6 +96,8 @@
         self._storage: dict[str, str] = {}
         self._storage_changed_at = reactor.seconds()
         self._placing = False
+        self._presence = Presence(reactor.seconds())
+        self._reports = GroupReports()
         self._timer: Any = None
 
     def start(self) -> None:
@@ -158,12 +175,50 @@
         address = next((member.address for member in members if member.member == leader), "")
         return FeedRefused(address, members)
 
+    def group_reported(self, report: GroupReport) -> None:
+        """A shard's owner has told who the members are."""
+        if self.is_owner():
+            self._reports.update(report)
+
+    def retire(self, node: str) -> Deferred[OrderResult]:
+        """The operator wants a storage node emptied."""
+        checked = check(self.state, node, self._storage_nodes(), self.settings.tolerated_machines)
+        if checked is RetireCheck.UNKNOWN_NODE:
+            return self._confirmed(result(OrderCode.UNKNOWN_NODE, checked.value))
+        if checked is RetireCheck.TOO_FEW_LEFT:
+            return self._confirmed(result(OrderCode.TOO_FEW_NODES, checked.value))
+        accepted = OrderResult(OrderCode.RETIRING, state_body(RetireState.RUNNING))
+        decided: Deferred[OrderResult] = Deferred()
+        self.propose(COMMANDS.encode(RetireNode(node, True))).addCallbacks(
+            lambda _: decided.callback(accepted),
+            lambda failure: decided.callback(result(OrderCode.FATE_OPEN, str(failure.value))),
+        )
+        return decided
+
+    def retirement(self, node: str) -> Deferred[OrderResult]:
+        """How far the emptying of a node is."""
+        state = progress(self.state, self._reports, node)
+        if state is RetireState.UNKNOWN:
+            return self._confirmed(result(OrderCode.UNKNOWN_NODE, f"{node} isn't being emptied"))
+        return self._confirmed(OrderResult(OrderCode.RETIRING, state_body(state)))
+
+    def _confirmed(self, answer: OrderResult) -> Deferred[OrderResult]:
+        """An answer from the state, once ownership is confirmed."""
+        decided: Deferred[OrderResult] = Deferred()
+        self.barrier().addCallbacks(
+            lambda _: decided.callback(answer),
+            lambda failure: decided.callback(result(OrderCode.NOT_OWNER, str(failure.value))),
+        )
+        return decided
+
     # ---- GroupListener
 
     def became_owner(self, epoch: int) -> None:
         """This node owns the configuration from now on."""
         log.info("event=owner group={} epoch={}", CONFIGURATION_GROUP, epoch)
         self._storage_changed_at = self.reactor.seconds()
+        self._presence = Presence(self.reactor.seconds())
+        self._reports = GroupReports()
         self.feed.begin()
         self.reader.start()
 
@@ -194,6 +249,8 @@
         if self._founding is not None:
             self._spread_founding(self._founding)
         if self.is_owner():
+            now = self.reactor.seconds()
+            self._presence.update(now, [node.name for node in self.feed.followers() if not node.leaving])
             self._look_after_members()
             self._look_after_placement()
 
@@ -206,35 +263,33 @@
     def _look_after_members(self) -> None:
         current = self.host.members(CONFIGURATION_GROUP)
         nodes = [node for node in self.feed.followers() if node.kind is NodeKind.EDGE and node.counted]
-        changed = next_members(current, self._desired(current, nodes), self._caught_up)
+        desired = desired_members(current, nodes, self._away_for, 2 * self.settings.tolerated_machines + 1)
+        changed = next_members(current, desired, self._caught_up)
         if changed is not None and self.host.change_members(CONFIGURATION_GROUP, changed):
             log.info("event=members_changing voters={} learners={}", changed.voters, changed.learners)
 
-    def _desired(self, current: Members, nodes: list[NodeDescriptor]) -> list[str]:
-        """Those that vote, but for members whose node has come back with another disk."""
-        alive = {node.name: member_id(node) for node in nodes}
-        desired: list[str] = []
-        for voter in current.voters:
-            member = alive.get(voter.partition("/")[0], voter)
-            if member not in desired:
-                desired.append(member)
-        return desired
+    def _away_for(self, node: str) -> float:
+        return self._presence.away_for(self.reactor.seconds(), node)
 
     def _caught_up(self, member: str) -> bool:
         return self.host.caught_up(CONFIGURATION_GROUP, member)
 
+    def _storage_nodes(self) -> list[NodeDescriptor]:
+        return [node for node in self.feed.followers() if node.kind is NodeKind.STORAGE and node.disk]
+
     def _look_after_placement(self) -> None:
-        nodes = [node for node in self.feed.followers() if node.kind is NodeKind.STORAGE and node.disk]
+        nodes = self._storage_nodes()
         disks = {node.name: node.disk for node in nodes}
         now = self.reactor.seconds()
         if disks != self._storage:
             self._storage, self._storage_changed_at = disks, now
-        if self._placing or now - self._storage_changed_at < STORAGE_AT_REST_S:
+        if self._placing:
             return
         tolerated = self.settings.tolerated_machines
         if self.state.groups:
-            groups = repaired_placement(self.state.groups, nodes, frozenset(self.state.retired), tolerated)
-        elif len(nodes) >= 2 * tolerated + 1:
+            gone = nodes_to_replace(self.state.groups, nodes, self.state.retired, self._away_for)
+            groups = repaired_placement(self.state.groups, nodes, gone, tolerated)
+        elif len(nodes) >= 2 * tolerated + 1 and now - self._storage_changed_at >= STORAGE_AT_REST_S:
             groups = first_placement(nodes, tolerated)
         else:
             return
--- a/bitternpath/roles/edge.py
+++ b/bitternpath/roles/edge.py
@@ -49,6 +49,7 @@
     FoundingAnswer,
     GroupMessage,
     GroupPlacement,
+    GroupReport,
     JobsWaiting,
     NodeKind,
     OperatorAnswer,
@@ -227,6 +228,7 @@
             FoundingAnswer: self._founding_answer,
             FeedSubscribe: self._subscribe,
             StatusRequest: self._status,
+            GroupReport: self._group_report,
             OperatorOrder: self._operator_order,
         }
 
@@ -257,6 +259,10 @@
             )
         )
 
+    def _group_report(self, link: Link, report: GroupReport) -> None:
+        if self.member is not None:
+            self.member.group_reported(report)
+
     def _status(self, link: Link, request: StatusRequest) -> None:
         groups = []
         if self.member is not None and self.base.host is not None:
--- a/bitternpath/roles/operator_calls.py
+++ b/bitternpath/roles/operator_calls.py
@@ -4,6 +4,7 @@
 
 import json
 from typing import Any
+from urllib.parse import unquote
 
 from twisted.internet.defer import Deferred, succeed
 from twisted.python.failure import Failure
@@ -41,6 +42,9 @@
             return member.desk.read()
         if order.path == CONFIGURATION_PATH and order.method in ("PUT", "PATCH"):
             return member.order(Order(order.method, order.if_match, order.body))
+        if order.path.startswith(RETIRE_PREFIX) and order.method in ("POST", "GET"):
+            node = unquote(order.path.removeprefix(RETIRE_PREFIX))
+            return member.retire(node) if order.method == "POST" else member.retirement(node)
         return succeed(result(OrderCode.UNKNOWN_CALL, f"{order.method} {order.path}"))
 
     def _forward(self, order: OperatorOrder) -> Deferred[OperatorReply]:
--- a/bitternpath/roles/shard_runtime.py
+++ b/bitternpath/roles/shard_runtime.py
@@ -27,7 +27,7 @@
 )
 from bitternpath.queue.commands import COMMANDS, AppendMessage, Command
 from bitternpath.queue.owner import OwnerBounds, ShardOwner
-from bitternpath.queue.records import MessageState
+from bitternpath.queue.records import AttemptOutcome, MessageState
 from bitternpath.queue.results import AttemptTaken, Result
 from bitternpath.queue.state import QueueState
 from bitternpath.replication.host import ReplicaHost
@@ -302,7 +302,8 @@
     def _deliver(self, action: SendDelivery) -> None:
         link = self.edges.link(action.edge)
         if link is None:
-            return  # the owner has heard that the node left, or will, and takes the message back
+            self._return_unsent(action)
+            return
         message = replace(action.message, body=b"") if action.body_omitted else action.message
         link.send(
             Delivery(
@@ -315,6 +316,14 @@
             )
         )
 
+    def _return_unsent(self, action: SendDelivery) -> None:
+        """The edge node has gone in this very moment."""
+        if self.owner is not None:
+            command = self.owner.end_command(
+                action.message.request_id, action.lease_id, AttemptOutcome.NOT_RUN, "", 0
+            )
+            self._propose(command)
+
     def _answer_poll(self, poll_id: int, lease_id: str, message: Any) -> None:
         found = self._polls.get(poll_id)
         self._drop_poll(poll_id)
--- a/bitternpath/roles/storage.py
+++ b/bitternpath/roles/storage.py
@@ -31,6 +31,7 @@
     FeedUpdate,
     GroupMessage,
     GroupPlacement,
+    GroupReport,
     NodeKind,
     PullCancel,
     PullRequest,
@@ -43,6 +44,8 @@
 log = logbook.Logger("storage")
 
 LOOK_S = 0.25  # how often owners look at their groups' members
+HEARD_LATELY_S = 0.3
+PREFER_AFTER_S = 4.0  # of being fit without a break, before ownership goes back to the preferred member
 FULL_SHARE = 0.75  # of the disk: from there on no message is taken
 CACHE_NAME = "feed"  # what the feed brought last, so that shards open without the configuration group
 
@@ -62,6 +65,7 @@
         self.placements: dict[str, GroupPlacement] = {}
         self.stopping = False
         self._cache = DocumentWriter(reactor, settings.data_dir / CACHE_NAME)
+        self._fit_since: dict[str, float] = {}
         self._lives: dict[str, int] = {}
         self._bounds = OwnerBounds(
             visible_ms=int(settings.bounds.visible_ms),
@@ -205,6 +209,8 @@
         for group, placement in self.placements.items():
             if group in self.shards and self.host.is_owner(group):
                 self._look_after(group, placement)
+                self._report(group)
+                self._prefer_owner(group, placement)
 
     def _look_after(self, group: str, placement: GroupPlacement) -> None:
         """Bring the group's members towards those of the placement, one at a time."""
@@ -219,6 +225,35 @@
                 changed.learners,
             )
 
+    def _prefer_owner(self, group: str, placement: GroupPlacement) -> None:
+        """Ownership goes to the member that the placement names first, once it is there and up to date.
+
+        So each node owns its share of the shards again after others were away, and edge nodes find an owner
+        in their zone. It must have been heard for a while, so that ownership doesn't move to and fro.
+        """
+        preferred = placement.members[0].member
+        fit = (
+            preferred != self.base.carrier.me
+            and preferred in self.host.members(group).voters
+            and self.host.silent_for(group, preferred) < HEARD_LATELY_S
+            and self.host.caught_up(group, preferred)
+        )
+        now = self.reactor.seconds()
+        since = self._fit_since.setdefault(group, now) if fit else now
+        if not fit:
+            self._fit_since.pop(group, None)
+        elif now - since >= PREFER_AFTER_S and not self.stopping:
+            self._fit_since.pop(group, None)
+            log.info("event=handing_over group={} to={}", group, preferred)
+            self.host.hand_over(group, preferred)
+
+    def _report(self, group: str) -> None:
+        """Tell the configuration's owner who the members are, where no change is under way."""
+        link = self.base.feed.owner_link()
+        members = self.host.committed_members(group)
+        if link is not None and members is not None:
+            link.send(GroupReport(group, self.host.epoch(group), members.all))
+
     def _has_room(self) -> bool:
         """Whether the disk can take more messages."""
         journal = self.base.journal
--- a/bitternpath/transport/messages.py
+++ b/bitternpath/transport/messages.py
@@ -179,6 +179,15 @@
     entries: tuple[CatalogueEntry, ...] | None
 
 
+@dataclass(frozen=True, slots=True)
+class GroupReport:
+    """A shard's owner tells the configuration's owner who the shard's members are, as committed."""
+
+    group: str
+    epoch: int
+    members: tuple[str, ...]  # voters and learners
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorOrder:
     """A call of the operator, forwarded to the configuration's owner."""
@@ -446,6 +455,7 @@
     JobsWaiting,
     StatusRequest,
     StatusAnswer,
+    GroupReport,
 )
 
 ANSWER_RECORDS = (
