Workers that pull wait in their own zone first

Change: a worker waits at a shard whose owner is in its edge node's zone; JobsWaiting moves it where it is needed.

--- /dev/null
+++ b/bitternpath/rehearsal/clients.py
@@ -0,0 +1,159 @@
+"""Clients: they send messages of all kinds, retry after a promise, and ask for states at the end."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from twisted.internet.defer import Deferred, DeferredSemaphore
+from twisted.internet.task import deferLater
+
+from bitternpath.rehearsal.entry import Entry
+from bitternpath.rehearsal.plan import HOSTS, PREFIXES, SHARES, Plan, Port
+from bitternpath.rehearsal.plumbing import Call, Reply, Unanswered, send_call
+from bitternpath.rehearsal.records import Clock, Found, History, Kind, Send, SendOutcome
+
+DEADLINE_MS = 1_500
+MOST_TRIES = 3
+RETRY_MOST_S = 1.0  # of `Retry-After`, as the deadline is near
+ORDER_KEYS = 12
+DELAYED_SHARE, MOST_DELAY_S = 0.2, 2.0  # of pulled messages
+BODY_BYTES = {Kind.LISTED: 600, Kind.ENDPOINT: 1_200, Kind.PULLED: 2_500}
+PROMISES = (408, 421, 429, 503)
+ASK_WITHIN_S = 2.0
+ASK_AGAIN_S = 0.3
+ASK_TRIES = 15
+ASKERS = 16  # questions under way at once
+
+
+class Clients:
+    """Sends messages at a mean rate, with exponential gaps."""
+
+    def __init__(
+        self, reactor: Any, clock: Clock, history: History, entry: Entry, plan: Plan, callback_url: str
+    ) -> None:
+        self._reactor, self._clock, self._history = reactor, clock, history
+        self._entry, self._plan, self._callback_url = entry, plan, callback_url
+        self._random = Random(plan.seed)
+        self._numbers = 0
+        self.open = 0  # messages whose client still waits or will try again
+
+    def run(self, until: float, failed: Callable[[Any], None]) -> None:
+        """Send until then; `failed` hears an error in the rehearsal itself."""
+        Deferred.fromCoroutine(self._send_all(until, failed)).addErrback(failed)
+
+    async def _send_all(self, until: float, failed: Callable[[Any], None]) -> None:
+        while self._clock() < until:
+            await deferLater(self._reactor, self._random.expovariate(self._plan.rate))
+            Deferred.fromCoroutine(self._message()).addErrback(failed)
+
+    async def _message(self) -> None:
+        """One message: tries until it is taken, its fate is open, or its time is up."""
+        self.open += 1
+        kind = self._random.choices(list(SHARES), list(SHARES.values()))[0]
+        body = self._random.randbytes(BODY_BYTES[kind])
+        key = f"key-{self._random.randrange(ORDER_KEYS)}" if kind is Kind.ENDPOINT else ""
+        delayed = kind is Kind.PULLED and self._random.random() < DELAYED_SHARE
+        delay_s = round(self._random.uniform(0.2, MOST_DELAY_S), 3) if delayed else 0.0
+        give_up_at = self._clock() + DEADLINE_MS / 1000
+        for _ in range(MOST_TRIES):
+            send = self._prepare(kind, body, key, delay_s)
+            pause = await self._try(send, give_up_at)
+            if pause is None or self._clock() + pause >= give_up_at:
+                break
+            await deferLater(self._reactor, pause)
+        self.open -= 1
+
+    def _prepare(self, kind: Kind, body: bytes, key: str, delay_s: float) -> Send:
+        self._numbers += 1
+        request_id = f"{self._numbers:06d}{self._random.getrandbits(40):010x}"
+        target = f"{PREFIXES[kind]}{self._random.getrandbits(24):06x}/x?n={self._numbers}"
+        wants_callback = kind is not Kind.LISTED
+        send = Send(
+            request_id, self._clock(), self._entry.choose().name, kind, target, body, key, delay_s, wants_callback
+        )
+        self._history.sends[request_id] = send
+        return send
+
+    async def _try(self, send: Send, give_up_at: float) -> float | None:
+        """Send it; the pause before the next try, None where there is none."""
+        node = next(edge for edge in self._plan.edges if edge.name == send.node)
+        left = max(give_up_at - self._clock(), 0.05)
+        answer = await send_call(self._reactor, node.address(Port.FRONT), self._call(send, left), left)
+        send.ended_at = self._clock()
+        if isinstance(answer, Unanswered):
+            send.outcome = SendOutcome.UNCLEAR
+            send.broken_off = answer is Unanswered.CLOSED
+            if answer is Unanswered.NO_CONNECTION:
+                send.outcome = SendOutcome.NOT_SENT
+                return 0.05
+            return None
+        send.status = answer.status
+        send.outcome = _outcome(answer.status)
+        send.message_id = answer.headers.get("x-message-id", send.request_id)
+        if send.outcome is SendOutcome.PROMISED_NOT:
+            return min(float(answer.headers.get("retry-after", "0")), RETRY_MOST_S)
+        return None
+
+    def _call(self, send: Send, left: float) -> Call:
+        headers = {
+            "Host": HOSTS[send.kind],
+            "X-Request-Id": send.request_id,
+            "X-Deadline-Ms": str(int(left * 1000)),
+        }
+        if send.order_key:
+            headers["X-Order-Key"] = send.order_key
+        if send.delay_s:
+            headers["X-Delay-Ms"] = str(int(send.delay_s * 1000))
+        if send.wants_callback:
+            headers["X-Callback-Url"] = self._callback_url
+        return Call("POST", send.target, headers, send.body)
+
+
+def _outcome(status: int) -> SendOutcome:
+    if status == 202:
+        return SendOutcome.ACCEPTED
+    if status in PROMISES:
+        return SendOutcome.PROMISED_NOT
+    return SendOutcome.UNCLEAR if status >= 500 else SendOutcome.REJECTED
+
+
+class Askers:
+    """Ask for the state of messages, and for the bytes of those that aren't done."""
+
+    def __init__(self, reactor: Any, clock: Clock, history: History, entry: Entry) -> None:
+        self._reactor, self._clock, self._history, self._entry = reactor, clock, history, entry
+        self._places = DeferredSemaphore(ASKERS)
+
+    async def ask_all(self, sends: list[Send]) -> None:
+        """Ask for each of them."""
+        from twisted.internet.defer import gatherResults
+
+        await gatherResults(
+            [self._places.run(lambda send=send: Deferred.fromCoroutine(self._ask(send))) for send in sends],
+            consumeErrors=True,
+        )
+
+    async def _ask(self, send: Send) -> None:
+        found = Found(send.request_id, self._clock(), "")
+        told = await self._get(send, "message")
+        if told is not None:
+            document = json.loads(told.body)
+            state, stamp = str(document.get("state", "")), str(document.get("stamp", ""))
+            asked_at = self._clock()
+            kept = await self._get(send, "message-body") if state != "done" else None
+            found = Found(send.request_id, asked_at, state, stamp, kept.body if kept is not None else None)
+        self._history.found[send.request_id] = found
+
+    async def _get(self, send: Send, what: str) -> Reply | None:
+        """The answer with 200; None where none comes though any node is asked again and again."""
+        call = Call("GET", f"/{what}/{send.message_id}", {"Host": HOSTS[send.kind]})
+        for _ in range(ASK_TRIES):
+            address = self._entry.choose().address(Port.FRONT)
+            answer = await send_call(self._reactor, address, call, ASK_WITHIN_S)
+            if isinstance(answer, Reply) and answer.status == 200:
+                return answer
+            await deferLater(self._reactor, ASK_AGAIN_S)
+        return None
--- a/bitternpath/rehearsal/workers.py
+++ b/bitternpath/rehearsal/workers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
@@ -58,7 +58,7 @@
     request: Request
     connection: ServerConnection
     ends_at: float
-    answer: Deferred[Reply]
+    answer: Deferred[Reply] = field(default_factory=Deferred)
     timer: Any = None
 
 
@@ -111,7 +111,7 @@
     def _take(self, request: Request, request_id: str, connection: ServerConnection) -> Deferred[Reply]:
         deadline = _header(request, b"x-deadline-ms")
         deadline_ms = int(deadline) if deadline.isdigit() else DEFAULT_DEADLINE_MS
-        job = _Job(request_id, request, connection, self._clock() + deadline_ms / 1000, Deferred(lambda _: None))
+        job = _Job(request_id, request, connection, self._clock() + deadline_ms / 1000)
         job.answer = Deferred(lambda _: self._dropped(job))
         self._waiting.append(job)
         self._next()
--- a/bitternpath/roles/edge.py
+++ b/bitternpath/roles/edge.py
@@ -79,7 +79,7 @@
         self.owners = ShardOwners(self._owner_changed)
         self.reports = LeaseReports(reactor, self.owners)
         self.appender = Appender(reactor, self.owners, settings.zone, random)
-        self.pulls = Pulls(reactor, self.owners, self.reports, random)
+        self.pulls = Pulls(reactor, self.owners, self.reports, settings.zone, random)
         self.lookup = MessageLookup(reactor, self.owners)
         self.bodies = BodyCache(BODY_CACHE_BYTES)
         self.worker_client = WorkerClient(reactor)
--- a/bitternpath/shards/pulls.py
+++ b/bitternpath/shards/pulls.py
@@ -1,8 +1,8 @@
-"""Workers that pull: each waits at one shard, drawn at random of those that have an owner.
+"""Workers that pull: each waits at one shard whose owner is in this node's zone, where there is one.
 
-A shard where jobs wait and no worker does tells the edge nodes, and each moves its share of the workers that
-wait elsewhere. A job that comes from a shard that the worker has left still goes to the worker; a second one
-is handed back.
+So jobs rarely cross zones. A shard where jobs wait and no worker does tells the edge nodes, and each moves its
+share of the workers that wait elsewhere. A job that comes from a shard that the worker has left still goes to
+the worker; a second one is handed back.
 """
 
 from __future__ import annotations
@@ -138,13 +138,16 @@
 class Pulls:
     """Waiting workers, and the leases they hold."""
 
-    def __init__(self, reactor: Any, owners: ShardOwners, reports: LeaseReports, random: Random) -> None:
-        self.reactor, self.owners, self.reports, self.random = reactor, owners, reports, random
+    def __init__(
+        self, reactor: Any, owners: ShardOwners, reports: LeaseReports, zone: str, random: Random
+    ) -> None:
+        self.reactor, self.owners, self.reports = reactor, owners, reports
+        self.zone, self.random = zone, random
         self._tickets: set[Ticket] = set()
 
     def pull(self, service: str, instance: str, wait_ms: int) -> Ticket | EmptyTicket:
         """Wait for a job of a service."""
-        groups = self.owners.owned_groups()
+        groups = self.owners.groups_near(self.zone) or self.owners.owned_groups()
         group = self.random.choice(groups) if groups else ""
         owner = self.owners.owner(group)
         if owner is None:
--- /dev/null
+++ b/tests/system/test_command_line.py
@@ -0,0 +1,191 @@
+"""The system's command line: help, exit codes, and `check-disk` on whole and damaged folders."""
+
+from __future__ import annotations
+
+import io
+import re
+import tempfile
+import unittest
+from contextlib import redirect_stderr, redirect_stdout
+from dataclasses import dataclass
+from pathlib import Path
+
+from bitternpath.cli import main
+from bitternpath.replication.consensus import CHANGE, Entry, Kept, Members, Snapshot, Write
+from bitternpath.storage.commands import Batch, NewSnapshot
+from bitternpath.storage.files import LocalFiles
+from bitternpath.storage.groups import founding_record, write_record
+from bitternpath.storage.identity import load_identity
+from bitternpath.storage.records import SEGMENT_HEADER_BYTES
+from bitternpath.storage.segments import SegmentLog
+from bitternpath.storage.snapshots import file_name
+
+COMMANDS = ("edge", "storage", "check-config", "check-disk", "show")
+MEMBERS = Members(("a", "b", "c"))
+SALT = 7
+SNAPSHOT = Snapshot(2, 1, MEMBERS, b"state")
+SEGMENT = "journal/segment-00000001.log"
+FIRST_BODY = SEGMENT_HEADER_BYTES + 20  # inside the first record
+
+WRONG_ARGUMENTS: list[tuple[str, str]] = [
+    ("system", "Usage"),
+    ("system nope", "nope"),
+    ("system --nope", "--nope"),
+    ("system show", "node"),
+    ("system show 10.0.0.1:1 --seconds 0", "0.2"),
+    ("system show 10.0.0.1:1 --seconds soon", "soon"),
+    ("system check-disk", "folder"),
+    ("system check-disk a b", "b"),
+    ("system check-config file", "file"),
+    ("system check-config --config", "--config"),
+    ("system edge more", "more"),
+    ("edge more", "edge"),
+    ("storage more", "storage"),
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """How a command ended."""
+
+    code: int
+    output: str
+    errors: str
+
+
+def run(*arguments: str) -> Ended:
+    output, errors = io.StringIO(), io.StringIO()
+    with redirect_stdout(output), redirect_stderr(errors):
+        code = main(arguments)
+    return Ended(code, output.getvalue(), errors.getvalue())
+
+
+def entries(first: int, number: int) -> tuple[Entry, ...]:
+    return tuple(Entry(index, 1, CHANGE, b"x" * 20) for index in range(first, first + number))
+
+
+def make_folder(folder: Path) -> None:
+    """Two groups; one has a snapshot and an entry behind it."""
+    load_identity(folder, draw=lambda: "0123abcd")
+    log = SegmentLog(LocalFiles(folder), lambda: SALT, 1 << 30)
+    founded = [founding_record(group, Kept(snapshot=Snapshot(members=MEMBERS))) for group in ("g", "h")]
+    log.write(Batch(founded, []))
+    log.write(Batch([write_record("g", Write(1, 1, "a", None, entries(1, 2), None, (0, 0)))], []))
+    named = Write(2, 1, "a", None, entries(3, 1), SNAPSHOT, (2, 1))
+    log.write(Batch([write_record("g", named)], [NewSnapshot("g", SNAPSHOT)]))
+    log.write(Batch([write_record("h", Write(1, 3, "b", None, entries(1, 4), None, (0, 0)))], []))
+    log.close()
+
+
+def contents(folder: Path) -> dict[str, bytes]:
+    return {str(path.relative_to(folder)): path.read_bytes() for path in folder.rglob("*") if path.is_file()}
+
+
+def flip(path: Path, offset: int) -> None:
+    data = bytearray(path.read_bytes())
+    data[offset] ^= 0xFF
+    path.write_bytes(data)
+
+
+class Help(unittest.TestCase):
+    def test_all_commands_are_named(self) -> None:
+        ended = run("system", "--help")
+        self.assertEqual((ended.code, ended.errors), (0, ""))
+        for command in COMMANDS:
+            with self.subTest(command):
+                self.assertRegex(ended.output, rf"(?m)^\W*{command}\s")
+                self.assertEqual(run("system", command, "--help").code, 0)
+
+    def test_the_old_tree_names_the_system(self) -> None:
+        ended = run("--help")
+        self.assertEqual(ended.code, 0)
+        self.assertRegex(ended.output, r"(?m)^\s+system\s")
+
+
+class WrongArguments(unittest.TestCase):
+    def test_exit_code_and_what_is_wrong(self) -> None:
+        for line, told in WRONG_ARGUMENTS:
+            with self.subTest(line):
+                ended = run(*line.split())
+                self.assertEqual(ended.code, 2)
+                self.assertIn(told, ended.output + ended.errors)
+
+    def test_settings_that_are_wrong(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "boot.toml"
+            path.write_text("ip = 5")
+            ended = run("system", "check-config", "--config", str(path))
+            self.assertEqual((ended.code, len(ended.output.splitlines())), (2, 1))
+            path.write_text('node_name = "a"\nip = "10.0.0.1"\ninternal_port_range = [1, 2]\n')
+            self.assertEqual(run("system", "check-config", "--config", str(path)).code, 0)
+
+
+class CheckDisk(unittest.TestCase):
+    def setUp(self) -> None:
+        temporary = tempfile.TemporaryDirectory()
+        self.addCleanup(temporary.cleanup)
+        self.folder = Path(temporary.name) / "data"
+        make_folder(self.folder)
+
+    def check(self, expected: int) -> str:
+        """Its output; the folder must be left as it was."""
+        before = contents(self.folder)
+        ended = run("system", "check-disk", str(self.folder))
+        self.assertEqual(ended.code, expected, ended.output + ended.errors)
+        self.assertEqual(contents(self.folder), before)
+        return ended.output
+
+    def test_intact(self) -> None:
+        lines = self.check(0).splitlines()
+        self.assertRegex(lines[0], r"^identity=True bytes=[1-9]\d*$")
+        self.assertEqual(
+            [line.strip() for line in lines[1:]],
+            [
+                "g term=1 snapshot_index=2 entries=1 last_index=3",
+                "h term=3 snapshot_index=0 entries=4 last_index=4",
+            ],
+        )
+
+    def test_torn_tail_is_no_damage(self) -> None:
+        path = self.folder / SEGMENT
+        path.write_bytes(path.read_bytes()[:-5])
+        self.assertNotIn("h term=3", self.check(0))
+
+    def test_empty_folder(self) -> None:
+        for path in sorted(self.folder.rglob("*"), reverse=True):
+            if path.is_dir():
+                path.rmdir()
+            else:
+                path.unlink()
+        self.assertEqual(self.check(0), "identity=False bytes=0\n")
+
+    def test_damaged_middle(self) -> None:
+        flip(self.folder / SEGMENT, FIRST_BODY)
+        self.assertIn(f"damaged: {SEGMENT} at offset {SEGMENT_HEADER_BYTES}: ", self.check(1))
+
+    def test_damaged_header(self) -> None:
+        flip(self.folder / SEGMENT, 0)
+        self.assertIn(f"damaged: {SEGMENT} at offset 0: ", self.check(1))
+
+    def test_missing_segment(self) -> None:
+        path = self.folder / SEGMENT
+        (path.parent / "segment-00000003.log").write_bytes(path.read_bytes())
+        self.assertIn(
+            "damaged: journal/segment-00000002.log at offset 0: the segment is missing", self.check(1)
+        )
+
+    def test_snapshot_damaged_or_missing(self) -> None:
+        name = f"snapshots/{file_name('g', SNAPSHOT.index, SNAPSHOT.term)}"
+        flip(self.folder / name, -1)
+        self.assertIn(f"damaged: {name} at offset 0: the checksum", self.check(1))
+        (self.folder / name).unlink()
+        self.assertIn(f"damaged: {name} at offset 0: the snapshot is missing", self.check(1))
+
+    def test_no_such_folder(self) -> None:
+        ended = run("system", "check-disk", str(self.folder / "nowhere"))
+        self.assertEqual(ended.code, 1)
+        self.assertTrue(re.search(r"nowhere: no such folder", ended.output))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/system/test_shards.py
+++ b/tests/system/test_shards.py
@@ -241,7 +241,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.reports = LeaseReports(self.clock, self.owners)
-        self.pulls = Pulls(self.clock, self.owners, self.reports, Random(1))
+        self.pulls = Pulls(self.clock, self.owners, self.reports, "z0", Random(1))
 
     def asked(self) -> FakeLink:
         return next(link for link in self.links if link.requests)
@@ -275,6 +275,15 @@
         """Requests that wait at a link, those that were cancelled left out."""
         return len(self.links[number].requests) - len(self.links[number].sent)
 
+    def test_workers_wait_at_the_owner_in_their_zone_or_where_there_is_one(self) -> None:
+        for _ in range(10):
+            self.pulls.pull("s", "i", 1000)
+        self.assertEqual([len(link.requests) for link in self.links], [10, 0, 0])
+        self.owners.closed(self.links[0])  # type: ignore[arg-type]
+        for _ in range(40):
+            self.pulls.pull("s", "i", 1000)
+        self.assertTrue(all(len(link.requests) > 9 for link in self.links))
+
     def test_waiting_workers_move_to_where_jobs_wait(self) -> None:
         for _ in range(30):
             self.pulls.pull("s", "i", 1000)
