Network of the paper moves to dispatch/network.py, under both dispatchers

Cause: the system's dispatcher learns by the same network, which sat among the node's decisions in brain.py. Change: Network is generic over its neurons (Protocol Neuron: name, kind); w+ and w- are plus and minus; docstrings name the paper's equations.

--- a/benchmarks/large_fleet.py
+++ b/benchmarks/large_fleet.py
@@ -10,11 +10,8 @@
 from __future__ import annotations
 
 import argparse
-import importlib.util
 import statistics
-import subprocess
 import sys
-import tempfile
 import time
 from pathlib import Path
 from typing import Any
@@ -26,7 +23,8 @@
 sys.path.insert(0, str(ROOT))
 structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
 
-from bitternpath import messages  # noqa: E402
+from earlier import earlier_dispatcher  # noqa: E402
+
 from bitternpath.emulator.policies import POLICIES  # noqa: E402
 from bitternpath.emulator.scenario import load, made_from  # noqa: E402
 from bitternpath.emulator.world import World  # noqa: E402
@@ -35,23 +33,6 @@
 BEFORE = "before"
 
 
-def add_before(revision: str) -> None:
-    """Make that revision's module a policy."""
-    source = subprocess.run(
-        ["git", "show", f"{revision}:bitternpath/brain.py"], cwd=ROOT, check=True, capture_output=True
-    ).stdout
-    with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / "brain_before.py"
-        path.write_bytes(source)
-        spec = importlib.util.spec_from_file_location("brain_before", path)
-        assert spec is not None and spec.loader is not None
-        vars(messages).setdefault("ProbeResult", type("ProbeResult", (), {}))  # earlier revisions name it
-        module = importlib.util.module_from_spec(spec)
-        sys.modules["brain_before"] = module
-        spec.loader.exec_module(module)
-    POLICIES[BEFORE] = module.Dispatcher
-
-
 def calm(workers: int, nodes: int, seconds: float) -> Any:
     base = msgspec.to_builtins(load(ROOT / "scenarios" / "calm.toml"))
     sites = [{"name": "a", "workers": workers, "nodes": nodes, "traffic": 1.0}]
@@ -92,7 +73,7 @@
     options.add_argument("--before", default=UNTOUCHED, metavar="REV")
     options.add_argument("--rounds", type=int, default=5)
     given = options.parse_args()
-    add_before(given.before)
+    POLICIES[BEFORE] = earlier_dispatcher(given.before)
     line("figure", f"before ({given.before})", "now", "ratio")
     line("---", "---", "---", "---")
     for workers, nodes, seconds in ((14, 3, 40.0), (60, 40, 10.0)):
--- a/bitternpath/brain.py
+++ b/bitternpath/brain.py
@@ -8,10 +8,8 @@
 from random import Random
 
 from bitternpath import messages as m
+from bitternpath.dispatch.network import Network
 
-GAIN = 0.15  # what a payoff equal to the threshold adds, as a share of a neuron's mean excitatory weight
-KEEP = 0.95  # the paper's alpha: how much of the threshold T one payoff leaves
-PAYOFF_CAP = 4.0  # no payoff counts for more than this multiple of T, nor a failure for more than its mirror
 FULL_REST = 2.0  # mean running times for which a worker that turned a job away is held to be full
 CHANCE = 0.5  # of the usual running time: with less left before the deadline a job is not worth a try
 SAMPLE = 24  # workers compared for a job, and besides four times a dispatcher's share of the fleet
@@ -19,7 +17,6 @@
 PLACES = 2  # own jobs at once at a home: a job for each core of the operators' machines
 EXPLORE = 0.05  # share of jobs that go to a random usable worker
 SLOW, QUICK = 0.02, 0.1  # weight of one job in means that last and in means that follow the day
-SETTLED = 1e-3  # q is settled when no neuron moves by more
 OVERDUE = 0.5  # of the aim: a job that has not begun by then scores its long time early
 FAULTY, MOST_FAULTS = 4_000.0, 3  # ms without jobs of a class after a fault, doubled by so many before it
 OVERTAKEN = 300.0  # ms: a job that has not begun though one sent so much later has, is lost
@@ -50,7 +47,7 @@
 
     def broken(self, line: ClassLine, now: float) -> bool:
         """Whether faults keep jobs of the class away: its own, or those of two classes any job."""
-        kept = [name for name, fault in self.faults.items() if fault[1 if line.harmless else 2] > now]
+        kept = [name for name, fault in self.faults.items() if fault[1 if line.spec.harmless else 2] > now]
         return len(kept) > 1 or self.faults.get(line.spec.name, (0, 0.0, 0.0))[1] > now
 
     def load(self, now: float) -> int:
@@ -63,82 +60,6 @@
         return self.waiting * run / max(self.n - self.waiting, 1)
 
 
-class Network:
-    """The random neural network of a class (paper, section II), factored.
-
-    Each update adds the same to w+(j,i) for all j, so w+(j,i) = a[i] + up and w-(j,i) = b[i] + down. They
-    are read in a unit that keeps the mean firing rate at 1: else weights only grow and learning freezes."""
-
-    def __init__(self) -> None:
-        self.workers: list[Worker] = []
-        self.place: dict[str, int] = {}
-        self.a, self.b, self.q = list[float](), list[float](), list[float]()
-        self.up = self.down = self.total = self.sum_q = self.threshold = 0.0
-        self.unsettled = 0
-
-    def join(self, worker: Worker) -> None:
-        """Add a neuron with the mean weights of its kind, or of all."""
-        n = len(self.workers)
-        kin = [k for k, w in enumerate(self.workers) if w.kind == worker.kind] or list(range(n))
-        for row in (self.a, self.b, self.q):
-            row.append(sum(row[k] for k in kin) / len(kin) if kin else 0.5)
-        self.workers.append(worker)
-        self.place[worker.name] = self.unsettled = n
-        self.total += self.a[n] + self.up + self.b[n] + self.down
-        self.sum_q += self.q[n]
-
-    def leave(self, worker: Worker) -> None:
-        at = self.place[worker.name]
-        self.total -= self.a[at] + self.up + self.b[at] + self.down
-        del self.workers[at], self.a[at], self.b[at], self.q[at]
-        self.place = {w.name: k for k, w in enumerate(self.workers)}
-        self.settle_all()
-
-    def learn(self, worker: Worker, reward: float, whole: bool = True) -> None:
-        """Reward or punish a neuron; `whole` is False for a job that has not ended or has failed."""
-        if whole:
-            self.threshold = KEEP * self.threshold + (1 - KEEP) * reward if self.threshold else reward
-        at, n, limit = self.place.get(worker.name), len(self.workers), self.threshold
-        if at is None or n < 2 or reward == limit or not limit:
-            return
-        # In units of T. A worse result must punish more: a loss counts for T/R, the mirror of a win's R/T.
-        size = min(max(reward / limit, limit / max(reward, limit / PAYOFF_CAP)), PAYOFF_CAP)
-        step = GAIN * size * self.total / (2 * n)
-        share = step / (n - 2 if n > 2 else 1)
-        if reward > limit:
-            self.a[at], self.b[at], self.down = self.a[at] + step, self.b[at] - share, self.down + share
-        else:
-            self.b[at], self.a[at], self.up = self.b[at] + step, self.a[at] - share, self.up + share
-        self.total += step + share * (n - 1)
-        self.settle(at)
-        self.unsettled += 1
-        if 2 * self.unsettled > n:
-            self.settle_all()
-
-    def settle(self, at: int) -> float:
-        """Equation (2) once for one neuron; returns how far it moved."""
-        n = len(self.q)
-        unit = n / ((n - 1) * self.total)
-        a, b, old = self.a[at] + self.up, self.b[at] + self.down, self.q[at]
-        rest = self.sum_q - old
-        new = min((0.25 + unit * a * rest) / (unit * (self.total - a - b + b * rest)), 1.0)
-        self.q[at], self.sum_q = new, rest + new
-        return abs(new - old)
-
-    def settle_all(self) -> None:
-        """Iterate equation (2) until it settles; also keep the raw weights in a range floats hold well."""
-        self.unsettled, n = 0, len(self.q)
-        if self.total > 1e9:
-            self.a = [(x + self.up) / self.total for x in self.a]
-            self.b = [(x + self.down) / self.total for x in self.b]
-            self.up = self.down = 0.0
-            self.total = sum(self.a) + sum(self.b)
-        self.sum_q = sum(self.q)
-        for _ in range(30 if n > 1 else 0):
-            if max([self.settle(k) for k in range(n)]) < SETTLED:
-                break
-
-
 class Attempt:
     """One sending of a job."""
 
@@ -172,9 +93,7 @@
     """A class with its network and what its jobs usually take. Its jobs keep it when other settings come."""
 
     def __init__(self, spec: m.JobClass, settings: m.Settings) -> None:
-        self.spec, self.set, self.net = spec, settings, Network()
-        anywhere = spec.effect is m.Effect.KEYED and spec.group is m.Group.ALL
-        self.harmless = anywhere or spec.effect is m.Effect.SAFE  # a repeat does no harm on any worker
+        self.spec, self.set, self.net = spec, settings, Network[Worker]()
         # Means of the hint, of the running time at size 1, and of that when nothing slows the fleet.
         self.hint = self.run = self.work = 0.0
         self.pace: dict[str, float] = {}  # running time of late on each kind of machine, at size 1
@@ -203,12 +122,11 @@
         self.workers: dict[str, Worker] = {}
         self.homes: list[str] = []  # workers that in a large fleet get this dispatcher's jobs first
         self.jobs: dict[str, Job] = {}
-        self.out: dict[Attempt, None] = {}  # attempts in flight, oldest first
+        self.out: dict[tuple[str, int], Attempt] = {}  # in flight by job and number, oldest first
         self.held: list[Job] = []
         self.on_settings(m.NewSettings(settings))
         self.mean_wait = self.mean_run = 0.0  # of late, over all workers and classes
-        # Where starts are not told, the first note of progress comes one interval after the start.
-        self.behind = 0.0 if settings.tells_start else settings.progress_every or float("inf")
+        self.behind = settings.start_heard_after
         self.ask_wait, self.begun_at = ASK_AGAIN / 8, now
         self.acts: list[m.Action] = [m.Wake("sweep", self.pause)]
         if settings.ask_for_list:  # spread out: a fleet that starts at once would swamp the list service
@@ -305,7 +223,7 @@
         if worker is not None:
             self.send(job, worker)
         elif not can or self.now + self.margin > job.settle_by:
-            ran = any(t.ran for t in job.tries) and not job.line.harmless
+            ran = any(t.ran for t in job.tries) and not job.spec.harmless
             self.acts.append(m.Fail(job.id) if ran else m.Refuse(job.id, self.advice(job.line)))
             self.close(job)
         return worker is not None or not job.open
@@ -316,9 +234,9 @@
         waits = [
             max(max(w.wait + w.wait_at, w.out_until, w.full_until, self.next_cold(w)) - now, 0.0)
             + w.own_queue(self.mean_run)
-            for w in line.net.workers
+            for w in line.net.neurons
         ]
-        held_first = len(self.held) * self.mean_run / max(sum(w.n - w.waiting for w in line.net.workers), 1)
+        held_first = len(self.held) * self.mean_run / max(sum(w.n - w.waiting for w in line.net.neurons), 1)
         wait = min(waits, default=longest) - max(line.bears(), 0.0) + held_first
         return min(max(wait, self.pause), longest)
 
@@ -326,7 +244,7 @@
         self.acts.append(m.Send(job.id, worker.name, within=self.within(job)))
         attempt = Attempt(job, len(job.tries), worker, self.now)
         job.tries.append(attempt)
-        self.out[attempt] = None
+        self.out[job.id, attempt.n] = attempt
         worker.n += 1
         worker.waiting += self.set.tells_start
         worker.room -= worker.room > 0
@@ -343,14 +261,13 @@
 
     def allowed(self, job: Job, worker: Worker) -> bool:
         """Where earlier attempts may have run: another worker, of the group that drops the repeat."""
-        group = m.Group.ALL if job.spec.effect is m.Effect.SAFE else job.spec.group
-        ran = [t.worker for t in job.tries if t.ran]
+        group, ran = job.spec.repeat_group, [t.worker for t in job.tries if t.ran]
         return all(w is not worker and w.group[group] == worker.group[group] for w in ran)
 
     def pick(self, job: Job) -> Worker | None:
         """The usable worker with the highest q / (1 + own jobs in flight), of a sample in large fleets."""
         net, rand, now = job.line.net, self.random.random, self.now
-        workers, q, n = net.workers, net.q, len(net.workers)
+        workers, q, n = net.neurons, net.q, len(net.neurons)
         many = 1 if rand() < EXPLORE else SAMPLE + 4 * n // self.set.dispatchers
         # By kind: time until the job can no longer end there in time, or hardly before the client gives up.
         kinds = {
@@ -360,7 +277,7 @@
         # The usual wait, where the last sends to a worker were likely others'; it drains when no job begins.
         usual = (1 - 1 / self.set.dispatchers) ** UNSEEN * max(self.mean_wait - (now - self.begun_at), 0.0)
         late = job.spec.late_worth > 0 and max(kinds.values(), default=0.0) < 0
-        left, paces = job.deadline - now, job.line.pace
+        left, paces, harmless = job.deadline - now, job.line.pace, job.spec.harmless
         # No queue grows longer than the hastiest class bears, by what earns less even less: it is held here.
         lines = self.lines.values()
         part = job.line.earns() / max(max(line.earns() for line in lines), 1e-9) if job.line.run else 1.0
@@ -374,7 +291,7 @@
                 w = workers[k]
                 if places is homes and (w.waiting or w.load(now) >= PLACES):
                     continue  # what others send elsewhere is not known, what is sent here nearly is
-                out = max(self.next_cold(w), w.out_until if job.line.harmless else w.shy_until)
+                out = max(self.next_cold(w), w.out_until if harmless else w.shy_until)
                 if out > now or (w.full_until > now and not w.room) or w in broken or 0 < w.slots <= w.n:
                     continue
                 age, own, unused = now - w.wait_at, w.own_queue(self.mean_run), now - w.cold_at > COLD_UNUSED
@@ -390,14 +307,14 @@
                     best, best_score = w, score
             if best is not None:
                 return best
-        if any(w.out_until <= now for w in workers):
-            return None  # else all are suspect: better a silent one of a few than none
-        some = [w for w in self.random.sample(workers, min(n, SAMPLE)) if not 0 < w.slots <= w.n]
-        return next((w for w in some if self.next_cold(w) <= now and self.allowed(job, w)), None)
+        # Where all are suspect, better a silent one of a few than none.
+        some = [] if any(w.out_until <= now for w in workers) else self.random.sample(workers, min(n, SAMPLE))
+        free = (w for w in some if not 0 < w.slots <= w.n and self.next_cold(w) <= now)
+        return next((w for w in free if self.allowed(job, w)), None)
 
     def on_note(self, event: m.JobNote | m.StreamBegun) -> None:
-        attempt = self.find(event.id, event.attempt)
-        if attempt is not None and attempt.out:
+        attempt = self.out.get((event.id, event.attempt))
+        if attempt is not None:
             self.hear(attempt.worker)
             self.begin(attempt, self.behind)
 
@@ -414,27 +331,22 @@
 
     def copy(self, job: Job) -> None:
         """Send a job again whose attempts are lost, where it may run twice."""
-        can = job.open and job.line.harmless and job.set.second_copies and self.within(job) > 0
+        can = job.open and job.spec.harmless and job.set.second_copies and self.within(job) > 0
         if can and len(job.tries) < job.set.try_limit and not any(t.out and not t.lost for t in job.tries):
             worker = self.pick(job) if job.deadline > self.now else None
             if worker is not None:
                 self.send(job, worker)
 
-    def find(self, request: str, n: int) -> Attempt | None:
-        job = self.jobs.get(request)
-        return job.tries[n] if job and 0 <= n < len(job.tries) else None
-
     def hear(self, worker: Worker) -> None:
         worker.heard, worker.strikes, worker.out_until, worker.shy_until = self.now, 0, 0.0, 0.0
 
     def on_outcome(self, event: m.Outcome) -> None:
-        attempt = self.find(event.id, event.attempt)
-        if attempt is None or not attempt.out:
+        attempt = self.out.pop((event.id, event.attempt), None)
+        if attempt is None:
             return
         job, worker, lost, how = attempt.job, attempt.worker, attempt.lost, event.how
         self.lose(attempt, False)
         attempt.out = False
-        del self.out[attempt]
         worker.n -= 1
         attempt.ran = how not in m.NEVER_RAN
         worker.room = int(attempt.ran)
@@ -458,7 +370,6 @@
                 self.suspect(worker)
             elif not attempt.ran:
                 # Until then one job goes there for each own job that ends: more would race for one free slot.
-                worker.room = 0
                 rest = FULL_REST * (job.line.run or job.spec.aim)
                 worker.full_until = self.now + rest * (0.5 + self.random.random())
             job.line.net.learn(worker, 0.0, whole=False)
@@ -515,11 +426,6 @@
         if not out:
             self.jobs.pop(job.id, None)
 
-    def avoids(self, now: float) -> set[str]:
-        """Workers that are left out now, for silence or for faults."""
-        workers, lines = self.workers.values(), self.lines.values()
-        return {w.name for w in workers if w.out_until > now or all(w.broken(c, now) for c in lines)}
-
     def retry_held(self, many: int) -> None:
         """Try to place held jobs, of those that earn most the newest first: oldest first makes all late."""
         self.held.sort(key=lambda job: job.line.earns())
@@ -533,12 +439,12 @@
         if event.label == "watch":
             self.acts.append(m.Watch())
         elif event.label == "sweep":
-            self.acts.append(m.Wake("sweep", self.pause))
             self.sweep()
 
     def sweep(self) -> None:
+        self.acts.append(m.Wake("sweep", self.pause))
         now = self.now
-        for attempt in list(self.out):
+        for attempt in list(self.out.values()):
             line, spec, worker = attempt.job.line, attempt.job.spec, attempt.worker
             age = now - attempt.sent - self.behind  # it would have been heard of had it begun before that
             if attempt.begun is not None or age < OVERDUE * spec.aim:
--- a/bitternpath/handover/learned.py
+++ b/bitternpath/handover/learned.py
@@ -12,7 +12,8 @@
 
 from msgspec import Struct
 
-from bitternpath.brain import Dispatcher, Network
+from bitternpath.brain import Dispatcher, Worker
+from bitternpath.dispatch.network import Network
 
 
 class LearnedWorker(Struct):
@@ -46,7 +47,7 @@
     """All of it, as it is now."""
     workers = []
     for w in module.workers.values():
-        out = [t for t in module.out if t.worker is w and not t.lost]
+        out = [t for t in module.out.values() if t.worker is w and not t.lost]
         ends = [(t.begun or t.sent + w.wait) + t.job.line.run * t.job.size for t in out]
         times = (w.heard, w.out_until, w.full_until, w.shy_until, w.last_begun)
         workers.append(
@@ -59,7 +60,8 @@
     for line in module.lines.values():
         net = line.net
         neurons = {
-            w.name: (net.a[k] + net.up, net.b[k] + net.down, net.q[k]) for k, w in enumerate(net.workers)
+            w.name: (net.plus[k] + net.plus_all, net.minus[k] + net.minus_all, net.q[k])
+            for k, w in enumerate(net.neurons)
         }
         classes.append(
             LearnedClass(
@@ -115,13 +117,13 @@
     return True
 
 
-def _teach_network(net: Network, told: LearnedClass) -> None:
-    known = [told.neurons[w.name] for w in net.workers if w.name in told.neurons]
+def _teach_network(net: Network[Worker], told: LearnedClass) -> None:
+    known = [told.neurons[w.name] for w in net.neurons if w.name in told.neurons]
     if not known:
         return
     mean = tuple(sum(column) / len(known) for column in zip(*known, strict=True))
-    rows = [told.neurons.get(w.name, mean) for w in net.workers]
-    net.a, net.b, net.q = ([row[k] for row in rows] for k in range(3))
-    net.up = net.down = 0.0
-    net.total, net.threshold = sum(net.a) + sum(net.b), told.threshold
+    rows = [told.neurons.get(w.name, mean) for w in net.neurons]
+    net.plus, net.minus, net.q = ([row[k] for row in rows] for k in range(3))
+    net.plus_all = net.minus_all = 0.0
+    net.total, net.threshold = sum(net.plus) + sum(net.minus), told.threshold
     net.settle_all()
--- a/bitternpath/http/operations.py
+++ b/bitternpath/http/operations.py
@@ -6,6 +6,7 @@
 from functools import partial
 
 from bitternpath import messages as m
+from bitternpath.brain import Dispatcher
 from bitternpath.core.broker import Broker
 from bitternpath.core.roster import Roster
 from bitternpath.http.console import Answer, Routes, one_id
@@ -15,6 +16,12 @@
 DOWN, UP = b"/ops/calendar-workers/down", b"/ops/calendar-workers/up"
 
 
+def avoided(module: Dispatcher, now: float) -> set[str]:
+    """Names of the workers that the dispatcher leaves out at `now` (ms), for silence or for faults."""
+    workers, lines = module.workers.values(), module.lines.values()
+    return {w.name for w in workers if w.out_until > now or all(w.broken(line, now) for line in lines)}
+
+
 class Operations:
     """The calls of the console."""
 
@@ -23,12 +30,12 @@
         broker: Broker,
         roster: Roster,
         clock: Callable[[], float],
-        avoids: Callable[[float], set[str]],
+        module: Dispatcher,
         serves: Callable[[], bool],
         bans: Bans,
     ) -> None:
         self.bans = bans
-        self.broker, self.roster, self.clock, self.avoids, self.serves = broker, roster, clock, avoids, serves
+        self.broker, self.roster, self.clock, self.module, self.serves = broker, roster, clock, module, serves
         gauges = {"hosts_listed": lambda: len(roster.providers), "hosts_down": self.down}
         broker.figures.has(gauges=gauges)
 
@@ -59,5 +66,5 @@
 
     def down(self) -> int:
         """Listed providers that the node avoids now: out by hand, draining, or left out by the module."""
-        avoided = self.avoids(self.clock())
-        return sum(p.id in avoided or p.state is not m.State.SERVING for p in self.roster.providers.values())
+        left_out = avoided(self.module, self.clock())
+        return sum(p.id in left_out or p.state is not m.State.SERVING for p in self.roster.providers.values())
--- a/bitternpath/messages.py
+++ b/bitternpath/messages.py
@@ -82,6 +82,16 @@
     priority: int = 0
     stretch: float = 0.0  # the aim grows by this multiple of the job's own work
 
+    @property
+    def repeat_group(self) -> Group:
+        """Which workers may run a job again that another of them may have run (none if it is unsafe)."""
+        return Group.ALL if self.effect is Effect.SAFE else self.group
+
+    @property
+    def harmless(self) -> bool:
+        """Whether a repeat does no harm on any worker."""
+        return self.effect is not Effect.UNSAFE and self.repeat_group is Group.ALL
+
     def same(self, other: JobClass) -> bool:
         """Whether what was learned of the other holds for this one: rules, but not effects, may differ."""
         return (self.effect, self.group, self.kind) == (other.effect, other.group, other.kind)
@@ -138,6 +148,13 @@
     waste_price: float = 0.0
     cross_zone_price: float = 0.0
 
+    @property
+    def start_heard_after(self) -> float:
+        """Time (ms) from a job's start to the first word of it; infinite if none comes.
+
+        Where starts are not told, the first note of progress comes one interval after the start."""
+        return 0.0 if self.tells_start else self.progress_every or inf
+
     def __post_init__(self) -> None:
         if not self.classes:
             raise ValueError("classes: at least one is needed")
--- a/bitternpath/node.py
+++ b/bitternpath/node.py
@@ -134,8 +134,7 @@
         bans = self.bans = Bans(
             self.reactor, self.clock, self.roster, TakenOut(folder / f"bitternpath-{name}-out")
         )
-        avoids = self.module.avoids
-        operations = Operations(self.broker, self.roster, self.clock, avoids, self._serves, bans)
+        operations = Operations(self.broker, self.roster, self.clock, self.module, self._serves, bans)
         self.console = Console(self.reactor, where, operations.routes())
         handover = self.handover = Handover(
             self.reactor, folder, name, self.broker, self.roster, self.module, self.sockets, self.life
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -219,12 +219,12 @@
     desk = Desk(effect, providers=4)
     nets = [line.net for line in desk.module.lines.values()]
     desk.invoke()
-    before = [(net.a[:], net.b[:], net.up, net.down) for net in nets]
+    before = [(net.plus[:], net.minus[:], net.plus_all, net.minus_all) for net in nets]
     desk.broker.unusable(desk.calls[0])
     desk.broker.ended(desk.calls[0], m.How.RESET)
     desk.pass_time(50.0)
     assert desk.answers == [("failed",)] and len(desk.calls) == 1 and not desk.broker.live
-    assert before == [(net.a[:], net.b[:], net.up, net.down) for net in nets]
+    assert before == [(net.plus[:], net.minus[:], net.plus_all, net.minus_all) for net in nets]
     assert all(worker.n == 0 and worker.waiting == 0 for worker in desk.module.workers.values())
 
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -120,8 +120,8 @@
     for name in "ab":
         mine, theirs = new.d.lines[name], old.d.lines[name]
         assert (mine.run, mine.pace, mine.ended) == (theirs.run, theirs.pace, theirs.ended)
-        want = dict(zip((w.name for w in theirs.net.workers), theirs.net.q, strict=True))
-        got = dict(zip((w.name for w in mine.net.workers), mine.net.q, strict=True))
+        want = dict(zip((w.name for w in theirs.net.neurons), theirs.net.q, strict=True))
+        got = dict(zip((w.name for w in mine.net.neurons), mine.net.q, strict=True))
         assert max(want, key=want.__getitem__) == max(got, key=got.__getitem__)
         assert got["w1"] < min(got[w] for w in ("w0", "w2", "w3"))
         assert got == pytest.approx(want, abs=0.05)
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -92,7 +92,7 @@
         worker.full_until, worker.room = (0.0 if worker.name == home else talk.now + 60_000.0), 0
     for turn in range(5):
         talk.ask(f"r{turn}")
-        out = [t for t in talk.d.out if t.worker.name == home]
+        out = [t for t in talk.d.out.values() if t.worker.name == home]
         assert len(out) == 1, turn
         talk.say(m.JobNote(out[0].job.id, out[0].n, home))
         talk.end(out[0].job.id, home, m.How.OK, after=300.0)  # three times as long as on a warm one
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -7,7 +7,8 @@
 import pytest
 from helpers import entry
 
-from bitternpath import brain
+from bitternpath.brain import Worker
+from bitternpath.dispatch import network
 
 
 class Dense:
@@ -21,11 +22,11 @@
 
     def learn(self, at: int, reward: float) -> None:
         n = self.n
-        self.t = brain.KEEP * self.t + (1 - brain.KEEP) * reward if self.t else reward
+        self.t = network.KEEP * self.t + (1 - network.KEEP) * reward if self.t else reward
         if reward == self.t:
             return
-        size = min(max(reward / self.t, self.t / max(reward, 1e-9)), brain.PAYOFF_CAP)
-        step = brain.GAIN * size / (2 * (n - 1))
+        size = min(max(reward / self.t, self.t / max(reward, 1e-9)), network.PAYOFF_CAP)
+        step = network.GAIN * size / (2 * (n - 1))
         up, down = (self.plus, self.minus) if reward > self.t else (self.minus, self.plus)
         for j in range(n):
             if j != at:
@@ -51,8 +52,8 @@
 
 @pytest.mark.parametrize("n", [2, 3, 8, 25])
 def test_factored_network_solves_the_papers_equations(n: int) -> None:
-    rand, dense, net = Random(n), Dense(n), brain.Network()
-    workers = [brain.Worker(entry(f"w{k}")) for k in range(n)]
+    rand, dense, net = Random(n), Dense(n), network.Network[Worker]()
+    workers = [Worker(entry(f"w{k}")) for k in range(n)]
     for worker in workers:
         net.join(worker)
     for _ in range(300):
@@ -63,35 +64,35 @@
     net.settle_all()
     assert net.threshold == pytest.approx(dense.t)
     wanted = dense.solve()
-    assert net.q == pytest.approx(wanted, abs=5 * brain.SETTLED)
+    assert net.q == pytest.approx(wanted, abs=5 * network.SETTLED)
     assert max(wanted) - min(wanted) > 0.01
 
 
 def test_new_network_has_equal_q() -> None:
-    net = brain.Network()
+    net = network.Network[Worker]()
     for k in range(5):
-        net.join(brain.Worker(entry(f"w{k}")))
-    assert max(net.q) - min(net.q) < brain.SETTLED
+        net.join(Worker(entry(f"w{k}")))
+    assert max(net.q) - min(net.q) < network.SETTLED
 
 
 def test_a_tie_and_a_single_worker_change_nothing() -> None:
-    net = brain.Network()
-    one, two = brain.Worker(entry("w0")), brain.Worker(entry("w1"))
+    net = network.Network[Worker]()
+    one, two = Worker(entry("w0")), Worker(entry("w1"))
     net.join(one)
     net.learn(one, 3.0)
     net.learn(one, 5.0)
-    assert net.a == [0.5] and net.b == [0.5]
+    assert net.plus == [0.5] and net.minus == [0.5]
     net.join(two)
-    before = (net.a[:], net.b[:], net.up, net.down)
+    before = (net.plus[:], net.minus[:], net.plus_all, net.minus_all)
     net.learn(two, net.threshold)
-    assert (net.a, net.b, net.up, net.down) == before
+    assert (net.plus, net.minus, net.plus_all, net.minus_all) == before
 
 
 def test_better_worker_gets_the_higher_q_and_worse_results_punish_more() -> None:
     nets = []
     for bad in (0.5, 0.1):
-        net = brain.Network()
-        workers = [brain.Worker(entry(f"w{k}")) for k in range(4)]
+        net = network.Network[Worker]()
+        workers = [Worker(entry(f"w{k}")) for k in range(4)]
         for worker in workers:
             net.join(worker)
         for _ in range(20):
@@ -104,8 +105,8 @@
 
 
 def test_leaving_and_joining_keep_what_is_known_of_the_rest() -> None:
-    net = brain.Network()
-    workers = [brain.Worker(entry(f"w{k}", kind="x" if k < 3 else "y")) for k in range(6)]
+    net = network.Network[Worker]()
+    workers = [Worker(entry(f"w{k}", kind="x" if k < 3 else "y")) for k in range(6)]
     for worker in workers:
         net.join(worker)
     for turn in range(60):
@@ -115,6 +116,6 @@
     assert set(net.place) == set(kept)
     now = {name: net.q[at] for name, at in net.place.items()}
     assert min(now["w1"], now["w2"]) > max(now["w3"], now["w4"], now["w5"])
-    fresh = brain.Worker(entry("new", kind="x"))
+    fresh = Worker(entry("new", kind="x"))
     net.join(fresh)
     assert net.q[net.place["new"]] > net.q[net.place["w4"]]
--- a/tests/test_new_settings.py
+++ b/tests/test_new_settings.py
@@ -131,7 +131,7 @@
         and lines["b"].spec.aim == 300.0
     )
     assert lines["a"].net is not before["a"].net and lines["a"].ended == 0
-    assert all(len(line.net.workers) == 4 for line in lines.values())
+    assert all(len(line.net.neurons) == 4 for line in lines.values())
     assert len(sends(talk.ask("c1", "c"))) == 1
 
 
--- a/tests/test_strain.py
+++ b/tests/test_strain.py
@@ -269,7 +269,7 @@
 
 def out_at(talk: Talk, worker: str, job: str) -> str:
     """A job of the class that is out at the worker."""
-    return next(a.job.id for a in talk.d.out if a.worker.name == worker and a.job.spec.name == job)
+    return next(a.job.id for a in talk.d.out.values() if a.worker.name == worker and a.job.spec.name == job)
 
 
 def test_errors_keep_a_class_away_and_those_of_two_classes_any_job() -> None:
@@ -325,7 +325,7 @@
         for worker in sorted(everywhere):
             talk.say(m.JobNote(out_at(talk, worker, "other"), 0, worker))
         talk.sweep(20.0)
-        assert talk.d.find(name, 0).lost == in_order  # type: ignore[union-attr]
+        assert talk.d.out[name, 0].lost == in_order
         assert ("w0" in sent_to(talk, "other", 6)) == in_order
         talk.now += 500.0
         assert ("w0" in sent_to(talk, "once")) != in_order
