Decisions of the node in dispatch/: network, workers, jobs, dispatcher; brain.py goes

Cause: one file held four concerns, and its name said nothing. Change: dispatch/workers.py (a worker as known), dispatch/jobs.py (classes with what is learned of them, jobs, attempts) and dispatch/dispatcher.py (event handlers, choice of a worker). ClassLine is ClassState; what a list entry says (runs a class, group of repeats) is asked of messages.Entry; to hear of a start and to note it were always one step (Dispatcher.begin).

--- a/bitternpath/brain.py
+++ b/bitternpath/dispatch/dispatcher.py
@@ -1,14 +1,13 @@
 """All decisions of a dispatcher: `handle` takes an event, returns actions (messages.py). Times are in ms."""
 
-from __future__ import annotations
-
 from collections.abc import Callable
 from copy import copy
 from math import ceil, inf
 from random import Random
 
 from bitternpath import messages as m
-from bitternpath.dispatch.network import Network
+from bitternpath.dispatch.jobs import QUICK, SLOW, Attempt, ClassState, Job
+from bitternpath.dispatch.workers import Worker
 
 FULL_REST = 2.0  # mean running times for which a worker that turned a job away is held to be full
 CHANCE = 0.5  # of the usual running time: with less left before the deadline a job is not worth a try
@@ -16,7 +15,6 @@
 UNSEEN = 2  # sends: an unseen queue is as usual with the chance that so many in a row were others'
 PLACES = 2  # own jobs at once at a home: a job for each core of the operators' machines
 EXPLORE = 0.05  # share of jobs that go to a random usable worker
-SLOW, QUICK = 0.02, 0.1  # weight of one job in means that last and in means that follow the day
 OVERDUE = 0.5  # of the aim: a job that has not begun by then scores its long time early
 FAULTY, MOST_FAULTS = 4_000.0, 3  # ms without jobs of a class after a fault, doubled by so many before it
 OVERTAKEN = 300.0  # ms: a job that has not begun though one sent so much later has, is lost
@@ -28,97 +26,12 @@
 COLD_IDLE, COLD_UNUSED = 0.3, 4_000.0  # of a job: the gap at an idle cold home; ms until it goes first
 
 
-class Worker:
-    """A worker as this dispatcher knows it."""
-
-    def __init__(self, entry: m.Entry, warm_within: float = 0.0) -> None:
-        self.name, self.kind, self.up = entry.worker, entry.kind, entry.up_since or 0.0
-        self.serves = entry.classes  # the only ones; None: all that its kind runs
-        self.group = {m.Group.ALL: "", m.Group.ZONE: entry.zone, m.Group.CELL: str(entry.cell)}
-        self.n = self.strikes = self.slots = 0  # own jobs in flight, silences in a row, places (0: not told)
-        self.heard = self.out_until = self.full_until = self.shy_until = self.last_begun = 0.0
-        # By class: faults not made up for by a job that ended well, until when any and unsafe jobs stay away.
-        self.faults: dict[str, tuple[int, float, float]] = {}
-        self.warm_at = self.up + warm_within if self.up else 0.0
-        self.cold_at = self.cold_work = 0.0  # of the last job while cold: when it was sent, and its work
-        self.wait = self.wait_at = 0.0  # how long a job there had waited to begin, and when that was seen
-        self.called_off: list[float] = []  # when jobs that nobody waits for any more should end
-        self.waiting = self.room = 0  # own jobs not begun; sends allowed while it is held to be full
-
-    def broken(self, line: ClassLine, now: float) -> bool:
-        """Whether faults keep jobs of the class away: its own, or those of two classes any job."""
-        kept = [name for name, fault in self.faults.items() if fault[1 if line.spec.harmless else 2] > now]
-        return len(kept) > 1 or self.faults.get(line.spec.name, (0, 0.0, 0.0))[1] > now
-
-    def load(self, now: float) -> int:
-        """Own jobs there, those too that were called off: workers finish what they have."""
-        self.called_off = [end for end in self.called_off if end > now]
-        return self.n + len(self.called_off)
-
-    def own_queue(self, run: float) -> float:
-        """How long own jobs that have not begun keep the slots busy that own jobs have there."""
-        return self.waiting * run / max(self.n - self.waiting, 1)
-
-
-class Attempt:
-    """One sending of a job."""
-
-    def __init__(self, job: Job, n: int, worker: Worker, now: float) -> None:
-        self.job, self.n, self.worker, self.sent = job, n, worker, now
-        self.out = self.ran = True  # still out; may have run
-        self.begun: float | None = None
-        self.lost = self.scored = False  # will likely never begin, and so does not count as in flight
-
-
-class Job:
-    """A request and its attempts."""
-
-    def __init__(self, request: m.Request, line: ClassLine, now: float, marked: bool) -> None:
-        self.id, self.request, self.line, self.spec, self.set = request.id, request, line, line.spec, line.set
-        self.deadline, self.open = now + request.remaining, True
-        self.tries: list[Attempt] = []
-        if request.hint:
-            line.hint += SLOW * (request.hint - line.hint) if line.hint else request.hint
-        self.size = request.hint / line.hint if request.hint else 1.0  # 1 is the mean
-        # A client's earlier tries have used up some of the aim, as the time that it still gives us shows.
-        line.patience = max(line.patience, request.remaining)
-        used = line.patience - request.remaining if request.repeat or not marked else 0.0
-        self.end_by = now - used + self.spec.aim + self.spec.stretch * (request.hint or line.work)
-        # What would end late for nothing, or after the deadline, is turned away early: it takes up a place.
-        least = min(line.pace.values(), default=0.0) * self.size
-        self.settle_by = (self.deadline if self.spec.late_worth else min(self.end_by, self.deadline)) - least
-
-
-class ClassLine:
-    """A class with its network and what its jobs usually take. Its jobs keep it when other settings come."""
-
-    def __init__(self, spec: m.JobClass, settings: m.Settings) -> None:
-        self.spec, self.set, self.net = spec, settings, Network[Worker]()
-        # Means of the hint, of the running time at size 1, and of that when nothing slows the fleet.
-        self.hint = self.run = self.work = 0.0
-        self.pace: dict[str, float] = {}  # running time of late on each kind of machine, at size 1
-        self.ended, self.patience = 0, 0.0  # jobs ended; the longest time that a client gave a try
-
-    def join(self, worker: Worker) -> None:
-        served = worker.serves is None or self.spec.name in worker.serves
-        if served and self.spec.kind in (None, worker.kind) and worker.name not in self.net.place:
-            self.net.join(worker)
-
-    def earns(self) -> float:
-        """Worth per time on a worker."""
-        return self.spec.value / self.run if self.run else 0.0
-
-    def bears(self) -> float:
-        """How long its usual job can wait and still end in time."""
-        return self.spec.aim + self.spec.stretch * self.work - min(self.pace.values(), default=0.0)
-
-
 class Dispatcher:
     """One dispatcher; instances share nothing."""
 
     def __init__(self, settings: m.Settings, seed: int, now: float) -> None:
         self.random, self.now, self.part = Random(seed), now, 1.0  # this process's part of the dispatcher
-        self.lines: dict[str, ClassLine] = {}
+        self.lines: dict[str, ClassState] = {}
         self.workers: dict[str, Worker] = {}
         self.homes: list[str] = []  # workers that in a large fleet get this dispatcher's jobs first
         self.jobs: dict[str, Job] = {}
@@ -149,7 +62,7 @@
         self.set, before, self.lines = event.settings, self.lines, {}
         for spec in self.set.classes:
             old = before.get(spec.name)
-            line = copy(old) if old and spec.same(old.spec) else ClassLine(spec, self.set)
+            line = copy(old) if old and spec.same(old.spec) else ClassState(spec, self.set)
             line.spec, line.set, self.lines[spec.name] = spec, self.set, line
             for worker in self.workers.values():
                 line.join(worker)
@@ -228,7 +141,7 @@
             self.close(job)
         return worker is not None or not job.open
 
-    def advice(self, line: ClassLine) -> float:
+    def advice(self, line: ClassState) -> float:
         """When the client may come again: a place where its job ends in time should be free by then."""
         now, longest = self.now, self.set.max_retry_after
         waits = [
@@ -262,7 +175,7 @@
     def allowed(self, job: Job, worker: Worker) -> bool:
         """Where earlier attempts may have run: another worker, of the group that drops the repeat."""
         group, ran = job.spec.repeat_group, [t.worker for t in job.tries if t.ran]
-        return all(w is not worker and w.group[group] == worker.group[group] for w in ran)
+        return all(w is not worker and w.entry.within(group) == worker.entry.within(group) for w in ran)
 
     def pick(self, job: Job) -> Worker | None:
         """The usable worker with the highest q / (1 + own jobs in flight), of a sample in large fleets."""
@@ -279,10 +192,10 @@
         late = job.spec.late_worth > 0 and max(kinds.values(), default=0.0) < 0
         left, paces, harmless = job.deadline - now, job.line.pace, job.spec.harmless
         # No queue grows longer than the hastiest class bears, by what earns less even less: it is held here.
-        lines = self.lines.values()
-        part = job.line.earns() / max(max(line.earns() for line in lines), 1e-9) if job.line.run else 1.0
-        longest = part * min(line.bears() for line in lines)
-        broken = [w for w in workers if w.faults and w.broken(job.line, now)]
+        most = max(1e-9, *(line.earns() for line in self.lines.values()))
+        part = job.line.earns() / most if job.line.run else 1.0
+        longest = part * min(line.bears() for line in self.lines.values())
+        broken = [w for w in workers if w.faults and w.broken(job.line.spec, now)]
         broken = broken if 2 * len(broken) <= n else []  # else it is hardly the workers' fault
         best, best_score = None, 0.0
         homes = [net.place[name] for name in self.homes if name in net.place] if 1 < many < n else []
@@ -315,14 +228,16 @@
     def on_note(self, event: m.JobNote | m.StreamBegun) -> None:
         attempt = self.out.get((event.id, event.attempt))
         if attempt is not None:
-            self.hear(attempt.worker)
             self.begin(attempt, self.behind)
 
     def begin(self, attempt: Attempt, since: float) -> None:
+        """The worker was heard from: a job there has begun, at the latest so long (ms) ago."""
+        worker = attempt.worker
+        worker.heard, worker.strikes, worker.out_until, worker.shy_until = self.now, 0, 0.0, 0.0
         if attempt.begun is not None:
             return
         self.lose(attempt, False)
-        attempt.begun, worker = max(self.now - since, attempt.sent), attempt.worker
+        attempt.begun = max(self.now - since, attempt.sent)
         worker.waiting -= self.set.tells_start
         weight = min((self.now - self.begun_at) / (4 * self.set.fall_span), 0.5)  # by time, not by jobs
         worker.wait, worker.wait_at, self.begun_at = attempt.begun - attempt.sent, self.now, self.now
@@ -337,9 +252,6 @@
             if worker is not None:
                 self.send(job, worker)
 
-    def hear(self, worker: Worker) -> None:
-        worker.heard, worker.strikes, worker.out_until, worker.shy_until = self.now, 0, 0.0, 0.0
-
     def on_outcome(self, event: m.Outcome) -> None:
         attempt = self.out.pop((event.id, event.attempt), None)
         if attempt is None:
@@ -351,7 +263,6 @@
         attempt.ran = how not in m.NEVER_RAN
         worker.room = int(attempt.ran)
         if how is m.How.OK:
-            self.hear(worker)
             faults = worker.faults.pop(job.spec.name, (0, 0.0, 0.0))[0]
             if faults > 1:
                 worker.faults[job.spec.name] = faults - 1, 0.0, 0.0
@@ -382,14 +293,13 @@
 
     def score(self, attempt: Attempt, elapsed: float) -> None:
         """Payoff 1/G of a job that ended: G is its time over its size."""
-        line, size = attempt.job.line, attempt.job.size
+        line, size, kind = attempt.job.line, attempt.job.size, attempt.worker.kind
         run = elapsed - (attempt.begun or attempt.sent) + attempt.sent
         line.ended += 1
         line.run += max(SLOW, 1 / line.ended) * (run / size - line.run)
         # Falls at once and rises slowly: strain must not pass for heavier work that has more time to end.
         line.work = min(line.run, line.work * (1 + SLOW / 100)) if line.ended > 1 / SLOW else line.run
         self.mean_run += SLOW * (run - self.mean_run) if self.mean_run else run
-        kind = attempt.worker.kind
         line.pace[kind] = line.pace.get(kind, run / size) * (1 - QUICK) + run / size * QUICK
         # A heavy job is not its worker's fault: running time counts up to three times the usual.
         goal = elapsed - run + min(run, 3 * line.run * size)
@@ -401,7 +311,7 @@
         rest = 4 * self.aim * min(2**worker.strikes, 16) * (0.5 + self.random.random())
         worker.out_until, worker.shy_until = self.now + rest, self.now + 2 * rest
 
-    def fault(self, worker: Worker, line: ClassLine) -> None:
+    def fault(self, worker: Worker, line: ClassState) -> None:
         """Keep a class away for a while: a worker that fails at once is idle and would draw job after job."""
         before = worker.faults.get(line.spec.name, (0, 0.0, 0.0))[0]
         rest = FAULTY * 2**before * (0.5 + self.random.random())
--- a/bitternpath/dispatch/network.py
+++ b/bitternpath/dispatch/network.py
@@ -2,8 +2,6 @@
 
 Source: Wang, Brun, Gelenbe, "Online Work Distribution to Clouds" (MASCOTS 2016), section II."""
 
-from __future__ import annotations
-
 from typing import Generic, Protocol, TypeVar
 
 GAIN = 0.15  # what a payoff equal to the threshold adds, as a share of a neuron's mean excitatory weight
--- a/bitternpath/emulator/policies.py
+++ b/bitternpath/emulator/policies.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from bitternpath import messages as m
-from bitternpath.brain import Dispatcher
+from bitternpath.dispatch.dispatcher import Dispatcher
 
 WEIGHT = 0.2  # of the last job in an EWMA
 PENALTY = 3.0  # by which a failure counts as longer
--- a/bitternpath/handover/handover.py
+++ b/bitternpath/handover/handover.py
@@ -13,11 +13,11 @@
 from twisted.internet.endpoints import UNIXClientEndpoint, connectProtocol
 from twisted.internet.error import CannotListenError
 
-from bitternpath.brain import Dispatcher
 from bitternpath.core.broker import Broker
 from bitternpath.core.invocations import News
 from bitternpath.core.lifecycle import LifeCycle, Word
 from bitternpath.core.roster import Roster
+from bitternpath.dispatch.dispatcher import Dispatcher
 from bitternpath.handover.learned import Learned, learned_by, teach
 from bitternpath.handover.link import Door, Link
 from bitternpath.handover.messages import VERSION, Declined, Heard, Hello, Passed, Ready, Said, Taken, Welcome
--- a/bitternpath/handover/learned.py
+++ b/bitternpath/handover/learned.py
@@ -12,8 +12,9 @@
 
 from msgspec import Struct
 
-from bitternpath.brain import Dispatcher, Worker
+from bitternpath.dispatch.dispatcher import Dispatcher
 from bitternpath.dispatch.network import Network
+from bitternpath.dispatch.workers import Worker
 
 
 class LearnedWorker(Struct):
--- a/bitternpath/http/operations.py
+++ b/bitternpath/http/operations.py
@@ -6,9 +6,9 @@
 from functools import partial
 
 from bitternpath import messages as m
-from bitternpath.brain import Dispatcher
 from bitternpath.core.broker import Broker
 from bitternpath.core.roster import Roster
+from bitternpath.dispatch.dispatcher import Dispatcher
 from bitternpath.http.console import Answer, Routes, one_id
 from bitternpath.store.bans import Bans
 
@@ -19,7 +19,7 @@
 def avoided(module: Dispatcher, now: float) -> set[str]:
     """Names of the workers that the dispatcher leaves out at `now` (ms), for silence or for faults."""
     workers, lines = module.workers.values(), module.lines.values()
-    return {w.name for w in workers if w.out_until > now or all(w.broken(line, now) for line in lines)}
+    return {w.name for w in workers if w.out_until > now or all(w.broken(line.spec, now) for line in lines)}
 
 
 class Operations:
--- a/bitternpath/messages.py
+++ b/bitternpath/messages.py
@@ -248,6 +248,14 @@
     classes: frozenset[str] | None = None  # the only classes that it serves; None: all that its kind runs
     slots: int = 0  # jobs that it takes at once; 0: not told
 
+    def runs(self, spec: JobClass) -> bool:
+        """Whether it runs jobs of the class."""
+        return spec.kind in (None, self.kind) and (self.classes is None or spec.name in self.classes)
+
+    def within(self, group: Group) -> str:
+        """Name of its group of that sort; all workers of one name drop each other's repeats."""
+        return {Group.ALL: "", Group.ZONE: self.zone, Group.CELL: str(self.cell)}[group]
+
 
 class WorkerList(Struct):
     """News of the worker list."""
--- a/bitternpath/node.py
+++ b/bitternpath/node.py
@@ -18,7 +18,6 @@
 from twisted.python.failure import Failure
 
 from bitternpath import messages as m
-from bitternpath.brain import Dispatcher
 from bitternpath.config.load import Loaded
 from bitternpath.config.operator import changed_at_start_only
 from bitternpath.config.platform import Address, Config, ConfigError, address
@@ -28,6 +27,7 @@
 from bitternpath.core.invocations import Invoker
 from bitternpath.core.lifecycle import NEW_ONES_ARRIVE, LifeCycle, Phase, Word
 from bitternpath.core.roster import Listing, Roster
+from bitternpath.dispatch.dispatcher import Dispatcher
 from bitternpath.http.front import Listener
 from bitternpath.http.invoker import Pool
 from bitternpath.http.watch import Watch
--- a/bitternpath/simhost.py
+++ b/bitternpath/simhost.py
@@ -13,7 +13,7 @@
 import orjson
 
 from bitternpath import messages as m
-from bitternpath.brain import Dispatcher
+from bitternpath.dispatch.dispatcher import Dispatcher
 from bitternpath.settings import settings_from
 
 ENDS = {
--- a/tests/amqp_rig.py
+++ b/tests/amqp_rig.py
@@ -21,11 +21,11 @@
 from bitternpath.amqp.invoker import Subscribers
 from bitternpath.amqp.queues import Queues
 from bitternpath.amqp.server import AmqpConnection, AmqpServer
-from bitternpath.brain import Dispatcher
 from bitternpath.config.operator import Amqp
 from bitternpath.core.broker import Broker
 from bitternpath.core.invocations import Invocation, InvokerCall
 from bitternpath.core.roster import Listing, Provider, Roster
+from bitternpath.dispatch.dispatcher import Dispatcher
 
 c = commands
 GUEST = "\x00guest\x00guest"
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -8,10 +8,10 @@
 from twisted.internet.task import Clock as Reactor
 
 from bitternpath import messages as m
-from bitternpath.brain import Dispatcher
 from bitternpath.core.broker import Broker
 from bitternpath.core.invocations import Invocation, InvokerCall, News, State
 from bitternpath.core.roster import Listing, Provider, Roster
+from bitternpath.dispatch.dispatcher import Dispatcher
 
 
 class Desk:
--- a/tests/test_strain.py
+++ b/tests/test_strain.py
@@ -7,8 +7,8 @@
 import pytest
 from helpers import Talk, entry, finals, job_class, sends
 
-from bitternpath import brain
 from bitternpath import messages as m
+from bitternpath.dispatch import dispatcher
 
 
 def teach(talk: Talk, run: float, rounds: int = 30, wait: float = 0.0, job: str = "job") -> None:
@@ -38,7 +38,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Its small share kept it behind every idle warm worker: called back by staff, it stood unused."""
-    monkeypatch.setattr(brain, "EXPLORE", 0.0)  # chance alone may do it in time, or not
+    monkeypatch.setattr(dispatcher, "EXPLORE", 0.0)  # chance alone may do it in time, or not
     more: dict[str, Any] = {
         "warm_within": 23_000.0,
         "cold_share": 0.15,
@@ -245,7 +245,7 @@
 
 def test_of_few_workers_the_best_is_picked_not_the_best_of_some(monkeypatch: pytest.MonkeyPatch) -> None:
     """A sample drawn with replacement saw two thirds of a small fleet: idle workers were passed over."""
-    monkeypatch.setattr(brain, "EXPLORE", 0.0)
+    monkeypatch.setattr(dispatcher, "EXPLORE", 0.0)
     for seed in range(20):
         talk = Talk(workers=10, seed=seed)
         assert len({s.worker for k in range(10) for s in sends(talk.ask(f"r{k}"))}) == 10
