--- a/bitternpath/brain.py
+++ b/bitternpath/dispatch/dispatcher.py
@@ -1,25 +1,20 @@
 """All decisions of a dispatcher: `handle` takes an event, returns actions (messages.py). Times are in ms."""
 
-from __future__ import annotations
-
 from collections.abc import Callable
 from copy import copy
 from math import ceil, inf
 from random import Random
 
 from bitternpath import messages as m
+from bitternpath.dispatch.jobs import QUICK, SLOW, Attempt, ClassState, Job
+from bitternpath.dispatch.workers import Worker
 
-GAIN = 0.15  # what a payoff equal to the threshold adds, as a share of a neuron's mean excitatory weight
-KEEP = 0.95  # the paper's alpha: how much of the threshold T one payoff leaves
-PAYOFF_CAP = 4.0  # no payoff counts for more than this multiple of T, nor a failure for more than its mirror
 FULL_REST = 2.0  # mean running times for which a worker that turned a job away is held to be full
 CHANCE = 0.5  # of the usual running time: with less left before the deadline a job is not worth a try
 SAMPLE = 24  # workers compared for a job, and besides four times a dispatcher's share of the fleet
 UNSEEN = 2  # sends: an unseen queue is as usual with the chance that so many in a row were others'
 PLACES = 2  # own jobs at once at a home: a job for each core of the operators' machines
 EXPLORE = 0.05  # share of jobs that go to a random usable worker
-SLOW, QUICK = 0.02, 0.1  # weight of one job in means that last and in means that follow the day
-SETTLED = 1e-3  # q is settled when no neuron moves by more
 OVERDUE = 0.5  # of the aim: a job that has not begun by then scores its long time early
 FAULTY, MOST_FAULTS = 4_000.0, 3  # ms without jobs of a class after a fault, doubled by so many before it
 OVERTAKEN = 300.0  # ms: a job that has not begun though one sent so much later has, is lost
@@ -31,184 +26,20 @@
 COLD_IDLE, COLD_UNUSED = 0.3, 4_000.0  # of a job: the gap at an idle cold home; ms until it goes first
 
 
-class Worker:
-    """A worker as this dispatcher knows it."""
-
-    def __init__(self, entry: m.Entry, warm_within: float = 0.0) -> None:
-        self.name, self.kind, self.up = entry.worker, entry.kind, entry.up_since or 0.0
-        self.serves = entry.classes  # the only ones; None: all that its kind runs
-        self.group = {m.Group.ALL: "", m.Group.ZONE: entry.zone, m.Group.CELL: str(entry.cell)}
-        self.n = self.strikes = self.slots = 0  # own jobs in flight, silences in a row, places (0: not told)
-        self.heard = self.out_until = self.full_until = self.shy_until = self.last_begun = 0.0
-        # By class: faults not made up for by a job that ended well, until when any and unsafe jobs stay away.
-        self.faults: dict[str, tuple[int, float, float]] = {}
-        self.warm_at = self.up + warm_within if self.up else 0.0
-        self.cold_at = self.cold_work = 0.0  # of the last job while cold: when it was sent, and its work
-        self.wait = self.wait_at = 0.0  # how long a job there had waited to begin, and when that was seen
-        self.called_off: list[float] = []  # when jobs that nobody waits for any more should end
-        self.waiting = self.room = 0  # own jobs not begun; sends allowed while it is held to be full
-
-    def broken(self, line: ClassLine, now: float) -> bool:
-        """Whether faults keep jobs of the class away: its own, or those of two classes any job."""
-        kept = [name for name, fault in self.faults.items() if fault[1 if line.harmless else 2] > now]
-        return len(kept) > 1 or self.faults.get(line.spec.name, (0, 0.0, 0.0))[1] > now
-
-    def load(self, now: float) -> int:
-        """Own jobs there, those too that were called off: workers finish what they have."""
-        self.called_off = [end for end in self.called_off if end > now]
-        return self.n + len(self.called_off)
-
-    def own_queue(self, run: float) -> float:
-        """How long own jobs that have not begun keep the slots busy that own jobs have there."""
-        return self.waiting * run / max(self.n - self.waiting, 1)
-
-
-class Network:
-    """The random neural network of a class (paper, section II), factored.
-
-    Each update adds the same to w+(j,i) for all j, so w+(j,i) = a[i] + up and w-(j,i) = b[i] + down. They
-    are read in a unit that keeps the mean firing rate at 1: else weights only grow and learning freezes."""
-
-    def __init__(self) -> None:
-        self.workers: list[Worker] = []
-        self.place: dict[str, int] = {}
-        self.a, self.b, self.q = list[float](), list[float](), list[float]()
-        self.up = self.down = self.total = self.sum_q = self.threshold = 0.0
-        self.unsettled = 0
-
-    def join(self, worker: Worker) -> None:
-        """Add a neuron with the mean weights of its kind, or of all."""
-        n = len(self.workers)
-        kin = [k for k, w in enumerate(self.workers) if w.kind == worker.kind] or list(range(n))
-        for row in (self.a, self.b, self.q):
-            row.append(sum(row[k] for k in kin) / len(kin) if kin else 0.5)
-        self.workers.append(worker)
-        self.place[worker.name] = self.unsettled = n
-        self.total += self.a[n] + self.up + self.b[n] + self.down
-        self.sum_q += self.q[n]
-
-    def leave(self, worker: Worker) -> None:
-        at = self.place[worker.name]
-        self.total -= self.a[at] + self.up + self.b[at] + self.down
-        del self.workers[at], self.a[at], self.b[at], self.q[at]
-        self.place = {w.name: k for k, w in enumerate(self.workers)}
-        self.settle_all()
-
-    def learn(self, worker: Worker, reward: float, whole: bool = True) -> None:
-        """Reward or punish a neuron; `whole` is False for a job that has not ended or has failed."""
-        if whole:
-            self.threshold = KEEP * self.threshold + (1 - KEEP) * reward if self.threshold else reward
-        at, n, limit = self.place.get(worker.name), len(self.workers), self.threshold
-        if at is None or n < 2 or reward == limit or not limit:
-            return
-        # In units of T. A worse result must punish more: a loss counts for T/R, the mirror of a win's R/T.
-        size = min(max(reward / limit, limit / max(reward, limit / PAYOFF_CAP)), PAYOFF_CAP)
-        step = GAIN * size * self.total / (2 * n)
-        share = step / (n - 2 if n > 2 else 1)
-        if reward > limit:
-            self.a[at], self.b[at], self.down = self.a[at] + step, self.b[at] - share, self.down + share
-        else:
-            self.b[at], self.a[at], self.up = self.b[at] + step, self.a[at] - share, self.up + share
-        self.total += step + share * (n - 1)
-        self.settle(at)
-        self.unsettled += 1
-        if 2 * self.unsettled > n:
-            self.settle_all()
-
-    def settle(self, at: int) -> float:
-        """Equation (2) once for one neuron; returns how far it moved."""
-        n = len(self.q)
-        unit = n / ((n - 1) * self.total)
-        a, b, old = self.a[at] + self.up, self.b[at] + self.down, self.q[at]
-        rest = self.sum_q - old
-        new = min((0.25 + unit * a * rest) / (unit * (self.total - a - b + b * rest)), 1.0)
-        self.q[at], self.sum_q = new, rest + new
-        return abs(new - old)
-
-    def settle_all(self) -> None:
-        """Iterate equation (2) until it settles; also keep the raw weights in a range floats hold well."""
-        self.unsettled, n = 0, len(self.q)
-        if self.total > 1e9:
-            self.a = [(x + self.up) / self.total for x in self.a]
-            self.b = [(x + self.down) / self.total for x in self.b]
-            self.up = self.down = 0.0
-            self.total = sum(self.a) + sum(self.b)
-        self.sum_q = sum(self.q)
-        for _ in range(30 if n > 1 else 0):
-            if max([self.settle(k) for k in range(n)]) < SETTLED:
-                break
-
-
-class Attempt:
-    """One sending of a job."""
-
-    def __init__(self, job: Job, n: int, worker: Worker, now: float) -> None:
-        self.job, self.n, self.worker, self.sent = job, n, worker, now
-        self.out = self.ran = True  # still out; may have run
-        self.begun: float | None = None
-        self.lost = self.scored = False  # will likely never begin, and so does not count as in flight
-
-
-class Job:
-    """A request and its attempts."""
-
-    def __init__(self, request: m.Request, line: ClassLine, now: float, marked: bool) -> None:
-        self.id, self.request, self.line, self.spec, self.set = request.id, request, line, line.spec, line.set
-        self.deadline, self.open = now + request.remaining, True
-        self.tries: list[Attempt] = []
-        if request.hint:
-            line.hint += SLOW * (request.hint - line.hint) if line.hint else request.hint
-        self.size = request.hint / line.hint if request.hint else 1.0  # 1 is the mean
-        # A client's earlier tries have used up some of the aim, as the time that it still gives us shows.
-        line.patience = max(line.patience, request.remaining)
-        used = line.patience - request.remaining if request.repeat or not marked else 0.0
-        self.end_by = now - used + self.spec.aim + self.spec.stretch * (request.hint or line.work)
-        # What would end late for nothing, or after the deadline, is turned away early: it takes up a place.
-        least = min(line.pace.values(), default=0.0) * self.size
-        self.settle_by = (self.deadline if self.spec.late_worth else min(self.end_by, self.deadline)) - least
-
-
-class ClassLine:
-    """A class with its network and what its jobs usually take. Its jobs keep it when other settings come."""
-
-    def __init__(self, spec: m.JobClass, settings: m.Settings) -> None:
-        self.spec, self.set, self.net = spec, settings, Network()
-        anywhere = spec.effect is m.Effect.KEYED and spec.group is m.Group.ALL
-        self.harmless = anywhere or spec.effect is m.Effect.SAFE  # a repeat does no harm on any worker
-        # Means of the hint, of the running time at size 1, and of that when nothing slows the fleet.
-        self.hint = self.run = self.work = 0.0
-        self.pace: dict[str, float] = {}  # running time of late on each kind of machine, at size 1
-        self.ended, self.patience = 0, 0.0  # jobs ended; the longest time that a client gave a try
-
-    def join(self, worker: Worker) -> None:
-        served = worker.serves is None or self.spec.name in worker.serves
-        if served and self.spec.kind in (None, worker.kind) and worker.name not in self.net.place:
-            self.net.join(worker)
-
-    def earns(self) -> float:
-        """Worth per time on a worker."""
-        return self.spec.value / self.run if self.run else 0.0
-
-    def bears(self) -> float:
-        """How long its usual job can wait and still end in time."""
-        return self.spec.aim + self.spec.stretch * self.work - min(self.pace.values(), default=0.0)
-
-
 class Dispatcher:
     """One dispatcher; instances share nothing."""
 
     def __init__(self, settings: m.Settings, seed: int, now: float) -> None:
         self.random, self.now, self.part = Random(seed), now, 1.0  # this process's part of the dispatcher
-        self.lines: dict[str, ClassLine] = {}
+        self.lines: dict[str, ClassState] = {}
         self.workers: dict[str, Worker] = {}
         self.homes: list[str] = []  # workers that in a large fleet get this dispatcher's jobs first
         self.jobs: dict[str, Job] = {}
-        self.out: dict[Attempt, None] = {}  # attempts in flight, oldest first
+        self.out: dict[tuple[str, int], Attempt] = {}  # in flight by job and number, oldest first
         self.held: list[Job] = []
         self.on_settings(m.NewSettings(settings))
         self.mean_wait = self.mean_run = 0.0  # of late, over all workers and classes
-        # Where starts are not told, the first note of progress comes one interval after the start.
-        self.behind = 0.0 if settings.tells_start else settings.progress_every or float("inf")
+        self.behind = settings.start_heard_after
         self.ask_wait, self.begun_at = ASK_AGAIN / 8, now
         self.acts: list[m.Action] = [m.Wake("sweep", self.pause)]
         if settings.ask_for_list:  # spread out: a fleet that starts at once would swamp the list service
@@ -231,7 +62,7 @@
         self.set, before, self.lines = event.settings, self.lines, {}
         for spec in self.set.classes:
             old = before.get(spec.name)
-            line = copy(old) if old and spec.same(old.spec) else ClassLine(spec, self.set)
+            line = copy(old) if old and spec.same(old.spec) else ClassState(spec, self.set)
             line.spec, line.set, self.lines[spec.name] = spec, self.set, line
             for worker in self.workers.values():
                 line.join(worker)
@@ -305,20 +136,20 @@
         if worker is not None:
             self.send(job, worker)
         elif not can or self.now + self.margin > job.settle_by:
-            ran = any(t.ran for t in job.tries) and not job.line.harmless
+            ran = any(t.ran for t in job.tries) and not job.spec.harmless
             self.acts.append(m.Fail(job.id) if ran else m.Refuse(job.id, self.advice(job.line)))
             self.close(job)
         return worker is not None or not job.open
 
-    def advice(self, line: ClassLine) -> float:
+    def advice(self, line: ClassState) -> float:
         """When the client may come again: a place where its job ends in time should be free by then."""
         now, longest = self.now, self.set.max_retry_after
         waits = [
             max(max(w.wait + w.wait_at, w.out_until, w.full_until, self.next_cold(w)) - now, 0.0)
             + w.own_queue(self.mean_run)
-            for w in line.net.workers
+            for w in line.net.neurons
         ]
-        held_first = len(self.held) * self.mean_run / max(sum(w.n - w.waiting for w in line.net.workers), 1)
+        held_first = len(self.held) * self.mean_run / max(sum(w.n - w.waiting for w in line.net.neurons), 1)
         wait = min(waits, default=longest) - max(line.bears(), 0.0) + held_first
         return min(max(wait, self.pause), longest)
 
@@ -326,7 +157,7 @@
         self.acts.append(m.Send(job.id, worker.name, within=self.within(job)))
         attempt = Attempt(job, len(job.tries), worker, self.now)
         job.tries.append(attempt)
-        self.out[attempt] = None
+        self.out[job.id, attempt.n] = attempt
         worker.n += 1
         worker.waiting += self.set.tells_start
         worker.room -= worker.room > 0
@@ -343,14 +174,13 @@
 
     def allowed(self, job: Job, worker: Worker) -> bool:
         """Where earlier attempts may have run: another worker, of the group that drops the repeat."""
-        group = m.Group.ALL if job.spec.effect is m.Effect.SAFE else job.spec.group
-        ran = [t.worker for t in job.tries if t.ran]
-        return all(w is not worker and w.group[group] == worker.group[group] for w in ran)
+        group, ran = job.spec.repeat_group, [t.worker for t in job.tries if t.ran]
+        return all(w is not worker and w.entry.within(group) == worker.entry.within(group) for w in ran)
 
     def pick(self, job: Job) -> Worker | None:
         """The usable worker with the highest q / (1 + own jobs in flight), of a sample in large fleets."""
         net, rand, now = job.line.net, self.random.random, self.now
-        workers, q, n = net.workers, net.q, len(net.workers)
+        workers, q, n = net.neurons, net.q, len(net.neurons)
         many = 1 if rand() < EXPLORE else SAMPLE + 4 * n // self.set.dispatchers
         # By kind: time until the job can no longer end there in time, or hardly before the client gives up.
         kinds = {
@@ -360,12 +190,12 @@
         # The usual wait, where the last sends to a worker were likely others'; it drains when no job begins.
         usual = (1 - 1 / self.set.dispatchers) ** UNSEEN * max(self.mean_wait - (now - self.begun_at), 0.0)
         late = job.spec.late_worth > 0 and max(kinds.values(), default=0.0) < 0
-        left, paces = job.deadline - now, job.line.pace
+        left, paces, harmless = job.deadline - now, job.line.pace, job.spec.harmless
         # No queue grows longer than the hastiest class bears, by what earns less even less: it is held here.
-        lines = self.lines.values()
-        part = job.line.earns() / max(max(line.earns() for line in lines), 1e-9) if job.line.run else 1.0
-        longest = part * min(line.bears() for line in lines)
-        broken = [w for w in workers if w.faults and w.broken(job.line, now)]
+        most = max(1e-9, *(line.earns() for line in self.lines.values()))
+        part = job.line.earns() / most if job.line.run else 1.0
+        longest = part * min(line.bears() for line in self.lines.values())
+        broken = [w for w in workers if w.faults and w.broken(job.line.spec, now)]
         broken = broken if 2 * len(broken) <= n else []  # else it is hardly the workers' fault
         best, best_score = None, 0.0
         homes = [net.place[name] for name in self.homes if name in net.place] if 1 < many < n else []
@@ -374,7 +204,7 @@
                 w = workers[k]
                 if places is homes and (w.waiting or w.load(now) >= PLACES):
                     continue  # what others send elsewhere is not known, what is sent here nearly is
-                out = max(self.next_cold(w), w.out_until if job.line.harmless else w.shy_until)
+                out = max(self.next_cold(w), w.out_until if harmless else w.shy_until)
                 if out > now or (w.full_until > now and not w.room) or w in broken or 0 < w.slots <= w.n:
                     continue
                 age, own, unused = now - w.wait_at, w.own_queue(self.mean_run), now - w.cold_at > COLD_UNUSED
@@ -390,22 +220,24 @@
                     best, best_score = w, score
             if best is not None:
                 return best
-        if any(w.out_until <= now for w in workers):
-            return None  # else all are suspect: better a silent one of a few than none
-        some = [w for w in self.random.sample(workers, min(n, SAMPLE)) if not 0 < w.slots <= w.n]
-        return next((w for w in some if self.next_cold(w) <= now and self.allowed(job, w)), None)
+        # Where all are suspect, better a silent one of a few than none.
+        some = [] if any(w.out_until <= now for w in workers) else self.random.sample(workers, min(n, SAMPLE))
+        free = (w for w in some if not 0 < w.slots <= w.n and self.next_cold(w) <= now)
+        return next((w for w in free if self.allowed(job, w)), None)
 
     def on_note(self, event: m.JobNote | m.StreamBegun) -> None:
-        attempt = self.find(event.id, event.attempt)
-        if attempt is not None and attempt.out:
-            self.hear(attempt.worker)
+        attempt = self.out.get((event.id, event.attempt))
+        if attempt is not None:
             self.begin(attempt, self.behind)
 
     def begin(self, attempt: Attempt, since: float) -> None:
+        """The worker was heard from: a job there has begun, at the latest so long (ms) ago."""
+        worker = attempt.worker
+        worker.heard, worker.strikes, worker.out_until, worker.shy_until = self.now, 0, 0.0, 0.0
         if attempt.begun is not None:
             return
         self.lose(attempt, False)
-        attempt.begun, worker = max(self.now - since, attempt.sent), attempt.worker
+        attempt.begun = max(self.now - since, attempt.sent)
         worker.waiting -= self.set.tells_start
         weight = min((self.now - self.begun_at) / (4 * self.set.fall_span), 0.5)  # by time, not by jobs
         worker.wait, worker.wait_at, self.begun_at = attempt.begun - attempt.sent, self.now, self.now
@@ -414,32 +246,23 @@
 
     def copy(self, job: Job) -> None:
         """Send a job again whose attempts are lost, where it may run twice."""
-        can = job.open and job.line.harmless and job.set.second_copies and self.within(job) > 0
+        can = job.open and job.spec.harmless and job.set.second_copies and self.within(job) > 0
         if can and len(job.tries) < job.set.try_limit and not any(t.out and not t.lost for t in job.tries):
             worker = self.pick(job) if job.deadline > self.now else None
             if worker is not None:
                 self.send(job, worker)
 
-    def find(self, request: str, n: int) -> Attempt | None:
-        job = self.jobs.get(request)
-        return job.tries[n] if job and 0 <= n < len(job.tries) else None
-
-    def hear(self, worker: Worker) -> None:
-        worker.heard, worker.strikes, worker.out_until, worker.shy_until = self.now, 0, 0.0, 0.0
-
     def on_outcome(self, event: m.Outcome) -> None:
-        attempt = self.find(event.id, event.attempt)
-        if attempt is None or not attempt.out:
+        attempt = self.out.pop((event.id, event.attempt), None)
+        if attempt is None:
             return
         job, worker, lost, how = attempt.job, attempt.worker, attempt.lost, event.how
         self.lose(attempt, False)
         attempt.out = False
-        del self.out[attempt]
         worker.n -= 1
         attempt.ran = how not in m.NEVER_RAN
         worker.room = int(attempt.ran)
         if how is m.How.OK:
-            self.hear(worker)
             faults = worker.faults.pop(job.spec.name, (0, 0.0, 0.0))[0]
             if faults > 1:
                 worker.faults[job.spec.name] = faults - 1, 0.0, 0.0
@@ -458,7 +281,6 @@
                 self.suspect(worker)
             elif not attempt.ran:
                 # Until then one job goes there for each own job that ends: more would race for one free slot.
-                worker.room = 0
                 rest = FULL_REST * (job.line.run or job.spec.aim)
                 worker.full_until = self.now + rest * (0.5 + self.random.random())
             job.line.net.learn(worker, 0.0, whole=False)
@@ -471,14 +293,13 @@
 
     def score(self, attempt: Attempt, elapsed: float) -> None:
         """Payoff 1/G of a job that ended: G is its time over its size."""
-        line, size = attempt.job.line, attempt.job.size
+        line, size, kind = attempt.job.line, attempt.job.size, attempt.worker.kind
         run = elapsed - (attempt.begun or attempt.sent) + attempt.sent
         line.ended += 1
         line.run += max(SLOW, 1 / line.ended) * (run / size - line.run)
         # Falls at once and rises slowly: strain must not pass for heavier work that has more time to end.
         line.work = min(line.run, line.work * (1 + SLOW / 100)) if line.ended > 1 / SLOW else line.run
         self.mean_run += SLOW * (run - self.mean_run) if self.mean_run else run
-        kind = attempt.worker.kind
         line.pace[kind] = line.pace.get(kind, run / size) * (1 - QUICK) + run / size * QUICK
         # A heavy job is not its worker's fault: running time counts up to three times the usual.
         goal = elapsed - run + min(run, 3 * line.run * size)
@@ -490,7 +311,7 @@
         rest = 4 * self.aim * min(2**worker.strikes, 16) * (0.5 + self.random.random())
         worker.out_until, worker.shy_until = self.now + rest, self.now + 2 * rest
 
-    def fault(self, worker: Worker, line: ClassLine) -> None:
+    def fault(self, worker: Worker, line: ClassState) -> None:
         """Keep a class away for a while: a worker that fails at once is idle and would draw job after job."""
         before = worker.faults.get(line.spec.name, (0, 0.0, 0.0))[0]
         rest = FAULTY * 2**before * (0.5 + self.random.random())
@@ -515,11 +336,6 @@
         if not out:
             self.jobs.pop(job.id, None)
 
-    def avoids(self, now: float) -> set[str]:
-        """Workers that are left out now, for silence or for faults."""
-        workers, lines = self.workers.values(), self.lines.values()
-        return {w.name for w in workers if w.out_until > now or all(w.broken(c, now) for c in lines)}
-
     def retry_held(self, many: int) -> None:
         """Try to place held jobs, of those that earn most the newest first: oldest first makes all late."""
         self.held.sort(key=lambda job: job.line.earns())
@@ -533,12 +349,12 @@
         if event.label == "watch":
             self.acts.append(m.Watch())
         elif event.label == "sweep":
-            self.acts.append(m.Wake("sweep", self.pause))
             self.sweep()
 
     def sweep(self) -> None:
+        self.acts.append(m.Wake("sweep", self.pause))
         now = self.now
-        for attempt in list(self.out):
+        for attempt in list(self.out.values()):
             line, spec, worker = attempt.job.line, attempt.job.spec, attempt.worker
             age = now - attempt.sent - self.behind  # it would have been heard of had it begun before that
             if attempt.begun is not None or age < OVERDUE * spec.aim:
--- a/bitternpath/dispatch/network.py
+++ b/bitternpath/dispatch/network.py
@@ -2,8 +2,6 @@
 
 Source: Wang, Brun, Gelenbe, "Online Work Distribution to Clouds" (MASCOTS 2016), section II."""
 
-from __future__ import annotations
-
 from typing import Generic, Protocol, TypeVar
 
 GAIN = 0.15  # what a payoff equal to the threshold adds, as a share of a neuron's mean excitatory weight
@@ -25,8 +23,8 @@
 class Network(Generic[NeuronT]):
     """Network of one job class, factored: q[i] is the excitation probability of neurons[i], equation (1).
 
-    An update adds the same for all j, so w+(j,i) = plus[i] + plus_all and w-(j,i) = minus[i] + minus_all. They
-    are read in a unit that keeps the mean firing rate at 1: else weights only grow and learning freezes."""
+    An update adds the same for all j, so w+(j,i) = plus[i] + plus_all and w-(j,i) = minus[i] + minus_all.
+    They are read in a unit that keeps the mean firing rate at 1: else weights only grow and learning ends."""
 
     def __init__(self) -> None:
         self.neurons: list[NeuronT] = []
