Slots of listed workers bound the leases that are out; short pauses after refusals

Change: storage nodes follow the platform's list too; a shard has 2 leases a slot out for its share of a service; pauses after proven refusals end at 0.3 s.

--- a/bitternpath/queue/backoff.py
+++ b/bitternpath/queue/backoff.py
@@ -23,7 +23,7 @@
 
 FAILED_BACKOFF = BackoffSchedule(0.1, 2.0)  # the worker is well; the message or what it needs is not
 UNKNOWN_BACKOFF = BackoffSchedule(0.2, 2.0)  # the worker may be down, or at work on it still
-NOT_RUN_BACKOFF = BackoffSchedule(0.05, 1.0)  # a place is wanted, perhaps elsewhere
+NOT_RUN_BACKOFF = BackoffSchedule(0.05, 0.3)  # a place is wanted, perhaps elsewhere
 CALLBACK_BACKOFF = BackoffSchedule(0.3, 5.0)  # receivers have few connections
 
 _SCHEDULES = {
--- a/bitternpath/queue/lanes.py
+++ b/bitternpath/queue/lanes.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import heapq
+from math import ceil
 
 from bitternpath.configuration.documents import Service
 from bitternpath.queue.backoff import RetryBudget
 from bitternpath.queue.ceilings import CeilingShare, TokenBucket, ceiling_share
 from bitternpath.queue.ready import ReadyQueue
 
+SLOT_FACTOR = 2.0  # leases out for each slot: a lease also covers the way there and back, and the log
+LEAST_OUT = 2
+
 
 class ServiceLane:
     """Ready messages of one service, its retry budget, and its ceiling where it has one."""
@@ -18,6 +22,7 @@
         self.ready = ReadyQueue()
         self.budget = RetryBudget()
         self.bucket: TokenBucket | None = None
+        self.most_out: int | None = None  # by the slots of its listed workers; None: not known
         self.out = 0  # deliveries out; jobs that workers pull are bounded by the workers
         self.wakeup: float | None = None
         self.polls_asked_at = float("-inf")  # workers that pull were last asked for
@@ -26,6 +31,8 @@
         """When a lease may be granted (`now`: at once); None: only after a lease has ended."""
         when: float | None = now
         if not self.service.pull_mode:
+            if self.most_out is not None and self.out >= self.most_out:
+                return None
             when = self.budget.next_grant(now, self.out)
         if when is None or self.bucket is None:
             return when
@@ -65,6 +72,17 @@
             self._configure_ceiling(now, lane)
         self.mark_all()
 
+    def set_capacities(self, slots: dict[str, int]) -> None:
+        """Bound the leases out to listed workers by their slots, so that what waits does so here, in order.
+
+        A service without listed workers keeps `LEAST_OUT` leases as probes.
+        """
+        for name, lane in self._lanes.items():
+            listed = not lane.service.pull_mode and lane.service.endpoint is None
+            share = ceil(SLOT_FACTOR * slots.get(name, 0) / self._shards)
+            lane.most_out = max(share, LEAST_OUT) if listed else None
+        self.mark_all()
+
     def _configure_ceiling(self, now: float, lane: ServiceLane) -> None:
         rate = lane.service.rate_per_s
         if rate <= 0:
--- a/bitternpath/queue/owner.py
+++ b/bitternpath/queue/owner.py
@@ -121,6 +121,11 @@
                 self._place(now, tracked)
         return self._finish(now)
 
+    def set_capacities(self, now: float, slots: dict[str, int]) -> list[Action]:
+        """How many slots the listed workers of each service have, by the platform's list."""
+        self._lanes.set_capacities(slots)
+        return self._finish(now)
+
     def edge_joined(self, now: float, name: str, zone: str) -> list[Action]:
         """An edge node is connected. Of a new life, call `edge_lost` for the old one first."""
         edge = self._edges.find(name)
--- a/bitternpath/roles/node_base.py
+++ b/bitternpath/roles/node_base.py
@@ -53,8 +53,7 @@
         self.view = MembershipView(me, settings.seed_addresses, self.random, reactor.seconds())
         self.hub = NodeHub(reactor, links, lambda: self.view.me, self.random)
         self.gossip = Gossip(reactor, self.view)
-        wants_catalogue = kind is NodeKind.EDGE
-        self.feed = FeedFollower(reactor, self.hub, feed, self._feed_candidates, wants_catalogue)
+        self.feed = FeedFollower(reactor, self.hub, feed, self._feed_candidates, wants_catalogue=True)
         self.carrier = GroupCarrier(f"{me.name}/{disk}", self.hub, self.view)
         self.journal: Journal | None = None
         self.host: ReplicaHost | None = None
--- a/bitternpath/roles/shard_runtime.py
+++ b/bitternpath/roles/shard_runtime.py
@@ -115,6 +115,7 @@
         self.owner: ShardOwner | None = None
         self.epoch = 0
         self.table: RoutingTable | None = None
+        self.slots: dict[str, int] | None = None
         self._has_room = has_room
         self._polls: dict[int, tuple[Link, int]] = {}
         self._poll_ids: dict[tuple[Link, int], int] = {}
@@ -133,6 +134,8 @@
         self._do(owner.take_over(now, epoch))
         if self.table is not None:
             self._do(owner.configure(now, self.table))
+        if self.slots is not None:
+            self._do(owner.set_capacities(now, self.slots))
         for node in self.edges.nodes():
             self._do(owner.edge_joined(now, node.name, node.zone))
         self._announce(self.edges.links())
@@ -160,6 +163,14 @@
         self.table = table
         if self.owner is not None:
             self._do(self.owner.configure(self.reactor.seconds(), table))
+            if self.slots is not None:
+                self._do(self.owner.set_capacities(self.reactor.seconds(), self.slots))
+
+    def set_capacities(self, slots: dict[str, int]) -> None:
+        """Slots of the listed workers, by service."""
+        self.slots = slots
+        if self.owner is not None:
+            self._do(self.owner.set_capacities(self.reactor.seconds(), slots))
 
     def edge_opened(self, node: NodeDescriptor, link: Link, new_life: bool) -> None:
         """An edge node is connected."""
--- a/bitternpath/roles/storage.py
+++ b/bitternpath/roles/storage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -67,6 +68,7 @@
         self.placements: dict[str, GroupPlacement] = {}
         self.stopping = False
         self._cache = DocumentWriter(reactor, settings.data_dir / CACHE_NAME)
+        self._slots: dict[str, int] | None = None
         self._fit_since: dict[str, float] = {}
         self._lives: dict[str, int] = {}
         self._bounds = OwnerBounds(
@@ -112,7 +114,16 @@
         self._store_cache()
 
     def catalogue_updated(self, update: CatalogueUpdate) -> None:
-        """Storage nodes don't follow the platform's list."""
+        """The platform's list was read: the slots of each service bound the leases that are out."""
+        if update.entries is None:
+            return
+        slots: Counter[str] = Counter()
+        for entry in update.entries:
+            if not entry.draining:
+                slots[entry.service] += entry.slots
+        self._slots = dict(slots)
+        for shard in self.shards.values():
+            shard.set_capacities(self._slots)
 
     def _place(self, groups: tuple[GroupPlacement, ...]) -> None:
         me = self.base.carrier.me
@@ -142,6 +153,8 @@
         self.shards[placement.group] = shard
         if self.base.feed.table is not None:
             shard.configure(self.base.feed.table)
+        if self._slots is not None:
+            shard.set_capacities(self._slots)
         self.host.open_group(placement.group, shard.state, founders, shard)
 
     # ---- LinkHandler
@@ -179,6 +192,7 @@
             GroupMessage: lambda link, record: self.base.carrier.received(record),
             FeedUpdate: feed.updated,
             FeedRefused: feed.refused,
+            CatalogueUpdate: lambda link, record: self.catalogue_updated(record),
             FeedSubscribe: lambda link, record: link.send(FeedRefused("", feed.members)),
             AppendRequest: self._for_shard(ShardRuntime.append),
             EndRequest: self._for_shard(ShardRuntime.end),
