--- a/bitternpath/replication/simulation.py
+++ b/bitternpath/replication/simulation.py
@@ -35,7 +35,6 @@
 MEMBERSHIP_SECONDS = 0.15  # between looks of an owner at its members
 POWER_LOSS_AFTER_ANSWER = 0.01  # share of acknowledgements after which all nodes lose power at once
 LOOK_SECONDS = 0.02
-SETTLE_SECONDS = 20.0  # after the last fault; by then all must agree
 
 
 class Broken(AssertionError):
@@ -260,6 +259,7 @@
     nodes: int = 3
     seconds: float = 4.0
     fault_every: float = 0.5
+    settle_seconds: float = 20.0  # after the last fault; by then all must agree
     wipes: bool = True
     empty_disk_keeps_identity: bool = False  # a broken build: a wiped node counts as before
 
@@ -500,8 +500,8 @@
         self._repeat(self.plan.fault_every, self._fault)
         self.run_until(lambda: False, self.plan.seconds)
         self._calm_down()
-        if not self.run_until(self._agrees, SETTLE_SECONDS):
-            raise Broken(f"no agreement after {SETTLE_SECONDS} s of calm: {self._describe()}")
+        if not self.run_until(self._agrees, self.plan.settle_seconds):
+            raise Broken(f"no agreement after {self.plan.settle_seconds} s of calm: {self._describe()}")
         return self.checker
 
     def _repeat(self, mean: float, call: Callable[[], object]) -> None:
