Ownership goes back to the preferred member later, and more rarely each time

Change: 6 s of being fit (was 4), doubled with each hand-over of that shard up to 300 s. Not measured by itself.

--- a/bitternpath/roles/storage.py
+++ b/bitternpath/roles/storage.py
@@ -46,7 +46,8 @@
 
 LOOK_S = 0.25  # how often owners look at their groups' members
 HEARD_LATELY_S = 0.3
-PREFER_AFTER_S = 4.0  # of being fit without a break, before ownership goes back to the preferred member
+PREFER_AFTER_S = 6.0  # of being fit without a break, before ownership goes back to the preferred member
+PREFER_MOST_S = 300.0  # doubled up to that by each hand-over of a shard: one that comes back was no gain
 FULL_SHARE = 0.75  # of the disk: from there on no message is taken
 CACHE_NAME = "feed"  # what the feed brought last, so that shards open without the configuration group
 
@@ -69,6 +70,7 @@
         self.stopping = False
         self._cache = DocumentWriter(reactor, settings.data_dir / CACHE_NAME)
         self._slots: dict[str, int] | None = None
+        self._patience: dict[str, float] = {}
         self._fit_since: dict[str, float] = {}
         self._lives: dict[str, int] = {}
         self._bounds = OwnerBounds(
@@ -258,8 +260,9 @@
         since = self._fit_since.setdefault(group, now) if fit else now
         if not fit:
             self._fit_since.pop(group, None)
-        elif now - since >= PREFER_AFTER_S and not self.stopping:
+        elif now - since >= self._patience.get(group, PREFER_AFTER_S) and not self.stopping:
             self._fit_since.pop(group, None)
+            self._patience[group] = min(2 * self._patience.get(group, PREFER_AFTER_S), PREFER_MOST_S)
             log.info("event=handing_over group={} to={}", group, preferred)
             self.host.hand_over(group, preferred)
 
