Call-backs of a receiver go through one node over kept connections; replication answers heartbeats at once

Change: an owner sends all call-backs of a receiver to one edge node of its zone, another one after a failure; connections are kept 1.5 s. Tests that held one connection a call-back now hold requests in their order, and that connections are used again; the origin's place in the table of call-backs is taken by the receiver's node.

--- a/bitternpath/delivery/callbacks.py
+++ b/bitternpath/delivery/callbacks.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import json
+import re
 from collections import deque
 from typing import Any
-from urllib.parse import urlsplit
 
 from treq.client import HTTPClient
 from twisted.internet.defer import Deferred, maybeDeferred, succeed
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
-from twisted.web.client import Agent
+from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
@@ -21,8 +21,12 @@
 
 PER_RECEIVER = 4  # calls under way from this node to one receiver: receivers accept few connections
 CALL_S = 2.0  # for one call, from the connection to the end of the answer
+KEPT_PER_RECEIVER = 2  # idle connections; an owner sends all call-backs of a receiver to one node
+KEPT_S = 1.5
 WAIT_S = 2.0  # for which a call waits for earlier ones to the same receiver
 
+# Receivers are known by number: a name would be looked up, which blocks a thread.
+_URL = re.compile(r"http://([0-9]{1,3}(?:\.[0-9]{1,3}){3}(?::[0-9]{1,5})?)(?:/[!-~]*)?")
 _STATE_NAMES = {MessageState.DONE: "done", MessageState.DEAD_LETTER: "dead_letter"}
 _RESULTS = {200: CallbackResult.TAKEN, 400: CallbackResult.REFUSED}
 
@@ -30,10 +34,10 @@
 class _Call:
     """One call-back, waiting or under way."""
 
-    def __init__(self, url: str, body: bytes) -> None:
+    def __init__(self, url: str, receiver: str, body: bytes) -> None:
         self.url = url
+        self.receiver = receiver
         self.body = body
-        self.receiver = urlsplit(url).netloc
         self.result: Deferred[CallbackResult] = Deferred()
         self.timer: Any = None
 
@@ -82,12 +86,17 @@
 class CallbackClient:
     """Sends call-backs, each once: whether one that failed is repeated is its queue's decision.
 
-    Connections are not kept, because an idle one here would take another node's place at the receiver.
+    Few idle connections are kept, and for a short time: receivers accept few.
     """
 
     def __init__(self, reactor: Any) -> None:
         self._reactor = reactor
-        agent: Any = Agent(reactor, connectTimeout=CALL_S)  # type: ignore[no-untyped-call]
+        pool: Any = HTTPConnectionPool(reactor, persistent=True)  # type: ignore[no-untyped-call]
+        pool.maxPersistentPerHost = KEPT_PER_RECEIVER
+        pool.cachedConnectionTimeout = KEPT_S
+        pool.retryAutomatically = False
+        make_agent: Any = Agent
+        agent = make_agent(reactor, connectTimeout=CALL_S, pool=pool)
         self._client = HTTPClient(agent)
         self._active: dict[str, int] = {}
         self._waiting: dict[str, deque[_Call]] = {}
@@ -95,7 +104,10 @@
     def notify(self, url: str, request_id: str, state: MessageState, stamp: str) -> Deferred[CallbackResult]:
         """Tell a receiver of a message's end; the Deferred never fails."""
         document = {"id": request_id, "state": _STATE_NAMES[state], "stamp": stamp or None}
-        call = _Call(url, json.dumps(document, separators=(",", ":")).encode())
+        address = _URL.fullmatch(url)
+        if address is None:
+            return succeed(CallbackResult.FAILED)
+        call = _Call(url, address[1], json.dumps(document, separators=(",", ":")).encode())
         if self._active.get(call.receiver, 0) < PER_RECEIVER:
             self._send(call)
         else:
@@ -105,10 +117,11 @@
 
     def _send(self, call: _Call) -> None:
         self._active[call.receiver] = self._active.get(call.receiver, 0) + 1
+        document: Any = _Document(call.body)
         answer: Deferred[Any] = maybeDeferred(
             self._client.post,
             call.url,
-            data=_Document(call.body),
+            data=document,
             headers=Headers({"Content-Type": ["application/json"]}),
             allow_redirects=False,
         )
--- a/bitternpath/ingress/intake.py
+++ b/bitternpath/ingress/intake.py
@@ -18,7 +18,7 @@
 
 _REQUEST_ID = re.compile(rb"[!-~]{1,128}")
 _NUMBER = re.compile(rb"[0-9]{1,15}")
-_CALLBACK_URL = re.compile(rb"http://[!-~]+")
+_CALLBACK_URL = re.compile(rb"http://[0-9]{1,3}(?:\.[0-9]{1,3}){3}(?::[0-9]{1,5})?(?:/[!-~]*)?")
 # Headers that say how this node handles a message, or that come back from the message's own fields.
 _OWN_HEADERS = HOP_BY_HOP | frozenset(
     b"x-request-id x-deadline-ms x-delay-ms x-callback-url x-expect-instance".split()
--- a/bitternpath/queue/callbacks.py
+++ b/bitternpath/queue/callbacks.py
@@ -14,7 +14,7 @@
 from bitternpath.queue.edges import EdgeTable
 from bitternpath.queue.entries import Entry
 
-CALLBACK_TIMEOUT_S = 4.0  # without a report; the edge node may have gone
+CALLBACK_TIMEOUT_S = 2.6  # without a report, which an edge node gives after 2 s: it may have gone
 MAX_CALLBACKS_PER_RECEIVER = 16  # out at once from one shard: receivers take few connections
 
 
@@ -108,7 +108,7 @@
             if owed.taken:
                 receiver.queue.popleft()
                 continue
-            edge = self._edges.choose_for_callback(owed.entry.message.origin)
+            edge = self._edges.choose_for_callback(name, owed.failures)
             if edge is None:
                 return
             receiver.queue.popleft()
--- a/bitternpath/queue/edges.py
+++ b/bitternpath/queue/edges.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from random import Random
+from zlib import crc32
 
 from bitternpath.queue.tracked import OutLease, Tracked
 
@@ -53,12 +54,15 @@
             return home
         return self._pick([edge for edge in self._edges.values() if edge.has_room(service)])
 
-    def choose_for_callback(self, origin: str) -> Edge | None:
-        """Where a call-back goes: the origin, else a random node."""
-        home = self._edges.get(origin)
-        if home is not None and home.connected:
-            return home
-        return self._pick([edge for edge in self._edges.values() if edge.connected])
+    def choose_for_callback(self, receiver: str, failures: int) -> Edge | None:
+        """Where a call-back goes: the same node for a receiver, in the owner's zone where there is one.
+
+        So few nodes hold connections there and use them again. After each failure it is another one.
+        """
+        connected = [edge for edge in self._edges.values() if edge.connected]
+        near = [edge for edge in connected if edge.zone == self._zone] or connected
+        near.sort(key=lambda edge: edge.name)
+        return near[(crc32(receiver.encode()) + failures) % len(near)] if near else None
 
     def has_body(self, edge: Edge, tracked: Tracked) -> bool:
         """Whether an edge node took the message in its present life and has not been sent it before.
--- /dev/null
+++ b/bitternpath/replication/checking.py
@@ -0,0 +1,100 @@
+"""What must hold on all replicas of a group together, and the state machine that shows it. For tests."""
+
+from __future__ import annotations
+
+from typing import NoReturn
+
+import msgspec
+
+
+class Broken(AssertionError):
+    """A property does not hold."""
+
+
+class Checker:
+    """What must hold on all replicas together."""
+
+    def __init__(self) -> None:
+        self.committed: list[bytes] = []
+        self.refused: set[bytes] = set()
+        self.acknowledged = 0  # how many of the committed ones, from the first on, a client may know of
+        self._places: dict[bytes, int] = {}
+        self._owners: dict[int, str] = {}
+        self.violation: Broken | None = None  # the first; a host may have caught the exception
+
+    def fail(self, text: str) -> NoReturn:
+        """A property does not hold."""
+        error = Broken(text)
+        self.violation = self.violation or error
+        raise error
+
+    def applied(self, node: str, place: int, command: bytes) -> None:
+        """A node's `place`-th command, from 0 on."""
+        if place < len(self.committed):
+            if self.committed[place] != command:
+                self.fail(f"{node} applied {command!r} where {self.committed[place]!r} was committed")
+            return
+        if command in self.refused:
+            self.fail(f"{command!r} was refused as not proposed, and {node} applied it")
+        if command in self._places:
+            self.fail(f"{node} applied {command!r} twice")
+        self._places[command] = place
+        self.committed.append(command)
+
+    def acknowledge(self, command: bytes) -> None:
+        """A client has heard that its command is committed."""
+        if command not in self._places:
+            self.fail(f"{command!r} was acknowledged and not applied")
+        self.acknowledged = max(self.acknowledged, self._places[command] + 1)
+
+    def refuse(self, command: bytes) -> None:
+        """A client has heard that its command was not proposed."""
+        if command in self._places:
+            self.fail(f"{command!r} was applied, and refused as not proposed")
+        self.refused.add(command)
+
+    def owns(self, epoch: int, node: str) -> None:
+        """A node became owner."""
+        if self._owners.setdefault(epoch, node) != node:
+            self.fail(f"{node} and {self._owners[epoch]} own epoch {epoch}")
+
+
+class Register:
+    """State machine: the list of all commands."""
+
+    def __init__(self, node: str, checker: Checker) -> None:
+        self.node, self.checker = node, checker
+        self.commands: list[bytes] = []
+
+    def apply(self, index: int, command: bytes) -> object:
+        """Add it."""
+        self.checker.applied(self.node, len(self.commands), command)
+        self.commands.append(command)
+        return command
+
+    def snapshot(self) -> bytes:
+        """The list."""
+        return msgspec.msgpack.encode(self.commands)
+
+    def restore(self, data: bytes) -> None:
+        """Take a list in place of this one."""
+        self.commands = msgspec.msgpack.decode(data, type=list[bytes])
+        if self.commands != self.checker.committed[: len(self.commands)]:
+            self.checker.fail(f"{self.node} got a snapshot of what was not committed")
+
+
+class Listener:
+    """Tells the checker who owns."""
+
+    def __init__(self, node: str, checker: Checker) -> None:
+        self.node, self.checker = node, checker
+
+    def became_owner(self, epoch: int) -> None:
+        """Only one may, in an epoch."""
+        self.checker.owns(epoch, self.node)
+
+    def lost_ownership(self) -> None:
+        """No matter."""
+
+    def applied(self, index: int, command: bytes, result: object) -> None:
+        """The state machine has told the checker."""
--- a/bitternpath/replication/consensus.py
+++ b/bitternpath/replication/consensus.py
@@ -708,7 +708,12 @@
         agrees = max(previous + len(entries), told.previous_index)
         agrees = min(agrees, self.last)
         self.commit = max(self.commit, min(told.commit, agrees))
-        self._after.append((sender, Appended(self.term, True, agrees, told.round)))
+        # A heartbeat is answered at once with what is on disk, so that a slow disk is no silence. The term
+        # itself need not be: an entry of this term that is on disk was written together with it.
+        if agrees <= self.stable or not told.entries:
+            self._send.append((sender, Appended(self.term, True, min(agrees, self.stable), told.round)))
+        if agrees > self.stable:
+            self._after.append((sender, Appended(self.term, True, agrees, told.round)))
 
     def _install(self, sender: str, told: Install) -> None:
         if told.index <= self.commit:  # it has all of that
@@ -730,9 +735,9 @@
             self._new = [e for e in self._new if e.index > told.index]
         else:
             self._cut = self.before[0] + 1
-            self.stable = told.index
+            self.stable = 0  # until the snapshot is on disk, nothing there is of this log
             for pending in self._pending:
-                pending[1] = min(pending[1], told.index)
+                pending[1] = 0
             self.log, self._new = [], []
         self.before = told.index, told.last_term
         self.snapshot = self._new_snapshot = self._restore = snapshot
--- a/bitternpath/replication/group.py
+++ b/bitternpath/replication/group.py
@@ -27,6 +27,7 @@
 from bitternpath.replication.interfaces import FateOpen, GroupListener, NotOwner, StateMachine
 
 COMPACTION_BYTES = 8 << 20  # of entries applied since the last snapshot
+HOST_COMPACTION_BYTES = 32 << 20  # likewise, of all groups together: entries are also kept in memory
 COMPACTION_ENTRIES = 20_000  # likewise
 KEPT_ENTRIES = 256  # left before a snapshot, for followers that are a little behind
 COMPACTION_SPREAD = 0.25  # the bounds grow by up to this share, so that replicas don't compact together
@@ -36,9 +37,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CompactionBounds:
-    """When entries are replaced by a snapshot."""
+    """When entries are replaced by a snapshot. `host_size` is shared by all groups of a process."""
 
     size: int = COMPACTION_BYTES
+    host_size: int = HOST_COMPACTION_BYTES
     entries: int = COMPACTION_ENTRIES
     kept: int = KEPT_ENTRIES
 
@@ -91,6 +93,7 @@
         self._snapshot_size = len(kept.snapshot.data)
         self._random = random
         self._stretch = 1.0 + random.random() * COMPACTION_SPREAD
+        self.size_bound = bounds.size  # the host lowers it where it has many groups
         self.owned_epoch = 0  # 0: not the owner
         if kept.snapshot.index:
             machine.restore(kept.snapshot.data)
@@ -246,7 +249,7 @@
         The bound on bytes grows with the state, so that writing snapshots costs no more than writing entries.
         """
         entries = self._applied - self.raft.snapshot.index
-        size = max(self._bounds.size, self._snapshot_size) * self._stretch
+        size = max(self.size_bound, self._snapshot_size) * self._stretch
         if entries <= self._bounds.entries * self._stretch and self._size <= size:
             return False
         data = self._machine.snapshot()
@@ -261,7 +264,7 @@
         applied = self._applied - self.raft.before[0]  # number of applied ones in the log
         while kept < min(self._bounds.kept, applied):
             size += len(log[applied - kept - 1].data)
-            if size > self._bounds.size // 4:
+            if size > self.size_bound // 4:
                 break
             kept += 1
         return kept
--- a/bitternpath/replication/host.py
+++ b/bitternpath/replication/host.py
@@ -71,6 +71,7 @@
         self.groups[group] = ReplicaGroup(
             self.member_id, kept, machine, listener, self._random, now, self._times, self._bounds
         )
+        self._share_bounds()
         self._set_timer()
 
     def close_group(self, group: str) -> None:
@@ -79,8 +80,14 @@
         self._dirty.pop(group, None)
         if closed is not None:
             closed.close()
+        self._share_bounds()
         self._journal.forget(group)
 
+    def _share_bounds(self) -> None:
+        share = self._bounds.host_size // max(len(self.groups), 1)
+        for group in self.groups.values():
+            group.size_bound = min(self._bounds.size, share)
+
     def stop(self) -> None:
         """Stop taking part in all groups; their state stays."""
         self._stopped = True
@@ -103,7 +110,11 @@
             message = decode_message(body)
         except CodecError:
             return
-        found.hear(self._reactor.seconds(), sender, message)
+        try:
+            found.hear(self._reactor.seconds(), sender, message)
+        except Exception:
+            self._stop_group(group, found)
+            return
         self._mark(group, found)
 
     def propose(self, group: str, command: bytes) -> Deferred[object]:
@@ -198,10 +209,7 @@
         try:
             effects = group.flush(now)
         except Exception:
-            # The state machine may have missed a command: the group must not go on here.
-            log.exception(f"group {name}: a command failed, and the group has stopped here")
-            self.groups.pop(name, None)
-            group.close()
+            self._stop_group(name, group)
             return
         if self.groups.get(name) is not group:  # closed by its listener; nothing may be written any more
             return
@@ -211,6 +219,13 @@
         for receiver, message in effects.messages:
             self._send(name, receiver, encode_message(message))
 
+    def _stop_group(self, name: str, group: ReplicaGroup) -> None:
+        """In an `except`: consensus or the state machine may have done half of something."""
+        log.exception("event=group_stopped group={}", name)
+        if self.groups.get(name) is group:
+            del self.groups[name]
+        group.close()
+
     def _stored(self, name: str, group: ReplicaGroup, number: int) -> None:
         if self.groups.get(name) is group:
             group.raft.stored(self._reactor.seconds(), number)
--- a/bitternpath/replication/simulation.py
+++ b/bitternpath/replication/simulation.py
@@ -7,22 +7,22 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 from itertools import count
 from random import Random
-from typing import Any, NoReturn
+from typing import Any
 
-import msgspec
 from twisted.python.failure import Failure
 
+from bitternpath.replication.checking import Broken, Checker, Listener, Register
 from bitternpath.replication.consensus import Members, Times
 from bitternpath.replication.group import CompactionBounds
 from bitternpath.replication.host import ReplicaHost
 from bitternpath.replication.interfaces import NotOwner
 from bitternpath.replication.reconfiguration import next_members
+from bitternpath.replication.virtual_time import EventClock, ProcessClock
 from bitternpath.storage.journal import Journal
 from bitternpath.storage.segments import SegmentLog
 from bitternpath.storage.simulated import SimulatedDisk, VirtualRunner
@@ -37,195 +37,6 @@
 LOOK_SECONDS = 0.02
 
 
-class Broken(AssertionError):
-    """A property does not hold."""
-
-
-class Checker:
-    """What must hold on all replicas together."""
-
-    def __init__(self) -> None:
-        self.committed: list[bytes] = []
-        self.refused: set[bytes] = set()
-        self.acknowledged = 0  # how many of the committed ones, from the first on, a client may know of
-        self._places: dict[bytes, int] = {}
-        self._owners: dict[int, str] = {}
-        self.violation: Broken | None = None  # the first; a host may have caught the exception
-
-    def fail(self, text: str) -> NoReturn:
-        """A property does not hold."""
-        error = Broken(text)
-        self.violation = self.violation or error
-        raise error
-
-    def applied(self, node: str, place: int, command: bytes) -> None:
-        """A node's `place`-th command, from 0 on."""
-        if place < len(self.committed):
-            if self.committed[place] != command:
-                self.fail(f"{node} applied {command!r} where {self.committed[place]!r} was committed")
-            return
-        if command in self.refused:
-            self.fail(f"{command!r} was refused as not proposed, and {node} applied it")
-        if command in self._places:
-            self.fail(f"{node} applied {command!r} twice")
-        self._places[command] = place
-        self.committed.append(command)
-
-    def acknowledge(self, command: bytes) -> None:
-        """A client has heard that its command is committed."""
-        if command not in self._places:
-            self.fail(f"{command!r} was acknowledged and not applied")
-        self.acknowledged = max(self.acknowledged, self._places[command] + 1)
-
-    def refuse(self, command: bytes) -> None:
-        """A client has heard that its command was not proposed."""
-        if command in self._places:
-            self.fail(f"{command!r} was applied, and refused as not proposed")
-        self.refused.add(command)
-
-    def owns(self, epoch: int, node: str) -> None:
-        """A node became owner."""
-        if self._owners.setdefault(epoch, node) != node:
-            self.fail(f"{node} and {self._owners[epoch]} own epoch {epoch}")
-
-
-class Register:
-    """State machine: the list of all commands."""
-
-    def __init__(self, node: str, checker: Checker) -> None:
-        self.node, self.checker = node, checker
-        self.commands: list[bytes] = []
-
-    def apply(self, index: int, command: bytes) -> object:
-        """Add it."""
-        self.checker.applied(self.node, len(self.commands), command)
-        self.commands.append(command)
-        return command
-
-    def snapshot(self) -> bytes:
-        """The list."""
-        return msgspec.msgpack.encode(self.commands)
-
-    def restore(self, data: bytes) -> None:
-        """Take a list in place of this one."""
-        self.commands = msgspec.msgpack.decode(data, type=list[bytes])
-        if self.commands != self.checker.committed[: len(self.commands)]:
-            self.checker.fail(f"{self.node} got a snapshot of what was not committed")
-
-
-class Listener:
-    """Tells the checker who owns."""
-
-    def __init__(self, node: str, checker: Checker) -> None:
-        self.node, self.checker = node, checker
-
-    def became_owner(self, epoch: int) -> None:
-        """Only one may, in an epoch."""
-        self.checker.owns(epoch, self.node)
-
-    def lost_ownership(self) -> None:
-        """No matter."""
-
-    def applied(self, index: int, command: bytes, result: object) -> None:
-        """The state machine has told the checker."""
-
-
-class Timer:
-    """A call to come, as a reactor's `callLater` gives it."""
-
-    __slots__ = ("_arguments", "_call", "_time")
-
-    def __init__(self, time: float, call: Callable[..., object], arguments: tuple[Any, ...]) -> None:
-        self._time, self._arguments = time, arguments
-        self._call: Callable[..., object] | None = call
-
-    def getTime(self) -> float:
-        """When it is due."""
-        return self._time
-
-    def active(self) -> bool:
-        """Whether it is still to come."""
-        return self._call is not None
-
-    def cancel(self) -> None:
-        """It doesn't come."""
-        self._call = None
-
-    def fire(self) -> None:
-        """Call, unless it was cancelled."""
-        call, self._call = self._call, None
-        if call is not None:
-            call(*self._arguments)
-
-
-class EventClock:
-    """Virtual time with a heap of timers: in long runs cheaper than `twisted.internet.task.Clock`."""
-
-    def __init__(self) -> None:
-        self._now = 0.0
-        self._serial = count()
-        self._timers: list[tuple[float, int, Timer]] = []
-
-    def seconds(self) -> float:
-        """The virtual time."""
-        return self._now
-
-    def callLater(self, delay: float, call: Callable[..., object], *arguments: Any) -> Timer:
-        """As a reactor's."""
-        timer = Timer(self._now + delay, call, arguments)
-        heapq.heappush(self._timers, (timer.getTime(), next(self._serial), timer))
-        return timer
-
-    def step(self, end: float) -> bool:
-        """Fire the next timer; False where none is due until `end`, which it then is."""
-        if not self._timers or self._timers[0][0] > end:
-            self._now = end
-            return False
-        self._now, _, timer = heapq.heappop(self._timers)
-        timer.fire()
-        return True
-
-
-class ProcessClock:
-    """The reactor of one process: nothing happens while it is frozen, and nothing more once it has ended."""
-
-    def __init__(self, clock: EventClock) -> None:
-        self._clock = clock
-        self._ended = self._frozen = False
-        self._held: list[Callable[[], object]] = []
-
-    def seconds(self) -> float:
-        """The steady clock; goes on while the process is frozen."""
-        return self._clock.seconds()
-
-    def callLater(self, delay: float, call: Callable[..., Any], *arguments: Any) -> Any:
-        """As a reactor's."""
-        return self._clock.callLater(delay, self.run, lambda: call(*arguments))
-
-    def run(self, call: Callable[[], object]) -> None:
-        """Now, or when the process goes on."""
-        if self._frozen:
-            self._held.append(call)
-        elif not self._ended:
-            call()
-
-    def freeze(self) -> None:
-        """Hold all calls."""
-        self._frozen = True
-
-    def thaw(self) -> None:
-        """Do what was held."""
-        self._frozen = False
-        held, self._held = self._held, []
-        for call in held:
-            self.run(call)
-
-    def end(self) -> None:
-        """Do nothing more."""
-        self._ended, self._frozen = True, False
-        self._held.clear()
-
-
 @dataclass(slots=True)
 class Process:
     """One life of a node."""
--- /dev/null
+++ b/bitternpath/replication/virtual_time.py
@@ -0,0 +1,104 @@
+"""Virtual time for simulated processes that can be frozen and ended. For tests."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from itertools import count
+from typing import Any
+
+
+class Timer:
+    """A call to come, as a reactor's `callLater` gives it."""
+
+    __slots__ = ("_arguments", "_call", "_time")
+
+    def __init__(self, time: float, call: Callable[..., object], arguments: tuple[Any, ...]) -> None:
+        self._time, self._arguments = time, arguments
+        self._call: Callable[..., object] | None = call
+
+    def getTime(self) -> float:
+        """When it is due."""
+        return self._time
+
+    def active(self) -> bool:
+        """Whether it is still to come."""
+        return self._call is not None
+
+    def cancel(self) -> None:
+        """It doesn't come."""
+        self._call = None
+
+    def fire(self) -> None:
+        """Call, unless it was cancelled."""
+        call, self._call = self._call, None
+        if call is not None:
+            call(*self._arguments)
+
+
+class EventClock:
+    """Virtual time with a heap of timers: in long runs cheaper than `twisted.internet.task.Clock`."""
+
+    def __init__(self) -> None:
+        self._now = 0.0
+        self._serial = count()
+        self._timers: list[tuple[float, int, Timer]] = []
+
+    def seconds(self) -> float:
+        """The virtual time."""
+        return self._now
+
+    def callLater(self, delay: float, call: Callable[..., object], *arguments: Any) -> Timer:
+        """As a reactor's."""
+        timer = Timer(self._now + delay, call, arguments)
+        heapq.heappush(self._timers, (timer.getTime(), next(self._serial), timer))
+        return timer
+
+    def step(self, end: float) -> bool:
+        """Fire the next timer; False where none is due until `end`, which it then is."""
+        if not self._timers or self._timers[0][0] > end:
+            self._now = end
+            return False
+        self._now, _, timer = heapq.heappop(self._timers)
+        timer.fire()
+        return True
+
+
+class ProcessClock:
+    """The reactor of one process: nothing happens while it is frozen, and nothing more once it has ended."""
+
+    def __init__(self, clock: EventClock) -> None:
+        self._clock = clock
+        self._ended = self._frozen = False
+        self._held: list[Callable[[], object]] = []
+
+    def seconds(self) -> float:
+        """The steady clock; goes on while the process is frozen."""
+        return self._clock.seconds()
+
+    def callLater(self, delay: float, call: Callable[..., Any], *arguments: Any) -> Any:
+        """As a reactor's."""
+        return self._clock.callLater(delay, self.run, lambda: call(*arguments))
+
+    def run(self, call: Callable[[], object]) -> None:
+        """Now, or when the process goes on."""
+        if self._frozen:
+            self._held.append(call)
+        elif not self._ended:
+            call()
+
+    def freeze(self) -> None:
+        """Hold all calls."""
+        self._frozen = True
+
+    def thaw(self) -> None:
+        """Do what was held."""
+        self._frozen = False
+        held, self._held = self._held, []
+        for call in held:
+            self.run(call)
+
+    def end(self) -> None:
+        """Do nothing more."""
+        self._ended, self._frozen = True, False
+        self._held.clear()
--- a/bitternpath/storage/disk.py
+++ b/bitternpath/storage/disk.py
@@ -7,9 +7,13 @@
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
+import logbook
+
 from bitternpath.storage.commands import JournalCommand, batch_of
 from bitternpath.storage.segments import SegmentLog
 
+log = logbook.Logger("disk")
+
 RETRY_SECONDS = 0.25  # between attempts at a write that the disk refused
 STOP_SECONDS = 2.0  # for what waits to be written when the process ends
 
@@ -29,8 +33,8 @@
     def submit(self, command: JournalCommand) -> None:
         """Add a command to the queue."""
 
-    def stop(self) -> None:
-        """Write what waits, unless the disk fails, and end."""
+    def stop(self) -> bool:
+        """Write what waits, unless the disk fails, and end; False where it still is at work on the files."""
 
 
 class DiskThread:
@@ -61,14 +65,23 @@
             self._waiting.append(command)
             self._changed.notify()
 
-    def stop(self) -> None:
-        """Write what waits, unless the disk fails, and end."""
+    def stop(self) -> bool:
+        """Write what waits, unless the disk fails, and end; False where it still is at work on the files."""
         with self._changed:
             self._stopping.set()
             self._changed.notify()
         self._thread.join(STOP_SECONDS)
+        return not self._thread.is_alive()
 
     def _run(self) -> None:
+        try:
+            self._work()
+        except BaseException:
+            # Nothing is written any more, so nothing is promised any more either.
+            self._write_failing = True
+            log.exception("event=disk_thread_ended")
+
+    def _work(self) -> None:
         """A checkpoint goes on in single steps between the batches, so that none waits long."""
         while (commands := self._next()) is not None:
             if commands and not self._write(commands):
--- a/bitternpath/storage/files.py
+++ b/bitternpath/storage/files.py
@@ -56,9 +56,8 @@
 
     def make_folder(self, folder: str) -> None:
         path = self._root / folder
-        if not path.is_dir():
-            path.mkdir(parents=True, exist_ok=True)
-            self._sync_directory(path.parent)
+        path.mkdir(parents=True, exist_ok=True)
+        self._sync_directory(path.parent)  # also one that is there: its maker may have died before its sync
 
     def list_names(self, folder: str) -> list[str]:
         return sorted(os.listdir(self._root / folder))
--- a/bitternpath/storage/journal.py
+++ b/bitternpath/storage/journal.py
@@ -73,8 +73,8 @@
 
     def close(self) -> None:
         """Write what waits, unless the disk fails, and close the files."""
-        self._runner.stop()
-        self._log.close()
+        if self._runner.stop():
+            self._log.close()
 
     @staticmethod
     def _completed(commands: Sequence[JournalCommand]) -> None:
--- a/bitternpath/storage/simulated.py
+++ b/bitternpath/storage/simulated.py
@@ -233,12 +233,13 @@
         if not self._writing:
             self._begin()
 
-    def stop(self) -> None:
+    def stop(self) -> bool:
         """Write what waits, at once."""
         commands = self._writing + self._waiting
         if commands and not self._ended:
             self._log.write(batch_of(commands))
         self._ended = True
+        return True
 
     def end_inside_batch(self, random: Random) -> None:
         """The process ends, in the middle of a batch if there is one."""
