--- a/benchmarks/emulator.py
+++ b/benchmarks/emulator.py
@@ -26,7 +26,7 @@
 sys.path.insert(0, str(ROOT))
 structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
 
-from bitternpath.emulator.scenario import load, made_from  # noqa: E402
+from bitternpath.emulator.scenario_file import load, made_from  # noqa: E402
 from bitternpath.emulator.world import Result, World, play  # noqa: E402
 
 SCENARIOS = ROOT / "scenarios"
--- a/benchmarks/same_decisions.py
+++ b/benchmarks/same_decisions.py
@@ -26,7 +26,7 @@
 from bitternpath import Dispatcher  # noqa: E402
 from bitternpath import messages as m  # noqa: E402
 from bitternpath.emulator.policies import POLICIES  # noqa: E402
-from bitternpath.emulator.scenario import load  # noqa: E402
+from bitternpath.emulator.scenario_file import load  # noqa: E402
 from bitternpath.emulator.world import World  # noqa: E402
 
 MOVED = "44bd19b"  # the last revision with all decisions in brain.py
--- a/bitternpath/cli/emulate.py
+++ b/bitternpath/cli/emulate.py
@@ -43,7 +43,8 @@
     from bitternpath.emulator.clock import StuckError
     from bitternpath.emulator.policies import POLICIES
     from bitternpath.emulator.report import show, summary, to_json
-    from bitternpath.emulator.scenario import ScenarioError, load
+    from bitternpath.emulator.scenario import ScenarioError
+    from bitternpath.emulator.scenario_file import load
     from bitternpath.emulator.world import play
 
     if policy not in POLICIES:
--- a/bitternpath/emulator/scenario.py
+++ b/bitternpath/emulator/scenario.py
@@ -1,14 +1,12 @@
-"""Scenarios: a world and what goes wrong in it, as TOML, typed and bound-checked like the operator file.
+"""What a scenario says: a world and what goes wrong in it, typed and bounded (`scenario_file.py` reads it).
 
 Ranges (`[low, high]`) are drawn anew for each seed, so that one file gives many days.
 """
 
 from __future__ import annotations
 
-import tomllib
-from pathlib import Path
 from random import Random
-from typing import Annotated, Any, Literal
+from typing import Annotated, Literal
 
 import msgspec
 from msgspec import Meta, Struct
@@ -182,49 +180,6 @@
     troubles: list[Trouble] = msgspec.field(default_factory=list)
 
 
-def load(path: str | Path) -> Scenario:
-    """Read a scenario; ScenarioError names the file, the key and what is allowed."""
-    try:
-        told = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-    except OSError as error:
-        raise ScenarioError(f"{path}: {error.strerror}") from error
-    except ValueError as error:
-        raise ScenarioError(f"{path}: not TOML: {' '.join(str(error).split())}") from error
-    return made_from(told, str(path))
-
-
-def made_from(told: dict[str, Any], where: str) -> Scenario:
-    """A scenario from plain values, checked as a whole."""
-    from bitternpath.emulator.troubles import KINDS
-
-    try:
-        scenario = msgspec.convert(told, Scenario)
-    except msgspec.ValidationError as error:
-        raise ScenarioError(
-            f"{where}: {str(error).replace(' - at `$.', ', at `').replace('`$`', 'the top')}"
-        ) from error
-    from bitternpath.emulator.troubles.fleet import FLEET
-
-    names = [site.name for site in scenario.sites]
-    for trouble in scenario.troubles:
-        if trouble.kind not in KINDS:
-            raise ScenarioError(
-                f"{where}: troubles: kind {trouble.kind!r}; allowed are {', '.join(sorted(KINDS))}"
-            )
-        if trouble.kind in FLEET and not scenario.fleet.stewards:
-            raise ScenarioError(f"{where}: troubles: kind {trouble.kind!r} needs fleet.stewards")
-        for site in (trouble.site, trouble.other):
-            if site and site not in names:
-                raise ScenarioError(f"{where}: troubles: site {site!r}; allowed are {', '.join(names)}")
-    if not sum(site.workers for site in scenario.sites):
-        raise ScenarioError(f"{where}: sites: no workers")
-    if not sum(site.nodes for site in scenario.sites):
-        raise ScenarioError(f"{where}: sites: no nodes")
-    if scenario.clients.rate * scenario.seconds > MOST_REQUESTS:
-        raise ScenarioError(f"{where}: clients.rate: at most {MOST_REQUESTS} first tries are allowed")
-    return scenario
-
-
 def drawn(random: Random, value: Range) -> float:
     """A value, or one out of its range."""
     return value if isinstance(value, int | float) else random.uniform(*value)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -24,7 +24,8 @@
 from bitternpath.emulator.clock import AT_ONCE, Scheduler, StuckError
 from bitternpath.emulator.policies import POLICIES, Plain, RandomPolicy
 from bitternpath.emulator.ports import HeldPort
-from bitternpath.emulator.scenario import JobClass, Kind, Prices, ScenarioError, load, made_from
+from bitternpath.emulator.scenario import JobClass, Kind, Prices, ScenarioError
+from bitternpath.emulator.scenario_file import load, made_from
 from bitternpath.emulator.service import Ask, Tally
 from bitternpath.emulator.troubles import KINDS
 from bitternpath.emulator.troubles.fleet import FLEET
@@ -261,7 +262,7 @@
     # Guards: anything that hangs on hashes, addresses or the real clock makes runs that nobody can repeat.
     code = (
         "import structlog; structlog.configure(logger_factory=structlog.ReturnLoggerFactory());"
-        "from bitternpath.emulator.scenario import load; from bitternpath.emulator.world import play;"
+        "from bitternpath.emulator.scenario_file import load; from bitternpath.emulator.world import play;"
         "r = play(load('scenarios/vanishing.toml'), 7); print(r.trace, r.events, r.figures)"
     )
     found = set()
@@ -549,7 +550,7 @@
 
 def test_a_run_on_a_machine_that_is_too_busy_is_void() -> None:
     code = (
-        "from bitternpath.emulator import wall; from bitternpath.emulator.scenario import made_from;"
+        "from bitternpath.emulator import wall; from bitternpath.emulator.scenario_file import made_from;"
         "wall.VOID_BEYOND = -1.0;"
         "s = made_from({'name': 's', 'seconds': 0.3, 'sites': [{'name': 'a', 'workers': 1}],"
         " 'classes': [{'name': 'x', 'share': 1.0, 'work': 5.0, 'give_up': 300.0}]}, 's');"
@@ -584,7 +585,7 @@
     code = f"""
 import subprocess, sys
 from bitternpath.emulator import wall
-from bitternpath.emulator.scenario import made_from
+from bitternpath.emulator.scenario_file import made_from
 class Popen(subprocess.Popen):
     def __init__(self, args, **kwargs):
         super().__init__([sys.executable, "-c", {LATE_NODE!r}, "{late}"], **kwargs)
--- a/tests/test_large_fleet_days.py
+++ b/tests/test_large_fleet_days.py
@@ -11,7 +11,8 @@
 
 from bitternpath.emulator.clock import Scheduler
 from bitternpath.emulator.discovery import Directory
-from bitternpath.emulator.scenario import Discovery, Scenario, ScenarioError, load
+from bitternpath.emulator.scenario import Discovery, Scenario, ScenarioError
+from bitternpath.emulator.scenario_file import load
 from bitternpath.emulator.wall import play_on_sockets
 from bitternpath.emulator.world import World
 
