Emulator: the world on sockets is a package of modules with one job each, wall.py goes

Cause: wall.py held servers, connection pools, a node's processes, discovery, clients, workers, the measuring of a busy machine and the run, in 990 lines. Change: emulator/sockets/ with servers, pool, feed (discovery), requests (clients), workers, node (processes), world, play, platform_settings and processor_waits, 8 to 257 lines each. WallWorld is SocketWorld, WallNode SocketNode, Starved ProcessorWaits.

--- a/bitternpath/cli/campaign.py
+++ b/bitternpath/cli/campaign.py
@@ -54,7 +54,7 @@
     import structlog
 
     from bitternpath.emulator.fleet.days import day
-    from bitternpath.emulator.wall import VoidError, play_on_sockets
+    from bitternpath.emulator.sockets.play import VoidError, play_on_sockets
 
     structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
     scenario = day(seed, faults)
--- a/bitternpath/cli/on_sockets.py
+++ b/bitternpath/cli/on_sockets.py
@@ -13,10 +13,11 @@
 
 from bitternpath.emulator.report import show, to_json
 from bitternpath.emulator.scenario import Scenario
-from bitternpath.emulator.wall import VoidError, WallWorld, play_on_sockets
+from bitternpath.emulator.sockets.play import VoidError, play_on_sockets
+from bitternpath.emulator.sockets.world import SocketWorld
 
 
-def _row(world: WallWorld) -> dict[str, str]:
+def _row(world: SocketWorld) -> dict[str, str]:
     """The last second that is over."""
     second = int(world.now()) - 1
     counts = world.tally.counts
@@ -58,7 +59,7 @@
 
     live: Any = Live(console=console, auto_refresh=False) if console.is_terminal else None
 
-    def each_second(world: WallWorld) -> None:
+    def each_second(world: SocketWorld) -> None:
         rows.append(_row(world))
         if live is not None:
             live.update(table(), refresh=True)
--- a/bitternpath/emulator/fleet/processes.py
+++ b/bitternpath/emulator/fleet/processes.py
@@ -28,7 +28,7 @@
 from bitternpath.net.sockets import dial
 
 if TYPE_CHECKING:
-    from bitternpath.emulator.wall import WallWorld
+    from bitternpath.emulator.sockets.world import SocketWorld
 
 ANSWER_WITHIN = 1.0  # s that a steward is waited for before another is asked
 AGAIN_AFTER = 0.1  # s before the next one is
@@ -155,7 +155,7 @@
 class FleetOnSockets:
     """The stewards of a world, the links to them, and an operator."""
 
-    def __init__(self, world: WallWorld) -> None:
+    def __init__(self, world: SocketWorld) -> None:
         self.world = world
         sites = [site.name for site in world.scenario.sites]
         many = world.scenario.fleet.stewards
@@ -331,11 +331,11 @@
             if why:
                 self.faults.append(f"stuck: {why}, {RIGHT_WITHIN:.0f} s after the last fault")
             for node in self.world.nodes.values():
-                node.say_stop()  # type: ignore[attr-defined]
+                node.say_stop()
             ends(time.monotonic() + LAST_WORDS)
 
         def ends(by: float) -> None:
-            running = any(node.up and node.process.poll() is None for node in self.world.nodes.values())  # type: ignore[attr-defined]
+            running = any(node.up and node.process.poll() is None for node in self.world.nodes.values())
             if running and time.monotonic() < by:
                 self.world.reactor.callLater(0.1, ends, by)
             else:
--- /dev/null
+++ b/bitternpath/emulator/sockets/feed.py
@@ -0,0 +1,78 @@
+"""Discovery as one node reaches it: watches, each a chunked answer with a line for every change."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import ujson
+
+from bitternpath import messages as m
+from bitternpath.core.roster import Listing
+from bitternpath.emulator.sockets.servers import Server, ServerConnection
+from bitternpath.http import http1
+
+if TYPE_CHECKING:
+    from bitternpath.emulator.sockets.world import SocketWorld
+
+PHASES = {m.State.SERVING: "up", m.State.DRAINING: "draining", m.State.GONE: "removed"}
+HEARTBEAT = 2.0  # s between empty lines on a watch
+MOVED_CLOSES_AFTER = 1.5  # s for which the address before a move still answers
+
+
+class DiscoveryFeed:
+    """The server of one node's watches."""
+
+    def __init__(self, world: SocketWorld, node: str) -> None:
+        self.world, self.node = world, node
+        self.watches: set[ServerConnection] = set()
+        self.server = Server(world.reactor, self._watch)
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.server.number}"
+
+    def move(self) -> None:
+        """Listen at another address; the one before closes a little later."""
+        before, self.server = self.server, Server(self.world.reactor, self._watch)
+        self.world.reactor.callLater(MOVED_CLOSES_AFTER, before.close)
+
+    def message(self, listing: Listing) -> dict[str, Any]:
+        """A listing in the platform's words, with the addresses at which this node reaches the workers."""
+        return {
+            "revision": listing.revision,
+            "complete": listing.complete,
+            "members": [
+                {"id": p.id, "host_port": self.world.worker_servers.address(self.node, p.id),
+                 "locality": p.zone, "flavor": p.kind, "cell": p.cell, "phase": PHASES[p.state], "size": 1.0,
+                 "up_since_ms": p.up_since}
+                for p in listing.members
+            ],
+        }  # fmt: skip
+
+    def hear(self, name: str, listing: Listing) -> None:
+        """Discovery's word goes out on the watches."""
+        now = self.world.now()
+        for provider in listing.members:
+            self.world.checker.told(now, self.node, provider.id, provider.state is m.State.SERVING)
+            if provider.up_since:
+                self.world.informed.setdefault(provider.id, {})[self.node] = provider.up_since
+        for connection in list(self.watches):
+            if connection.transport.connected:
+                self._write(connection, listing)
+
+    def _watch(self, connection: ServerConnection, request: http1.Request) -> None:
+        connection.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.watches.add(connection)
+        self._write(connection, self.world.directory.whole())
+        self._beat(connection)
+
+    def _write(self, connection: ServerConnection, listing: Listing) -> None:
+        data = ujson.dumps(self.message(listing)).encode() + b"\n"
+        connection.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def _beat(self, connection: ServerConnection) -> None:
+        if connection.transport.connected:
+            connection.transport.write(b"1\r\n\n\r\n")
+            self.world.reactor.callLater(HEARTBEAT, self._beat, connection)
+        else:
+            self.watches.discard(connection)
--- /dev/null
+++ b/bitternpath/emulator/sockets/play.py
@@ -0,0 +1,83 @@
+"""One run of a scenario with real nodes, on the installed reactor."""
+
+from __future__ import annotations
+
+import signal
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from bitternpath.emulator.scenario import Scenario, ScenarioError
+from bitternpath.emulator.sockets.world import SocketWorld
+from bitternpath.emulator.world import Result
+
+VOID_BEYOND = 0.050  # s of the world's own lateness at p99 above which a run is void
+
+
+class VoidError(Exception):
+    """The machine was too busy for the run to mean anything."""
+
+
+def _in_virtual_time_only(scenario: Scenario) -> str:
+    """What of the scenario the sockets can't show; empty where they show all."""
+    if scenario.discovery.calls_per_s:
+        return "discovery.calls_per_s"
+    if any(kind.connections for kind in scenario.kinds):
+        return "kinds.connections"
+    return "troubles: replace" if any(t.kind == "replace" for t in scenario.troubles) else ""
+
+
+def play_on_sockets(
+    scenario: Scenario, seed: int, each_second: Callable[[SocketWorld], None] | None = None
+) -> Result:
+    """One run with real nodes; VoidError where the machine was too busy to tell.
+
+    What the fleet's processes wrote down themselves breaks a rule however busy the machine was.
+    """
+    only = _in_virtual_time_only(scenario)
+    if only:
+        raise ScenarioError(f"{scenario.name}: {only}: in virtual time only, leave out --sockets")
+    from twisted.internet import reactor as installed
+
+    reactor: Any = installed
+    with tempfile.TemporaryDirectory(prefix="bitternpath-") as folder:
+        world = SocketWorld(scenario, seed, reactor, Path(folder))
+        begun = time.perf_counter()
+        interrupted: list[bool] = []
+
+        def over() -> None:
+            reactor.callLater(0.1, reactor.stop)
+
+        def on_interrupt(number: int, frame: object) -> None:
+            interrupted.append(True)
+            reactor.callFromThread(reactor.stop)
+
+        def tick() -> None:
+            if each_second is not None:
+                each_second(world)
+            reactor.callLater(1.0, tick)
+
+        before = {number: signal.signal(number, on_interrupt) for number in (signal.SIGINT, signal.SIGTERM)}
+        reactor.callWhenRunning(world.play, over)
+        reactor.callLater(1.0, tick)
+        try:
+            reactor.run(installSignalHandlers=False)
+        finally:
+            world.close()
+            for number, handler in before.items():
+                signal.signal(number, handler)
+        if interrupted:
+            raise KeyboardInterrupt
+        result = world.finished(time.perf_counter() - begun)
+        if world.fleet is not None and world.fleet.faults:
+            return result
+        if world.own_lateness > VOID_BEYOND:
+            late = f"{world.own_lateness * 1000:.0f} ms"
+            raise VoidError(
+                f"void: the emulator itself was {late} late at p99, {VOID_BEYOND * 1000:.0f} ms allowed"
+            )
+        if world.processor_waits.excused:
+            raise VoidError(f"void: the machine was too busy: {world.processor_waits.excused[0]}")
+        return result
--- /dev/null
+++ b/bitternpath/emulator/sockets/pool.py
@@ -0,0 +1,86 @@
+"""Connections of the world's to a node, kept and used again, with one request at a time on each."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from bitternpath.http import http1
+
+DIAL_WITHIN = 3  # s
+
+
+class ClientConnection(Protocol):
+    """A connection of the world's to a node: one request at a time."""
+
+    transport: Any
+
+    def __init__(self, pool: ConnectionPool) -> None:
+        self.pool = pool
+        self.reader = http1.ResponseReader()
+        self.heard: Callable[[http1.Response | None], None] | None = None
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+
+    def ask(self, data: bytes, heard: Callable[[http1.Response | None], None]) -> None:
+        self.heard = heard
+        self.transport.write(data)
+
+    def dataReceived(self, data: bytes) -> None:
+        self.reader.feed(data)
+        try:
+            message = self.reader.next()
+        except http1.HttpError:
+            self.transport.abortConnection()
+            return
+        if isinstance(message, http1.Response) and self.heard is not None:
+            heard, self.heard = self.heard, None
+            if message.keep_alive:
+                self.pool.idle.append(self)
+            else:
+                self.transport.loseConnection()
+            heard(message)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        if self in self.pool.idle:
+            self.pool.idle.remove(self)
+        heard, self.heard = self.heard, None
+        if heard is not None:
+            heard(None)
+
+
+class ConnectionPool:
+    """Connections to one node, kept and used again."""
+
+    def __init__(self, reactor: Any, port: Callable[[], int]) -> None:
+        self.reactor, self.port = reactor, port
+        self.idle: list[ClientConnection] = []
+
+    def ask(
+        self, data: bytes, heard: Callable[[http1.Response | None], None], refused: Callable[[], None],
+        sent: Callable[[ClientConnection], None],
+    ) -> None:  # fmt: skip
+        if self.idle:
+            connection = self.idle.pop()
+            sent(connection)
+            connection.ask(data, heard)
+            return
+        factory: Any = Factory.forProtocol(lambda: ClientConnection(self))
+        factory.noisy = False
+        dialled = TCP4ClientEndpoint(self.reactor, "127.0.0.1", self.port(), DIAL_WITHIN).connect(factory)
+
+        def up(connection: Any) -> None:
+            sent(connection)
+            connection.ask(data, heard)
+
+        dialled.addCallbacks(up, lambda failure: refused())
+
+    def close(self) -> None:
+        for connection in list(self.idle):
+            connection.transport.abortConnection()
+        self.idle.clear()
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -27,9 +27,9 @@
 from bitternpath.emulator.scenario import JobClass, Kind, Prices, ScenarioError
 from bitternpath.emulator.scenario_file import load, made_from
 from bitternpath.emulator.service import Ask, Tally
+from bitternpath.emulator.sockets.processor_waits import ProcessorWaits
 from bitternpath.emulator.troubles import KINDS
 from bitternpath.emulator.troubles.fleet import FLEET
-from bitternpath.emulator.wall import Starved
 from bitternpath.emulator.worker import Attempt, Worker
 from bitternpath.emulator.world import Result, play
 
@@ -550,11 +550,12 @@
 
 def test_a_run_on_a_machine_that_is_too_busy_is_void() -> None:
     code = (
-        "from bitternpath.emulator import wall; from bitternpath.emulator.scenario_file import made_from;"
-        "wall.VOID_BEYOND = -1.0;"
+        "from bitternpath.emulator.sockets import play;"
+        "from bitternpath.emulator.scenario_file import made_from;"
+        "play.VOID_BEYOND = -1.0;"
         "s = made_from({'name': 's', 'seconds': 0.3, 'sites': [{'name': 'a', 'workers': 1}],"
         " 'classes': [{'name': 'x', 'share': 1.0, 'work': 5.0, 'give_up': 300.0}]}, 's');"
-        "wall.play_on_sockets(s, 1)"
+        "play.play_on_sockets(s, 1)"
     )
     run = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=False)
     assert "VoidError: void: the emulator itself was" in run.stderr
@@ -584,16 +585,16 @@
 ) -> None:
     code = f"""
 import subprocess, sys
-from bitternpath.emulator import wall
 from bitternpath.emulator.scenario_file import made_from
+from bitternpath.emulator.sockets import node, play
 class Popen(subprocess.Popen):
     def __init__(self, args, **kwargs):
         super().__init__([sys.executable, "-c", {LATE_NODE!r}, "{late}"], **kwargs)
-wall.subprocess.Popen = Popen
+node.subprocess.Popen = Popen
 classes = [{{"name": "x", "share": 1.0, "work": 5.0, "give_up": 300.0}}]
 s = made_from({{"name": "s", "seconds": 1.0, "sites": [{{"name": "a", "workers": 1}}],
     "clients": {{"rate": 5.0, "retries": 0}}, "classes": classes}}, "s")
-result = wall.play_on_sockets(s, 1)
+result = play.play_on_sockets(s, 1)
 assert result.requests
 print([v for v in result.violations if "ended by itself" not in v])
 """
@@ -605,16 +606,16 @@
 
 
 def test_an_answer_is_excused_by_as_much_as_the_machine_was_seen_to_hold_up() -> None:
-    starved = Starved()
-    starved.saw(4.93, "n1", 0.04)  # before the deadline at 5.0, near it
-    starved.saw(5.03, "", 0.02)
-    starved.saw(3.0, "n1", 9.0)  # neither near the arrival nor near the end
-    starved.saw(5.0, "n2", 9.0)  # another node
-    assert starved.excuses(0.055, "n1", 1.0, 5.0, 5.05)
-    assert not starved.excuses(0.065, "n1", 1.0, 5.0, 5.05)
-    assert not starved.excuses(0.021, "n3", 1.0, 5.0, 5.05)
-    starved.saw(1.05, "n3", 0.03)  # when the request came
-    assert starved.excuses(0.045, "n3", 1.0, 5.0, 5.05)
+    waits = ProcessorWaits()
+    waits.record(4.93, "n1", 0.04)  # before the deadline at 5.0, near it
+    waits.record(5.03, "", 0.02)
+    waits.record(3.0, "n1", 9.0)  # neither near the arrival nor near the end
+    waits.record(5.0, "n2", 9.0)  # another node
+    assert waits.excuses(0.055, "n1", 1.0, 5.0, 5.05)
+    assert not waits.excuses(0.065, "n1", 1.0, 5.0, 5.05)
+    assert not waits.excuses(0.021, "n3", 1.0, 5.0, 5.05)
+    waits.record(1.05, "n3", 0.03)  # when the request came
+    assert waits.excuses(0.045, "n3", 1.0, 5.0, 5.05)
 
 
 def test_a_held_port_is_given_to_nobody_else_and_can_be_listened_on_again_and_again() -> None:
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -25,7 +25,7 @@
         "import sys, structlog; structlog.configure(logger_factory=structlog.ReturnLoggerFactory())\n"
         "from bitternpath.emulator.fleet import processes\n"
         "from bitternpath.emulator.fleet.days import day, lagging\n"
-        "from bitternpath.emulator.wall import VoidError, play_on_sockets\n"
+        "from bitternpath.emulator.sockets.play import VoidError, play_on_sockets\n"
         f"processes.BUILD = {build!r}\n"
         "if processes.BUILD:\n"
         "    processes.RIGHT_WITHIN = 5.0\n"  # it may never come right
--- a/tests/test_large_fleet_days.py
+++ b/tests/test_large_fleet_days.py
@@ -13,7 +13,7 @@
 from bitternpath.emulator.discovery import Directory
 from bitternpath.emulator.scenario import Discovery, Scenario, ScenarioError
 from bitternpath.emulator.scenario_file import load
-from bitternpath.emulator.wall import play_on_sockets
+from bitternpath.emulator.sockets.play import play_on_sockets
 from bitternpath.emulator.world import World
 
 SCENARIO = Path(__file__).parent.parent / "scenarios" / "large-fleet.toml"
