Search of the fleet's states is a package: exploring, states, consensus, leases, scopes

Change: emulator/fleet/search/ of five modules, 29 to 232 lines; Ways is Channels, Still FixedRandom. Tests change in imports.

--- a/bitternpath/cli/campaign.py
+++ b/bitternpath/cli/campaign.py
@@ -41,7 +41,8 @@
 
 
 def _search(number: int, most: int) -> tuple[bool, str]:
-    from bitternpath.emulator.fleet.search import SCOPES, begun, search
+    from bitternpath.emulator.fleet.search.explore import search
+    from bitternpath.emulator.fleet.search.scopes import SCOPES, begun
 
     found = search(begun(SCOPES[number]), most, deque.pop)
     says = f"{found.broken}, after {'; '.join(found.trail)}" if found.broken else "rules kept"
@@ -94,7 +95,7 @@
     Ends with 0 where the rules were kept in all, with 1 where one was broken.
     """
     if way == "search":
-        from bitternpath.emulator.fleet.search import SCOPES
+        from bitternpath.emulator.fleet.search.scopes import SCOPES
 
         faults, many = many, len(SCOPES)
     faults = faults if faults is not None else (5 if way == "days" else 20)
--- /dev/null
+++ b/bitternpath/emulator/fleet/search/leases.py
@@ -0,0 +1,232 @@
+"""One steward that may end and come back, and two nodes whose clocks run apart by the drift stated."""
+
+from __future__ import annotations
+
+from collections.abc import Hashable, Iterator
+from copy import copy
+from functools import partial
+from typing import Any
+
+from msgspec import Struct
+
+from bitternpath.emulator.fleet import world
+from bitternpath.emulator.fleet.search.explore import Move
+from bitternpath.emulator.fleet.search.states import Channels, FixedRandom, copied, cut, encoded
+from bitternpath.fleet import audit
+from bitternpath.fleet import messages as m
+from bitternpath.fleet import plan as p
+from bitternpath.fleet.agency import Agency, Who
+from bitternpath.fleet.desk import Desk
+from bitternpath.fleet.founding import founded
+from bitternpath.replication.consensus import Times
+
+
+class LeaseScope(Struct, frozen=True):
+    steps: int = 3  # of time
+    changes: int = 2
+    crashes: int = 1  # of the steward
+    cuts: int = 0
+    nodes: int = 2
+    shuffled: bool = False
+
+
+TERMS = p.Terms(lease=1.0, drift=0.1, catch_up=1.0)
+STEP = 0.6  # s: a lease is over after two, whoever's clock is asked
+RATES = (0.9, 1.1)  # the clocks of the nodes
+
+
+class Leases:
+    """A steward that leads from the start, and nodes that speak to it; its disk is quick."""
+
+    def __init__(self, scope: LeaseScope) -> None:
+        self.scope = scope
+        self.left = {"time": scope.steps, "change": scope.changes, "crash": scope.crashes}
+        self.left["cut"] = scope.cuts
+        self.now = 0
+        self.disk = founded("S", TERMS, "f")
+        self.channels = Channels()
+        self.versions = 0
+        self.broken = ""
+        self.begun = 0.0  # when the steward led, by its clock
+        self.nodes: dict[str, Agency] = {}
+        self.desk = self._desk()
+        while self.desk.tenure is None or not self.desk.tenure.began:  # it leads, and nothing is on the way
+            self.desk.tick(self.desk.alarm)
+            self.settle()
+        self.begun = self.desk.raft.now
+        fixed: Any = FixedRandom()
+        for k in range(scope.nodes):
+            who = Who(f"n{k}", "b", "site", (1,))
+            agency = Agency(who, ["S"], fixed, self.clock(k), lambda: 0.0, lambda plan: "")
+            self.nodes[who.node] = agency
+            agency.dial = None
+            agency.up(self.clock(k), "S")
+            self.said(who.node)
+
+    def _desk(self) -> Desk:
+        fixed: Any = FixedRandom()
+        return Desk("S", world.kept_copy(self.disk), fixed, self.steward_clock(), lambda: 0.0, Times())
+
+    def clock(self, node: int) -> float:
+        return 100.0 * (node + 1) + RATES[node % len(RATES)] * STEP * self.now
+
+    def steward_clock(self) -> float:
+        return self.begun + STEP * self.now
+
+    def copy(self) -> Leases:
+        """Shares its processes until one is to change: see `own` and `own_node`."""
+        twin = copy(self)
+        twin.left, twin.nodes = dict(self.left), dict(self.nodes)
+        return twin
+
+    def own(self) -> Desk:
+        """The steward, as one that this state may change."""
+        self.disk = world.kept_copy(self.disk)
+        desk: Desk = copied(self.desk)
+        self.desk = desk
+        desk.raft = copied(desk.raft)
+        desk.record = p.record_from(p.record_bytes(desk.record))
+        if desk.tenure is not None:
+            desk.tenure = copied(desk.tenure)
+        return desk
+
+    def own_node(self, name: str) -> Agency:
+        agency: Agency = copied(self.nodes[name])
+        self.nodes[name] = agency
+        agency.ledger = audit.Ledger("b")  # what it writes down decides nothing
+        return agency
+
+    def key(self) -> Hashable:
+        desk, raft = self.desk, self.desk.raft
+        tenure = desk.tenure
+        watches = tuple(
+            (key, w.until, w.acting, w.have, w.digest, w.sent, w.behind_since, w.ending)
+            for key, w in (tenure.watches.items() if tenure is not None else ())
+        )
+        waiting = tuple(
+            (w.at, w.came, encoded(w.said)) for w in (*tenure.rounds, *tenure.entries.values())
+        ) if tenure is not None else ()  # fmt: skip
+        nodes = tuple(
+            (a.fence, a._lost, a.until, a.plan.version, a.plan.digest, a.taken.version, a.taken.digest,
+             a.connected, a.latest, a._renew_at, a._answer_by, a._dial_at,
+             tuple((n.version, n.digest) for n in a._next))
+            for a in self.nodes.values()
+        )  # fmt: skip
+        return (
+            self.now, tuple(self.left.values()), tuple(e.data for e in raft.log), raft.term, raft.role.value,
+            raft.commit, raft.stable, raft.last, raft.round, raft.confirmed, watches, waiting, nodes,
+            self.channels.key(self.scope.shuffled),
+            (tenure.began, tenure.releasing, tuple(tenure.joining.items())) if tenure is not None else (),
+        )  # fmt: skip
+
+    def moves(self) -> Iterator[Move]:
+        for sender, to, said, rest in self.channels.deliverable(self.scope.shuffled):
+            yield f"{sender} to {to}: {said}", partial(_pass, sender=sender, to=to, said=said, rest=rest)
+        if self.left["cut"]:
+            for sender, to, rest in self.channels.cut():
+                yield f"{sender} to {to}: cut", partial(cut, rest=rest)
+        if self.left["time"]:
+            yield "time passes", _time_passes
+        if self.left["change"]:
+            yield "a change", _agreed
+        if self.left["crash"]:
+            yield "S: ends and comes back", _steward_crash
+        if self.desk.alarm <= self.steward_clock():
+            yield "S: its timer rings", _steward_ring
+        for k, (name, agency) in enumerate(self.nodes.items()):
+            if agency.alarm <= self.clock(k) or agency.dial is not None:
+                yield f"{name}: its timer rings", partial(_node_ring, name=name)
+
+    def settle(self) -> None:
+        """The steward's effects, and what must hold in every state."""
+        while True:
+            effects = self.desk.take(self.steward_clock())
+            for token, said in effects.replies:
+                if token >= 0:
+                    self.channels = self.channels.with_message("S", f"n{token}", said)
+            if not effects.writes:
+                break
+            for write in effects.writes:
+                world.keep(self.disk, write)
+                self.desk.stored(self.steward_clock(), write.number)
+        self.check()
+
+    def said(self, name: str) -> None:
+        """A node's effects."""
+        agency = self.nodes[name]
+        sends, agency.sends = agency.sends, []
+        agency.acts.clear()
+        agency.ledger = audit.Ledger("b")
+        for said in sends:
+            if not isinstance(said, m.Acts):
+                self.channels = self.channels.with_message(name, "S", said)
+        self.check()
+
+    def check(self) -> None:
+        """By true time: who could act now, on which version, and does the record still count it in?"""
+        holders = {h.node: h.fence for h in self.desk.record.holders.values()}
+        acting = {}
+        for k, (name, agency) in enumerate(self.nodes.items()):
+            if agency.fence and self.clock(k) < agency.until:
+                acting[name] = agency.plan.version
+                if holders.get(name, 0) < agency.fence and not self.catching_up:
+                    self.broken = f"{name} may act under fence {agency.fence}, which is let go of"
+        if acting and max(acting.values()) - min(acting.values()) > 1:
+            self.broken = f"two versions apart: {acting}"
+
+    @property
+    def catching_up(self) -> bool:
+        """A steward that has come back does not know its own record before it leads again."""
+        return self.desk.tenure is None or not self.desk.tenure.began
+
+
+def _pass(state: Leases, sender: str, to: str, said: Any, rest: Channels) -> None:
+    state.channels = rest
+    if to == "S":
+        state.own().say(state.steward_clock(), int(sender[1:]), said)
+        state.settle()
+        return
+    agency, k = state.own_node(to), int(to[1:])
+    if agency.connected:
+        agency.hear(state.clock(k), said)
+        state.said(to)
+
+
+def _time_passes(state: Leases) -> None:
+    state.left["time"] -= 1
+    state.now += 1
+    state.check()
+
+
+def _agreed(state: Leases) -> None:
+    """An operator's command comes to the steward."""
+    state.left["change"] -= 1
+    state.versions += 1
+    change = p.SetClass("lookup", {"aim": float(state.versions)})
+    state.own().say(
+        state.steward_clock(), -1, m.Ask(state.versions, m.Propose(f"c{state.versions}", "a", "b", change))
+    )
+    state.settle()
+
+
+def _steward_crash(state: Leases) -> None:
+    state.left["crash"] -= 1
+    state.disk = world.kept_copy(state.disk)
+    state.desk = state._desk()
+    state.desk.tick(state.desk.alarm)  # alone, it may stand at once
+    state.settle()
+
+
+def _steward_ring(state: Leases) -> None:
+    state.own().tick(state.steward_clock())
+    state.settle()
+
+
+def _node_ring(state: Leases, name: str) -> None:
+    agency, k = state.own_node(name), int(name[1:])
+    if agency.dial is not None:
+        agency.dial, agency.hang_up = None, False
+        agency.up(state.clock(k), "S")
+    else:
+        agency.tick(state.clock(k))
+    state.said(name)
--- a/tests/test_fleet_record.py
+++ b/tests/test_fleet_record.py
@@ -12,7 +12,10 @@
 
 from bitternpath.emulator.fleet.broken import BUILDS, broken
 from bitternpath.emulator.fleet.campaign import play
-from bitternpath.emulator.fleet.search import SCOPES, LeaseScope, Scope, begun, search
+from bitternpath.emulator.fleet.search.consensus import Scope
+from bitternpath.emulator.fleet.search.explore import search
+from bitternpath.emulator.fleet.search.leases import LeaseScope
+from bitternpath.emulator.fleet.search.scopes import SCOPES, begun
 from bitternpath.emulator.fleet.walk import Walk, walk
 from bitternpath.fleet import messages as m
 from bitternpath.fleet import plan as p
