--- a/tests/system/__init__.py
+++ b/tests/system/__init__.py
@@ -48,7 +48,9 @@
         return results[0]
 
     def close(self) -> None:
-        """End every connection and listener."""
+        """End every connection, listener and thread (one that is left keeps the process from ending)."""
+        if self.reactor.threadpool is not None:
+            self.reactor.threadpool.stop()
         for call in self.reactor.getDelayedCalls():
             call.cancel()
         for selectable in self.reactor.removeAll():
--- a/tests/system/test_callback_client.py
+++ b/tests/system/test_callback_client.py
@@ -105,6 +105,7 @@
             (b"400 Bad Request", CallbackResult.REFUSED),
             (b"201 Created", CallbackResult.FAILED),
             (b"204 No Content", CallbackResult.FAILED),
+            (b"303 See Other", CallbackResult.FAILED),
             (b"307 Temporary Redirect", CallbackResult.FAILED),
             (b"404 Not Found", CallbackResult.FAILED),
             (b"429 Too Many Requests", CallbackResult.FAILED),
