Call-backs: a receiver that fails is probed, and all of it is told soon after it is back

Cause: each call-back backed off by itself up to 6.25 s, and each timed out by itself: with 60 owed to a receiver that was down for 40 s, 699 calls went out meanwhile (resets), and 3.2 s after its return 44 of 60 were told (silence). Change: pauses of one call-back end at 1.5 s (1.9 with the spread); after 4 failures in a row a receiver gets one call at a time, half a second after the last failure, until one is taken. 8 instead of 16 out at once: an edge node makes 4 calls at a time, and those that wait 2 s there count as failed. Test: test_callback_recovery, 3 of its 4 seen to fail before the change; test_it_is_repeated_until_it_is_confirmed pinned the old longest pause, and pins the new one now (it wakes within each pause exactly once, as before).

--- a/bitternpath/queue/backoff.py
+++ b/bitternpath/queue/backoff.py
@@ -24,7 +24,7 @@
 FAILED_BACKOFF = BackoffSchedule(0.1, 2.0)  # the worker is well; the message or what it needs is not
 UNKNOWN_BACKOFF = BackoffSchedule(0.2, 2.0)  # the worker may be down, or at work on it still
 NOT_RUN_BACKOFF = BackoffSchedule(0.05, 0.3)  # a place is wanted, perhaps elsewhere
-CALLBACK_BACKOFF = BackoffSchedule(0.3, 5.0)  # receivers have few connections
+CALLBACK_BACKOFF = BackoffSchedule(0.3, 1.5)  # short: a receiver that is back must be told soon
 
 _SCHEDULES = {
     AttemptOutcome.FAILED: FAILED_BACKOFF,
--- a/bitternpath/queue/callbacks.py
+++ b/bitternpath/queue/callbacks.py
@@ -1,4 +1,9 @@
-"""Call-backs that a shard owes: who is told next, and when one is repeated."""
+"""Call-backs that a shard owes: who is told next, and when one is repeated.
+
+A receiver that fails call after call is asked with one call at a time, a probe, until one is taken: then all
+that waits for it goes out again. So a receiver that is down costs little, and one that has come back hears
+of the first message within a probe's pause and time-out, and of the others right after it.
+"""
 
 from __future__ import annotations
 
@@ -15,7 +20,9 @@
 from bitternpath.queue.entries import Entry
 
 CALLBACK_TIMEOUT_S = 2.6  # without a report, which an edge node gives after 2 s: it may have gone
-MAX_CALLBACKS_PER_RECEIVER = 16  # out at once from one shard: receivers take few connections
+MAX_CALLBACKS_PER_RECEIVER = 8  # out at once from one shard: receivers take few connections
+FAILING_AFTER = 4  # failures in a row, of whichever messages: from then on the receiver is only probed
+PROBE_PAUSE_S = 0.5  # from a failure to the next probe
 
 
 @dataclass(slots=True, eq=False)
@@ -32,9 +39,29 @@
 class _Receiver:
     """One address that is called back: a few calls out, the others in the order in which they became due."""
 
+    owed: int = 0  # call-backs that aren't confirmed; the receiver is forgotten with the last
     out: int = 0
+    failures: int = 0  # in a row
+    probe_at: float = 0.0
+    probe_planned: float = 0.0  # the time of the last probe that is in the heap
     queue: deque[_Owed] = field(default_factory=deque)
 
+    @property
+    def most_out(self) -> int:
+        """How many calls may be out at once."""
+        return 1 if self.failures >= FAILING_AFTER else MAX_CALLBACKS_PER_RECEIVER
+
+    def failed(self, now: float) -> None:
+        """A call was refused, or nothing was heard of it."""
+        self.failures += 1
+        if self.failures >= FAILING_AFTER:
+            self.probe_at = now + PROBE_PAUSE_S
+
+    def took(self) -> None:
+        """A call was taken."""
+        self.failures = 0
+        self.probe_at = 0.0
+
 
 class CallbackQueue:
     """All call-backs owed and not confirmed. Rebuilt from the state by a new owner."""
@@ -46,6 +73,7 @@
         self._receivers: dict[str, _Receiver] = {}
         self._sendable: dict[str, None] = {}  # receivers for which something may go out
         self._timers: list[tuple[float, str, int]] = []
+        self._probes: list[tuple[float, str]] = []  # receivers by the time of their next probe
 
     def owe(self, entry: Entry) -> None:
         """A message with a call-back URL has ended."""
@@ -54,6 +82,7 @@
             return
         owed = _Owed(entry, urlsplit(entry.message.callback_url).netloc)
         self._owed[request_id] = owed
+        self._receivers.setdefault(owed.receiver, _Receiver()).owed += 1
         self._enqueue(owed)
 
     def confirmed(self, request_id: str) -> None:
@@ -64,6 +93,11 @@
         self._recall(owed)
         owed.taken = True
         owed.serial += 1
+        receiver = self._receivers[owed.receiver]
+        receiver.owed -= 1
+        if not receiver.owed:
+            del self._receivers[owed.receiver]
+            self._sendable.pop(owed.receiver, None)
 
     def reopen(self, request_id: str) -> None:
         """Its confirmation got lost before the log: call back again."""
@@ -81,6 +115,8 @@
         if taken:
             self._recall(owed)
             owed.taken = True
+            self._receivers[owed.receiver].took()
+            self._mark(owed.receiver)
             return [ProposeCommand(ConfirmCallback(request_id))]
         if owed.out:
             self._retry_later(now, owed)
@@ -90,6 +126,8 @@
         """Let timers fire, and send what may go out."""
         while self._timers and self._timers[0][0] <= now:
             self._fire(now, heapq.heappop(self._timers))
+        while self._probes and self._probes[0][0] <= now:
+            self._mark(heapq.heappop(self._probes)[1])
         actions: list[SendCallback] = []
         for name in list(self._sendable):
             self._send(now, name, actions)
@@ -99,30 +137,37 @@
         """When a timer fires next."""
         while self._timers and self._lapsed(self._timers[0]):
             heapq.heappop(self._timers)
-        return self._timers[0][0] if self._timers else None
+        times = [heap[0][0] for heap in (self._timers, self._probes) if heap]
+        return min(times, default=None)
 
     def _send(self, now: float, name: str, actions: list[SendCallback]) -> None:
         receiver = self._receivers[name]
-        while receiver.queue and receiver.out < MAX_CALLBACKS_PER_RECEIVER:
+        while receiver.queue and receiver.out < receiver.most_out:
             owed = receiver.queue[0]
             if owed.taken:
                 receiver.queue.popleft()
                 continue
+            if now < receiver.probe_at:
+                self._plan_probe(name, receiver)
+                break
             edge = self._edges.choose_for_callback(name, owed.failures)
             if edge is None:
                 return
             receiver.queue.popleft()
-            receiver.out += 1
-            owed.out = True
-            self._set_timer(now + CALLBACK_TIMEOUT_S, owed)
-            message, entry = owed.entry.message, owed.entry
-            action = SendCallback(
-                edge.name, message.request_id, message.callback_url, entry.state, entry.stamp
-            )
-            actions.append(action)
+            actions.append(self._order(now, receiver, owed, edge.name))
         del self._sendable[name]
-        if not receiver.queue and not receiver.out:
-            del self._receivers[name]
+
+    def _plan_probe(self, name: str, receiver: _Receiver) -> None:
+        if receiver.probe_planned < receiver.probe_at:
+            receiver.probe_planned = receiver.probe_at
+            heapq.heappush(self._probes, (receiver.probe_at, name))
+
+    def _order(self, now: float, receiver: _Receiver, owed: _Owed, edge: str) -> SendCallback:
+        receiver.out += 1
+        owed.out = True
+        self._set_timer(now + CALLBACK_TIMEOUT_S, owed)
+        message, entry = owed.entry.message, owed.entry
+        return SendCallback(edge, message.request_id, message.callback_url, entry.state, entry.stamp)
 
     def _fire(self, now: float, timer: tuple[float, str, int]) -> None:
         if self._lapsed(timer):
@@ -134,6 +179,7 @@
             self._enqueue(owed)
 
     def _retry_later(self, now: float, owed: _Owed) -> None:
+        self._receivers[owed.receiver].failed(now)
         self._recall(owed)
         pause = CALLBACK_BACKOFF.pause(owed.failures, self._random)
         owed.failures += 1
@@ -143,11 +189,16 @@
         if owed.out:
             owed.out = False
             self._receivers[owed.receiver].out -= 1
-            self._sendable[owed.receiver] = None
+            self._mark(owed.receiver)
 
     def _enqueue(self, owed: _Owed) -> None:
-        self._receivers.setdefault(owed.receiver, _Receiver()).queue.append(owed)
-        self._sendable[owed.receiver] = None
+        self._receivers[owed.receiver].queue.append(owed)
+        self._mark(owed.receiver)
+
+    def _mark(self, name: str) -> None:
+        """Something may go out to a receiver."""
+        if name in self._receivers:
+            self._sendable[name] = None
 
     def _set_timer(self, when: float, owed: _Owed) -> None:
         owed.serial += 1
