--- a/tests/system/test_callback_recovery.py
+++ b/tests/system/test_callback_recovery.py
@@ -1,4 +1,4 @@
-"""Receivers of call-backs that are down for long and come back: few calls meanwhile, all of them told soon."""
+"""Receivers of call-backs that are down for long and come back: few calls meanwhile, all are told soon."""
 
 from __future__ import annotations
 
