A message that its edge node doesn't get run goes to another one

Change: after two hand-backs in a row that did not run or had no answer, and after a lease whose holder said nothing, the next lease goes to another node while there is one.

--- a/bitternpath/queue/edges.py
+++ b/bitternpath/queue/edges.py
@@ -47,12 +47,17 @@
         """Whether an edge node is in the owner's zone."""
         return self.find(name).zone == self._zone
 
-    def choose(self, origin: str, service: str) -> Edge | None:
-        """Where a delivery goes: the origin, else a random node, rather one in the owner's zone."""
+    def choose(self, origin: str, service: str, avoided: str = "") -> Edge | None:
+        """Where a delivery goes: the origin, else a random node, rather one in the owner's zone.
+
+        Nothing goes to `avoided`, which didn't get the message run, unless there is no other node.
+        """
         home = self._edges.get(origin)
-        if home is not None and home.has_room(service):
+        if home is not None and home.name != avoided and home.has_room(service):
             return home
-        return self._pick([edge for edge in self._edges.values() if edge.has_room(service)])
+        candidates = [edge for edge in self._edges.values() if edge.has_room(service)]
+        others = [edge for edge in candidates if edge.name != avoided]
+        return self._pick(others or candidates)
 
     def choose_for_callback(self, receiver: str, failures: int) -> Edge | None:
         """Where a call-back goes: the same node for a receiver, in the owner's zone where there is one.
--- a/bitternpath/queue/leases.py
+++ b/bitternpath/queue/leases.py
@@ -107,7 +107,7 @@
     def _grant_to_edge(self, now: float, lane: ServiceLane, tracked: Tracked) -> GrantLease | None:
         route, service = tracked.route, lane.service.name
         assert route is not None
-        edge = self._edges.choose(tracked.entry.message.origin, service)
+        edge = self._edges.choose(tracked.entry.message.origin, service, tracked.avoided_edge)
         if edge is None:
             return None
         lease_id = self._next_lease_id()
--- a/bitternpath/queue/owner.py
+++ b/bitternpath/queue/owner.py
@@ -59,6 +59,8 @@
 
 POLLS_ASKED_EVERY_S = 0.05  # while jobs wait and no worker that pulls does
 
+HAND_BACKS_BEFORE_ANOTHER_EDGE = 2  # in a row, not run or without an answer
+
 _IDLE = frozenset({Phase.HELD, Phase.BLOCKED, Phase.WAITING, Phase.READY})
 
 
@@ -314,6 +316,8 @@
 
     def _lease_over(self, now: float, tracked: Tracked) -> None:
         """Its holder has said nothing in time. Until the next grant the state still takes its word."""
+        if tracked.lease is not None:
+            tracked.avoided_edge = tracked.lease.edge
         self._leases.release(tracked)
         self._place(now, tracked)
 
@@ -388,13 +392,18 @@
         tracked = self._tracked.get(command.request_id)
         if tracked is None:
             return
+        edge = ""
         if tracked.lease is not None and tracked.lease.lease_id == command.lease_id:
+            edge = tracked.lease.edge
             self._leases.record(now, tracked, command.outcome)
             self._leases.release(tracked)
         if result.ended_now:
             self._message_ended(now, tracked)
             return
         repetitions = tracked.count_outcome(command.outcome)
+        in_vain = command.outcome in (AttemptOutcome.NOT_RUN, AttemptOutcome.UNKNOWN)
+        if in_vain and repetitions + 1 >= HAND_BACKS_BEFORE_ANOTHER_EDGE:
+            tracked.avoided_edge = edge
         pause = pause_after(command.outcome, repetitions, command.retry_after_ms, self._random)
         tracked.not_before = now + pause
         if tracked.phase not in (Phase.GRANTING, Phase.ENDING):
--- a/bitternpath/queue/tracked.py
+++ b/bitternpath/queue/tracked.py
@@ -52,6 +52,7 @@
     lease: OutLease | None = None
     last_outcome: AttemptOutcome | None = None
     repetitions: int = 0  # of that outcome in a row, before the last
+    avoided_edge: str = ""  # the edge node that did not get it run: it may be cut off from the workers
 
     @property
     def request_id(self) -> str:
