Shard owner: refused proposals are made again, extensions confirmed, polls of ended links dropped

Causes (by reading): - A leader that hands over proposes nothing for an election's time and answers NotOwner; where the hand-over comes to nothing it stays owner. Hand-overs happen by themselves (_prefer_owner). - extend answered from memory: an owner that was stopped or cut off said 200 or 409 for a lease that its successor had extended, ended or given away. - An edge node with a new link before the end of the old one was noticed: polls of the old link stayed, and a job went to one of them and reached nobody until visible_ms were over. Change: NotOwner of an owner's own proposal is told to it after 0.1 s if it still owns; extensions wait for a read index that began after they came; the end of a link takes its polls, also where the node has another link.

--- a/bitternpath/roles/shard_runtime.py
+++ b/bitternpath/roles/shard_runtime.py
@@ -32,6 +32,7 @@
 from bitternpath.queue.state import QueueState
 from bitternpath.replication.host import ReplicaHost
 from bitternpath.replication.interfaces import NotOwner
+from bitternpath.roles.edge_links import EdgeLinks
 from bitternpath.transport.connections import Link
 from bitternpath.transport.messages import (
     Appended,
@@ -57,42 +58,13 @@
 
 log = logbook.Logger("shard")
 
+PROPOSE_AGAIN_S = 0.1  # an owner that hands over proposes nothing for up to an election's time, and may stay
+
 
 def _wall_ms() -> int:
     return int(time.time() * 1000)
 
 
-class EdgeLinks:
-    """The links of edge nodes to this storage node, by node name."""
-
-    def __init__(self) -> None:
-        self._links: dict[str, Link] = {}
-
-    def link(self, name: str) -> Link | None:
-        """The link of an edge node."""
-        return self._links.get(name)
-
-    def opened(self, node: NodeDescriptor, link: Link) -> None:
-        """An edge node has introduced itself."""
-        self._links[node.name] = link
-
-    def closed(self, link: Link) -> str:
-        """A link has ended; the name of the edge node that has none any more, or ""."""
-        for name, known in self._links.items():
-            if known is link:
-                del self._links[name]
-                return name
-        return ""
-
-    def nodes(self) -> list[NodeDescriptor]:
-        """The edge nodes that are connected."""
-        return [link.peer for link in self._links.values() if link.peer is not None]
-
-    def links(self) -> list[Link]:
-        """All links."""
-        return list(self._links.values())
-
-
 class ShardRuntime:
     """Replica and, at times, owner of one shard. Implements `replication.interfaces.GroupListener`."""
 
@@ -186,11 +158,18 @@
             self._do(self.owner.edge_joined(now, node.name, node.zone))
 
     def edge_closed(self, name: str, link: Link) -> None:
-        """An edge node's link has ended."""
+        """An edge node's link has ended, and with it the polls that came over it.
+
+        `name` is empty where the node has another link by now: the node is still connected, but a job for
+        one of those polls would reach nobody.
+        """
+        now = self.reactor.seconds()
         for poll_id in [poll_id for poll_id, (other, _) in self._polls.items() if other is link]:
             self._drop_poll(poll_id)
-        if self.owner is not None:
-            self._do(self.owner.edge_left(self.reactor.seconds(), name))
+            if self.owner is not None:
+                self._do(self.owner.cancel_poll(now, poll_id))
+        if name and self.owner is not None:
+            self._do(self.owner.edge_left(now, name))
 
     # ---- requests of edge nodes
 
@@ -220,7 +199,14 @@
         self._propose_for(link, request.number, command, answer)
 
     def extend(self, link: Link, request: ExtendRequest) -> None:
-        """A pulling worker holds its job still."""
+        """A pulling worker holds its job still. Decided only once a majority has confirmed the ownership:
+        an owner that was stopped or cut off may have a successor that gave the job to somebody else."""
+        self.host.barrier(self.group).addCallbacks(
+            lambda _: self._extend(link, request),
+            lambda _: link.send(Refused(request.number, RefusalReason.NOT_OWNER)),
+        )
+
+    def _extend(self, link: Link, request: ExtendRequest) -> None:
         if self.owner is None:
             link.send(Refused(request.number, RefusalReason.NOT_OWNER))
             return
@@ -288,8 +274,22 @@
         proposed.addCallbacks(lambda result: link.send(answer(result)), failed)
 
     def _propose(self, command: Command) -> None:
-        """For the owner itself: where ownership is lost meanwhile, the next owner decides anew."""
-        self.host.propose(self.group, COMMANDS.encode(command)).addErrback(lambda _: None)
+        """For the owner itself: where ownership is lost meanwhile, the next owner decides anew.
+
+        A command that was surely not proposed, though this owner goes on (a hand-over that came to nothing),
+        is the owner's to propose again: else its message would wait for it for ever.
+        """
+        owner = self.owner
+
+        def failed(failure: Failure) -> None:
+            if isinstance(failure.value, NotOwner):
+                self.reactor.callLater(PROPOSE_AGAIN_S, self._not_proposed, owner, command)
+
+        self.host.propose(self.group, COMMANDS.encode(command)).addErrback(failed)
+
+    def _not_proposed(self, owner: ShardOwner | None, command: Command) -> None:
+        if owner is not None and owner is self.owner:
+            self._do(owner.proposal_failed(self.reactor.seconds(), command))
 
     # ---- the owner's actions
 
--- a/bitternpath/roles/storage.py
+++ b/bitternpath/roles/storage.py
@@ -13,9 +13,10 @@
 from bitternpath.queue.owner import OwnerBounds
 from bitternpath.replication.consensus import Members
 from bitternpath.replication.reconfiguration import next_members
+from bitternpath.roles.edge_links import EdgeLinks
 from bitternpath.roles.node_base import NodeBase
 from bitternpath.roles.settings import Settings, SettingsError
-from bitternpath.roles.shard_runtime import EdgeLinks, ShardRuntime
+from bitternpath.roles.shard_runtime import ShardRuntime
 from bitternpath.roles.status import group_status, node_status
 from bitternpath.storage.document_writer import DocumentWriter
 from bitternpath.storage.documents import DamagedDocument, read_document
@@ -178,9 +179,8 @@
         """A link has ended."""
         self.base.feed.closed(link)
         name = self.edges.closed(link)
-        if name:
-            for shard in self.shards.values():
-                shard.edge_closed(name, link)
+        for shard in self.shards.values():
+            shard.edge_closed(name, link)
 
     def received(self, link: Link, record: Any) -> None:
         """A record from another node."""
--- /dev/null
+++ b/tests/system/test_shard_runtime.py
@@ -0,0 +1,277 @@
+"""A shard owner on its node: what it does where the log refuses, what it says from memory. Virtual time."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from twisted.internet.defer import Deferred, fail, succeed
+from twisted.internet.task import Clock
+
+from bitternpath.configuration.placement import shard_group
+from bitternpath.queue.commands import GrantLease
+from bitternpath.queue.owner import OwnerBounds
+from bitternpath.queue.records import AttemptOutcome, Message, MessageState
+from bitternpath.queue.state import QueueState
+from bitternpath.replication.interfaces import FateOpen, NotOwner
+from bitternpath.roles.edge_links import EdgeLinks
+from bitternpath.roles.shard_runtime import ShardRuntime
+from bitternpath.transport.messages import (
+    Appended,
+    AppendRequest,
+    CallbackOrder,
+    CallbackReport,
+    Delivery,
+    Ended,
+    EndRequest,
+    ExtendRequest,
+    NodeDescriptor,
+    NodeKind,
+    PullAnswer,
+    PullRequest,
+    Refused,
+    StateAnswer,
+    StateRequest,
+)
+from tests.system.test_queue_rig import TABLE
+
+GROUP = shard_group(0)
+HAND_OVER_S = 0.5  # an election's time, for which a leader that hands over proposes nothing
+
+
+class Log:
+    """Stands for `ReplicaHost`: commits at once, or refuses as a leader that hands over does."""
+
+    def __init__(self) -> None:
+        self.runtime: ShardRuntime
+        self.handing_over = False
+        self.answers_barriers = True
+        self.barriers: list[Deferred[None]] = []
+        self.proposals = 0
+        self.index = 0
+
+    def propose(self, group: str, data: bytes) -> Deferred[object]:
+        self.proposals += 1
+        if self.handing_over:
+            return fail(NotOwner())
+        self.index += 1
+        result = self.runtime.state.apply(self.index, data)
+        waiting: Deferred[object] = Deferred()
+        self.runtime.reactor.callLater(0, self._applied, data, result, waiting)
+        return waiting
+
+    def _applied(self, data: bytes, result: object, waiting: Deferred[object]) -> None:
+        waiting.callback(result)
+        self.runtime.applied(self.index, data, result)
+
+    def barrier(self, group: str) -> Deferred[None]:
+        if self.answers_barriers:
+            return succeed(None)
+        waiting: Deferred[None] = Deferred()
+        self.barriers.append(waiting)
+        return waiting
+
+
+class EdgeLink:
+    """An edge node's link; keeps what was sent over it."""
+
+    def __init__(self, name: str = "edge-1") -> None:
+        self.peer = NodeDescriptor(name, "10.0.0.1:1", NodeKind.EDGE, "north", False, "", 1, 0)
+        self.sent: list[Any] = []
+
+    def send(self, record: Any) -> None:
+        self.sent.append(record)
+
+    def take(self, kind: type) -> list[Any]:
+        taken = [record for record in self.sent if isinstance(record, kind)]
+        self.sent = [record for record in self.sent if not isinstance(record, kind)]
+        return taken
+
+
+class RuntimeCase(unittest.TestCase):
+    """One owner, one edge node, and a log that does as the test says."""
+
+    def setUp(self) -> None:
+        self.clock = Clock()
+        self.log = Log()
+        self.edges = EdgeLinks()
+        self.link = EdgeLink()
+        self.runtime = self.log.runtime = ShardRuntime(
+            self.clock,
+            self.log,  # type: ignore[arg-type]
+            GROUP,
+            1,
+            "north",
+            OwnerBounds(),
+            self.edges,
+            lambda: True,
+            Random(1),
+        )
+        self.runtime.state = QueueState(self.clock.seconds, lambda: 0)
+        self.runtime.configure(TABLE)
+        self.runtime.became_owner(1)
+        self.join(self.link)
+
+    def join(self, link: EdgeLink) -> None:
+        self.edges.opened(link.peer, link)  # type: ignore[arg-type]
+        self.runtime.edge_opened(link.peer, link, False)  # type: ignore[arg-type]
+
+    def ask(self, handle: Callable[..., None], request: Any, link: EdgeLink | None = None) -> None:
+        handle(link or self.link, request)
+        self.clock.advance(0)
+
+    def append(self, request_id: str, path: str = "/plain/x", callback_url: str = "") -> None:
+        message = Message(
+            request_id, "POST", "a.example", path, (), "", "plain", 5, 0, callback_url, "edge-1", 0, b"body"
+        )
+        self.ask(self.runtime.append, AppendRequest(1, GROUP, message))
+
+    def pull(self, link: EdgeLink | None = None, number: int = 7) -> None:
+        self.ask(self.runtime.pull, PullRequest(number, GROUP, "puller", "i-1", 5_000), link)
+
+    def end(self, delivery: Delivery, outcome: AttemptOutcome = AttemptOutcome.SUCCEEDED) -> None:
+        request = EndRequest(9, GROUP, delivery.message.request_id, delivery.lease_id, outcome, "stamp", 0)
+        self.ask(self.runtime.end, request)
+
+
+class HandOvers(RuntimeCase):
+    """A hand-over that comes to nothing: the owner goes on, and so does what it had proposed meanwhile."""
+
+    def test_a_message_whose_grant_was_refused_goes_out_after_all(self) -> None:
+        self.append("m")
+        (delivery,) = self.link.take(Delivery)
+        self.end(delivery, AttemptOutcome.NOT_RUN)
+        self.log.handing_over = True
+        self.clock.pump([0.02] * round(HAND_OVER_S / 0.02))  # its back-off ends: the grant is refused
+        self.assertEqual(self.link.take(Delivery), [])
+        self.log.handing_over = False
+        self.clock.pump([0.02] * 50)
+        (delivery,) = self.link.take(Delivery)
+        self.end(delivery)
+        entry = self.runtime.state.find("m")
+        self.assertIs(entry and entry.state, MessageState.DONE)
+
+    def test_what_is_refused_is_not_proposed_in_each_turn(self) -> None:
+        self.append("m")
+        (delivery,) = self.link.take(Delivery)
+        self.end(delivery, AttemptOutcome.NOT_RUN)
+        self.clock.advance(0)
+        before = self.log.proposals
+        self.log.handing_over = True
+        self.clock.pump([0.001] * 1000)
+        self.assertLessEqual(self.log.proposals - before, 12)
+
+    def test_a_confirmation_that_was_refused_is_made_up_for(self) -> None:
+        self.append("m", callback_url="http://10.0.0.9:80/done")
+        (delivery,) = self.link.take(Delivery)
+        self.end(delivery)
+        (order,) = self.link.take(CallbackOrder)
+        self.log.handing_over = True
+        self.runtime.callback_report(CallbackReport(GROUP, order.request_id, True))
+        self.log.handing_over = False
+        self.clock.pump([0.05] * 20)
+        (again,) = self.link.take(CallbackOrder)
+        self.runtime.callback_report(CallbackReport(GROUP, again.request_id, True))
+        self.clock.advance(0)
+        entry = self.runtime.state.find("m")
+        self.assertFalse(entry is None or entry.callback_pending)
+
+    def test_an_open_fate_is_the_next_owners(self) -> None:
+        self.log.propose = lambda group, data: fail(FateOpen())  # type: ignore[method-assign]
+        self.runtime._propose(GrantLease("m", "0-1-1", "edge-1", 1_000, False))
+        self.assertEqual(len(self.clock.getDelayedCalls()), 0)
+
+    def test_a_refusal_of_an_earlier_ownership_does_nothing_in_a_later_one(self) -> None:
+        self.log.handing_over = True
+        self.append("n")
+        self.runtime._propose(GrantLease("m", "0-1-1", "edge-1", 1_000, False))
+        self.log.handing_over = False
+        self.runtime.lost_ownership()
+        self.runtime.became_owner(2)
+        proposals = self.log.proposals
+        self.clock.advance(1.0)
+        self.assertEqual(self.log.proposals, proposals)
+
+
+class FromMemory(RuntimeCase):
+    """An owner that was stopped or cut off says nothing before a majority has confirmed it."""
+
+    def job(self) -> PullAnswer:
+        self.append("m", "/jobs/x")
+        self.pull()
+        (answer,) = self.link.take(PullAnswer)
+        self.log.answers_barriers = False
+        return answer  # type: ignore[no-any-return]
+
+    def test_an_extension_waits_for_the_confirmation(self) -> None:
+        job = self.job()
+        self.ask(self.runtime.extend, ExtendRequest(8, GROUP, "m", job.lease_id))
+        self.assertEqual(self.link.take(Ended), [])
+        self.log.barriers.pop().callback(None)
+        self.assertEqual(self.link.take(Ended), [Ended(8, True)])
+
+    def test_a_deposed_owner_neither_extends_nor_calls_a_lease_gone(self) -> None:
+        job = self.job()
+        self.clock.advance(10.0)  # it was stopped: by its memory the lease is long over
+        for lease_id in (job.lease_id, "0-1-99"):
+            self.ask(self.runtime.extend, ExtendRequest(8, GROUP, "m", lease_id))
+            self.log.barriers.pop().errback(NotOwner())
+            self.assertEqual([type(record) for record in self.link.take(Refused)], [Refused])
+        self.assertEqual(self.link.take(Ended), [])
+
+    def test_a_confirmation_that_comes_with_the_end_of_the_ownership(self) -> None:
+        job = self.job()
+        self.ask(self.runtime.extend, ExtendRequest(8, GROUP, "m", job.lease_id))
+        self.runtime.lost_ownership()
+        self.log.barriers.pop().callback(None)
+        self.assertEqual(len(self.link.take(Refused)), 1)
+
+    def test_a_state_is_read_after_the_confirmation(self) -> None:
+        self.log.answers_barriers = False
+        self.ask(self.runtime.find, StateRequest(5, GROUP, "m", False))
+        self.append("m")  # committed while the question waits
+        self.assertEqual(self.link.take(StateAnswer), [])
+        self.log.barriers.pop().callback(None)
+        (answer,) = self.link.take(StateAnswer)
+        self.assertTrue(answer.known)
+        self.assertEqual(len(self.link.take(Appended)), 1)
+
+
+class ReplacedLinks(RuntimeCase):
+    """An edge node has another link before the end of the first was noticed."""
+
+    def test_no_job_goes_to_a_poll_of_a_link_that_has_ended(self) -> None:
+        self.pull(number=7)
+        later = EdgeLink()
+        self.join(later)
+        self.assertEqual(self.edges.closed(self.link), "")  # type: ignore[arg-type]
+        self.runtime.edge_closed("", self.link)  # type: ignore[arg-type]
+        self.pull(later, number=7)  # numbers begin anew on each link
+        self.append("m", "/jobs/x")
+        self.assertEqual(self.link.take(PullAnswer), [])
+        (answer,) = later.take(PullAnswer)
+        self.assertEqual((answer.number, answer.message.request_id), (7, "m"))
+
+    def test_the_node_is_still_connected(self) -> None:
+        later = EdgeLink()
+        self.join(later)
+        self.assertEqual(self.edges.closed(self.link), "")  # type: ignore[arg-type]
+        self.runtime.edge_closed("", self.link)  # type: ignore[arg-type]
+        self.append("m")
+        self.assertEqual(len(later.take(Delivery)), 1)
+
+    def test_one_number_on_two_links_is_two_polls(self) -> None:
+        other = EdgeLink("edge-2")
+        self.join(other)
+        self.pull(self.link, number=7)
+        self.pull(other, number=7)
+        self.append("m", "/jobs/x")
+        self.append("n", "/jobs/x")
+        got = [link.take(PullAnswer)[0].message.request_id for link in (self.link, other)]
+        self.assertEqual(sorted(got), ["m", "n"])
+
+
+if __name__ == "__main__":
+    unittest.main()
