Questions to a shard's owner go to its successor as soon as one is known; ids are looked for everywhere

Causes (by reading): - An append, a report, an extension or a question for a state waited for the answer of the owner that was asked, until its link was given up (1.6 s of silence), though its successor had said who it was: those who ask for a state wait 2 s, and got 503 at 1.7 s at best. - s0.abc as a client's own request id was asked for in shard 0 as abc, and then said to be unknown (LOST). A name that its shard doesn't know is searched for in all; patience 1.5 s (was 1.7) for the whole search.

--- a/bitternpath/ingress/interface.py
+++ b/bitternpath/ingress/interface.py
@@ -23,7 +23,7 @@
 from bitternpath.ingress.site import RETRY_SOON_S, answered, reply
 from bitternpath.queue.records import MessageState
 
-STATUS_ANSWER_S = 1.7  # askers wait two seconds
+STATUS_ANSWER_S = 1.6  # askers wait two seconds, with the way there and back
 LEASE_ANSWER_S = 4.0  # ends without an answer are sent again, and the answer has to stay the same
 PULL_LATE_S = 0.5  # the node's answer may be so much later than a worker waits
 MAX_WAIT_MS = 30_000  # no worker is kept waiting longer
--- a/bitternpath/roles/edge.py
+++ b/bitternpath/roles/edge.py
@@ -303,5 +303,6 @@
         self._reading = False
 
     def _owner_changed(self, group: str) -> None:
+        self.pulls.owner_changed(group)
         owner = self.owners.owner(group)
         log.debug("event=shard_owner group={} owner={}", group, owner.link.peer_name if owner else "")
--- a/bitternpath/shards/appends.py
+++ b/bitternpath/shards/appends.py
@@ -73,12 +73,13 @@
     def _try(self) -> None:
         if self._done:
             return
-        owner = self.appender.owners.owner(self._group)
-        if owner is None:
+        request = self.appender.owners.ask(
+            self._group, lambda number: AppendRequest(number, self._group, self.message)
+        )
+        if request is None:
             self._without_owner()
-            return
-        request = owner.link.request(lambda number: AppendRequest(number, self._group, self.message))
-        request.addCallbacks(self._answered, self._lost)
+        else:
+            request.addCallbacks(self._answered, self._lost)
 
     def _without_owner(self) -> None:
         if not self._uncertain:
--- a/bitternpath/shards/lookups.py
+++ b/bitternpath/shards/lookups.py
@@ -13,7 +13,7 @@
 from bitternpath.shards.owners import ShardOwners
 from bitternpath.transport.messages import StateAnswer, StateRequest
 
-PATIENCE_S = 1.7  # those who ask wait two seconds
+PATIENCE_S = 1.5  # those who ask wait two seconds, with the way there and back
 RETRY_S = 0.1
 
 
@@ -25,11 +25,31 @@
         self.shards = 0
 
     def find(self, message_id: str, wants_body: bool) -> Deferred[FoundMessage | LookupFailure]:
-        """By the id that names the shard, or by a request id, for which all shards are asked."""
+        """By the id that names the shard, or by a request id, for which all shards are asked.
+
+        A client's request id may look like an id that names a shard: it is unknown only once all shards have
+        said so of the whole text.
+        """
+        give_up_at = self.reactor.seconds() + PATIENCE_S
         shard, request_id = split_message_id(message_id)
-        if shard is not None and shard < max(self.shards, 1):
-            return _Search(self, shard, request_id, wants_body).answer
-        searches = [_Search(self, number, request_id, wants_body).answer for number in range(self.shards)]
+        if shard is None or shard >= max(self.shards, 1):
+            return self._everywhere(message_id, wants_body, give_up_at)
+        named = _Search(self, shard, request_id, wants_body, give_up_at).answer
+        return named.addCallback(self._or_everywhere, message_id, wants_body, give_up_at)
+
+    def _or_everywhere(
+        self, found: FoundMessage | LookupFailure, message_id: str, wants_body: bool, give_up_at: float
+    ) -> FoundMessage | LookupFailure | Deferred[FoundMessage | LookupFailure]:
+        if found is not LookupFailure.UNKNOWN_MESSAGE:
+            return found
+        return self._everywhere(message_id, wants_body, give_up_at)
+
+    def _everywhere(
+        self, request_id: str, wants_body: bool, give_up_at: float
+    ) -> Deferred[FoundMessage | LookupFailure]:
+        searches = [
+            _Search(self, shard, request_id, wants_body, give_up_at).answer for shard in range(self.shards)
+        ]
         return DeferredList(searches).addCallback(_first_found)
 
 
@@ -46,24 +66,27 @@
 class _Search:
     """One question to one shard, repeated until its owner answers."""
 
-    def __init__(self, lookup: MessageLookup, shard: int, request_id: str, wants_body: bool) -> None:
+    def __init__(
+        self, lookup: MessageLookup, shard: int, request_id: str, wants_body: bool, give_up_at: float
+    ) -> None:
         self.lookup, self.group = lookup, shard_group(shard)
         self.request_id, self.wants_body = request_id, wants_body
         self.answer: Deferred[FoundMessage | LookupFailure] = Deferred()
         self._done = False
-        self._timer = lookup.reactor.callLater(PATIENCE_S, self._finish, LookupFailure.UNAVAILABLE)
+        patience = max(give_up_at - lookup.reactor.seconds(), 0.0)
+        self._timer = lookup.reactor.callLater(patience, self._finish, LookupFailure.UNAVAILABLE)
         self._try()
 
     def _try(self) -> None:
         if self._done:
             return
-        owner = self.lookup.owners.owner(self.group)
-        if owner is None:
+        request = self.lookup.owners.ask(
+            self.group, lambda number: StateRequest(number, self.group, self.request_id, self.wants_body)
+        )
+        if request is None:
             self._later()
-            return
-        owner.link.request(
-            lambda number: StateRequest(number, self.group, self.request_id, self.wants_body)
-        ).addCallbacks(self._answered, self._lost)
+        else:
+            request.addCallbacks(self._answered, self._lost)
 
     def _answered(self, record: Any) -> None:
         if not isinstance(record, StateAnswer):
--- a/bitternpath/shards/pulls.py
+++ b/bitternpath/shards/pulls.py
@@ -54,14 +54,14 @@
 class Ticket:
     """One waiting worker (see `ingress.service.PullTicket`). It may move to another shard while it waits."""
 
-    def __init__(self, pulls: Pulls, service: str, instance: str, wait_s: float) -> None:
+    def __init__(self, pulls: Pulls, number: int, service: str, instance: str, wait_s: float) -> None:
         self.result: Deferred[PulledJob | None] = Deferred()
-        self.service = service
+        self.number, self.service = number, service
         self.group = ""
         self._pulls, self._instance = pulls, instance
         self._ends_at = pulls.reactor.seconds() + wait_s
         self._owner: Owner | None = None
-        self._number = 0
+        self._request = 0
         self._attempt = 0  # shards that it has waited at
         self._done = False
         self._timer = pulls.reactor.callLater(wait_s + ANSWER_MARGIN_S, self._finish, None)
@@ -76,7 +76,7 @@
         self.group, self._owner = group, owner
 
         def make(number: int) -> PullRequest:
-            self._number = number
+            self._request = number
             return PullRequest(number, group, self.service, self._instance, wait_ms)
 
         self._attempt += 1
@@ -91,9 +91,13 @@
             self._leave()
             self._finish(None)
 
+    def waits_at_another(self, owner: Owner) -> bool:
+        """Whether the node at which it waits is not this owner."""
+        return self._owner is not None and self._owner.link is not owner.link
+
     def _leave(self) -> None:
         if self._owner is not None:
-            self._owner.link.send(PullCancel(self._number, self.group))
+            self._owner.link.send(PullCancel(self._request, self.group))
             self._owner = None
 
     def _answered(self, record: Any, group: str, attempt: int) -> None:
@@ -143,7 +147,8 @@
     ) -> None:
         self.reactor, self.owners, self.reports = reactor, owners, reports
         self.zone, self.random = zone, random
-        self._tickets: set[Ticket] = set()
+        self._tickets: dict[int, Ticket] = {}  # by number: an order that a seed repeats
+        self._tickets_counted = 0
 
     def pull(self, service: str, instance: str, wait_ms: int) -> Ticket | EmptyTicket:
         """Wait for a job of a service."""
@@ -152,8 +157,9 @@
         owner = self.owners.owner(group)
         if owner is None:
             return EmptyTicket(self.reactor, wait_ms / 1000)
-        ticket = Ticket(self, service, instance, wait_ms / 1000)
-        self._tickets.add(ticket)
+        self._tickets_counted += 1
+        ticket = Ticket(self, self._tickets_counted, service, instance, wait_ms / 1000)
+        self._tickets[ticket.number] = ticket
         ticket.wait_at(group, owner)
         return ticket
 
@@ -162,18 +168,31 @@
         owner = self.owners.owner(told.group)
         if owner is None:
             return
-        elsewhere = [t for t in self._tickets if t.service == told.service and t.group != told.group]
+        elsewhere = [
+            ticket
+            for ticket in self._tickets.values()
+            if ticket.service == told.service and ticket.group != told.group
+        ]
         share = max(1, round(told.waiting / max(told.nodes, 1)))
         for ticket in self.random.sample(elsewhere, min(share, len(elsewhere))):
             ticket.wait_at(told.group, owner)
 
+    def owner_changed(self, group: str) -> None:
+        """Workers that wait at a shard wait at its new owner: the earlier one may be stopped or cut off."""
+        owner = self.owners.owner(group)
+        if owner is None:
+            return
+        for ticket in [ticket for ticket in self._tickets.values() if ticket.group == group]:
+            if ticket.waits_at_another(owner):
+                ticket.wait_at(group, owner)
+
     def ended(self, ticket: Ticket) -> None:
         """A ticket has its result."""
-        self._tickets.discard(ticket)
+        self._tickets.pop(ticket.number, None)
 
     def cancel_all(self) -> None:
         """The node shuts down: nobody waits here any more."""
-        for ticket in list(self._tickets):
+        for ticket in list(self._tickets.values()):
             ticket.cancel()
 
     def hand_back(self, group: str, request_id: str, lease_id: str) -> None:
@@ -209,13 +228,13 @@
         if self.pulls.reactor.seconds() >= self._give_up_at:
             self.answer.callback(LeaseAnswer.UNAVAILABLE)
             return
-        owner = self.pulls.owners.owner(self.group)
-        if owner is None:
+        request = self.pulls.owners.ask(
+            self.group, lambda number: ExtendRequest(number, self.group, self.request_id, self.lease_id)
+        )
+        if request is None:
             self._later()
-            return
-        owner.link.request(
-            lambda number: ExtendRequest(number, self.group, self.request_id, self.lease_id)
-        ).addCallbacks(self._answered, lambda _: self._later())
+        else:
+            request.addCallbacks(self._answered, lambda _: self._later())
 
     def _answered(self, record: Any) -> None:
         if isinstance(record, Ended):
--- a/bitternpath/shards/reports.py
+++ b/bitternpath/shards/reports.py
@@ -68,13 +68,11 @@
         if self.reactor.seconds() >= pending.give_up_at:
             self._finish(pending, None)
             return
-        owner = self.owners.owner(pending.report.group)
-        if owner is None:
+        request = self.owners.ask(pending.report.group, pending.report.request)
+        if request is None:
             self._later(pending)
             return
-        owner.link.request(pending.report.request).addCallbacks(
-            self._answered, self._lost, callbackArgs=(pending,), errbackArgs=(pending,)
-        )
+        request.addCallbacks(self._answered, self._lost, callbackArgs=(pending,), errbackArgs=(pending,))
 
     def _answered(self, record: Any, pending: _Pending) -> None:
         if isinstance(record, Ended):
