--- a/bitternpath/ingress/intake.py
+++ b/bitternpath/ingress/intake.py
@@ -16,6 +16,7 @@
 ANSWER_MARGIN_MS = 150  # the answer is on its way so long before the client's deadline
 MAX_DELAY_MS = 30 * 24 * 3_600_000  # a month; more is taken for an error
 
+_ORDER_KEY = b"x-order-key"
 _REQUEST_ID = re.compile(rb"[!-~]{1,128}")
 _NUMBER = re.compile(rb"[0-9]{1,15}")
 _CALLBACK_URL = re.compile(rb"http://[0-9]{1,3}(?:\.[0-9]{1,3}){3}(?::[0-9]{1,5})?(?:/[!-~]*)?")
@@ -126,7 +127,7 @@
 
 
 def _order_key(headers: _Headers, route: Route) -> str:
-    values = headers.get(b"x-order-key", ())
+    values = headers.get(_ORDER_KEY, ())
     if len(values) > 1:
         raise _BadHeader("x-order-key: given twice")
     return _text(values[0]) if values and route.ordered else ""
@@ -139,8 +140,8 @@
 def _kept_headers(headers: _Headers, original: _Headers, route: Route) -> tuple[Header, ...]:
     """End-to-end headers, in the order and case in which the worker gets them."""
     dropped = _OWN_HEADERS | _connection_options(headers.get(b"connection", ()))
-    if route.ordered:
-        dropped |= {b"x-order-key"}
+    # A worker gets the sender's key in any case: from the message's own field, or as one of its headers.
+    dropped = dropped | {_ORDER_KEY} if route.ordered else dropped - {_ORDER_KEY}
     return tuple(
         Header(_text(name), _text(value))
         for name, values in original.items()
--- a/bitternpath/ingress/interface.py
+++ b/bitternpath/ingress/interface.py
@@ -21,7 +21,7 @@
     PullTicket,
 )
 from bitternpath.ingress.site import RETRY_SOON_S, answered, reply
-from bitternpath.queue.records import MessageState
+from bitternpath.queue.records import Message, MessageState
 
 STATUS_ANSWER_S = 1.6  # askers wait two seconds, with the way there and back
 LEASE_ANSWER_S = 4.0  # ends without an answer are sent again, and the answer has to stay the same
@@ -31,8 +31,8 @@
 RETURN_JOB_STATUS = 503  # this end hands a job back unrun
 
 CALLS = re.compile(
-    rb"GET /(?:message|message-body)/[A-Za-z0-9._~:-]{1,128}"
-    rb"|POST /(?:pull|job-end|job-extend)/[A-Za-z0-9._~:-]{1,128}"
+    rb"GET /(?:message|message-body)/[!-.0-~]{1,384}"  # any request id, with its characters escaped or not
+    rb"|POST /(?:pull|job-end|job-extend)/[!-.0-~]{1,384}"
 )
 
 _STATE_NAMES = {
@@ -172,6 +172,13 @@
     reply(request, answer.value, retry_after_s=RETRY_SOON_S if answer is LeaseAnswer.UNAVAILABLE else None)
 
 
+def _order_key(message: Message) -> str:
+    """The client's key, also where its route was not ordered when the message was accepted."""
+    if message.order_key:
+        return message.order_key
+    return next((header.value for header in message.headers if header.name.lower() == "x-order-key"), "")
+
+
 class _WaitingPull:
     """One worker that waits for a job."""
 
@@ -235,7 +242,7 @@
             (b"X-Job-Method", message.method),
             (b"X-Job-Target", message.target),
             (b"X-Lease-Id", job.lease_id),
-            (b"X-Order-Key", message.order_key),
+            (b"X-Order-Key", _order_key(message)),
         )
         for name, value in headers:
             if value:
--- a/bitternpath/ingress/messages.py
+++ b/bitternpath/ingress/messages.py
@@ -14,6 +14,7 @@
 from bitternpath.ingress.intake import ClientRequest, Intake, Origin, Rejection, read_message
 from bitternpath.ingress.service import Acceptance, AcceptResult, NodeService
 from bitternpath.ingress.site import reply
+from bitternpath.queue.sharding import may_name
 
 LATE_MS = 50  # the node's answer may be so much later than asked before the client gets 504
 
@@ -61,7 +62,8 @@
             self._timer.cancel()
         if acceptance.result is AcceptResult.ACCEPTED:
             name = acceptance.message_id or self._intake.message.request_id
-            self._request.setHeader(b"X-Message-Id", name.encode("latin-1"))
+            if may_name(name):
+                self._request.setHeader(b"X-Message-Id", name.encode("latin-1"))
             reply(self._request, 202)
         elif acceptance.result is AcceptResult.REFUSED:
             reply(self._request, 503, retry_after_s=max(1, acceptance.retry_after_s))
--- a/bitternpath/shards/owners.py
+++ b/bitternpath/shards/owners.py
@@ -60,9 +60,9 @@
     def ask(self, group: str, make: Callable[[int], Any]) -> Deferred[Any] | None:
         """Send `make(number)` to the owner; None where nobody is known to be it.
 
-        Fails with `LinkLost` as soon as another node is the owner: the one that was asked may be stopped or cut
-        off, and its link is given up much later. For requests that may be repeated: the first may have been
-        done, and an answer that comes after all is dropped.
+        Fails with `LinkLost` as soon as another node is the owner: the one that was asked may be stopped or
+        cut off, and its link is given up much later. For requests that may be repeated: the first may have
+        been done, and an answer that comes after all is dropped.
         """
         owner = self._owners.get(group)
         if owner is None:
