Deliveries: a message that comes again goes over a connection that hasn't carried it before

Cause (by reading): a worker in trouble may answer twice, and an answer was known by X-Request-Id alone. Where a delivery had ended with 500, 503 or 504 and the message came again over the same kept connection, the late second answer of the first delivery was taken for the answer to the second: a 500 counted twice for one run (dead letter of a message that hasn't ended, MIXED), or a 503 that said not run while the message ran (TWICE). Change: a connection remembers the messages that it carried without ending them, and doesn't carry them again; where all connections of a worker have, the oldest idle one makes room. After 500 such messages it is closed.

--- a/bitternpath/delivery/connections.py
+++ b/bitternpath/delivery/connections.py
@@ -20,6 +20,8 @@
 LEAST_TIME_S = 0.02  # with less time left nothing is sent: no worker could answer
 GRACE_S = 0.05  # the answer may come so long after the deadline that the worker was handed
 UNACKNOWLEDGED_MS = 2_000  # sent bytes that a dead peer doesn't acknowledge for so long end the connection
+MOST_UNENDED = 500  # deliveries of one connection that ended no message: their request ids are kept
+_ENDS = (AttemptOutcome.SUCCEEDED, AttemptOutcome.REJECTED)
 USE_SHARE = 0.6  # of a worker's keep-alive time, for which we use an idle connection
 
 
@@ -85,6 +87,7 @@
         self._pool = pool
         self._exchange: Exchange | None = None
         self._answer: AnswerReader | None = None
+        self._unended: set[str] = set()  # request ids of messages that may come again
         self.usable_until = 0.0
         self.open = False
 
@@ -94,6 +97,14 @@
         handle = self.transport.getHandle()
         handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
 
+    def may_carry(self, request_id: str) -> bool:
+        """Whether no earlier delivery of the same message may still be answered here.
+
+        A worker in trouble may answer twice, and answers are told apart by request id alone: a late second
+        answer to the first delivery would be taken for the answer to the second one.
+        """
+        return request_id not in self._unended
+
     def carry(self, exchange: Exchange) -> None:
         """Send a delivery and wait for its answer."""
         remaining = exchange.remaining_s()
@@ -126,16 +137,19 @@
 
     def _answered(self, answer: AnswerReader) -> None:
         self._answer = None
-        if answer.reusable:
+        verdict = answer.verdict()
+        if self._exchange is not None and verdict.outcome not in _ENDS:
+            self._unended.add(self._exchange.message.request_id)
+        if answer.reusable and len(self._unended) < MOST_UNENDED:
             self.usable_until = self._pool.now() + answer.keep_alive_s * USE_SHARE
             exchange, self._exchange = self._exchange, None
             self._pool.released(self)
             if exchange is not None:
-                exchange.decide(answer.verdict())
+                exchange.decide(verdict)
         else:
             self._retire()
             self.transport.loseConnection()
-            self._decide(answer.verdict())
+            self._decide(verdict)
 
     def _silent(self) -> None:
         # An answer may have come while this process was held up: timers run before sockets are read.
--- a/bitternpath/delivery/pool.py
+++ b/bitternpath/delivery/pool.py
@@ -62,11 +62,14 @@
         if not exchange.sendable():
             exchange.not_run(RefusalKind.BUSY)
             return
-        connection = self._take_idle()
+        connection = self._take_idle(exchange.message.request_id)
         if connection is not None:
             connection.carry(exchange)
         elif self._open < self.limit:
             self._connect(exchange)
+        elif self._idle:  # all of them have carried this message
+            self._idle.popleft().close()
+            self.submit(exchange)
         else:
             self._waiting.append(exchange)
             patience = min(exchange.remaining_s() * WAIT_SHARE, exchange.send_time_s())
@@ -93,7 +96,10 @@
     def released(self, connection: WorkerConnection) -> None:
         """A connection has had its whole answer and can be used again."""
         exchange = self._next_waiting()
-        if exchange is not None:
+        if exchange is not None and not connection.may_carry(exchange.message.request_id):
+            self._waiting.appendleft(exchange)
+            connection.close()  # which makes room for another one
+        elif exchange is not None:
             connection.carry(exchange)
         elif self._retired or self._open > self.limit:
             connection.close()
@@ -107,13 +113,15 @@
             self._idle.remove(connection)
         self._closed()
 
-    def _take_idle(self) -> WorkerConnection | None:
+    def _take_idle(self, request_id: str) -> WorkerConnection | None:
+        """The oldest idle connection that is whole and may carry that message."""
         now = self.now()
-        while self._idle:
-            connection = self._idle.popleft()
-            if connection.usable_until > now and peek(connection.transport) is None:
+        for connection in list(self._idle):
+            if connection.usable_until <= now or peek(connection.transport) is not None:
+                connection.close()
+            elif connection.may_carry(request_id):
+                self._idle.remove(connection)
                 return connection
-            connection.close()
         return None
 
     def _connect(self, exchange: Exchange) -> None:
