SIGTERM: whoever still waits gets an answer before the process ends

Cause (by reading): at 1.2 s before the end of the time of grace an edge process closed its connections whether or not their requests were answered: a message with a long deadline whose append is undecided (its shard's owner is lost), or one read during the shutdown, ended without an answer (LOST around SIGTERM). Change: 0.4 s before that, each open request is answered: messages with 504, which promises nothing, calls with 503; requests that were read behind them as well. Readiness takes 64 connections instead of 16: a question a second that leaves its connection idle for 15 s would have used them up.

--- a/bitternpath/ingress/channel.py
+++ b/bitternpath/ingress/channel.py
@@ -177,6 +177,15 @@
         elif self.phase in (Phase.IDLE, Phase.HEAD, Phase.BODY):
             self.setTimeout(DRAINING_READ_S)  # type: ignore[no-untyped-call]
 
+    def answer_open(self) -> None:
+        """Answer the request that waits, and those that were read behind it; then close."""
+        answered = None
+        while self.phase is Phase.ANSWERING and self.requests[0] is not answered:
+            answered = self.requests[0]
+            answered.end_without_answer()
+        if self.phase not in (Phase.ANSWERING, Phase.CLOSING):
+            self.loseConnection()
+
     def loseConnection(self) -> None:
         self._enter(Phase.CLOSING, FLUSH_S)
         super().loseConnection()  # type: ignore[no-untyped-call]
--- a/bitternpath/ingress/messages.py
+++ b/bitternpath/ingress/messages.py
@@ -35,6 +35,7 @@
 
     def render(self, request: Any) -> int:
         """Accept the message; the answer follows."""
+        request.last_status = 504
         headers = dict(request.requestHeaders.getAllRawHeaders())
         read = ClientRequest(request.method, request.uri, headers, request.content.read())
         intake = read_message(read, self._node.routing(), Origin(self._origin, self._wall_ms()))
--- a/bitternpath/ingress/servers.py
+++ b/bitternpath/ingress/servers.py
@@ -18,7 +18,7 @@
 CONTROL_LIMITS = RequestLimits(max_body_bytes=16 * 1024 * 1024)  # a whole configuration
 READINESS_LIMITS = RequestLimits(max_header_bytes=4_096, max_body_bytes=0)
 CONTROL_CONNECTIONS = 64  # callers of the control address are few
-READINESS_CONNECTIONS = 16
+READINESS_CONNECTIONS = 64  # a question a second, each of which may leave its connection idle
 
 
 def _wall_ms() -> int:
--- a/bitternpath/ingress/site.py
+++ b/bitternpath/ingress/site.py
@@ -24,6 +24,7 @@
     content: Any
     site: Any
     needs_open_peer = False  # answer only a peer whose sending side is open: else it may be gone
+    last_status = 503  # where the node ends before the answer is known; 503 of a message promises too much
 
     def handleContentChunk(self, data: bytes) -> None:
         self.channel.body_left -= len(data)
@@ -53,6 +54,11 @@
             if not self.finished:
                 reply(self, 500)
 
+    def end_without_answer(self) -> None:
+        """Send what says least, unless the answer has begun."""
+        if not self.startedWriting:
+            reply(self, self.last_status, retry_after_s=RETRY_SOON_S)
+
     def getRequestHostname(self) -> bytes:
         return b"node"  # klein builds URLs of it; no answer uses them, and clients' hosts may be anything
 
@@ -139,6 +145,11 @@
             self.channel_lost()
         return self._drained
 
+    def answer_open(self) -> None:
+        """The process is about to end: whoever waits for an answer gets one that promises nothing."""
+        for channel in tuple(self.channels):
+            channel.answer_open()
+
     def channel_lost(self) -> None:
         """A connection has ended."""
         if self._drained is not None and not self.channels and not self._drained.called:
--- a/bitternpath/roles/edge_process.py
+++ b/bitternpath/roles/edge_process.py
@@ -18,6 +18,7 @@
 RESERVED_DESCRIPTORS = 600  # for files, links to nodes, workers and receivers
 UNREADY_S = 2.1  # two misses of the platform's question, a second apart: then no new connections come
 LAST_CALL_S = 1.2  # of the time of grace, kept for the end
+LAST_ANSWERS_S = 0.4  # before that, whoever waits still gets an answer without a promise, and time to read it
 LISTEN_BACKLOG = 1024
 LOOK_S = 0.05
 
@@ -34,6 +35,7 @@
         self._give_up_at = 0.0
         self._finished: Callable[[], None] | None = None
         self._served = False
+        self._last_answers_given = False
 
     def listen(self) -> None:
         """Open all ports, the internal one last; raises `CannotListenError`, and may be called again then."""
@@ -83,6 +85,8 @@
         at_rest = (
             self._served and not node.deliveries.open and not node.reports.open and not node.callbacks.open
         )
+        if not self._served and self.reactor.seconds() >= self._give_up_at - LAST_ANSWERS_S:
+            self._give_last_answers()
         if not at_rest and self.reactor.seconds() < self._give_up_at:
             self.reactor.callLater(LOOK_S, self._look)
             return
@@ -96,6 +100,13 @@
         node.base.stop()
         self.reactor.callLater(LOOK_S, self._end)
 
+    def _give_last_answers(self) -> None:
+        """A request that was read must not end without an answer, however long its deadline is."""
+        if not self._last_answers_given:
+            self._last_answers_given = True
+            for site in self._sites:
+                site.answer_open()
+
     def _end(self) -> None:
         self.node.base.close_disk()
         if self._finished is not None:
--- a/tests/system/test_shards.py
+++ b/tests/system/test_shards.py
@@ -51,6 +51,7 @@
 
     def __init__(self, name: str, zone: str) -> None:
         self.peer = NodeDescriptor(name, "10.0.0.1:1", NodeKind.STORAGE, zone, True, "d", 1, 0)
+        self.peer_name = name
         self.requests: list[tuple[Any, Deferred[Any]]] = []
         self.sent: list[Any] = []
 
