Worker connections and client channels say what they need of their owner: two import circles less

delivery/connections and delivery/pool, and ingress/channel and ingress/site, imported each other (for types). The lower module of each pair now has an interface (ConnectionOwner, ChannelSite) which the upper one fits.

--- a/bitternpath/delivery/connections.py
+++ b/bitternpath/delivery/connections.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import socket
-from typing import TYPE_CHECKING, Any
+from typing import Any
+from typing import Protocol as Interface
 
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol, connectionDone
@@ -14,9 +15,6 @@
 from bitternpath.delivery.results import DeliveryResult, RefusalKind, WorkerTarget
 from bitternpath.queue.records import AttemptOutcome, Message
 
-if TYPE_CHECKING:
-    from bitternpath.delivery.pool import AddressPool
-
 LEAST_TIME_S = 0.02  # with less time left nothing is sent: no worker could answer
 GRACE_S = 0.05  # the answer may come so long after the deadline that the worker was handed
 UNACKNOWLEDGED_MS = 2_000  # sent bytes that a dead peer doesn't acknowledge for so long end the connection
@@ -76,13 +74,26 @@
             self._timer.cancel()
 
 
+class ConnectionOwner(Interface):
+    """What a connection needs of the pool that made it; `AddressPool` is one."""
+
+    def now(self) -> float:
+        """The clock by which `usable_until` is read, in seconds."""
+
+    def released(self, connection: WorkerConnection) -> None:
+        """A connection has had its whole answer and can be used again."""
+
+    def lost(self, connection: WorkerConnection) -> None:
+        """A connection has ended, or is not to be used any more; said once of each."""
+
+
 class WorkerConnection(Protocol):
     """A connection that carries one delivery at a time and is not used again once anything is doubtful."""
 
     transport: Any
 
-    def __init__(self, pool: AddressPool) -> None:
-        self._pool = pool
+    def __init__(self, owner: ConnectionOwner) -> None:
+        self._owner = owner
         self._exchange: Exchange | None = None
         self._answer: AnswerReader | None = None
         self.usable_until = 0.0
@@ -127,9 +138,9 @@
     def _answered(self, answer: AnswerReader) -> None:
         self._answer = None
         if answer.reusable:
-            self.usable_until = self._pool.now() + answer.keep_alive_s * USE_SHARE
+            self.usable_until = self._owner.now() + answer.keep_alive_s * USE_SHARE
             exchange, self._exchange = self._exchange, None
-            self._pool.released(self)
+            self._owner.released(self)
             if exchange is not None:
                 exchange.decide(answer.verdict())
         else:
@@ -150,7 +161,7 @@
     def _retire(self) -> None:
         if self.open:
             self.open = False
-            self._pool.lost(self)
+            self._owner.lost(self)
 
     def _decide(self, verdict: Verdict) -> None:
         exchange, self._exchange = self._exchange, None
--- a/bitternpath/ingress/channel.py
+++ b/bitternpath/ingress/channel.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import connectionDone
@@ -16,11 +16,9 @@
 from twisted.web.http import RESPONSES, HTTPChannel
 from zope.interface import implementer
 
+from bitternpath.configuration.documents import RequestLimits
 from bitternpath.net.sockets import peek
 
-if TYPE_CHECKING:
-    from bitternpath.ingress.site import HttpSite
-
 LINGER_S = 1.0  # after an error answer: input is discarded so long, because a reset could destroy the answer
 FLUSH_S = 5.0  # a peer that takes no more of an answer for so long is given up
 DRAINING_READ_S = 2.0  # during a shutdown, the rest of a request must come within this
@@ -37,11 +35,24 @@
     CLOSING = "closing"
 
 
+class ChannelSite(Protocol):
+    """What a connection needs of its server; `HttpSite` is one."""
+
+    channels: set[StrictChannel]  # the open ones
+    closing: bool  # whether the server is shutting down
+
+    def limits(self) -> RequestLimits:
+        """The limits for what is read from now on."""
+
+    def channel_lost(self) -> None:
+        """A connection has ended, and has left `channels`."""
+
+
 @implementer(IHalfCloseableProtocol)
 class StrictChannel(HTTPChannel):
     """One connection from a client. It reads one request at a time; pipelined ones wait."""
 
-    site: HttpSite
+    site: ChannelSite
     transport: Any
     timeOut: Any = None
 
