HTTP/1.1 parsers and message records move below the packages that both need them

http/http1.py is now net/http1.py: delivery/ and ingress/ needed it while http/ needs dispatch/, a circle of five packages. queue/records.py is now transport/records.py: transport/messages.py carries these records while queue/ encodes with transport/codec.py, a circle of six packages with replication/ and storage/, of which replication <-> storage is left.

--- a/bitternpath/delivery/answers.py
+++ b/bitternpath/delivery/answers.py
@@ -7,8 +7,8 @@
 from enum import Enum
 
 from bitternpath.delivery.results import RefusalKind
-from bitternpath.http.http1 import Headers, HttpError, ResponseReader
-from bitternpath.queue.records import AttemptOutcome
+from bitternpath.net.http1 import Headers, HttpError, ResponseReader
+from bitternpath.transport.records import AttemptOutcome
 
 DEFAULT_KEEP_ALIVE_S = 4.0  # for which a worker keeps an idle connection, where it doesn't say
 
--- a/bitternpath/delivery/callbacks.py
+++ b/bitternpath/delivery/callbacks.py
@@ -17,7 +17,7 @@
 from zope.interface import implementer
 
 from bitternpath.delivery.results import CallbackResult
-from bitternpath.queue.records import MessageState
+from bitternpath.transport.records import MessageState
 
 PER_RECEIVER = 4  # calls under way from this node to one receiver: receivers accept few connections
 CALL_S = 2.0  # for one call, from the connection to the end of the answer
--- a/bitternpath/delivery/connections.py
+++ b/bitternpath/delivery/connections.py
@@ -13,7 +13,7 @@
 from bitternpath.delivery.answers import NO_ANSWER, AnswerReader, Progress, Verdict
 from bitternpath.delivery.requests import request_bytes
 from bitternpath.delivery.results import DeliveryResult, RefusalKind, WorkerTarget
-from bitternpath.queue.records import AttemptOutcome, Message
+from bitternpath.transport.records import AttemptOutcome, Message
 
 LEAST_TIME_S = 0.02  # with less time left nothing is sent: no worker could answer
 GRACE_S = 0.05  # the answer may come so long after the deadline that the worker was handed
--- a/bitternpath/delivery/requests.py
+++ b/bitternpath/delivery/requests.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bitternpath.delivery.results import WorkerTarget
-from bitternpath.queue.records import Message
+from bitternpath.transport.records import Message
 
 
 def request_bytes(target: WorkerTarget, message: Message, deadline_ms: int) -> bytes:
--- a/bitternpath/delivery/workers.py
+++ b/bitternpath/delivery/workers.py
@@ -9,7 +9,7 @@
 from bitternpath.delivery.connections import Exchange
 from bitternpath.delivery.pool import AddressPool
 from bitternpath.delivery.results import DeliveryResult, RefusalKind, WorkerTarget
-from bitternpath.queue.records import Message
+from bitternpath.transport.records import Message
 
 SWEEP_S = 0.5  # between looks for idle connections that are too old
 
--- a/bitternpath/dispatch/callbacks.py
+++ b/bitternpath/dispatch/callbacks.py
@@ -7,9 +7,9 @@
 from twisted.internet.defer import Deferred
 
 from bitternpath.delivery.results import CallbackResult
-from bitternpath.queue.records import MessageState
 from bitternpath.shards.owners import ShardOwners
 from bitternpath.transport.messages import CallbackOrder, CallbackReport
+from bitternpath.transport.records import MessageState
 
 RETRY_S = 0.1
 MOST_REPORT_TRIES = 30  # the owner repeats an order whose report it doesn't get
--- a/bitternpath/dispatch/deliveries.py
+++ b/bitternpath/dispatch/deliveries.py
@@ -20,9 +20,9 @@
 from bitternpath.configuration.documents import Route, RoutingTable, Service
 from bitternpath.delivery.results import DeliveryResult, RefusalKind, WorkerTarget
 from bitternpath.dispatch.selection import ListedWorker, WorkerSelection
-from bitternpath.queue.records import AttemptOutcome, Message
 from bitternpath.shards.reports import AttemptReport, LeaseReports
 from bitternpath.transport.messages import CatalogueEntry, Delivery
+from bitternpath.transport.records import AttemptOutcome, Message
 
 log = logbook.Logger("dispatch")
 
--- a/bitternpath/dispatch/selection.py
+++ b/bitternpath/dispatch/selection.py
@@ -13,8 +13,8 @@
 
 from bitternpath.delivery.results import DeliveryResult, RefusalKind
 from bitternpath.dispatch.network import Network
-from bitternpath.queue.records import AttemptOutcome
 from bitternpath.transport.messages import CatalogueEntry
+from bitternpath.transport.records import AttemptOutcome
 
 EXPLORE = 0.1
 LEAST_ELAPSED_S = 0.001  # of a goal value
--- a/bitternpath/emulator/sockets/feed.py
+++ b/bitternpath/emulator/sockets/feed.py
@@ -9,7 +9,7 @@
 from bitternpath import messages as m
 from bitternpath.core.roster import Listing
 from bitternpath.emulator.sockets.servers import Server, ServerConnection
-from bitternpath.http import http1
+from bitternpath.net import http1
 
 if TYPE_CHECKING:
     from bitternpath.emulator.sockets.world import SocketWorld
--- a/bitternpath/emulator/sockets/node.py
+++ b/bitternpath/emulator/sockets/node.py
@@ -20,7 +20,7 @@
 from bitternpath.emulator.sockets.pool import ConnectionPool
 from bitternpath.emulator.sockets.processor_waits import waited_for_processor
 from bitternpath.emulator.sockets.requests import ClientRequests
-from bitternpath.http import http1
+from bitternpath.net import http1
 
 if TYPE_CHECKING:
     from bitternpath.emulator.sockets.world import SocketWorld
--- a/bitternpath/emulator/sockets/pool.py
+++ b/bitternpath/emulator/sockets/pool.py
@@ -9,7 +9,7 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from bitternpath.http import http1
+from bitternpath.net import http1
 
 DIAL_WITHIN = 3  # s
 
--- a/bitternpath/emulator/sockets/requests.py
+++ b/bitternpath/emulator/sockets/requests.py
@@ -6,7 +6,7 @@
 
 from bitternpath.emulator.clients import Try
 from bitternpath.emulator.sockets.pool import ClientConnection, ConnectionPool
-from bitternpath.http import http1
+from bitternpath.net import http1
 
 if TYPE_CHECKING:
     from bitternpath.emulator.sockets.node import SocketNode
--- a/bitternpath/emulator/sockets/servers.py
+++ b/bitternpath/emulator/sockets/servers.py
@@ -9,7 +9,7 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from bitternpath.http import http1
+from bitternpath.net import http1
 
 BACKLOG = 64  # connections that wait to be accepted
 
--- a/bitternpath/emulator/sockets/workers.py
+++ b/bitternpath/emulator/sockets/workers.py
@@ -10,7 +10,7 @@
 
 from bitternpath.emulator.sockets.servers import Server, ServerConnection
 from bitternpath.emulator.worker import Attempt, Worker
-from bitternpath.http import http1
+from bitternpath.net import http1
 
 if TYPE_CHECKING:
     from bitternpath.emulator.sockets.node import SocketNode
--- a/bitternpath/http/__init__.py
+++ b/bitternpath/http/__init__.py
@@ -1,1 +1,1 @@
-"""HTTP/1.1: parsers (pure), the front (listener), the invoker (pool) and the watch on discovery."""
+"""HTTP/1.1: the front (listener), the invoker (pool), the watch on discovery and the console."""
--- a/bitternpath/http/console.py
+++ b/bitternpath/http/console.py
@@ -19,7 +19,7 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from bitternpath.http import http1
+from bitternpath.net import http1
 from bitternpath.net.sockets import BurstPort
 
 log = structlog.get_logger(part="console")
--- a/bitternpath/http/front.py
+++ b/bitternpath/http/front.py
@@ -21,7 +21,7 @@
 from bitternpath.core.clock import Clock
 from bitternpath.core.invocations import ID_LIMIT, Invocation, News, State, figures
 from bitternpath.core.lifecycle import NEW_ONES_ARRIVE, LifeCycle, held, last_answer
-from bitternpath.http import http1
+from bitternpath.net import http1
 from bitternpath.net.sockets import BURST, BurstPort, Sockets, peek
 
 log = structlog.get_logger(part="front")
--- a/bitternpath/http/invoker.py
+++ b/bitternpath/http/invoker.py
@@ -19,7 +19,7 @@
 from bitternpath.core.figures import BACKEND_CALLS
 from bitternpath.core.invocations import InvokerCall, Payload
 from bitternpath.core.roster import Listing, Provider, Roster
-from bitternpath.http import http1
+from bitternpath.net import http1
 from bitternpath.net.sockets import Sockets, dial, peek
 
 log = structlog.get_logger(part="invoker")
--- a/bitternpath/http/watch.py
+++ b/bitternpath/http/watch.py
@@ -14,8 +14,8 @@
 from twisted.python.failure import Failure
 
 from bitternpath.core.roster import Roster
-from bitternpath.http.http1 import HttpError, ResponseReader, request
 from bitternpath.http.listing import listing_from
+from bitternpath.net.http1 import HttpError, ResponseReader, request
 from bitternpath.net.sockets import dial
 
 log = structlog.get_logger(part="watch")
--- a/bitternpath/ingress/intake.py
+++ b/bitternpath/ingress/intake.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass
 
 from bitternpath.configuration.documents import Route, RoutingTable
-from bitternpath.http.http1 import HOP_BY_HOP
 from bitternpath.ingress.site import RETRY_SOON_S
-from bitternpath.queue.records import Header, Message
+from bitternpath.net.http1 import HOP_BY_HOP
+from bitternpath.transport.records import Header, Message
 
 DEFAULT_DEADLINE_MS = 1_000  # where the client names none
 MAX_DEADLINE_MS = 60_000  # no client is kept waiting longer
--- a/bitternpath/ingress/interface.py
+++ b/bitternpath/ingress/interface.py
@@ -21,7 +21,7 @@
     PullTicket,
 )
 from bitternpath.ingress.site import RETRY_SOON_S, answered, reply
-from bitternpath.queue.records import MessageState
+from bitternpath.transport.records import MessageState
 
 STATUS_ANSWER_S = 1.7  # askers wait two seconds
 LEASE_ANSWER_S = 4.0  # ends without an answer are sent again, and the answer has to stay the same
--- a/bitternpath/ingress/service.py
+++ b/bitternpath/ingress/service.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred
 
 from bitternpath.configuration.documents import RoutingTable
-from bitternpath.queue.records import Message, MessageState
+from bitternpath.transport.records import Message, MessageState
 
 
 class AcceptResult(Enum):
--- a/bitternpath/net/__init__.py
+++ b/bitternpath/net/__init__.py
@@ -1,1 +1,1 @@
-"""What every protocol needs of a connection: the one buffer, dialling, and the count of sockets."""
+"""What protocols need of a connection: one buffer, dialling, the count of sockets, and HTTP/1.1 parsers."""
--- a/bitternpath/queue/actions.py
+++ b/bitternpath/queue/actions.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from bitternpath.queue.commands import Command
-from bitternpath.queue.records import Message, MessageState
+from bitternpath.transport.records import Message, MessageState
 
 
 @dataclass(frozen=True, slots=True)
--- a/bitternpath/queue/backoff.py
+++ b/bitternpath/queue/backoff.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from bitternpath.queue.records import AttemptOutcome
+from bitternpath.transport.records import AttemptOutcome
 
 
 @dataclass(frozen=True, slots=True)
--- a/bitternpath/queue/commands.py
+++ b/bitternpath/queue/commands.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass
 
-from bitternpath.queue.records import AttemptOutcome, Message
 from bitternpath.transport.codec import RecordSet
+from bitternpath.transport.records import AttemptOutcome, Message
 
 
 @dataclass(frozen=True, slots=True)
--- a/bitternpath/queue/entries.py
+++ b/bitternpath/queue/entries.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field, replace
 from sys import intern
 
-from bitternpath.queue.records import AttemptOutcome, Header, Message, MessageState
+from bitternpath.transport.records import AttemptOutcome, Header, Message, MessageState
 
 # A time-of-day clock may step, and clocks of two machines differ; elapsed wall time counts only beyond these.
 DELAY_CLOCK_MARGIN_S = 2.0  # a delay is then never cut short by a step up to 2 s; it lasts 2 s longer at most
--- a/bitternpath/queue/leases.py
+++ b/bitternpath/queue/leases.py
@@ -11,8 +11,8 @@
 from bitternpath.queue.entries import Lease
 from bitternpath.queue.lanes import LaneTable, ServiceLane
 from bitternpath.queue.polls import PollTable
-from bitternpath.queue.records import AttemptOutcome
 from bitternpath.queue.tracked import OutLease, Tracked
+from bitternpath.transport.records import AttemptOutcome
 
 PUSH_LEASE_MARGIN_MS = (
     2_000  # beyond the route's time-out: way to the edge node, choice of a worker, way back
--- a/bitternpath/queue/owner.py
+++ b/bitternpath/queue/owner.py
@@ -31,7 +31,6 @@
 from bitternpath.queue.leases import LeaseTable
 from bitternpath.queue.placement import Placement
 from bitternpath.queue.polls import Poll, PollTable
-from bitternpath.queue.records import AttemptOutcome
 from bitternpath.queue.results import (
     Added,
     AttemptTaken,
@@ -47,6 +46,7 @@
 from bitternpath.queue.timers import Timer, TimerKind, TimerQueue
 from bitternpath.queue.tombstones import TombstoneQueue
 from bitternpath.queue.tracked import Phase, Tracked
+from bitternpath.transport.records import AttemptOutcome
 
 PUSH_LEASE_MARGIN_MS = (
     2_000  # beyond the route's time-out: way to the edge node, choice of a worker, way back
--- a/bitternpath/queue/results.py
+++ b/bitternpath/queue/results.py
@@ -12,7 +12,7 @@
     ForgetMessages,
     GrantLease,
 )
-from bitternpath.queue.records import MessageState
+from bitternpath.transport.records import MessageState
 
 
 @dataclass(frozen=True, slots=True)
--- a/bitternpath/queue/snapshot.py
+++ b/bitternpath/queue/snapshot.py
@@ -19,8 +19,8 @@
     compact,
     elapsed_beyond,
 )
-from bitternpath.queue.records import AttemptOutcome, Message, MessageState
 from bitternpath.transport.codec import CodecError, RecordCodec
+from bitternpath.transport.records import AttemptOutcome, Message, MessageState
 
 _LENGTH = struct.Struct(">I")
 
--- a/bitternpath/queue/state.py
+++ b/bitternpath/queue/state.py
@@ -20,7 +20,6 @@
 )
 from bitternpath.queue.entries import Entry, Lease, new_entry
 from bitternpath.queue.ordering import OrderQueues
-from bitternpath.queue.records import AttemptOutcome, MessageState
 from bitternpath.queue.results import (
     Added,
     AttemptTaken,
@@ -31,6 +30,7 @@
     Result,
 )
 from bitternpath.queue.snapshot import decode_snapshot, encode_snapshot
+from bitternpath.transport.records import AttemptOutcome, MessageState
 
 
 class QueueState:
--- a/bitternpath/queue/tracked.py
+++ b/bitternpath/queue/tracked.py
@@ -8,7 +8,7 @@
 
 from bitternpath.configuration.documents import Route
 from bitternpath.queue.entries import Entry
-from bitternpath.queue.records import AttemptOutcome
+from bitternpath.transport.records import AttemptOutcome
 
 
 class Phase(Enum):
--- a/bitternpath/rehearsal/platform.py
+++ b/bitternpath/rehearsal/platform.py
@@ -9,7 +9,7 @@
 
 from twisted.internet.defer import Deferred, succeed
 
-from bitternpath.http.http1 import Request
+from bitternpath.net.http1 import Request
 from bitternpath.rehearsal.plumbing import Reply, ServerConnection, serve
 from bitternpath.rehearsal.records import CallbackGot, Clock, History
 
--- a/bitternpath/rehearsal/plumbing.py
+++ b/bitternpath/rehearsal/plumbing.py
@@ -13,7 +13,7 @@
 from twisted.protocols.policies import TimeoutMixin
 from twisted.python.failure import Failure
 
-from bitternpath.http.http1 import (
+from bitternpath.net.http1 import (
     HttpError,
     Request,
     RequestReader,
--- a/bitternpath/rehearsal/workers.py
+++ b/bitternpath/rehearsal/workers.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import deferLater
 
-from bitternpath.http.http1 import Request
+from bitternpath.net.http1 import Request
 from bitternpath.rehearsal.entry import Entry
 from bitternpath.rehearsal.plan import BOUNDS, Port
 from bitternpath.rehearsal.plumbing import Call, Reply, ServerConnection, send_call, serve
--- a/bitternpath/roles/edge.py
+++ b/bitternpath/roles/edge.py
@@ -25,7 +25,6 @@
     PullTicket,
 )
 from bitternpath.membership.founding import CONFIGURATION_GROUP
-from bitternpath.queue.records import Message
 from bitternpath.roles.configuration_member import ConfigurationMember, FoundingDecider
 from bitternpath.roles.node_base import NodeBase
 from bitternpath.roles.operator_calls import OperatorCalls
@@ -57,6 +56,7 @@
     Ownership,
     StatusRequest,
 )
+from bitternpath.transport.records import Message
 
 log = logbook.Logger("edge")
 
--- a/bitternpath/roles/shard_runtime.py
+++ b/bitternpath/roles/shard_runtime.py
@@ -27,7 +27,6 @@
 )
 from bitternpath.queue.commands import COMMANDS, AppendMessage, Command
 from bitternpath.queue.owner import OwnerBounds, ShardOwner
-from bitternpath.queue.records import AttemptOutcome, MessageState
 from bitternpath.queue.results import AttemptTaken, Result
 from bitternpath.queue.state import QueueState
 from bitternpath.replication.host import ReplicaHost
@@ -54,6 +53,7 @@
     StateRequest,
     Undecided,
 )
+from bitternpath.transport.records import AttemptOutcome, MessageState
 
 log = logbook.Logger("shard")
 
--- a/bitternpath/roles/status.py
+++ b/bitternpath/roles/status.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Sequence
 
-from bitternpath.queue.records import MessageState
 from bitternpath.queue.state import QueueState
 from bitternpath.replication.host import ReplicaHost
 from bitternpath.roles.node_base import NodeBase
 from bitternpath.transport.messages import GroupStatus, StatusAnswer
+from bitternpath.transport.records import MessageState
 
 
 def group_status(host: ReplicaHost, group: str, state: QueueState | None) -> GroupStatus:
--- a/bitternpath/shards/appends.py
+++ b/bitternpath/shards/appends.py
@@ -16,10 +16,10 @@
 
 from bitternpath.configuration.placement import shard_group, shard_of
 from bitternpath.ingress.service import Acceptance, AcceptResult
-from bitternpath.queue.records import Message
 from bitternpath.queue.sharding import message_id, shard_for
 from bitternpath.shards.owners import ShardOwners
 from bitternpath.transport.messages import Appended, AppendRequest, Refused
+from bitternpath.transport.records import Message
 
 RETRY_S = 0.02  # between tries while the shard has no owner and the fate is open
 RETRY_AFTER_S = 1  # told to clients: an owner is found again within about that time
--- a/bitternpath/shards/pulls.py
+++ b/bitternpath/shards/pulls.py
@@ -15,7 +15,6 @@
 
 from bitternpath.configuration.placement import shard_group
 from bitternpath.ingress.service import LeaseAnswer, PulledJob
-from bitternpath.queue.records import AttemptOutcome
 from bitternpath.queue.sharding import shard_of_lease
 from bitternpath.shards.owners import Owner, ShardOwners
 from bitternpath.shards.reports import AttemptReport, LeaseReports
@@ -27,6 +26,7 @@
     PullCancel,
     PullRequest,
 )
+from bitternpath.transport.records import AttemptOutcome
 
 ANSWER_MARGIN_S = 0.5  # beyond the worker's wait, for the owner's answer
 END_PATIENCE_S = 5.0  # an end or an extension waits so long for an owner
--- a/bitternpath/shards/reports.py
+++ b/bitternpath/shards/reports.py
@@ -9,9 +9,9 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from bitternpath.queue.records import AttemptOutcome
 from bitternpath.shards.owners import ShardOwners
 from bitternpath.transport.messages import Ended, EndRequest
+from bitternpath.transport.records import AttemptOutcome
 
 RETRY_S = 0.1
 GIVE_UP_S = 60.0  # longer than any lease: the owner has long given the message to somebody else
--- a/bitternpath/transport/messages.py
+++ b/bitternpath/transport/messages.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from bitternpath.queue.records import AttemptOutcome, Message, MessageState
 from bitternpath.transport.codec import RecordSet
+from bitternpath.transport.records import AttemptOutcome, Message, MessageState
 
 
 class NodeKind(IntEnum):
--- a/bitternpath/queue/records.py
+++ b/bitternpath/transport/records.py
@@ -1,4 +1,4 @@
-"""Records of the queue that cross the network or are written to disk."""
+"""Records of messages that cross the network or are written to disk."""
 
 from __future__ import annotations
 
--- a/tests/system/test_callback_client.py
+++ b/tests/system/test_callback_client.py
@@ -12,8 +12,8 @@
 
 from bitternpath.delivery.callbacks import CALL_S, PER_RECEIVER, WAIT_S, CallbackClient
 from bitternpath.delivery.results import CallbackResult
-from bitternpath.http.http1 import Request, RequestReader
-from bitternpath.queue.records import MessageState
+from bitternpath.net.http1 import Request, RequestReader
+from bitternpath.transport.records import MessageState
 from tests.system import Loopback
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
--- a/tests/system/test_dispatch.py
+++ b/tests/system/test_dispatch.py
@@ -22,9 +22,9 @@
     Deliveries,
 )
 from bitternpath.dispatch.selection import WorkerSelection
-from bitternpath.queue.records import AttemptOutcome, Message
 from bitternpath.shards.reports import AttemptReport
 from bitternpath.transport.messages import CatalogueEntry, CatalogueUpdate, Delivery
+from bitternpath.transport.records import AttemptOutcome, Message
 
 DONE = DeliveryResult(AttemptOutcome.SUCCEEDED, "stamp", 200, RefusalKind.NONE, 0.05)
 BUSY = DeliveryResult(AttemptOutcome.NOT_RUN, "", 503, RefusalKind.BUSY, 0.002)
--- a/tests/system/test_ingress.py
+++ b/tests/system/test_ingress.py
@@ -19,7 +19,6 @@
 from twisted.python.failure import Failure
 
 from bitternpath.configuration.documents import RoutingTable, parse_configuration
-from bitternpath.http.http1 import Response, ResponseReader
 from bitternpath.ingress.channel import DRAINING_READ_S, FLUSH_S, LINGER_S
 from bitternpath.ingress.interface import LEASE_ANSWER_S, PULL_LATE_S, STATUS_ANSWER_S
 from bitternpath.ingress.servers import build_control, build_front, build_readiness
@@ -32,7 +31,8 @@
     OperatorReply,
     PulledJob,
 )
-from bitternpath.queue.records import Header, Message, MessageState
+from bitternpath.net.http1 import Response, ResponseReader
+from bitternpath.transport.records import Header, Message, MessageState
 from tests.system import Loopback
 
 ROUTES = [
--- a/tests/system/test_queue_campaign.py
+++ b/tests/system/test_queue_campaign.py
@@ -12,10 +12,10 @@
 from bitternpath.queue.lanes import LaneTable
 from bitternpath.queue.owner import ShardOwner
 from bitternpath.queue.placement import Placement
-from bitternpath.queue.records import AttemptOutcome, MessageState
 from bitternpath.queue.results import AttemptTaken, Result
 from bitternpath.queue.state import QueueState
 from bitternpath.queue.tracked import Tracked
+from bitternpath.transport.records import AttemptOutcome, MessageState
 from tests.system.test_queue_checkers import Rule, check_all
 from tests.system.test_queue_nodes import CALM, RESTLESS, Build, Faults
 from tests.system.test_queue_world import World
--- a/tests/system/test_queue_checkers.py
+++ b/tests/system/test_queue_checkers.py
@@ -12,7 +12,7 @@
 from enum import Enum
 from math import inf
 
-from bitternpath.queue.records import MessageState
+from bitternpath.transport.records import MessageState
 
 
 class Rule(Enum):
--- a/tests/system/test_queue_ends.py
+++ b/tests/system/test_queue_ends.py
@@ -15,8 +15,8 @@
     ExpireMessage,
     ForgetMessages,
 )
-from bitternpath.queue.records import MessageState
 from bitternpath.queue.tombstones import FORGET_MARGIN_S
+from bitternpath.transport.records import MessageState
 from tests.system.test_queue_rig import (
     NOT_RUN,
     PUSH_LEASE_S,
--- a/tests/system/test_queue_nodes.py
+++ b/tests/system/test_queue_nodes.py
@@ -22,9 +22,9 @@
 )
 from bitternpath.queue.commands import COMMANDS, Command
 from bitternpath.queue.owner import OwnerBounds, ShardOwner
-from bitternpath.queue.records import AttemptOutcome
 from bitternpath.queue.results import AttemptTaken, Expired, Result
 from bitternpath.queue.state import QueueState
+from bitternpath.transport.records import AttemptOutcome
 from tests.system.test_queue_checkers import (
     AnswerKind,
     Handed,
--- a/tests/system/test_queue_owner.py
+++ b/tests/system/test_queue_owner.py
@@ -14,7 +14,7 @@
 from bitternpath.queue.owner import POLLS_ASKED_EVERY_S
 from bitternpath.queue.placement import UNROUTED_GRACE_S
 from bitternpath.queue.ready import LATE_LIMIT_S
-from bitternpath.queue.records import MessageState
+from bitternpath.transport.records import MessageState
 from tests.system.test_queue_rig import (
     FAILED,
     NOT_RUN,
--- a/tests/system/test_queue_rig.py
+++ b/tests/system/test_queue_rig.py
@@ -22,9 +22,9 @@
 )
 from bitternpath.queue.leases import PUSH_LEASE_MARGIN_MS
 from bitternpath.queue.owner import PULL_LEASE_MARGIN_MS, OwnerBounds, ShardOwner
-from bitternpath.queue.records import AttemptOutcome, Message, MessageState
 from bitternpath.queue.results import Result
 from bitternpath.queue.state import QueueState
+from bitternpath.transport.records import AttemptOutcome, Message, MessageState
 
 SUCCEEDED, FAILED, NOT_RUN = AttemptOutcome.SUCCEEDED, AttemptOutcome.FAILED, AttemptOutcome.NOT_RUN
 UNKNOWN, REJECTED, ROUTE_GONE = AttemptOutcome.UNKNOWN, AttemptOutcome.REJECTED, AttemptOutcome.ROUTE_GONE
--- a/tests/system/test_queue_world.py
+++ b/tests/system/test_queue_world.py
@@ -15,9 +15,9 @@
 
 from bitternpath.configuration.documents import Configuration, Route, RoutingTable
 from bitternpath.queue.commands import AppendMessage, EndAttempt
-from bitternpath.queue.records import AttemptOutcome, Message, MessageState
 from bitternpath.queue.results import Added, AttemptTaken, Result
 from bitternpath.queue.sharding import shard_for
+from bitternpath.transport.records import AttemptOutcome, Message, MessageState
 from tests.system.test_queue_checkers import (
     Accepted,
     Answer,
--- a/tests/system/test_shards.py
+++ b/tests/system/test_shards.py
@@ -12,7 +12,6 @@
 
 from bitternpath.configuration.placement import shard_group
 from bitternpath.ingress.service import Acceptance, AcceptResult, FoundMessage, LeaseAnswer, LookupFailure
-from bitternpath.queue.records import AttemptOutcome, Message, MessageState
 from bitternpath.queue.sharding import lease_id, message_id, shard_for
 from bitternpath.shards.appends import Appender
 from bitternpath.shards.lookups import MessageLookup
@@ -35,6 +34,7 @@
     StateAnswer,
     Undecided,
 )
+from bitternpath.transport.records import AttemptOutcome, Message, MessageState
 
 SHARDS = 3
 
--- a/tests/system/test_worker_client.py
+++ b/tests/system/test_worker_client.py
@@ -23,7 +23,7 @@
 from bitternpath.delivery.requests import request_bytes
 from bitternpath.delivery.results import DeliveryResult, RefusalKind, WorkerTarget
 from bitternpath.delivery.workers import SWEEP_S, WorkerClient
-from bitternpath.queue.records import AttemptOutcome, Header, Message
+from bitternpath.transport.records import AttemptOutcome, Header, Message
 from tests.system import Loopback
 
 ADDRESS = "10.0.0.9:8080"
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from bitternpath.http.http1 import (
+from bitternpath.net.buffer import COMPACT_FROM, Buffer
+from bitternpath.net.http1 import (
     BODY_LIMIT,
     HEAD_LIMIT,
     HttpError,
@@ -18,8 +19,7 @@
     request,
     response,
 )
-from bitternpath.http.http1 import Request as Req
-from bitternpath.net.buffer import COMPACT_FROM, Buffer
+from bitternpath.net.http1 import Request as Req
 
 POST = b"POST /a?b=1 HTTP/1.1\r\n"
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,7 +13,7 @@
 from peers import Peer
 from rig import Discovery, Provider, Rig, accept, done, reject, reply, reset, running, silent, until
 
-from bitternpath.http.http1 import BODY_LIMIT, HEAD_LIMIT
+from bitternpath.net.http1 import BODY_LIMIT, HEAD_LIMIT
 from bitternpath.net.sockets import Sockets
 
 JOB = b"POST /lookup HTTP/1.1\r\nX-Call-Id: x\r\n"
--- a/tests/test_providers.py
+++ b/tests/test_providers.py
@@ -15,8 +15,8 @@
 from bitternpath.core.figures import Figures
 from bitternpath.core.invocations import Invocation, InvokerCall
 from bitternpath.core.roster import Listing, Provider, Roster
-from bitternpath.http.http1 import Request
 from bitternpath.http.invoker import SECOND_ANSWER, Connection, Pool
+from bitternpath.net.http1 import Request
 from bitternpath.net.sockets import Sockets
 
 ROW = Provider("s0", "127.0.0.1:1", "z", "k", 0, m.State.SERVING, 1.0, 5.0)
