Roles take their machine as an argument: chance, time of day, disk, settings

Roles reached for time.time, an unseeded Random, the files below data_dir and BITTERNPATH_CONFIG by themselves, so that nothing could run them in virtual time. roles/machine.Machine and storage/node_disk.NodeDisk name what they ask for; LocalMachine and LocalDisk do what was done before, with the same calls. Parts get them as arguments with these as defaults.

--- a/bitternpath/membership/founding.py
+++ b/bitternpath/membership/founding.py
@@ -8,12 +8,11 @@
 
 from __future__ import annotations
 
-import os
 from pathlib import Path
 from random import Random
 
 from bitternpath.membership.view import MembershipView
-from bitternpath.storage.documents import read_document, write_document
+from bitternpath.storage.node_disk import LocalDisk, NodeDisk
 from bitternpath.transport.codec import RecordCodec
 from bitternpath.transport.messages import Founding, GroupPlacement, MemberAddress, NodeDescriptor
 
@@ -22,6 +21,7 @@
 PATIENCE_S = 6.0  # after that the founders may be fewer than the fault tolerance asks for
 MOST_FOUNDERS = 7  # replicas of the configuration: more make each change dearer
 CONFIGURATION_GROUP = "configuration"
+FOUNDING_NAME = "founding"  # of the file
 
 _CODEC = RecordCodec(Founding)
 
@@ -55,15 +55,14 @@
 class FoundingFile:
     """The decision on a founder's disk."""
 
-    def __init__(self, data_dir: Path) -> None:
-        self._path = data_dir / "founding"
+    def __init__(self, data_dir: Path, disk: NodeDisk | None = None) -> None:
+        self._disk = disk or LocalDisk(data_dir)
 
     def load(self) -> Founding | None:
         """What was written; None before."""
-        data = read_document(self._path)
+        data = self._disk.read_document(FOUNDING_NAME)
         return None if data is None else _CODEC.decode(data)
 
     def store(self, founding: Founding) -> None:
         """Written aside, synced, renamed, folder synced: a few milliseconds, once in a disk's life."""
-        os.makedirs(self._path.parent, exist_ok=True)
-        write_document(self._path, _CODEC.encode(founding))
+        self._disk.write_document(FOUNDING_NAME, _CODEC.encode(founding))
--- a/bitternpath/roles/configuration_member.py
+++ b/bitternpath/roles/configuration_member.py
@@ -46,6 +46,7 @@
 from bitternpath.replication.reconfiguration import next_members
 from bitternpath.roles.group_carrier import GroupCarrier
 from bitternpath.roles.settings import Settings
+from bitternpath.storage.node_disk import NodeDisk
 from bitternpath.transport.connections import Link, NodeHub
 from bitternpath.transport.messages import (
     FeedRefused,
@@ -77,6 +78,7 @@
         host: ReplicaHost,
         carrier: GroupCarrier,
         random: Random,
+        disk: NodeDisk | None = None,
     ) -> None:
         self.reactor, self.settings, self.hub, self.view = reactor, settings, hub, view
         self.host, self.carrier, self.random = host, carrier, random
@@ -88,7 +90,7 @@
             reactor, platform, self.epoch, self.feed.publish_catalogue, settings.platform_rate_per_s
         )
         assert settings.data_dir is not None
-        self._file = FoundingFile(settings.data_dir)
+        self._file = FoundingFile(settings.data_dir, disk)
         self._founding: Founding | None = None
         self._told: set[str] = set()
         self._open = False
--- a/bitternpath/roles/edge.py
+++ b/bitternpath/roles/edge.py
@@ -27,6 +27,7 @@
 from bitternpath.membership.founding import CONFIGURATION_GROUP
 from bitternpath.queue.records import Message
 from bitternpath.roles.configuration_member import ConfigurationMember, FoundingDecider
+from bitternpath.roles.machine import LocalMachine, Machine
 from bitternpath.roles.node_base import NodeBase
 from bitternpath.roles.operator_calls import OperatorCalls
 from bitternpath.roles.settings import Settings
@@ -72,9 +73,9 @@
 class EdgeNode:
     """One edge process. Implements `ingress.service.NodeService`, `LinkHandler` and `FeedListener`."""
 
-    def __init__(self, reactor: Any, settings: Settings) -> None:
+    def __init__(self, reactor: Any, settings: Settings, machine: Machine | None = None) -> None:
         self.reactor, self.settings = reactor, settings
-        self.base = NodeBase(reactor, settings, NodeKind.EDGE, self, self)
+        self.base = NodeBase(reactor, settings, NodeKind.EDGE, self, self, machine or LocalMachine())
         random = self.base.random
         self.owners = ShardOwners(self._owner_changed)
         self.reports = LeaseReports(reactor, self.owners)
@@ -116,6 +117,7 @@
             host,
             self.base.carrier,
             self.base.random,
+            self.base.disk,
         )
 
     # ---- NodeService
--- a/bitternpath/roles/edge_process.py
+++ b/bitternpath/roles/edge_process.py
@@ -11,6 +11,7 @@
 from bitternpath.ingress.servers import build_control, build_front, build_readiness
 from bitternpath.membership.founding import CONFIGURATION_GROUP
 from bitternpath.roles.edge import EdgeNode
+from bitternpath.roles.machine import Machine
 from bitternpath.roles.settings import Settings
 
 log = logbook.Logger("edge")
@@ -25,9 +26,9 @@
 class EdgeProcess:
     """One edge process (see `roles.process.Role`)."""
 
-    def __init__(self, reactor: Any, settings: Settings) -> None:
+    def __init__(self, reactor: Any, settings: Settings, machine: Machine | None = None) -> None:
         self.reactor, self.settings = reactor, settings
-        self.node = EdgeNode(reactor, settings)
+        self.node = EdgeNode(reactor, settings, machine)
         self._servers = self._build_servers()
         self._ports: dict[str, Any] = {}
         self._sites: list[Any] = []
@@ -105,7 +106,8 @@
         """Name, address and site of the listeners for clients, the platform and the operator."""
         settings, node, reactor = self.settings, self.node, self.reactor
         most = max(settings.max_fds - RESERVED_DESCRIPTORS, 64)
-        front = build_front(node, reactor, origin=settings.node_name, max_connections=most)
+        wall_ms = node.base.machine.wall_ms
+        front = build_front(node, reactor, origin=settings.node_name, max_connections=most, wall_ms=wall_ms)
         return [
             ("front", settings.front, front),
             ("readiness", settings.readiness, build_readiness(node, reactor)),
--- a/bitternpath/roles/node_base.py
+++ b/bitternpath/roles/node_base.py
@@ -3,25 +3,23 @@
 from __future__ import annotations
 
 import resource
-import time
 from dataclasses import replace
-from pathlib import Path
-from random import Random
 from typing import Any
 
 import logbook
 from twisted.internet.error import CannotListenError
 
 from bitternpath.configuration.feed import FeedFollower, FeedListener
-from bitternpath.membership.founding import FoundingFile
+from bitternpath.membership.founding import FOUNDING_NAME, FoundingFile
 from bitternpath.membership.gossip import Gossip
 from bitternpath.membership.view import MembershipView
 from bitternpath.replication.host import ReplicaHost
 from bitternpath.roles.group_carrier import GroupCarrier
-from bitternpath.roles.settings import Settings, SettingsError, load_settings, settings_path
+from bitternpath.roles.machine import Machine
+from bitternpath.roles.settings import Settings, SettingsError
 from bitternpath.storage.documents import HEADER_BYTES, DamagedDocument
-from bitternpath.storage.identity import finish_setting_aside, load_identity
-from bitternpath.storage.journal import Journal, open_journal
+from bitternpath.storage.journal import Journal
+from bitternpath.storage.node_disk import NodeDisk
 from bitternpath.transport.codec import CodecError
 from bitternpath.transport.connections import LinkHandler, NodeHub
 from bitternpath.transport.messages import NodeDescriptor, NodeKind
@@ -35,11 +33,18 @@
     """The parts that a process of either role is made of."""
 
     def __init__(
-        self, reactor: Any, settings: Settings, kind: NodeKind, links: LinkHandler, feed: FeedListener
+        self,
+        reactor: Any,
+        settings: Settings,
+        kind: NodeKind,
+        links: LinkHandler,
+        feed: FeedListener,
+        machine: Machine,
     ) -> None:
         self.reactor, self.settings = reactor, settings
-        self.random = Random()
-        disk = _identity(settings.data_dir)
+        self.machine, self.random = machine, machine.random
+        self.disk = None if settings.data_dir is None else machine.disk(settings.data_dir)
+        disk = _identity(settings, self.disk)
         me = NodeDescriptor(
             name=settings.node_name,
             address=settings.internal_address,
@@ -47,7 +52,7 @@
             zone=settings.zone,
             counted=bool(disk) and (settings.counted or kind is NodeKind.STORAGE),
             disk=disk,
-            life=int(time.time() * 1000),
+            life=machine.wall_ms(),
             beat=0,
         )
         self.view = MembershipView(me, settings.seed_addresses, self.random, reactor.seconds())
@@ -57,8 +62,8 @@
         self.carrier = GroupCarrier(f"{me.name}/{disk}", self.hub, self.view)
         self.journal: Journal | None = None
         self.host: ReplicaHost | None = None
-        if disk and settings.data_dir is not None:
-            self.host = self._open_host(settings.data_dir)
+        if self.disk is not None:
+            self.host = self._open_host(self.disk)
         self._udp: Any = None
 
     def listen(self) -> None:
@@ -97,7 +102,7 @@
     def reload(self) -> None:
         """The settings file has changed: seeds may be others. One that can't be read changes nothing."""
         try:
-            settings = load_settings(settings_path())
+            settings = self.machine.load_settings()
         except SettingsError as error:
             log.warning("event=settings_not_read error={!r}", str(error))
             return
@@ -108,9 +113,9 @@
         """Peak resident memory of this process."""
         return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
 
-    def _open_host(self, data_dir: Path) -> ReplicaHost:
+    def _open_host(self, disk: NodeDisk) -> ReplicaHost:
         bound = int(self.settings.disk_mb * (1 << 20) * DISK_SHARE_OF_LOG) or (64 << 20)
-        self.journal = open_journal(data_dir, self.reactor, bound)
+        self.journal = disk.open_journal(self.reactor, bound)
         host = ReplicaHost(self.reactor, self.carrier.me, self.journal, self.carrier.send, self.random)
         self.carrier.connect(host.hear)
         return host
@@ -122,19 +127,13 @@
         return counted + seeds
 
 
-def _identity(data_dir: Path | None) -> str:
+def _identity(settings: Settings, disk: NodeDisk | None) -> str:
     """The disk's identity, "" without a disk. Nothing is read of a disk before this."""
-    if data_dir is None:
+    if settings.data_dir is None or disk is None:
         return ""
-    finish_setting_aside(data_dir)
-    identity = load_identity(data_dir)
-    _check_founding(data_dir)
-    return identity
-
-
-def _check_founding(data_dir: Path) -> None:
-    """Whether the founding, which is read later, can be read; raises `DamagedDocument`."""
+    identity = disk.load_identity()
     try:
-        FoundingFile(data_dir).load()
+        FoundingFile(settings.data_dir, disk).load()  # it is read later; whether it can be is known now
     except CodecError as error:
-        raise DamagedDocument(data_dir / "founding", HEADER_BYTES, str(error)) from error
+        raise DamagedDocument(settings.data_dir / FOUNDING_NAME, HEADER_BYTES, str(error)) from error
+    return identity
--- a/bitternpath/roles/process.py
+++ b/bitternpath/roles/process.py
@@ -15,9 +15,10 @@
 from twisted.internet.error import CannotListenError
 
 from bitternpath.roles.logs import log_level, start_logging
-from bitternpath.roles.settings import Settings, SettingsError, load_settings, settings_path
+from bitternpath.roles.machine import LocalMachine, Machine
+from bitternpath.roles.settings import Settings, SettingsError
 from bitternpath.storage.documents import DamagedDocument
-from bitternpath.storage.identity import folders_set_aside, set_aside
+from bitternpath.storage.node_disk import NodeDisk
 from bitternpath.storage.records import JournalDamaged
 
 log = logbook.Logger("process")
@@ -124,15 +125,16 @@
 
 def run_role(name: str) -> int:
     """Run `edge` or `storage` until it is stopped; the exit code."""
+    machine = LocalMachine()
     try:
-        settings = load_settings(settings_path())
+        settings = machine.load_settings()
         level = log_level()
     except SettingsError as error:
         return _refuse(ExitCode.WRONG_SETTINGS, error)
     start_logging(settings.node_name, level)
     reactor = _reactor()
     try:
-        life = RoleLife(reactor, build_role(name, reactor, settings))
+        life = RoleLife(reactor, build_role(name, reactor, settings, machine))
     except SettingsError as error:
         return _refuse(ExitCode.WRONG_SETTINGS, error)
     except (OSError, JournalDamaged, DamagedDocument) as error:
@@ -147,26 +149,29 @@
     return life.exit_code
 
 
-def build_role(name: str, reactor: Any, settings: Settings) -> Role:
+def build_role(name: str, reactor: Any, settings: Settings, machine: Machine | None = None) -> Role:
     """The role, on a disk that can be read: damage makes it a node whose disk was lost.
 
     Such a disk isn't in its first life, whatever the settings say: the node must not found a system again.
     Raises `SettingsError`, `OSError`, and once more `JournalDamaged` or `DamagedDocument` where the disk
     doesn't read back what is written on it now.
     """
-    if settings.data_dir is not None and folders_set_aside(settings.data_dir):
+    machine = machine or LocalMachine()
+    disk = None if settings.data_dir is None else machine.disk(settings.data_dir)
+    if disk is not None and disk.was_set_aside():
         settings = replace(settings, bootstrap=False)
     try:
-        return _make_role(name, reactor, settings)
+        return _make_role(name, reactor, settings, machine)
     except (JournalDamaged, DamagedDocument) as damage:
-        _set_aside(settings, damage)
-        return _make_role(name, reactor, replace(settings, bootstrap=False))
+        assert disk is not None
+        _set_aside(settings, disk, damage)
+        return _make_role(name, reactor, replace(settings, bootstrap=False), machine)
 
 
-def _set_aside(settings: Settings, damage: JournalDamaged | DamagedDocument) -> None:
+def _set_aside(settings: Settings, disk: NodeDisk, damage: JournalDamaged | DamagedDocument) -> None:
     assert settings.data_dir is not None
     most = int(settings.disk_mb * (1 << 20) * ASIDE_SHARE) or None
-    folder = set_aside(settings.data_dir, most)
+    folder = disk.set_aside(most)
     log.error(
         "event=disk_set_aside file={} offset={} reason={!r} folder={}",
         damage.file,
@@ -190,14 +195,14 @@
     return running
 
 
-def _make_role(name: str, reactor: Any, settings: Settings) -> Role:
+def _make_role(name: str, reactor: Any, settings: Settings, machine: Machine) -> Role:
     if name == "edge":
         from bitternpath.roles.edge_process import EdgeProcess
 
-        return EdgeProcess(reactor, settings)
+        return EdgeProcess(reactor, settings, machine)
     from bitternpath.roles.storage_process import StorageProcess
 
-    return StorageProcess(reactor, settings)
+    return StorageProcess(reactor, settings, machine)
 
 
 def _handle_signals(reactor: Any, life: RoleLife) -> None:
--- a/bitternpath/roles/shard_runtime.py
+++ b/bitternpath/roles/shard_runtime.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from random import Random
@@ -58,10 +57,6 @@
 log = logbook.Logger("shard")
 
 
-def _wall_ms() -> int:
-    return int(time.time() * 1000)
-
-
 class EdgeLinks:
     """The links of edge nodes to this storage node, by node name."""
 
@@ -107,11 +102,12 @@
         edges: EdgeLinks,
         has_room: Callable[[], bool],
         random: Random,
+        wall_ms: Callable[[], int],
     ) -> None:
         self.reactor, self.host, self.group = reactor, host, group
         self.shards, self.zone, self.bounds = shards, zone, bounds
         self.edges, self.random = edges, random
-        self.state = QueueState(reactor.seconds, _wall_ms)
+        self.state = QueueState(reactor.seconds, wall_ms)
         self.owner: ShardOwner | None = None
         self.epoch = 0
         self.table: RoutingTable | None = None
--- a/bitternpath/roles/storage.py
+++ b/bitternpath/roles/storage.py
@@ -13,12 +13,13 @@
 from bitternpath.queue.owner import OwnerBounds
 from bitternpath.replication.consensus import Members
 from bitternpath.replication.reconfiguration import next_members
+from bitternpath.roles.machine import LocalMachine, Machine
 from bitternpath.roles.node_base import NodeBase
 from bitternpath.roles.settings import Settings, SettingsError
 from bitternpath.roles.shard_runtime import EdgeLinks, ShardRuntime
 from bitternpath.roles.status import group_status, node_status
 from bitternpath.storage.document_writer import DocumentWriter
-from bitternpath.storage.documents import DamagedDocument, read_document
+from bitternpath.storage.documents import DamagedDocument
 from bitternpath.transport.codec import RecordCodec
 from bitternpath.transport.connections import Link
 from bitternpath.transport.messages import (
@@ -57,18 +58,19 @@
 class StorageNode:
     """One storage process. Implements `LinkHandler` and `FeedListener`."""
 
-    def __init__(self, reactor: Any, settings: Settings) -> None:
+    def __init__(self, reactor: Any, settings: Settings, machine: Machine | None = None) -> None:
         if settings.data_dir is None:
             raise SettingsError("data_dir: is missing; a storage node needs a folder")
         self.reactor, self.settings = reactor, settings
-        self.base = NodeBase(reactor, settings, NodeKind.STORAGE, self, self)
-        assert self.base.host is not None
+        self.base = NodeBase(reactor, settings, NodeKind.STORAGE, self, self, machine or LocalMachine())
+        assert self.base.host is not None and self.base.disk is not None
+        self._disk = self.base.disk
         self.host = self.base.host
         self.edges = EdgeLinks()
         self.shards: dict[str, ShardRuntime] = {}
         self.placements: dict[str, GroupPlacement] = {}
         self.stopping = False
-        self._cache = DocumentWriter(reactor, settings.data_dir / CACHE_NAME)
+        self._cache = DocumentWriter(reactor, settings.data_dir / CACHE_NAME, self._disk)
         self._slots: dict[str, int] | None = None
         self._patience: dict[str, float] = {}
         self._fit_since: dict[str, float] = {}
@@ -151,6 +153,7 @@
             self.edges,
             self._has_room,
             self.base.random,
+            self.base.machine.wall_ms,
         )
         self.shards[placement.group] = shard
         if self.base.feed.table is not None:
@@ -287,14 +290,14 @@
     def _load_cache(self) -> None:
         """Begin from what was heard last. A cache that can't be read is dropped; the feed brings it all."""
         try:
-            data = read_document(self._cache.path)
+            data = self._disk.read_document(CACHE_NAME)
             if data is None:
                 return
             update: FeedUpdate = _CACHE.decode(data)
             self.base.feed.restore(update)
         except (DamagedDocument, ValueError) as error:  # of the codec, or of the configuration in it
             log.warning("event=cache_dropped error={!r}", str(error))
-            self._cache.path.unlink(missing_ok=True)
+            self._disk.remove_document(CACHE_NAME)
             return
         log.info(
             "event=cache_read version={} generation={}",
--- a/bitternpath/roles/storage_process.py
+++ b/bitternpath/roles/storage_process.py
@@ -7,6 +7,7 @@
 
 import logbook
 
+from bitternpath.roles.machine import Machine
 from bitternpath.roles.settings import Settings
 from bitternpath.roles.storage import StorageNode
 
@@ -20,9 +21,9 @@
 class StorageProcess:
     """One storage process (see `roles.process.Role`)."""
 
-    def __init__(self, reactor: Any, settings: Settings) -> None:
+    def __init__(self, reactor: Any, settings: Settings, machine: Machine | None = None) -> None:
         self.reactor = reactor
-        self.node = StorageNode(reactor, settings)
+        self.node = StorageNode(reactor, settings, machine)
         self._give_up_at = 0.0
 
     def listen(self) -> None:
--- a/bitternpath/simulation/__init__.py
+++ b/bitternpath/simulation/__init__.py
@@ -10,33 +10,33 @@
     from bitternpath.simulation.world import World, Plan
 
     world = World(seed, Plan(core_edges=3, other_edges=1, storages=3, tolerated_machines=1))
-    world.now                          seconds of virtual time since the run began
-    world.run_until(seconds)           plays all events up to that moment; raises what a callback of an
-                                       actor or of the world raised (failures in nodes go to `world.failures`)
-    world.at(seconds, call, *args)     calls outside of all hosts at that moment; a timer with `cancel()`
-    world.random(name)                 a `Random` of the run's seed for one purpose; the same name, the same one
-    world.host(ip)                     the reactor of an actor's host at that address (made where there is none):
-                                       `seconds`, `callLater`, `callWhenRunning`, `callFromThread`, `listenTCP`,
-                                       `connectTCP`, `listenUDP`, the name resolver that endpoints ask for; good
-                                       for `twisted.web` servers and agents, treq, klein, and own protocols.
-                                       Pass it wherever a library takes a reactor: the global one never runs.
-    world.platform_address             `ip:port` where nodes look for the platform's list; listen there with
-                                       `world.host(PLATFORM_IP).listenTCP(PLATFORM_PORT, site)`
-    world.nodes                        dict of `SimulatedNode` by name, in their order: `name`, `role` ("edge" or
-                                       "storage"), `ip`, `zone`, `counted`, `has_disk`, `front`, `readiness`,
-                                       `control` ("ip:port", "" where the role doesn't serve it), and `state`
-                                       (`NodeState.UP`, `DOWN`, `FROZEN`, `REMOVED`)
-    world.edges(), world.storages()    those of one role that aren't removed
-    world.start()                      starts all nodes within 0.3 s, in the seed's order
+    world.now                     seconds of virtual time since the run began
+    world.run_until(seconds)      plays all events up to that moment; raises what a callback of an
+                                  actor or of the world raised (failures in nodes go to `world.failures`)
+    world.at(seconds, call, *args) calls outside of all hosts at that moment; a timer with `cancel()`
+    world.random(name)            a `Random` of the run's seed for one purpose; the same name, the same one
+    world.host(ip)                the reactor of an actor's host at that address (made where there is none):
+                                  `seconds`, `callLater`, `callWhenRunning`, `callFromThread`, `listenTCP`,
+                                  `connectTCP`, `listenUDP`, the name resolver that endpoints ask for; good
+                                  for `twisted.web` servers and agents, treq, klein, and own protocols.
+                                  Pass it wherever a library takes a reactor: the global one never runs.
+    world.platform_address        `ip:port` where nodes look for the platform's list; listen there with
+                                  `world.host(PLATFORM_IP).listenTCP(PLATFORM_PORT, site)`
+    world.nodes                   dict of `SimulatedNode` by name, in their order: `name`, `role` ("edge" or
+                                  "storage"), `ip`, `zone`, `counted`, `has_disk`, `front`, `readiness`,
+                                  `control` ("ip:port", "" where the role doesn't serve it), and `state`
+                                  (`NodeState.UP`, `DOWN`, `FROZEN`, `REMOVED`)
+    world.edges(), world.storages() those of one role that aren't removed
+    world.start()                 starts all nodes within 0.3 s, in the seed's order
 
 Faults, each at once (use `world.at` for later); all by node name:
 
-    world.kill(name, down_s=0.5)               the process ends, peers are reset, it starts again after `down_s`
-    world.lose_power(name, down_s=1.0)         silence for the peers, unsynced writes present, missing or torn
-    world.wipe(name, down_s=1.0)               as a loss of power, with an empty disk afterwards
-    world.freeze(name), world.thaw(name)       time goes on, nothing runs; what waited runs at the thaw
-    world.slow(name, factor)                   delays of links and disk of that node, 1.0 is usual
-    world.cut(a, b, both=True), world.join(a, b)   between nodes or hosts (names or ips); bytes wait or are lost
+    world.kill(name, down_s=0.5)         the process ends, peers are reset, it starts again after `down_s`
+    world.lose_power(name, down_s=1.0)   silence for the peers, unsynced writes present, missing or torn
+    world.wipe(name, down_s=1.0)         as a loss of power, with an empty disk afterwards
+    world.freeze(name), world.thaw(name)   time goes on, nothing runs; what waited runs at the thaw
+    world.slow(name, factor)             delays of links and disk of that node, 1.0 is usual
+    world.cut(a, b, both=True), world.join(a, b)   nodes or hosts (names or ips); bytes wait or are lost
     world.cut_off(name, others=None), world.rejoin(name)
     world.reset(a, b)                          all connections between two hosts, with the bytes under way
     world.squeeze(a, b, bytes_per_s)           a link's bandwidth; None for the usual one
@@ -47,7 +47,7 @@
     world.replace(name) -> SimulatedNode       gone for good; an empty one at another address takes its place
     world.remove(name)                         gone for good
 
-What happened: `world.trace` (one line an event; `world.digest()` is its SHA-256), `world.failures` (tracebacks
-that nodes logged), `world.log` (the nodes' log lines, where `Plan.keep_log` is set), and for the checkers on
-the inside `world.ownerships` (time, node, group, epoch, gained or lost).
+What happened: `world.trace` (one line an event; `world.digest()` covers every byte that arrived),
+`world.failures` (tracebacks that nodes logged), `world.log` (the nodes' log lines, where `Plan.keep_log` is
+set), and for the checkers on the inside `world.ownerships` (time, node, group, epoch, gained or lost).
 """
--- a/bitternpath/storage/document_writer.py
+++ b/bitternpath/storage/document_writer.py
@@ -9,7 +9,7 @@
 from twisted.internet.threads import deferToThreadPool
 from twisted.python.failure import Failure
 
-from bitternpath.storage.documents import write_document
+from bitternpath.storage.node_disk import LocalDisk, NodeDisk
 
 log = logbook.Logger("storage")
 
@@ -22,8 +22,9 @@
     A write that fails is repeated after a pause, with the last content that has come meanwhile.
     """
 
-    def __init__(self, reactor: Any, path: Path) -> None:
+    def __init__(self, reactor: Any, path: Path, disk: NodeDisk | None = None) -> None:
         self.reactor, self.path = reactor, path
+        self._disk = disk or LocalDisk(path.parent)
         self._waiting: bytes | None = None
         self._busy = False  # a write runs, or the pause after one that failed
         self._failing = False
@@ -41,7 +42,7 @@
         content, self._waiting = self._waiting, None
         self._busy = True
         pool = self.reactor.getThreadPool()
-        writing = deferToThreadPool(self.reactor, pool, write_document, self.path, content)
+        writing = deferToThreadPool(self.reactor, pool, self._disk.write_document, self.path.name, content)
         writing.addCallbacks(self._written, self._failed, errbackArgs=(content,))
 
     def _written(self, _: None) -> None:
--- /dev/null
+++ b/bitternpath/storage/node_disk.py
@@ -0,0 +1,64 @@
+"""The data folder of a node as its role uses it, behind a protocol so that a simulation can give another."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any, Protocol
+
+from bitternpath.storage.documents import read_document, write_document
+from bitternpath.storage.identity import finish_setting_aside, folders_set_aside, load_identity, set_aside
+from bitternpath.storage.journal import Journal, open_journal
+
+
+class NodeDisk(Protocol):
+    """Identity, journal and documents of one data folder. Every operation blocks, and may raise `OSError`."""
+
+    def load_identity(self) -> str:
+        """The disk's identity, drawn where it has none. Nothing is read of a disk before this."""
+
+    def open_journal(self, reactor: Any, checkpoint_bytes: int) -> Journal:
+        """Load the write-ahead log and start its runner; raises `JournalDamaged`."""
+
+    def read_document(self, name: str) -> bytes | None:
+        """A document's content, None where there is none; raises `DamagedDocument`."""
+
+    def write_document(self, name: str, content: bytes) -> None:
+        """Replace a document; it is on disk when this returns."""
+
+    def remove_document(self, name: str) -> None:
+        """Remove a document; no error where it is missing."""
+
+    def was_set_aside(self) -> bool:
+        """Whether content of this disk was set aside as damaged: then it isn't in its first life."""
+
+    def set_aside(self, most_bytes: int | None) -> str:
+        """Set all content aside as damaged; the name of the folder that has it."""
+
+
+class LocalDisk:
+    """`NodeDisk` on the operating system's files."""
+
+    def __init__(self, data_dir: Path) -> None:
+        self._data_dir = data_dir
+
+    def load_identity(self) -> str:
+        finish_setting_aside(self._data_dir)
+        return load_identity(self._data_dir)
+
+    def open_journal(self, reactor: Any, checkpoint_bytes: int) -> Journal:
+        return open_journal(self._data_dir, reactor, checkpoint_bytes)
+
+    def read_document(self, name: str) -> bytes | None:
+        return read_document(self._data_dir / name)
+
+    def write_document(self, name: str, content: bytes) -> None:
+        write_document(self._data_dir / name, content)
+
+    def remove_document(self, name: str) -> None:
+        (self._data_dir / name).unlink(missing_ok=True)
+
+    def was_set_aside(self) -> bool:
+        return bool(folders_set_aside(self._data_dir))
+
+    def set_aside(self, most_bytes: int | None) -> str:
+        return set_aside(self._data_dir, most_bytes)
