--- a/bitternpath/configuration/placement.py
+++ b/bitternpath/configuration/placement.py
@@ -12,7 +12,7 @@
 from dataclasses import replace
 
 from bitternpath.membership.founding import MOST_FOUNDERS, member_address, member_id
-from bitternpath.replication.consensus import Members
+from bitternpath.replication.records import Members
 from bitternpath.transport.messages import GroupPlacement, MemberAddress, NodeDescriptor
 
 # A node that is away is replaced soon where another waits that keeps nothing yet: it has come for that. Else
--- a/bitternpath/emulator/fleet/broken.py
+++ b/bitternpath/emulator/fleet/broken.py
@@ -12,7 +12,9 @@
 from bitternpath.fleet import agency, audit, desk
 from bitternpath.fleet import messages as m
 from bitternpath.fleet import plan as p
-from bitternpath.replication import consensus
+from bitternpath.replication import consensus, leadership
+from bitternpath.replication.messages import Append
+from bitternpath.replication.records import CHANGE, Kept, Role, Write
 
 Build = Callable[[ExitStack], None]
 
@@ -25,7 +27,7 @@
     """A steward that comes back does not know for whom it voted."""
     keep = world.keep
 
-    def forgetful(kept: consensus.Kept, write: consensus.Write) -> None:
+    def forgetful(kept: Kept, write: Write) -> None:
         keep(kept, write)
         kept.vote = ""
 
@@ -34,31 +36,31 @@
 
 def yes_before_the_disk(stack: ExitStack) -> None:
     """A follower says yes to entries that are not on its disk yet."""
-    add = consensus.Raft._append
+    add = consensus.Raft._take_append
 
-    def hasty(self: Any, sender: str, told: consensus.Append) -> None:
-        before, self._after = self._after, []
+    def hasty(self: Any, sender: str, told: Append) -> None:
+        before, self._after_writes = self._after_writes, []
         add(self, sender, told)
-        self._send += self._after
-        self._after = before
+        self._send += self._after_writes
+        self._after_writes = before
 
-    _put(stack, consensus.Raft, "_append", hasty)
+    _put(stack, consensus.Raft, "_take_append", hasty)
 
 
 def other_terms_counted(stack: ExitStack) -> None:
     """A leader takes entries of earlier leaders for agreed by counting them (fig. 8 of the paper)."""
-    _put(stack, consensus, "BATCH_ENTRIES", 1)  # else the leader's own first entry comes with them
-    count = consensus.Raft._count
+    _put(stack, leadership, "BATCH_ENTRIES", 1)  # else the leader's own first entry comes with them
+    count = consensus.Raft._update_commitment
 
     def counted(self: Any) -> None:
         count(self)
         voters = self.members.voters
-        if self.role is consensus.Role.LEADER and voters:
-            mine = [self.stable] * (self.me in voters)
-            matches = sorted([self.peers[v].match for v in voters if v != self.me] + mine, reverse=True)
-            self.commit = max(self.commit, matches[len(voters) // 2])
+        if self.role is Role.LEADER and voters:
+            mine = [self.log.stable_index] * (self.me in voters)
+            matches = sorted([self.peers[v].match_index for v in voters if v != self.me] + mine, reverse=True)
+            self.commit_index = max(self.commit_index, matches[len(voters) // 2])
 
-    _put(stack, consensus.Raft, "_count", counted)
+    _put(stack, consensus.Raft, "_update_commitment", counted)
 
 
 def no_wait_for_leases(stack: ExitStack) -> None:
@@ -96,7 +98,7 @@
         released = self.record.released.version
         if self.record.latest.version > released and tenure.releasing <= self.applied:
             item = p.Release(released + 1, self.wall())
-            tenure.releasing = self.raft.propose(now, consensus.CHANGE, p.item_bytes(item)) or 0
+            tenure.releasing = self.raft.propose(now, CHANGE, p.item_bytes(item)) or 0
 
     _put(stack, desk.Desk, "_release", hasty)
 
--- a/bitternpath/emulator/fleet/search/consensus.py
+++ b/bitternpath/emulator/fleet/search/consensus.py
@@ -13,7 +13,8 @@
 from bitternpath.emulator.fleet import world
 from bitternpath.emulator.fleet.search.explore import Move
 from bitternpath.emulator.fleet.search.states import Channels, FixedRandom, copied, cut
-from bitternpath.replication.consensus import CHANGE, MEMBERS, Entry, Kept, Members, Raft, Role, Write
+from bitternpath.replication.consensus import Raft
+from bitternpath.replication.records import CHANGE, MEMBERS, Entry, Kept, Members, Role, Write
 
 
 class Scope(Struct, frozen=True):
@@ -37,23 +38,24 @@
         return Member(copied(self.raft), world.kept_copy(self.disk), self.writing[:])
 
     def key(self) -> Hashable:
-        raft, disk, done = self.raft, self.disk, self.raft._done
-        age = raft.now - raft.heard < raft.times.election
+        raft, disk, done = self.raft, self.disk, self.raft.log.done
+        age = raft.now - raft.last_contact < raft.times.election
         peers = tuple(
             (
                 name,
-                peer.next,
-                peer.match,
-                peer.round,
+                peer.next_index,
+                peer.match_index,
+                peer.answered_round,
                 peer.offset,
-                raft.now - peer.heard < raft.times.election,
+                raft.now - peer.last_contact < raft.times.election,
             )
             for name, peer in raft.peers.items()
         )
         return (
-            raft.term, raft.vote, raft.role.value, raft.leader, tuple(raft.log), raft.commit, raft.told,
-            raft.stable, frozenset(raft.votes), raft.round, raft.confirmed, raft.since, age, peers,
-            raft._round_wanted, raft._cut, tuple((n - done, upto) for n, upto in raft._pending),
+            raft.term, raft.vote, raft.role.value, raft.leader, tuple(raft.log.entries), raft.commit_index,
+            raft.last_applied, raft.log.stable_index, frozenset(raft.votes), raft.round, raft.confirmed_round,
+            raft.first_own_index, age, peers,
+            raft._round_wanted, raft.log._cut, tuple((n - done, upto) for n, upto in raft.log._pending),
             tuple((n - done, to, said) for n, to, said in raft._held),
             disk.term, disk.vote, tuple(disk.entries),
             tuple((w.term, w.vote, w.cut, w.entries) for w in self.writing),
@@ -125,7 +127,7 @@
             self.channels = self.channels.with_message(name, to, said)
         if raft.role is Role.LEADER and self.leaders.setdefault(raft.term, name) != name:
             self.broken = f"{name} and {self.leaders[raft.term]} lead in term {raft.term}"
-        for entry in out.agreed:
+        for entry in out.committed:
             if self.agreed.setdefault(entry.index, entry) != entry:
                 self.broken = f"entry {entry.index} is {self.agreed[entry.index]}, and {entry} for {name}"
         if member.writing and not self.scope.slow_disks:
--- a/bitternpath/emulator/fleet/search/leases.py
+++ b/bitternpath/emulator/fleet/search/leases.py
@@ -18,7 +18,7 @@
 from bitternpath.fleet.agency import Agency, Who
 from bitternpath.fleet.desk import Desk
 from bitternpath.fleet.founding import founded
-from bitternpath.replication.consensus import Times
+from bitternpath.replication.records import Times
 
 
 class LeaseScope(Struct, frozen=True):
@@ -113,8 +113,9 @@
             for a in self.nodes.values()
         )  # fmt: skip
         return (
-            self.now, tuple(self.left.values()), tuple(e.data for e in raft.log), raft.term, raft.role.value,
-            raft.commit, raft.stable, raft.last, raft.round, raft.confirmed, watches, waiting, nodes,
+            self.now, tuple(self.left.values()), tuple(e.data for e in raft.log.entries), raft.term,
+            raft.role.value, raft.commit_index, raft.log.stable_index, raft.last_index, raft.round,
+            raft.confirmed_round, watches, waiting, nodes,
             self.channels.key(self.scope.shuffled),
             (tenure.began, tenure.releasing, tuple(tenure.joining.items())) if tenure is not None else (),
         )  # fmt: skip
--- a/bitternpath/emulator/fleet/search/states.py
+++ b/bitternpath/emulator/fleet/search/states.py
@@ -9,6 +9,8 @@
 import msgspec
 from msgspec import Struct
 
+from bitternpath.replication.log import ReplicatedLog
+
 encoded = msgspec.msgpack.Encoder().encode
 
 
@@ -33,6 +35,8 @@
             return {k: copy(v) for k, v in value.items()}
         case set():
             return set(value)
+        case ReplicatedLog():
+            return copied(value)
     return value
 
 
--- a/bitternpath/emulator/fleet/walk.py
+++ b/bitternpath/emulator/fleet/walk.py
@@ -18,7 +18,7 @@
 from bitternpath.fleet import messages as m
 from bitternpath.fleet import plan as p
 from bitternpath.fleet.desk import Desk
-from bitternpath.replication.consensus import CHANGE, MEMBERS, Entry, Kept, Members, Role, Times, Write
+from bitternpath.replication.records import CHANGE, MEMBERS, Entry, Kept, Members, Role, Times, Write
 
 JUMP = 10.0  # s that pass for a steward whose timer rings
 IN_FLIGHT = 40  # messages at once; the oldest are lost
--- a/bitternpath/emulator/fleet/world.py
+++ b/bitternpath/emulator/fleet/world.py
@@ -24,7 +24,7 @@
 from bitternpath.fleet.agency import Agency, Who
 from bitternpath.fleet.desk import Desk
 from bitternpath.fleet.founding import founded
-from bitternpath.replication.consensus import Kept, Role, Times, Write
+from bitternpath.replication.records import Kept, Role, Times, Write
 
 QUICK = 0.0002, 0.003  # s on the way, usually
 SYNC = 0.001, 0.01  # s that a disk takes
--- a/bitternpath/fleet/desk.py
+++ b/bitternpath/fleet/desk.py
@@ -26,7 +26,8 @@
 
 from bitternpath.fleet import messages as m
 from bitternpath.fleet import plan as p
-from bitternpath.replication.consensus import CHANGE, MEMBERS, Entry, Kept, Members, Raft, Role, Times, Write
+from bitternpath.replication.consensus import Raft
+from bitternpath.replication.records import CHANGE, MEMBERS, Entry, Kept, Members, Role, Times, Write
 
 Route = tuple[str, int]  # the steward whose connection it is, and its number there
 
@@ -146,11 +147,11 @@
             effects.writes += out.writes
             if out.restore is not None:
                 self.record, self.applied = p.record_from(out.restore.data), out.restore.index
-            for entry in out.agreed:
+            for entry in out.committed:
                 self._apply(now, entry, effects)
-            before = self.raft.last, self.raft.wanted
+            before = self.raft.last_index, self.raft.round_wanted
             self._lead(now)
-            if (self.raft.last, self.raft.wanted) == before:
+            if (self.raft.last_index, self.raft.round_wanted) == before:
                 break
         self._compact()
         effects.send += self._send
@@ -318,14 +319,14 @@
     def _lead(self, now: float) -> None:
         self._keep_tenure()
         raft, tenure = self.raft, self.tenure
-        if tenure is None or not raft.ready or self.applied < raft.since:
+        if tenure is None or not raft.ready or self.applied < raft.first_own_index:
             return
         if not tenure.began:
             tenure.began = True
             for key in self.record.holders:
                 tenure.watches[key] = Watch(tenure.since + self.record.terms.longest)
-        due = [waiting for waiting in tenure.rounds if waiting.at <= raft.confirmed]
-        tenure.rounds = [waiting for waiting in tenure.rounds if waiting.at > raft.confirmed]
+        due = [waiting for waiting in tenure.rounds if waiting.at <= raft.confirmed_round]
+        tenure.rounds = [waiting for waiting in tenure.rounds if waiting.at > raft.confirmed_round]
         for waiting in due:
             if isinstance(waiting.said, m.Ask):
                 self._reply(waiting.route, self._looked(now, waiting.said))
@@ -343,7 +344,7 @@
         if tenure is not None and not (leads and tenure.term == self.raft.term):
             self._step_down(tenure)
         if self.tenure is None and leads:
-            self.tenure = Tenure(self.raft.term, self.raft.led_from)
+            self.tenure = Tenure(self.raft.term, self.raft.elected_at)
 
     def _step_down(self, tenure: Tenure) -> None:
         self.tenure = None
@@ -366,7 +367,7 @@
             return
         for name in members.learners:
             peer = raft.peers.get(name)
-            if peer is not None and peer.match >= raft.commit - CLOSE and peer.match:
+            if peer is not None and peer.match_index >= raft.commit_index - CLOSE and peer.match_index:
                 left = tuple(other for other in members.learners if other != name)
                 self._propose_members(now, Members((*members.voters, name), left))
                 return
@@ -458,7 +459,7 @@
                 index = self._propose_members(now, Members(voters, (*learners, add) if add else learners))
             case m.PassOn(to):
                 to = next((id for id in self.raft.members.voters if id.partition(".")[0] == to), to)
-                done = self.raft.pass_on(now, to)
+                done = self.raft.transfer_leadership(now, to)
                 self._reply(route, _answer(said.number, "" if done else f"{to} is no other voter", None))
                 return
         if index is None:
@@ -492,7 +493,7 @@
             "term": raft.term,
             "voters": raft.members.voters,
             "learners": raft.members.learners,
-            "heard": now - raft.heard if raft.role is not Role.LEADER else 0.0,
+            "heard": now - raft.last_contact if raft.role is not Role.LEADER else 0.0,
             "released": record.released.version,
             "latest": record.latest.version,
             "in_effect": min((w.acting for w in watches.values()), default=record.released.version),
--- a/bitternpath/fleet/founding.py
+++ b/bitternpath/fleet/founding.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from bitternpath.fleet import plan as p
-from bitternpath.replication.consensus import CHANGE, MEMBERS, Entry, Kept, Members
+from bitternpath.replication.records import CHANGE, MEMBERS, Entry, Kept, Members
 
 
 def founded(me: str, terms: p.Terms, id: str) -> Kept:
--- a/bitternpath/fleet/messages.py
+++ b/bitternpath/fleet/messages.py
@@ -13,7 +13,7 @@
 
 from bitternpath.fleet.audit import Line
 from bitternpath.fleet.plan import Agreed, Change, Plan
-from bitternpath.replication import consensus
+from bitternpath.replication import messages as consensus
 
 VERSION = 1  # of these messages
 FRAME_LIMIT = 16 << 20  # bytes of one message
--- a/bitternpath/fleet/steward.py
+++ b/bitternpath/fleet/steward.py
@@ -32,7 +32,7 @@
 from bitternpath.fleet.store import DamagedError, Store, StoreError, set_aside
 from bitternpath.fleet.wire import Wire
 from bitternpath.net.sockets import dial
-from bitternpath.replication.consensus import Kept, Role, Times, Write
+from bitternpath.replication.records import Kept, Role, Times, Write
 
 log = structlog.get_logger(part="steward")
 
--- a/bitternpath/fleet/store.py
+++ b/bitternpath/fleet/store.py
@@ -20,7 +20,7 @@
 from blake3 import blake3
 from msgspec import Struct
 
-from bitternpath.replication.consensus import Entry, Kept, Snapshot, Write
+from bitternpath.replication.records import Entry, Kept, Snapshot, Write
 
 MAP_SIZE = 1 << 30  # bytes of address space; the file is as large as what it holds
 SUM = 8  # bytes of a checksum
--- /dev/null
+++ b/bitternpath/replication/elections.py
@@ -0,0 +1,92 @@
+"""Elections: pre-votes, votes, and who may stand."""
+
+from __future__ import annotations
+
+from bitternpath.replication.member import MemberState
+from bitternpath.replication.messages import AskVote, Vote
+from bitternpath.replication.records import MEMBERS, Role, members_from
+
+
+class Elections(MemberState):
+    """A member as voter and as candidate."""
+
+    @property
+    def _may_stand(self) -> bool:
+        """Whether it may be a candidate: also one that is no member any more while that is not committed,
+        for nobody else may have the entries that the others want of a leader (T 4.2.2)."""
+        if self.is_voter:
+            return True
+        uncommitted = [e for e in self.log.entries if e.kind == MEMBERS and e.index > self.commit_index]
+        committed_members, _ = self.log.members_upto(self.commit_index)
+        named = [committed_members, *(members_from(entry.data) for entry in uncommitted)]
+        return bool(uncommitted) and any(self.me in members.voters for members in named)
+
+    def _election_timeout(self) -> None:
+        self._set_election_timer()
+        if self._may_stand:
+            self._ask_votes(pre=True)
+
+    def _stand(self, leadership_transfer: bool = False) -> None:
+        self._set_term(self.term + 1, self.me)
+        self._set_election_timer()
+        self._ask_votes(pre=False, leadership_transfer=leadership_transfer)
+
+    def _ask_votes(self, pre: bool, leadership_transfer: bool = False) -> None:
+        self.votes.clear()
+        self.leader = ""
+        self.role = Role.PRE_CANDIDATE if pre else Role.CANDIDATE
+        term = self.term + 1 if pre else self.term
+        asking = AskVote(term, self.log.last_index, self.log.last_term, pre, leadership_transfer)
+        # Its own vote counts as any other's: once it is on disk.
+        self._after_writes.append((self.me, Vote(term, pre, True)))
+        self._after_writes += [(name, asking) for name in self.members.voters if name != self.me]
+
+    def _answer_asking(self, sender: str, asking: AskVote) -> None:
+        """RequestVote of fig. 2, and a pre-vote."""
+        if not asking.leadership_transfer and self._knows_leader:
+            self._send.append((sender, Vote(self.term, asking.pre, False)))
+            return
+        if asking.pre:
+            self._answer_pre_vote(sender, asking)
+            return
+        if asking.term > self.term:
+            self._become_follower(asking.term)
+        granted = asking.term == self.term and self._is_up_to_date(asking)
+        granted = granted and self.vote in ("", sender) and self.role is not Role.LEADER
+        if granted:
+            if not self.vote:
+                self._set_term(self.term, sender)
+            self._set_election_timer()
+        self._after_writes.append((sender, Vote(self.term, False, granted)))
+
+    def _answer_pre_vote(self, sender: str, asking: AskVote) -> None:
+        granted = asking.term > self.term and self._is_up_to_date(asking)
+        vote = Vote(asking.term if granted else self.term, True, granted)
+        self._after_writes.append((sender, vote))
+
+    @property
+    def _knows_leader(self) -> bool:
+        """Whether a leader is heard, or this member is one: then nobody gets a vote (T 4.2.3)."""
+        if self.role is Role.LEADER:
+            return True
+        return bool(self.leader) and self.now < self.last_contact + self.times.election
+
+    def _is_up_to_date(self, asking: AskVote) -> bool:
+        """Section 5.4.1 of the paper."""
+        return (asking.last_term, asking.last_index) >= (self.log.last_term, self.log.last_index)
+
+    def _count_vote(self, sender: str, vote: Vote) -> None:
+        if vote.term > self.term and not (vote.pre and vote.granted):
+            self._become_follower(vote.term)
+            return
+        asked_term = self.term + 1 if vote.pre else self.term
+        role = Role.PRE_CANDIDATE if vote.pre else Role.CANDIDATE
+        if self.role is not role or not vote.granted or vote.term != asked_term:
+            return
+        if sender in self.members.voters:
+            self.votes.add(sender)
+        if 2 * len(self.votes) > len(self.members.voters):
+            if vote.pre:
+                self._stand()
+            else:
+                self._become_leader()
--- a/bitternpath/replication/group.py
+++ b/bitternpath/replication/group.py
@@ -10,21 +10,10 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
-from bitternpath.replication.consensus import (
-    CHANGE,
-    MEMBERS,
-    Appended,
-    AskVote,
-    Entry,
-    Kept,
-    Members,
-    Message,
-    Out,
-    Raft,
-    Times,
-    Write,
-)
+from bitternpath.replication.consensus import Out, Raft
 from bitternpath.replication.interfaces import FateOpen, GroupListener, NotOwner, StateMachine
+from bitternpath.replication.messages import Appended, AskVote, Message
+from bitternpath.replication.records import CHANGE, MEMBERS, Entry, Kept, Members, Times, Write
 
 COMPACTION_BYTES = 8 << 20  # of entries applied since the last snapshot
 HOST_COMPACTION_BYTES = 32 << 20  # likewise, of all groups together: entries are also kept in memory
@@ -135,12 +124,12 @@
     def hand_over(self, now: float, to: str = "") -> bool:
         """Pass leadership to a voter that was heard lately: `to`, or the one that has most of the log."""
         peers = [
-            (peer.match, name)
+            (peer.match_index, name)
             for name, peer in self.raft.peers.items()
-            if name in self.raft.members.voters and now - peer.heard < self._times.election
+            if name in self.raft.members.voters and now - peer.last_contact < self._times.election
         ]
         wanted = [each for each in peers if to in ("", each[1])]
-        return bool(wanted) and self.raft.pass_on(now, max(wanted)[1])
+        return bool(wanted) and self.raft.transfer_leadership(now, max(wanted)[1])
 
     # ---- views
 
@@ -152,14 +141,15 @@
     def caught_up(self, member: str) -> bool:
         """Whether a member lacks little of what is committed; only a leader knows."""
         peer = self.raft.peers.get(member) if self.raft.ready else None
-        if peer is None or not peer.match or peer.offset is not None:
+        if peer is None or not peer.match_index or peer.offset is not None:
             return False
-        return peer.match >= self.raft.commit - CAUGHT_UP_ENTRIES and peer.match >= self.raft.since
+        least = max(self.raft.commit_index - CAUGHT_UP_ENTRIES, self.raft.first_own_index)
+        return peer.match_index >= least
 
     def silent_for(self, now: float, member: str) -> float:
         """Seconds since a member was heard; infinite where this replica doesn't lead or doesn't know it."""
         peer = self.raft.peers.get(member)
-        return now - peer.heard if peer is not None else float("inf")
+        return now - peer.last_contact if peer is not None else float("inf")
 
     # ---- effects
 
@@ -207,7 +197,7 @@
             self._machine.restore(out.restore.data)
             self._applied, self._size = out.restore.index, 0
             self._snapshot_size = len(out.restore.data)
-        for entry in out.agreed:
+        for entry in out.committed:
             self._applied = entry.index
             self._size += len(entry.data) + ENTRY_OVERHEAD_BYTES
             if entry.kind == CHANGE:
@@ -240,7 +230,7 @@
         self._listener.lost_ownership()
 
     def _answer_barriers(self) -> None:
-        while self._barriers and self._barriers[0].round <= self.raft.confirmed:
+        while self._barriers and self._barriers[0].round <= self.raft.confirmed_round:
             self._barriers.popleft().result.callback(None)
 
     def _compact(self) -> bool:
@@ -260,8 +250,8 @@
 
     def _kept_entries(self) -> int:
         """How many entries stay: few, and not more than a quarter of the bound on bytes."""
-        log, kept, size = self.raft.log, 0, 0
-        applied = self._applied - self.raft.before[0]  # number of applied ones in the log
+        log, kept, size = self.raft.log.entries, 0, 0
+        applied = self._applied - self.raft.log.before[0]  # number of applied ones in the log
         while kept < min(self._bounds.kept, applied):
             size += len(log[applied - kept - 1].data)
             if size > self.size_bound // 4:
--- a/bitternpath/replication/host.py
+++ b/bitternpath/replication/host.py
@@ -11,9 +11,9 @@
 import logbook
 from twisted.internet.defer import Deferred, fail
 
-from bitternpath.replication.consensus import Kept, Members, Snapshot, Times
 from bitternpath.replication.group import CompactionBounds, ReplicaGroup
 from bitternpath.replication.interfaces import GroupListener, NotOwner, StateMachine
+from bitternpath.replication.records import Kept, Members, Snapshot, Times
 from bitternpath.replication.wire import decode_message, encode_message
 from bitternpath.storage.journal import Journal
 from bitternpath.transport.codec import CodecError
--- /dev/null
+++ b/bitternpath/replication/leadership.py
@@ -0,0 +1,185 @@
+"""The leader's side of replication: peers, rounds, entries, commitment, transfer of leadership."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from bitternpath.replication.messages import Append, Appended, Installed, TakeOver
+from bitternpath.replication.progress import Progress
+from bitternpath.replication.records import NOTHING, Entry, Role
+from bitternpath.replication.snapshots import SnapshotTransfer
+
+# Of one message, so that a peer's silence is never one large write.
+BATCH_ENTRIES = 64
+BATCH_BYTES = 256 << 10
+ENTRIES_IN_FLIGHT = 256  # sent to a peer beyond those it has said yes to
+
+
+class Leadership(SnapshotTransfer):
+    """A member as leader."""
+
+    # ---- beginning
+
+    def _become_leader(self) -> None:
+        self.role, self.leader, self.elected_at = Role.LEADER, self.me, self.now
+        self.round = self.confirmed_round = 0
+        self.votes.clear()
+        self.peers = {}
+        self._update_peers()
+        self.log.append(Entry(self.last_index + 1, self.term, NOTHING, b""))
+        self.first_own_index = self.last_index
+        self._heartbeat()
+
+    def _update_peers(self) -> None:
+        """The peers are the members, whoever else they were."""
+        before, self.peers = self.peers, {}
+        for name in self.members.all:
+            if name != self.me:
+                self.peers[name] = before.get(name) or Progress(self.last_index + 1, self.now)
+
+    # ---- rounds
+
+    def _heartbeat(self) -> None:
+        """Once a heartbeat: is there a majority still (T 6.2)?"""
+        self._heartbeat_at = self.now + self.times.heartbeat
+        if self.transfer_target and self.now >= self._transfer_until:
+            self.transfer_target = ""
+        if not self._hears_majority:
+            self._become_follower(self.term)
+            return
+        self.last_contact = self.now
+        self._begin_round()
+
+    @property
+    def _hears_majority(self) -> bool:
+        voters = self.members.voters
+        heard = int(self.is_voter)
+        for name, peer in self.peers.items():
+            heard += name in voters and self.now < peer.last_contact + self.times.election
+        return 2 * heard > len(voters)
+
+    def _begin_round(self) -> None:
+        self.round += 1
+        self._round_wanted = False
+        for name, peer in self.peers.items():
+            # A peer that says nothing is only asked where it stands. If what was sent is lost, it says no.
+            silent = peer.last_contact < self.now - self.times.heartbeat
+            if silent and not self._needs_snapshot(peer):
+                self._send_append(name, peer, ())
+            else:
+                self._send_entries(name, heartbeat=True)
+
+    # ---- entries
+
+    def _send_entries(self, name: str, heartbeat: bool = False) -> None:
+        peer = self.peers[name]
+        if self._needs_snapshot(peer):
+            self._continue_transfer(name, peer, heartbeat)
+            return
+        entries = self._next_batch(peer)
+        if entries or heartbeat:
+            self._send_append(name, peer, entries)
+            peer.next_index += len(entries)
+
+    def _next_batch(self, peer: Progress) -> list[Entry]:
+        if peer.next_index > peer.match_index + ENTRIES_IN_FLIGHT:
+            return []
+        batch: list[Entry] = []
+        size = 0
+        for entry in self.log.entries_from(peer.next_index, BATCH_ENTRIES):
+            size += len(entry.data)
+            if batch and size > BATCH_BYTES:
+                break
+            batch.append(entry)
+        return batch
+
+    def _send_all_entries(self, name: str, peer: Progress) -> None:
+        """As many messages as it takes."""
+        sent = 0
+        while sent < peer.next_index <= self.last_index:
+            sent = peer.next_index
+            self._send_entries(name)
+
+    def _send_append(self, name: str, peer: Progress, entries: Iterable[Entry]) -> None:
+        previous = peer.next_index - 1
+        previous_term = self.log.term_at(previous)
+        append = Append(self.term, previous, previous_term, tuple(entries), self.commit_index, self.round)
+        self._send.append((name, append))
+
+    # ---- answers
+
+    def _take_answer(self, name: str, answer: Appended | Installed) -> None:
+        peer = self.peers[name]
+        peer.last_contact = self.now
+        peer.answered_round = max(peer.answered_round, answer.round)
+        if isinstance(answer, Installed):
+            self._take_installed(name, peer, answer)
+        elif answer.ok:
+            self._take_match(name, peer, answer.index)
+        else:
+            next_index = min(answer.index + 1, peer.next_index - 1)
+            peer.next_index = max(next_index, peer.match_index + 1)
+            self._send_entries(name, heartbeat=True)
+        self._update_commitment()
+
+    def _take_match(self, name: str, peer: Progress, index: int) -> None:
+        peer.match_index = max(peer.match_index, index)
+        peer.next_index = max(peer.next_index, peer.match_index + 1)
+        peer.offset = None
+        if peer.next_index <= self.last_index:
+            self._send_entries(name)
+        if name == self.transfer_target:
+            self._finish_transfer()
+
+    # ---- commitment
+
+    def _update_commitment(self) -> None:
+        """What do majorities have, and which rounds have they answered?"""
+        voters = self.members.voters
+        if self.role is not Role.LEADER or not voters:
+            return
+        peers = [self.peers[name] for name in voters if name != self.me]
+        own_match = [self.log.stable_index] * self.is_voter
+        own_round = [self.round] * self.is_voter
+        self._commit_upto(_of_majority([peer.match_index for peer in peers] + own_match))
+        if self.role is Role.LEADER:
+            answered = _of_majority([peer.answered_round for peer in peers] + own_round)
+            self.confirmed_round = max(self.confirmed_round, answered)
+
+    def _commit_upto(self, index: int) -> None:
+        """Entries of earlier terms only together with one of its own (fig. 8)."""
+        if index <= self.commit_index or self.log.term_at(index) != self.term:
+            return
+        self.commit_index = index
+        # Also one that became a learner goes: nobody would make it a voter again.
+        if self.log.members_index <= index and not self.is_voter:
+            self._send_commit_index()
+            self._become_follower(self.term)
+
+    def _send_commit_index(self) -> None:
+        """A leader that is no voter any more says what was committed before it goes (T 4.2.2)."""
+        for name, peer in self.peers.items():
+            if not self._needs_snapshot(peer):
+                self._send_append(name, peer, ())
+
+    # ---- transfer of leadership (T 3.10)
+
+    def transfer_leadership(self, now: float, to: str) -> bool:
+        """Leadership is to go to another voter; whether that was begun."""
+        self.now = now
+        if self.role is not Role.LEADER or to not in self.members.voters or to == self.me:
+            return False
+        self.transfer_target, self._transfer_until = to, now + self.times.election
+        self._send_entries(to)
+        self._finish_transfer()
+        return True
+
+    def _finish_transfer(self) -> None:
+        peer = self.peers.get(self.transfer_target)
+        if peer is not None and peer.match_index == self.last_index:
+            self._send.append((self.transfer_target, TakeOver(self.term)))
+
+
+def _of_majority(values: list[int]) -> int:
+    """The highest value that a majority has reached."""
+    return sorted(values, reverse=True)[len(values) // 2]
--- /dev/null
+++ b/bitternpath/replication/messages.py
@@ -0,0 +1,81 @@
+"""Messages between the members of a replica group.
+
+`term` is the sender's, but for a pre-vote, where it is the one that the sender would have. "Fig. 2", "T": see
+`replication.consensus`.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from bitternpath.replication.records import Entry, Members
+
+
+class AskVote(Struct, frozen=True, tag=1, array_like=True):
+    """RequestVote of fig. 2. `pre`: only whether it would be given; `leadership_transfer`: the leader itself
+    has asked the sender to stand (T 3.10)."""
+
+    term: int
+    last_index: int
+    last_term: int
+    pre: bool
+    leadership_transfer: bool = False
+
+
+class Vote(Struct, frozen=True, tag=2, array_like=True):
+    """`term` of a granted pre-vote is the one asked for."""
+
+    term: int
+    pre: bool
+    granted: bool
+
+
+class Append(Struct, frozen=True, tag=3, array_like=True):
+    """AppendEntries of fig. 2."""
+
+    term: int
+    previous_index: int
+    previous_term: int
+    entries: tuple[Entry, ...]
+    commit: int
+    round: int
+
+
+class Appended(Struct, frozen=True, tag=4, array_like=True):
+    """`index`: the last one that agrees, where `ok`; else the last one that may."""
+
+    term: int
+    ok: bool
+    index: int
+    round: int
+
+
+class Install(Struct, frozen=True, tag=5, array_like=True):
+    """A piece of a snapshot (T 5.3), from `offset` on."""
+
+    term: int
+    index: int
+    last_term: int
+    members: Members
+    size: int
+    offset: int
+    piece: bytes
+    round: int
+
+
+class Installed(Struct, frozen=True, tag=6, array_like=True):
+    """How much of the snapshot up to `index` is there; all of it where `offset` is its size."""
+
+    term: int
+    index: int
+    offset: int
+    round: int
+
+
+class TakeOver(Struct, frozen=True, tag=7, array_like=True):
+    """TimeoutNow of T 3.10."""
+
+    term: int
+
+
+Message = AskVote | Vote | Append | Appended | Install | Installed | TakeOver
--- a/bitternpath/replication/reconfiguration.py
+++ b/bitternpath/replication/reconfiguration.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Callable, Sequence
 
-from bitternpath.replication.consensus import Members
+from bitternpath.replication.records import Members
 
 
 def next_members(
--- a/bitternpath/replication/simulation.py
+++ b/bitternpath/replication/simulation.py
@@ -17,11 +17,11 @@
 from twisted.python.failure import Failure
 
 from bitternpath.replication.checking import Broken, Checker, Listener, Register
-from bitternpath.replication.consensus import Members, Times
 from bitternpath.replication.group import CompactionBounds
 from bitternpath.replication.host import ReplicaHost
 from bitternpath.replication.interfaces import NotOwner
 from bitternpath.replication.reconfiguration import next_members
+from bitternpath.replication.records import Members, Times
 from bitternpath.replication.virtual_time import EventClock, ProcessClock
 from bitternpath.storage.journal import Journal
 from bitternpath.storage.segments import SegmentLog
@@ -206,7 +206,7 @@
                 host = process.host
                 raft = host.groups[GROUP].raft
                 settled = set(raft.members.voters) == desired and not raft.members.learners
-                settled = settled and raft.members_at <= raft.commit
+                settled = settled and raft.log.members_index <= raft.commit_index
                 others = desired - {process.member}
                 return settled and all(host.caught_up(GROUP, member) for member in others)
         return False
--- a/bitternpath/replication/wire.py
+++ b/bitternpath/replication/wire.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from bitternpath.replication.consensus import (
+from bitternpath.replication.messages import (
     Append,
     Appended,
     AskVote,
--- a/bitternpath/roles/configuration_member.py
+++ b/bitternpath/roles/configuration_member.py
@@ -41,9 +41,9 @@
     member_id,
 )
 from bitternpath.membership.view import MembershipView
-from bitternpath.replication.consensus import Members
 from bitternpath.replication.host import ReplicaHost
 from bitternpath.replication.reconfiguration import next_members
+from bitternpath.replication.records import Members
 from bitternpath.roles.group_carrier import GroupCarrier
 from bitternpath.roles.settings import Settings
 from bitternpath.transport.connections import Link, NodeHub
--- a/bitternpath/roles/storage.py
+++ b/bitternpath/roles/storage.py
@@ -11,8 +11,8 @@
 
 from bitternpath.configuration.documents import RoutingTable
 from bitternpath.queue.owner import OwnerBounds
-from bitternpath.replication.consensus import Members
 from bitternpath.replication.reconfiguration import next_members
+from bitternpath.replication.records import Members
 from bitternpath.roles.node_base import NodeBase
 from bitternpath.roles.settings import Settings, SettingsError
 from bitternpath.roles.shard_runtime import EdgeLinks, ShardRuntime
--- a/bitternpath/storage/commands.py
+++ b/bitternpath/storage/commands.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from bitternpath.replication.consensus import Snapshot
+from bitternpath.replication.records import Snapshot
 from bitternpath.storage.records import Record
 
 Done = Callable[[], None]
--- a/bitternpath/storage/groups.py
+++ b/bitternpath/storage/groups.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from bitternpath.replication.consensus import Entry, Kept, Members, Write
+from bitternpath.replication.records import Entry, Kept, Members, Write
 from bitternpath.storage.records import ForgetRecord, Record, SnapshotReference, StateRecord, WriteRecord
 
 NO_SNAPSHOT = SnapshotReference(0, 0, Members(), 0)
--- a/bitternpath/storage/journal.py
+++ b/bitternpath/storage/journal.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any
 
-from bitternpath.replication.consensus import Kept, Write
+from bitternpath.replication.records import Kept, Write
 from bitternpath.storage.commands import Done, JournalCommand, NewSnapshot
 from bitternpath.storage.disk import DiskRunner, DiskThread
 from bitternpath.storage.files import LocalFiles
--- a/bitternpath/storage/records.py
+++ b/bitternpath/storage/records.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from bitternpath.replication.consensus import Entry, Members
+from bitternpath.replication.records import Entry, Members
 from bitternpath.transport.codec import CodecError, RecordCodec
 
 MAGIC = b"\xb1WAL"
--- a/bitternpath/storage/segments.py
+++ b/bitternpath/storage/segments.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass
 from itertools import pairwise
 
-from bitternpath.replication.consensus import Kept
+from bitternpath.replication.records import Kept
 from bitternpath.storage.commands import Batch
 from bitternpath.storage.files import FileSystem
 from bitternpath.storage.groups import GroupStates, state_record
--- a/bitternpath/storage/snapshots.py
+++ b/bitternpath/storage/snapshots.py
@@ -6,7 +6,7 @@
 import zlib
 from urllib.parse import quote
 
-from bitternpath.replication.consensus import Snapshot
+from bitternpath.replication.records import Snapshot
 from bitternpath.storage.files import FileSystem
 from bitternpath.storage.records import JournalDamaged, SnapshotReference
 
--- a/tests/system/test_command_line.py
+++ b/tests/system/test_command_line.py
@@ -21,7 +21,7 @@
 from bitternpath.cli.system import app
 from bitternpath.cli.system_tree import command as system_tree
 from bitternpath.membership.founding import FoundingFile
-from bitternpath.replication.consensus import CHANGE, Entry, Kept, Members, Snapshot, Write
+from bitternpath.replication.records import CHANGE, Entry, Kept, Members, Snapshot, Write
 from bitternpath.storage.commands import Batch, NewSnapshot
 from bitternpath.storage.documents import write_document
 from bitternpath.storage.files import LocalFiles
--- a/tests/system/test_journal.py
+++ b/tests/system/test_journal.py
@@ -15,7 +15,7 @@
 import logbook
 from twisted.internet.task import Clock
 
-from bitternpath.replication.consensus import CHANGE, Entry, Kept, Members, Snapshot, Write
+from bitternpath.replication.records import CHANGE, Entry, Kept, Members, Snapshot, Write
 from bitternpath.storage import disk as disk_module
 from bitternpath.storage import snapshots
 from bitternpath.storage.commands import Batch, JournalCommand, NewSnapshot, batch_of
--- a/tests/system/test_membership.py
+++ b/tests/system/test_membership.py
@@ -18,8 +18,8 @@
 from bitternpath.configuration.retirement import GroupReports, RetireCheck, RetireState, check, progress
 from bitternpath.membership.founding import decide, member_id
 from bitternpath.membership.view import STATE_VIEW_SIZE, VIEW_SIZE, MembershipView
-from bitternpath.replication.consensus import Members
 from bitternpath.replication.reconfiguration import next_members
+from bitternpath.replication.records import Members
 from bitternpath.transport.messages import RECORDS, GroupReport, NodeDescriptor, NodeKind, ShuffleRequest
 
 ZONES = ("z1", "z2", "z3")
--- a/tests/system/test_process.py
+++ b/tests/system/test_process.py
@@ -23,7 +23,7 @@
 from bitternpath.cli import main
 from bitternpath.configuration.orders import OrderCode
 from bitternpath.membership.founding import CONFIGURATION_GROUP, FoundingFile
-from bitternpath.replication.consensus import Kept, Members, Snapshot
+from bitternpath.replication.records import Kept, Members, Snapshot
 from bitternpath.roles.edge_process import EdgeProcess
 from bitternpath.roles.operator_calls import OperatorCalls
 from bitternpath.roles.process import PORT_PATIENCE_S, ExitCode, RoleLife, build_role
--- a/tests/system/test_replication.py
+++ b/tests/system/test_replication.py
@@ -16,26 +16,22 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from bitternpath.replication import consensus
+from bitternpath.replication import consensus, leadership, snapshots
 from bitternpath.replication.checking import Broken, Checker, Register
-from bitternpath.replication.consensus import (
-    CHANGE,
-    MEMBERS,
+from bitternpath.replication.group import CompactionBounds, ReplicaGroup, without_repeated_answers
+from bitternpath.replication.host import SYSTEM_TIMES, ReplicaHost
+from bitternpath.replication.interfaces import FateOpen, NotOwner
+from bitternpath.replication.messages import (
     Append,
     Appended,
     AskVote,
-    Entry,
     Install,
     Installed,
-    Members,
     Message,
-    Snapshot,
     TakeOver,
     Vote,
 )
-from bitternpath.replication.group import CompactionBounds, ReplicaGroup, without_repeated_answers
-from bitternpath.replication.host import SYSTEM_TIMES, ReplicaHost
-from bitternpath.replication.interfaces import FateOpen, NotOwner
+from bitternpath.replication.records import CHANGE, MEMBERS, Entry, Members, Snapshot, Write
 from bitternpath.replication.simulation import GROUP, Plan, Process, World
 from bitternpath.replication.wire import decode_message, encode_message
 from bitternpath.storage.groups import GroupState
@@ -212,7 +208,7 @@
 
     def test_more_than_fits_a_message_goes_out_in_the_same_turn(self) -> None:
         host = self.leader()
-        for i in range(3 * consensus.BATCH_ENTRIES):
+        for i in range(3 * leadership.BATCH_ENTRIES):
             host.host.propose("g", b"%d" % i)
         sent = [message for receiver, message in host.turn() if receiver == "c"]
         self.assertEqual(len(sent), 3)
@@ -325,7 +321,7 @@
         host.open(TRIO)
         host.hear("a", AskVote(1, 0, 0, True))
         host.hear("a", AskVote(1, 0, 0, False))
-        host.hear("a", AskVote(2, 0, 0, False, told=True))
+        host.hear("a", AskVote(2, 0, 0, False, leadership_transfer=True))
         self.assertEqual(host.run(3), [])
         self.assertEqual(host.host.members("g"), Members())
 
@@ -380,7 +376,7 @@
         self.assertEqual(host.host.members("g"), Members())
         again = Host("b", host.disk)
         again.open(TRIO)
-        self.assertEqual(again.host.groups["g"].raft.log, [Entry(1, 1, CHANGE, b"x")])
+        self.assertEqual(again.host.groups["g"].raft.log.entries, [Entry(1, 1, CHANGE, b"x")])
 
     def test_only_an_owner_takes_proposals_and_barriers(self) -> None:
         host = Host("b")
@@ -498,8 +494,8 @@
             host.answer("b", host.turn())
             host.run(0.003)
         raft = host.host.groups["g"].raft
-        self.assertLess(len(raft.log), 80)
-        self.assertGreaterEqual(raft.snapshot.index - raft.before[0], 10)
+        self.assertLess(len(raft.log.entries), 80)
+        self.assertGreaterEqual(raft.snapshot.index - raft.log.before[0], 10)
         self.assertLess(host.disk.used, 40_000)
         again = Host("a", host.disk)
         again.open(TRIO)
@@ -522,13 +518,13 @@
             host.answer("b", host.turn())
             host.run(0.003)
         raft = host.host.groups["g"].raft
-        self.assertLess(sum(len(e.data) for e in raft.log), 16_000)
+        self.assertLess(sum(len(e.data) for e in raft.log.entries), 16_000)
 
 
 class SnapshotTransfer(Quiet):
     def setUp(self) -> None:
         super().setUp()
-        small = patch.object(consensus, "PIECE", 100)
+        small = patch.object(snapshots, "PIECE_BYTES", 100)
         small.start()
         self.addCleanup(small.stop)
         self.host = Host("a", bounds=CompactionBounds(size=1 << 20, entries=20, kept=0))
@@ -668,7 +664,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        small = patch.object(consensus, "PIECE", SMALL_PIECE)
+        small = patch.object(snapshots, "PIECE_BYTES", SMALL_PIECE)
         small.start()
         self.addCleanup(small.stop)
 
@@ -698,7 +694,7 @@
     MOST_SEEDS = 150
 
     def assert_caught(self, plan: Plan | None = None) -> None:
-        with patch.object(consensus, "PIECE", SMALL_PIECE):
+        with patch.object(snapshots, "PIECE_BYTES", SMALL_PIECE):
             for seed in range(self.MOST_SEEDS):
                 try:
                     World(seed, plan or Plan()).play()
@@ -751,11 +747,11 @@
 
     def test_entries_counted_by_the_leader_before_its_own_sync(self) -> None:
         def hasty(self: consensus.Raft) -> None:
-            self.stable = self.last
+            self.log.stable_index = self.log.last_index
             real(self)
 
-        real = consensus.Raft._count
-        with patch.object(consensus.Raft, "_count", hasty):
+        real = consensus.Raft._update_commitment
+        with patch.object(consensus.Raft, "_update_commitment", hasty):
             self.assert_caught()
 
 
@@ -792,7 +788,7 @@
         log = SegmentLog(disk, lambda: 1, 1 << 20)
         clock = Clock()
         journal = Journal(log, VirtualRunner(clock, disk, 0.0))
-        write = consensus.Write(1, 1, "", None, (), Snapshot(4, 1, TRIO, b""), (4, 1))
+        write = Write(1, 1, "", None, (), Snapshot(4, 1, TRIO, b""), (4, 1))
         journal.write("g", write, lambda: None)
         clock.advance(0)
         self.assertEqual(SegmentLog(disk, lambda: 1, 1 << 20).kept("g").snapshot, Snapshot(4, 1, TRIO, b""))
--- a/tests/test_fleet_record.py
+++ b/tests/test_fleet_record.py
@@ -21,20 +21,9 @@
 from bitternpath.fleet import plan as p
 from bitternpath.fleet.agency import Agency, Who
 from bitternpath.fleet.founding import founded
-from bitternpath.replication.consensus import (
-    CHANGE,
-    MEMBERS,
-    Append,
-    Appended,
-    AskVote,
-    Entry,
-    Kept,
-    Members,
-    Raft,
-    Role,
-    Snapshot,
-    Vote,
-)
+from bitternpath.replication.consensus import Raft
+from bitternpath.replication.messages import Append, Appended, AskVote, Vote
+from bitternpath.replication.records import CHANGE, MEMBERS, Entry, Kept, Members, Role, Snapshot
 
 ROOT = Path(__file__).parent.parent
 
@@ -183,7 +172,7 @@
     stored(member, 5.0)
     member.hear(5.5, "c", AskVote(3, 9, 2, pre=False))
     assert stored(member, 5.5) == [("c", Vote(2, False, False))] and member.term == 2
-    member.hear(5.6, "c", AskVote(3, 9, 2, pre=False, told=True))
+    member.hear(5.6, "c", AskVote(3, 9, 2, pre=False, leadership_transfer=True))
     assert stored(member, 5.6) == [("c", Vote(3, False, True))]
 
 
@@ -194,7 +183,7 @@
     assert member.me not in member.members.voters
     member.tick(9.0)
     stored(member, 9.0)
-    assert member.role is Role.ASKING
+    assert member.role is Role.PRE_CANDIDATE
     agreed = raft("c", ("a", "b"))
     agreed.tick(9.0)
     assert agreed.role is Role.FOLLOWER
@@ -211,8 +200,8 @@
     stored(member, 9.0)
     assert member.role is Role.LEADER
     for name in ("b", "c"):
-        member.hear(9.1, name, Appended(2, True, member.last, 1))
-    assert member.role is Role.FOLLOWER and member.commit == member.last
+        member.hear(9.1, name, Appended(2, True, member.last_index, 1))
+    assert member.role is Role.FOLLOWER and member.commit_index == member.last_index
 
 
 def test_a_lease_of_which_nothing_was_told_is_not_forgotten_before_its_time() -> None:
@@ -231,7 +220,7 @@
     member = raft("b", ("a", "b", "c"))
     entry = Entry(1, 2, CHANGE, b"x")
     member.hear(5.0, "a", Append(2, 0, 0, (entry,), 1, 1))
-    assert member.take(5.0).agreed == [entry]
+    assert member.take(5.0).committed == [entry]
     with pytest.raises(AssertionError):
         member.hear(6.0, "c", Append(3, 0, 0, (Entry(1, 3, CHANGE, b"y"),), 0, 1))
 
@@ -240,14 +229,14 @@
     member = Raft("a", founded("a", p.Terms(), "f"), Random(1), 0.0)
     member.tick(9.0)
     first = member.take(9.0)
-    assert member.role is Role.ASKING or first.writes
+    assert member.role is Role.PRE_CANDIDATE or first.writes
     stored(member, 9.0)
     out = first
     for _ in range(4):
         for write in out.writes:
             member.stored(9.0, write.number)
         out = member.take(9.0)
-    assert member.role is Role.LEADER and member.commit == 3 and member.ready
+    assert member.role is Role.LEADER and member.commit_index == 3 and member.ready
 
 
 # ---- the plan
--- a/tests/test_fleet_stewards.py
+++ b/tests/test_fleet_stewards.py
@@ -19,7 +19,7 @@
 from bitternpath.fleet import messages as m
 from bitternpath.fleet import plan as p
 from bitternpath.fleet.store import DamagedError, Store, StoreError
-from bitternpath.replication.consensus import Entry, Kept, Members, Snapshot, Write
+from bitternpath.replication.records import Entry, Kept, Members, Snapshot, Write
 
 
 def test_what_was_agreed_survives_the_leader_and_all_of_them_and_is_one_change(tmp_path: Path) -> None:
