--- a/bitternpath/roles/shard_runtime.py
+++ b/bitternpath/roles/shard_runtime.py
@@ -60,7 +60,6 @@
 PROPOSE_AGAIN_S = 0.1  # an owner that hands over proposes nothing for up to an election's time, and may stay
 
 
-
 class ShardRuntime:
     """Replica and, at times, owner of one shard. Implements `replication.interfaces.GroupListener`."""
 
--- a/tests/system/test_unreachable_holders.py
+++ b/tests/system/test_unreachable_holders.py
@@ -5,7 +5,7 @@
 import unittest
 
 from bitternpath.queue.owner import HAND_BACKS_BEFORE_ANOTHER_EDGE
-from bitternpath.queue.records import AttemptOutcome, MessageState
+from bitternpath.transport.records import AttemptOutcome, MessageState
 from tests.system.test_queue_rig import NOT_RUN, SUCCEEDED, UNKNOWN, Rig
 
 EDGES = ("edge-1", "edge-2", "edge-3")
