--- a/tests/system/test_shard_runtime.py
+++ b/tests/system/test_shard_runtime.py
@@ -13,7 +13,6 @@
 from bitternpath.configuration.placement import shard_group
 from bitternpath.queue.commands import GrantLease
 from bitternpath.queue.owner import OwnerBounds
-from bitternpath.queue.state import QueueState
 from bitternpath.replication.interfaces import FateOpen, NotOwner
 from bitternpath.roles.edge_links import EdgeLinks
 from bitternpath.roles.shard_runtime import ShardRuntime
@@ -108,8 +107,8 @@
             self.edges,
             lambda: True,
             Random(1),
+            lambda: 0,
         )
-        self.runtime.state = QueueState(self.clock.seconds, lambda: 0)
         self.runtime.configure(TABLE)
         self.runtime.became_owner(1)
         self.join(self.link)
