--- /dev/null
+++ b/tests/system/test_build.py
@@ -0,0 +1,111 @@
+"""The build of `deploy/system.toml`: what it asks for, and when it builds anew.
+
+The command runs in a shell as on the platform, with a pip that only writes down its arguments.
+"""
+
+from __future__ import annotations
+
+import re
+import shutil
+import subprocess
+import tempfile
+import tomllib
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).parents[2]
+REQUIREMENTS = "requirements-system.txt"
+SHELL_TOOLS = ("sh", "cmp", "cp", "mv", "rm")  # all in Debian's essential packages
+PIP = """#!/bin/sh
+echo "$@" >> calls
+[ ! -e pip-fails ] || exit 1
+while [ "$1" != --target ]; do shift; done
+mkdir -p "$2" && echo "$@" > "$2/library"
+"""
+
+
+def deploy_file() -> dict[str, object]:
+    """`deploy/system.toml`, parsed."""
+    return tomllib.loads((ROOT / "deploy/system.toml").read_text())
+
+
+class BuildCommandTest(unittest.TestCase):
+    """The command in an empty folder with its requirements, a shell and five tools."""
+
+    def setUp(self) -> None:
+        self.folder = Path(tempfile.mkdtemp(prefix="bitternpath-build-"))
+        self.addCleanup(shutil.rmtree, self.folder)
+        self.requirements = self.folder / REQUIREMENTS
+        self.requirements.write_text("one==1\n")
+        self.tools = self.folder / "tools"
+        self.tools.mkdir()
+        for name in (*SHELL_TOOLS, "mkdir"):  # mkdir is the stand-in's
+            (self.tools / name).symlink_to(str(shutil.which(name)))
+        pip = self.tools / "python3"
+        pip.write_text(PIP)
+        pip.chmod(0o755)
+
+    def build(self) -> int:
+        """The exit code of one build."""
+        command = str(deploy_file()["build"])
+        words = [str(shutil.which("sh")), "-c", command]
+        return subprocess.run(words, cwd=self.folder, env={"PATH": str(self.tools)}).returncode
+
+    def calls(self) -> list[str]:
+        """The arguments of each call of Python so far."""
+        record = self.folder / "calls"
+        return record.read_text().splitlines() if record.exists() else []
+
+    def test_a_clean_checkout_is_built_from_wheels_only(self) -> None:
+        self.assertEqual(0, self.build())
+        self.assertEqual(1, len(self.calls()))
+        self.assertIn("-m pip install", self.calls()[0])
+        self.assertIn("--only-binary=:all:", self.calls()[0])
+        self.assertIn(f"-r {REQUIREMENTS}", self.calls()[0])
+        self.assertTrue((self.folder / "target/deps/library").exists())
+
+    def test_a_second_build_does_nothing(self) -> None:
+        self.build()
+        self.assertEqual(0, self.build())
+        self.assertEqual(1, len(self.calls()))
+
+    def test_other_requirements_are_built_without_what_was_there(self) -> None:
+        self.build()
+        (self.folder / "target/deps/left-over").touch()
+        library = self.folder / "target/deps/library"
+        newer = library.stat().st_mtime_ns + 10**9
+        self.requirements.write_text("one==2\n")
+        shutil.copystat(library, self.requirements)  # no newer than the libraries: only its content tells
+        self.assertLess(self.requirements.stat().st_mtime_ns, newer)
+        self.assertEqual(0, self.build())
+        self.assertEqual(2, len(self.calls()))
+        self.assertFalse((self.folder / "target/deps/left-over").exists())
+
+    def test_a_build_that_fails_says_so_and_leaves_nothing_that_looks_whole(self) -> None:
+        (self.folder / "pip-fails").touch()
+        self.assertNotEqual(0, self.build())
+        self.assertFalse((self.folder / "target/deps").exists())
+        (self.folder / "pip-fails").unlink()
+        self.assertEqual(0, self.build())
+
+    def test_a_failed_build_keeps_the_libraries_of_the_one_before(self) -> None:
+        self.build()
+        self.requirements.write_text("one==2\n")
+        (self.folder / "pip-fails").touch()
+        self.assertNotEqual(0, self.build())
+        self.assertTrue((self.folder / "target/deps/library").exists())
+        self.assertNotEqual(0, self.build())
+
+
+class DeployFileTest(unittest.TestCase):
+    """What the deploy file names."""
+
+    def test_packages_is_a_list_of_names(self) -> None:
+        packages = deploy_file()["packages"]
+        assert isinstance(packages, list)
+        self.assertEqual([], [each for each in packages if not re.fullmatch(r"[a-z0-9][a-z0-9.+-]+", each)])
+
+    def test_every_requirement_has_one_version(self) -> None:
+        lines = (ROOT / REQUIREMENTS).read_text().splitlines()
+        named = [line for line in lines if line and not line.startswith("#")]
+        self.assertEqual([], [line for line in named if not re.fullmatch(r"[\w.-]+==[\w.]+", line)])
