--- a/bitternpath/ingress/interface.py
+++ b/bitternpath/ingress/interface.py
@@ -21,7 +21,7 @@
     PullTicket,
 )
 from bitternpath.ingress.site import RETRY_SOON_S, answered, reply
-from bitternpath.queue.records import Message, MessageState
+from bitternpath.transport.records import Message, MessageState
 
 STATUS_ANSWER_S = 1.6  # askers wait two seconds, with the way there and back
 LEASE_ANSWER_S = 4.0  # ends without an answer are sent again, and the answer has to stay the same
--- a/bitternpath/roles/shard_runtime.py
+++ b/bitternpath/roles/shard_runtime.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from random import Random
@@ -27,7 +26,6 @@
 )
 from bitternpath.queue.commands import COMMANDS, AppendMessage, Command
 from bitternpath.queue.owner import OwnerBounds, ShardOwner
-from bitternpath.queue.records import AttemptOutcome, MessageState
 from bitternpath.queue.results import AttemptTaken, Result
 from bitternpath.queue.state import QueueState
 from bitternpath.replication.host import ReplicaHost
@@ -55,16 +53,13 @@
     StateRequest,
     Undecided,
 )
+from bitternpath.transport.records import AttemptOutcome, MessageState
 
 log = logbook.Logger("shard")
 
 PROPOSE_AGAIN_S = 0.1  # an owner that hands over proposes nothing for up to an election's time, and may stay
 
 
-def _wall_ms() -> int:
-    return int(time.time() * 1000)
-
-
 class ShardRuntime:
     """Replica and, at times, owner of one shard. Implements `replication.interfaces.GroupListener`."""
 
@@ -79,11 +74,12 @@
         edges: EdgeLinks,
         has_room: Callable[[], bool],
         random: Random,
+        wall_ms: Callable[[], int],
     ) -> None:
         self.reactor, self.host, self.group = reactor, host, group
         self.shards, self.zone, self.bounds = shards, zone, bounds
         self.edges, self.random = edges, random
-        self.state = QueueState(reactor.seconds, _wall_ms)
+        self.state = QueueState(reactor.seconds, wall_ms)
         self.owner: ShardOwner | None = None
         self.epoch = 0
         self.table: RoutingTable | None = None
--- a/tests/system/test_order_key.py
+++ b/tests/system/test_order_key.py
@@ -8,12 +8,12 @@
 
 from bitternpath.delivery.requests import request_bytes
 from bitternpath.delivery.results import WorkerTarget
-from bitternpath.http.http1 import RequestReader, ResponseReader
 from bitternpath.ingress.servers import build_front
 from bitternpath.ingress.service import Acceptance, AcceptResult, PulledJob
+from bitternpath.net.http1 import RequestReader, ResponseReader
 from bitternpath.queue.commands import COMMANDS, AppendMessage
-from bitternpath.queue.records import Message
 from bitternpath.queue.state import QueueState
+from bitternpath.transport.records import Message
 from tests.system.test_ingress import Client, Node
 
 KEYS = (b"k", b"K", b"a  b", b"Order/7; x=1, y", b"\xe9\xff\x80", b"%41", b"key:with:colons", b"k" * 300)
--- a/tests/system/test_owner_changes.py
+++ b/tests/system/test_owner_changes.py
@@ -6,7 +6,6 @@
 
 from bitternpath.configuration.placement import shard_group
 from bitternpath.ingress.service import Acceptance, AcceptResult, FoundMessage, LeaseAnswer, LookupFailure
-from bitternpath.queue.records import AttemptOutcome, MessageState
 from bitternpath.queue.sharding import lease_id, message_id
 from bitternpath.shards.appends import Appender
 from bitternpath.shards.lookups import PATIENCE_S, MessageLookup
@@ -27,6 +26,7 @@
     StateRequest,
     Undecided,
 )
+from bitternpath.transport.records import AttemptOutcome, MessageState
 from tests.system.test_shards import SHARDS, FakeLink, ShardTest, message
 
 GROUP = shard_group(0)
--- a/tests/system/test_second_answers.py
+++ b/tests/system/test_second_answers.py
@@ -5,7 +5,7 @@
 import unittest
 
 from bitternpath.delivery.connections import MOST_UNENDED
-from bitternpath.queue.records import AttemptOutcome
+from bitternpath.transport.records import AttemptOutcome
 from tests.system.test_worker_client import ClientCase, Wire, answer
 
 FAILED, NOT_RUN = AttemptOutcome.FAILED, AttemptOutcome.NOT_RUN
--- a/tests/system/test_shard_runtime.py
+++ b/tests/system/test_shard_runtime.py
@@ -13,8 +13,6 @@
 from bitternpath.configuration.placement import shard_group
 from bitternpath.queue.commands import GrantLease
 from bitternpath.queue.owner import OwnerBounds
-from bitternpath.queue.records import AttemptOutcome, Message, MessageState
-from bitternpath.queue.state import QueueState
 from bitternpath.replication.interfaces import FateOpen, NotOwner
 from bitternpath.roles.edge_links import EdgeLinks
 from bitternpath.roles.shard_runtime import ShardRuntime
@@ -35,6 +33,7 @@
     StateAnswer,
     StateRequest,
 )
+from bitternpath.transport.records import AttemptOutcome, Message, MessageState
 from tests.system.test_queue_rig import TABLE
 
 GROUP = shard_group(0)
@@ -108,8 +107,8 @@
             self.edges,
             lambda: True,
             Random(1),
+            lambda: 0,
         )
-        self.runtime.state = QueueState(self.clock.seconds, lambda: 0)
         self.runtime.configure(TABLE)
         self.runtime.became_owner(1)
         self.join(self.link)
