Delays and ages: no time of day ends a message early, and none takes part at the owner that accepts

Causes (found by test_delays): retention and tombstones counted wall time beyond 10 s. A delay was cut short by what the clocks of edge node and owner differed beyond 2 s. Change: ages count only what the steady clock has seen; the owner that accepts a message counts its whole delay from then; roles read the time of day once and carry it on by the steady clock, so that a step within a life changes nothing. A delay after a restart still heeds wall time beyond 2 s, else it might begin anew at each.

--- a/bitternpath/queue/entries.py
+++ b/bitternpath/queue/entries.py
@@ -11,9 +11,10 @@
 
 from bitternpath.transport.records import AttemptOutcome, Header, Message, MessageState
 
-# A time-of-day clock may step, and clocks of two machines differ; elapsed wall time counts only beyond these.
+# A time-of-day clock may step, and clocks of two machines differ; elapsed wall time counts only beyond this,
+# and for delays alone. Ages (retention, tombstones) count only what the steady clock has seen: a dead letter
+# or a forgotten state too early breaks a rule, one too late costs memory.
 DELAY_CLOCK_MARGIN_S = 2.0  # a delay is then never cut short by a step up to 2 s; it lasts 2 s longer at most
-RETENTION_CLOCK_MARGIN_S = 10.0  # a dead letter too early breaks a rule, one too late costs memory
 
 MAX_ENDED_LEASES = 64  # remembered ends of one message; the oldest goes first
 
@@ -60,6 +61,10 @@
         if state is MessageState.DONE:
             self.message = replace(self.message, body=b"", headers=())
 
+    def count_delay_from(self, now: float) -> None:
+        """Its delay counts whole from now: its sender's request is being accepted here at this moment."""
+        self.due = now + max(0.0, self.message.delay_ms / 1000)
+
     def remember_end(self, lease_id: str, outcome: AttemptOutcome) -> None:
         """Keep what a lease's end was, for its repetitions."""
         self.ended_leases[lease_id] = outcome
@@ -89,10 +94,10 @@
 def new_entry(message: Message, index: int, now: float, wall_ms: int) -> Entry:
     """The entry of a message that is being appended, now or in a replay of the log after a restart.
 
-    Its delay counts from now, less the wall time since the accept beyond `DELAY_CLOCK_MARGIN_S` (none when
-    the append is recent); so it ends at most one delay from now.
+    Its retention counts from now. Its delay counts from now, less the wall time since the accept beyond
+    `DELAY_CLOCK_MARGIN_S` (none when the append is recent); so it ends at most one delay from now. The owner
+    that accepts it counts the whole delay (`Entry.count_delay_from`).
     """
     delay = max(0.0, message.delay_ms / 1000)
     passed = elapsed_beyond(DELAY_CLOCK_MARGIN_S, message.accepted_wall_ms, wall_ms)
-    age = elapsed_beyond(RETENTION_CLOCK_MARGIN_S, message.accepted_wall_ms, wall_ms)
-    return Entry(compact(message), index, accepted=now - age, due=now + max(0.0, delay - passed))
+    return Entry(compact(message), index, accepted=now, due=now + max(0.0, delay - passed))
--- a/bitternpath/queue/owner.py
+++ b/bitternpath/queue/owner.py
@@ -364,6 +364,7 @@
     def _message_added(self, now: float, result: Added) -> None:
         entry = self._state.find(result.command.message.request_id)
         if entry is not None and not entry.ended:
+            self._state.count_delay_from_now(entry)
             tracked = self._tracked[entry.message.request_id] = Tracked(entry, accepted_here=True)
             self._place(now, tracked)
 
--- a/bitternpath/queue/snapshot.py
+++ b/bitternpath/queue/snapshot.py
@@ -13,7 +13,6 @@
 
 from bitternpath.queue.entries import (
     DELAY_CLOCK_MARGIN_S,
-    RETENTION_CLOCK_MARGIN_S,
     Entry,
     Lease,
     compact,
@@ -142,12 +141,11 @@
 
 def _restored(saved: SavedEntry, saved_wall_ms: int, now: float, wall_ms: int) -> Entry:
     passed = elapsed_beyond(DELAY_CLOCK_MARGIN_S, saved_wall_ms, wall_ms)
-    aged = elapsed_beyond(RETENTION_CLOCK_MARGIN_S, saved_wall_ms, wall_ms)
     lease = saved.lease
     return Entry(
         message=compact(saved.message),
         index=saved.index,
-        accepted=now - saved.age_ms / 1000 - aged,
+        accepted=now - saved.age_ms / 1000,
         due=now + max(0.0, saved.delay_left_ms / 1000 - passed),
         state=saved.state,
         stamp=saved.stamp,
@@ -156,7 +154,7 @@
         lease=None if lease is None else Lease(lease.lease_id, lease.holder, lease.duration_ms, lease.pulled),
         ended_leases={end.lease_id: end.outcome for end in saved.ended_leases},
         callback_pending=saved.callback_pending,
-        ended_at=now - saved.ended_ms / 1000 - aged if saved.state is not MessageState.QUEUED else 0.0,
+        ended_at=now - saved.ended_ms / 1000 if saved.state is not MessageState.QUEUED else 0.0,
     )
 
 
--- a/bitternpath/queue/state.py
+++ b/bitternpath/queue/state.py
@@ -56,6 +56,11 @@
         """A message or its tombstone; None where it is unknown. Callers must not change it."""
         return self._entries.get(request_id)
 
+    def count_delay_from_now(self, entry: Entry) -> None:
+        """For a message that this replica's owner has accepted a moment ago: no clock of another machine or
+        of the time of day takes part in its delay here."""
+        entry.count_delay_from(self._clock())
+
     def is_head(self, entry: Entry) -> bool:
         """Whether no earlier unended message has its order key."""
         key = entry.message.order_key
--- a/bitternpath/roles/edge_process.py
+++ b/bitternpath/roles/edge_process.py
@@ -117,7 +117,7 @@
         """Name, address and site of the listeners for clients, the platform and the operator."""
         settings, node, reactor = self.settings, self.node, self.reactor
         most = max(settings.max_fds - RESERVED_DESCRIPTORS, 64)
-        wall_ms = node.base.machine.wall_ms
+        wall_ms = node.base.wall_clock.wall_ms
         front = build_front(node, reactor, origin=settings.node_name, max_connections=most, wall_ms=wall_ms)
         return [
             ("front", settings.front, front),
--- a/bitternpath/roles/node_base.py
+++ b/bitternpath/roles/node_base.py
@@ -17,6 +17,7 @@
 from bitternpath.roles.group_carrier import GroupCarrier
 from bitternpath.roles.machine import Machine
 from bitternpath.roles.settings import Settings, SettingsError
+from bitternpath.roles.wall_clock import SteadyWallClock
 from bitternpath.storage.documents import HEADER_BYTES, DamagedDocument
 from bitternpath.storage.journal import Journal
 from bitternpath.storage.node_disk import NodeDisk
@@ -55,6 +56,7 @@
             life=machine.wall_ms(),
             beat=0,
         )
+        self.wall_clock = SteadyWallClock(machine.wall_ms, reactor.seconds)
         self.view = MembershipView(me, settings.seed_addresses, self.random, reactor.seconds())
         self.hub = NodeHub(reactor, links, lambda: self.view.me, self.random)
         self.gossip = Gossip(reactor, self.view)
--- a/bitternpath/roles/storage.py
+++ b/bitternpath/roles/storage.py
@@ -154,7 +154,7 @@
             self.edges,
             self._has_room,
             self.base.random,
-            self.base.machine.wall_ms,
+            self.base.wall_clock.wall_ms,
         )
         self.shards[placement.group] = shard
         if self.base.feed.table is not None:
--- /dev/null
+++ b/bitternpath/roles/wall_clock.py
@@ -0,0 +1,21 @@
+"""Time of day that doesn't step within a process's life."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+
+class SteadyWallClock:
+    """The time of day as it was at the start, carried on by the steady clock.
+
+    Times of day of two machines are compared only where a replica applies a message that it did not accept
+    itself, or reads its disk after a restart. A step of the clock meanwhile would cut a delay short.
+    """
+
+    def __init__(self, wall_ms: Callable[[], int], steady_s: Callable[[], float]) -> None:
+        self._steady_s = steady_s
+        self._offset_ms = wall_ms() - steady_s() * 1000
+
+    def wall_ms(self) -> int:
+        """Milliseconds since 1970."""
+        return round(self._offset_ms + self._steady_s() * 1000)
--- /dev/null
+++ b/tests/system/test_delays.py
@@ -0,0 +1,151 @@
+"""Delays are never cut short (RULES, ORDER: `early_ms`): clocks that differ or step, take-overs, restarts."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from bitternpath.queue.actions import SendDelivery
+from bitternpath.queue.commands import COMMANDS, AppendMessage
+from bitternpath.queue.entries import DELAY_CLOCK_MARGIN_S
+from bitternpath.queue.state import QueueState
+from bitternpath.roles.wall_clock import SteadyWallClock
+from bitternpath.transport.records import Message, MessageState
+from tests.system.test_queue_rig import SUCCEEDED, WALL_MS, Rig
+
+DELAY_S = 5.0
+STEPS_S = (-3_600.0, -30.0, -1.0, 0.0, 1.0, 30.0, 3_600.0)
+
+
+def message(request_id: str, accepted_wall_ms: int) -> Message:
+    return Message(
+        request_id,
+        "POST",
+        "a.example",
+        "/plain/x",
+        (),
+        "",
+        "plain",
+        5,
+        round(DELAY_S * 1000),
+        "",
+        "edge-1",
+        accepted_wall_ms,
+        b"body",
+    )
+
+
+def begun_after(rig: Rig, since: float) -> float:
+    """Seconds from `since` to the first delivery."""
+    give_up = rig.now + 4 * DELAY_S
+    while not rig.take_sent(SendDelivery):
+        if rig.now > give_up:
+            raise AssertionError("never delivered")
+        rig.advance(0.01)
+    return rig.now - since
+
+
+class AtTheOwner(unittest.TestCase):
+    """Clocks of other machines take no part in the delay of a message that this owner accepts."""
+
+    def test_the_edge_nodes_clock_is_off(self) -> None:
+        for off_s in STEPS_S:
+            with self.subTest(off_s):
+                rig = Rig()
+                sent = rig.now
+                rig.apply(AppendMessage(message("m", WALL_MS + round(off_s * 1000))))
+                taken = begun_after(rig, sent)
+                self.assertGreaterEqual(taken, DELAY_S)
+                self.assertLess(taken, DELAY_S + 0.1)
+
+    def test_an_owner_that_is_stopped_meanwhile(self) -> None:
+        for stopped_s in (1.0, DELAY_S - 0.2, DELAY_S + 3.0):
+            with self.subTest(stopped_s):
+                rig = Rig()
+                sent = rig.now
+                rig.apply(AppendMessage(message("m", WALL_MS)))
+                rig.now += stopped_s
+                self.assertGreaterEqual(begun_after(rig, sent), DELAY_S)
+
+    def test_chances_of_clock_and_time(self) -> None:
+        random = Random(1)
+        for _ in range(200):
+            rig = Rig()
+            rig.now += random.uniform(0.0, 1e6)
+            sent = rig.now
+            rig.apply(AppendMessage(message("m", WALL_MS + round(random.uniform(-1e6, 1e9)))))
+            for _ in range(random.randrange(3)):
+                rig.advance(random.uniform(0.0, 2.0))
+                rig.own()
+            self.assertGreaterEqual(begun_after(rig, sent), DELAY_S - 0.001)
+
+
+class AtASuccessor(unittest.TestCase):
+    """A replica that applied the message counts from then; after a restart by the times of day."""
+
+    def test_a_step_of_its_own_clock_within_its_life_changes_nothing(self) -> None:
+        for step_s in STEPS_S:
+            with self.subTest(step_s):
+                steady, step = 100.0, 0.0
+                clock = SteadyWallClock(lambda: round((steady + step) * 1000), lambda: steady)  # noqa: B023
+                state = QueueState(lambda: steady, clock.wall_ms)  # noqa: B023
+                accepted_wall_ms = clock.wall_ms()
+                step = step_s
+                data = COMMANDS.encode(AppendMessage(message("m", accepted_wall_ms)))
+                state.apply(1, data)
+                entry = state.find("m")
+                assert entry is not None
+                self.assertEqual(entry.due, steady + DELAY_S)
+
+    def test_a_snapshot_and_a_restart_never_cut_it_short(self) -> None:
+        for away_s in (0.0, 1.0, DELAY_S / 2, DELAY_S, 3 * DELAY_S):
+            for margin in (-DELAY_CLOCK_MARGIN_S, 0.0, DELAY_CLOCK_MARGIN_S):
+                with self.subTest(away=away_s, margin=margin):
+                    before = QueueState(lambda: 100.0, lambda: WALL_MS)
+                    before.apply(1, COMMANDS.encode(AppendMessage(message("m", WALL_MS))))
+                    wall_ms = WALL_MS + round((away_s + margin) * 1000)
+                    after = QueueState(lambda: 7.0, lambda: wall_ms)  # noqa: B023
+                    after.restore(before.snapshot())
+                    entry = after.find("m")
+                    assert entry is not None
+                    left = entry.due - 7.0
+                    self.assertGreaterEqual(left, DELAY_S - away_s - 0.001)
+                    self.assertLessEqual(left, DELAY_S)
+
+    def test_the_log_read_again_after_a_restart(self) -> None:
+        for away_s in (0.0, 1.0, DELAY_S, 3 * DELAY_S):
+            with self.subTest(away_s):
+                wall_ms = WALL_MS + round((away_s + DELAY_CLOCK_MARGIN_S) * 1000)
+                state = QueueState(lambda: 7.0, lambda: wall_ms)  # noqa: B023
+                state.apply(1, COMMANDS.encode(AppendMessage(message("m", WALL_MS))))
+                entry = state.find("m")
+                assert entry is not None
+                self.assertGreaterEqual(entry.due - 7.0, DELAY_S - away_s - 0.001)
+
+
+class Ages(unittest.TestCase):
+    """Retention and tombstones: no time of day ends a message, or makes its state forgotten, too early."""
+
+    def test_an_edge_nodes_clock_that_is_off_ends_no_message(self) -> None:
+        rig = Rig()
+        rig.apply(AppendMessage(message("m", WALL_MS - 3_600_000)))
+        self.assertIs(rig.state_of("m"), MessageState.QUEUED)
+        begun_after(rig, rig.now)
+
+    def test_a_clock_that_stepped_before_a_restart_ends_and_forgets_nothing(self) -> None:
+        rig = Rig()
+        rig.append("waits", delay_ms=80_000)
+        rig.append("done")
+        rig.end(rig.delivery(), SUCCEEDED)
+        for step_s in STEPS_S:
+            with self.subTest(step_s):
+                state = QueueState(lambda: 7.0, lambda: WALL_MS + round(step_s * 1000))  # noqa: B023
+                state.restore(rig.state.snapshot())
+                waits, done = state.find("waits"), state.find("done")
+                assert waits is not None and done is not None
+                self.assertGreaterEqual(waits.accepted, 7.0 - 0.001)
+                self.assertGreaterEqual(done.ended_at, 7.0 - 0.001)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/system/test_queue_state.py
+++ b/tests/system/test_queue_state.py
@@ -305,7 +305,7 @@
                 self.assertAlmostEqual(replica.entry("m").due - replica.now, left_s)
 
     def test_retention_counts_on_and_is_never_cut_by_a_clock_step(self) -> None:
-        for restart_s, age_s in ((0.0, 20.0), (9.0, 20.0), (-9.0, 20.0), (40.0, 50.0)):
+        for restart_s, age_s in ((0.0, 20.0), (9.0, 20.0), (-9.0, 20.0), (40.0, 20.0), (3_600.0, 20.0)):
             with self.subTest(restart_s=restart_s):
                 replica = Replica()
                 replica.apply(AppendMessage(message("m")))
