--- /dev/null
+++ b/bitternpath/configuration/repair_simulation.py
@@ -0,0 +1,431 @@
+"""Repairs of many replica groups in virtual time: how long each leaves a group one loss from no majority.
+
+Machines have a simulated disk, a link of bounded bandwidth and one replica host with all the groups that the
+placement gives them. Consensus, the journal, the placement and the steps of members are the real code; the
+configuration's owner is played by `Controller`, which is told of machines as links would tell it. For tests
+and for `benchmarks/repairs.py`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field, replace
+from functools import partial
+from itertools import count
+from random import Random
+from typing import Any
+
+from bitternpath.configuration.placement import (
+    first_placement,
+    nodes_to_replace,
+    repaired_placement,
+)
+from bitternpath.configuration.presence import Presence
+from bitternpath.membership.founding import member_id
+from bitternpath.replication.checking import Broken, Checker, Listener, Register
+from bitternpath.replication.consensus import Members
+from bitternpath.replication.group import CompactionBounds
+from bitternpath.replication.host import SYSTEM_TIMES, ReplicaHost
+from bitternpath.replication.reconfiguration import next_members
+from bitternpath.replication.virtual_time import EventClock, ProcessClock
+from bitternpath.storage.journal import Journal
+from bitternpath.storage.segments import SegmentLog
+from bitternpath.storage.simulated import SimulatedDisk, VirtualRunner
+from bitternpath.transport.messages import GroupPlacement, NodeDescriptor, NodeKind
+
+LATENCY_S = 0.002  # of a message, one way
+SYNC_S = 0.005  # of a batch of the journal
+LINK_BYTES_PER_S = 125e6  # 1000 Mbit/s
+GREETING_S = 0.1  # from the start of a process until the configuration's owner has its subscription
+SILENCE_S = 1.6  # until a link to a machine without power is given up (`transport.connections`)
+COMMIT_S = 2 * LATENCY_S + SYNC_S  # of a command of the configuration group
+LOOK_S = 0.25  # between looks at the members, and at the placement
+SAMPLE_S = 0.005  # between looks of the measurement
+CHUNK_BYTES = 32 << 10  # of the commands that fill a group before the repair
+ZONES = 3
+
+
+@dataclass(slots=True)
+class Process:
+    """One life of a machine's process."""
+
+    descriptor: NodeDescriptor
+    clock: ProcessClock
+    runner: VirtualRunner
+    host: ReplicaHost
+    placements: dict[str, GroupPlacement] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Machine:
+    """A machine with its disk, under a name that stays."""
+
+    name: str
+    zone: str
+    disk: SimulatedDisk = field(default_factory=SimulatedDisk)
+    disks: int = 1  # how many it has had
+    lives: int = 0
+    process: Process | None = None
+    busy_until: float = 0.0  # of its link, outwards
+
+    def descriptor(self) -> NodeDescriptor:
+        """What its present process tells of itself."""
+        disk = f"d{self.disks}"
+        return NodeDescriptor(
+            self.name, f"{self.name}:1", NodeKind.STORAGE, self.zone, True, disk, self.lives, 0
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class RepairPlan:
+    """What is there before the repair. `state_bytes` is of each group."""
+
+    groups: int = 1
+    tolerated: int = 1
+    machines: int = 0  # 0: as many as a group has members
+    state_bytes: int = 0
+    commands_per_s: float = 20.0  # of each group, while it is measured
+    command_bytes: int = 200
+
+
+@dataclass(slots=True)
+class GroupTimes:
+    """When a group got how far; seconds of virtual time. `exposed_s`: one loss from no majority, in all."""
+
+    learner_at: float | None = None
+    voter_at: float | None = None
+    complete_at: float | None = None
+    exposed_s: float = 0.0
+
+
+class Controller:
+    """Plays the configuration's owner: keeps the placement, and tells it to all processes."""
+
+    def __init__(self, world: RepairWorld) -> None:
+        self.world = world
+        self.present: dict[str, NodeDescriptor] = {}
+        self.presence = Presence(0.0)
+        self.groups: tuple[GroupPlacement, ...] = ()
+        self.retired: set[str] = set()
+        self._placing = False
+
+    def subscribed(self, node: NodeDescriptor) -> None:
+        """A process follows the feed."""
+        self.present[node.name] = node
+        self._tell([node.name])
+
+    def gone(self, node: NodeDescriptor) -> None:
+        """Its link has ended."""
+        if self.present.get(node.name) == node:
+            del self.present[node.name]
+
+    def look(self) -> None:
+        """Compare the placement with who is there."""
+        now = self.world.clock.seconds()
+        here = list(self.present.values())
+        self.presence.update(now, [node.name for node in here if not node.leaving])
+        if self._placing or not self.groups:
+            return
+        away_for = partial(self.presence.away_for, now)
+        gone = nodes_to_replace(self.groups, here, self.retired, away_for)
+        groups = repaired_placement(self.groups, here, gone, self.world.plan.tolerated)
+        if groups != self.groups:
+            self._placing = True
+            self.world.clock.callLater(COMMIT_S, self._placed, groups)
+
+    def _placed(self, groups: tuple[GroupPlacement, ...]) -> None:
+        self._placing = False
+        self.groups = groups
+        self._tell(self.present)
+
+    def _tell(self, names: Iterable[str]) -> None:
+        for name in list(names):
+            self.world.clock.callLater(LATENCY_S, self.world.placement_heard, name, self.groups)
+
+
+class RepairWorld:
+    """One run."""
+
+    def __init__(self, seed: int, plan: RepairPlan) -> None:
+        self.plan, self.random, self.clock = plan, Random(seed), EventClock()
+        self.checkers: dict[str, Checker] = {}
+        self.machines: dict[str, Machine] = {}
+        self.registers: dict[tuple[str, str], Register] = {}  # by member and group
+        self.controller = Controller(self)
+        self.times: dict[str, GroupTimes] = {}
+        self.bytes_sent = 0
+        self.error: BaseException | None = None
+        self._serial = count(1)
+        self._measured_from: float | None = None
+        wanted = plan.machines or 2 * plan.tolerated + 1
+        for n in range(wanted):
+            self.add_machine(f"s{n}", f"z{n % ZONES}")
+        nodes = [machine.descriptor() for machine in self.machines.values()]
+        self.controller.groups = _placement(nodes, plan)
+        self.checkers = {group.group: Checker() for group in self.controller.groups}
+        for name in list(self.machines):
+            self.start(name)
+        self._repeat_look()
+
+    # ---- machines
+
+    def add_machine(self, name: str, zone: str) -> Machine:
+        """A machine with an empty disk, not started."""
+        machine = self.machines[name] = Machine(name, zone)
+        return machine
+
+    def start(self, name: str) -> None:
+        """Start a machine's process."""
+        machine = self.machines[name]
+        machine.lives += 1
+        descriptor = machine.descriptor()
+        clock = ProcessClock(self.clock)
+        salts = count(self.random.getrandbits(31))
+        log = SegmentLog(machine.disk, lambda: next(salts), 32 << 20, 4 << 20)
+        runner = VirtualRunner(clock, machine.disk, SYNC_S)
+        member = member_id(descriptor)
+        send = partial(self._send, machine, member)
+        host = ReplicaHost(
+            clock, member, Journal(log, runner), send, Random(self.random.random()), SYSTEM_TIMES,
+            CompactionBounds(),
+        )  # fmt: skip
+        machine.process = Process(descriptor, clock, runner, host)
+        self._open_groups(machine.process, self.controller.groups if machine.lives == 1 else ())
+        self.clock.callLater(GREETING_S, self._greet, name, machine.process)
+
+    def _greet(self, name: str, process: Process) -> None:
+        if self.machines[name].process is process:
+            self.controller.subscribed(process.descriptor)
+
+    def stop(self, name: str, *, says_so: bool, wipe: bool = False) -> None:
+        """End a process: after a SIGTERM (`says_so`) or by a loss of power."""
+        machine = self.machines[name]
+        process, machine.process = machine.process, None
+        assert process is not None
+        if says_so:
+            process.runner.stop()
+            self.clock.callLater(LATENCY_S, self.controller.gone, process.descriptor)
+        else:
+            process.runner.end_inside_batch(self.random)
+            self.clock.callLater(SILENCE_S, self.controller.gone, process.descriptor)
+        process.clock.end()
+        if wipe:
+            machine.disk.wipe()
+            machine.disks += 1
+        else:
+            machine.disk.lose_power(self.random)
+
+    def leave(self, name: str) -> None:
+        """SIGTERM: say so, pass on what it owns."""
+        process = self.machines[name].process
+        assert process is not None
+        leaving = replace(process.descriptor, leaving=True)
+        process.descriptor = leaving
+        self.clock.callLater(LATENCY_S, self.controller.subscribed, leaving)
+        for group in list(process.host.groups):
+            if process.host.is_owner(group):
+                process.clock.run(partial(process.host.hand_over, group))
+
+    def retire(self, name: str) -> None:
+        """The operator wants a machine emptied."""
+        self.controller.retired.add(name)
+
+    # ---- groups
+
+    def placement_heard(self, name: str, groups: tuple[GroupPlacement, ...]) -> None:
+        """The feed has brought a placement."""
+        process = self.machines[name].process
+        if process is not None:
+            process.clock.run(partial(self._open_groups, process, groups))
+
+    def _open_groups(self, process: Process, groups: Sequence[GroupPlacement]) -> None:
+        me = process.host.member_id
+        for placement in groups:
+            process.placements[placement.group] = placement
+            named = any(member.member == me for member in placement.members)
+            if named and placement.group not in process.host.groups:
+                founders = None
+                if placement.generation == 1:
+                    founders = Members(tuple(member.member for member in placement.members))
+                checker = self.checkers[placement.group]
+                register = self.registers[me, placement.group] = Register(me, checker)
+                process.host.open_group(placement.group, register, founders, Listener(me, checker))
+
+    def _step(self, process: Process) -> None:
+        for group, placement in process.placements.items():
+            if process.host.is_owner(group):
+                desired = [member.member for member in placement.members]
+                caught_up = partial(process.host.caught_up, group)
+                changed = next_members(process.host.members(group), desired, caught_up)
+                if changed is not None:
+                    process.host.change_members(group, changed)
+
+    def _repeat_look(self) -> None:
+        self.clock.callLater(LOOK_S, self._repeat_look)
+        self.controller.look()
+        for machine in self.machines.values():
+            if machine.process is not None:
+                process = machine.process
+                delay = self.random.uniform(0.0, LOOK_S)  # processes don't look all at once
+                self.clock.callLater(delay, process.clock.run, partial(self._step, process))
+
+    def _send(self, sender: Machine, member: str, group: str, receiver: str, body: bytes) -> None:
+        self.bytes_sent += len(body)
+        sender.busy_until = max(sender.busy_until, self.clock.seconds()) + len(body) / LINK_BYTES_PER_S
+        delay = sender.busy_until - self.clock.seconds() + LATENCY_S
+        self.clock.callLater(delay, self._deliver, member, group, receiver, body)
+
+    def _deliver(self, sender: str, group: str, receiver: str, body: bytes) -> None:
+        machine = self.machines.get(receiver.partition("/")[0])
+        process = machine.process if machine is not None else None
+        if process is not None and process.host.member_id == receiver:
+            process.clock.run(lambda: process.host.hear(group, sender, body))
+
+    def owner(self, group: str) -> Process | None:
+        """The process that owns a group, of the highest epoch."""
+        owners = [
+            machine.process
+            for machine in self.machines.values()
+            if machine.process is not None and machine.process.host.is_owner(group)
+        ]
+        return max(owners, key=lambda process: process.host.epoch(group), default=None)
+
+    # ---- clients
+
+    def propose(self, group: str, size: int) -> bool:
+        """A client's command; False where nobody owns the group."""
+        process = self.owner(group)
+        if process is None:
+            return False
+        command = b"%d " % next(self._serial) + bytes(size)
+        checker = self.checkers[group]
+
+        def committed(_: object) -> None:
+            checker.acknowledge(command)
+
+        def note(failure: Any) -> None:
+            self.error = self.error or failure.value
+
+        def call() -> None:
+            proposed = process.host.propose(group, command)
+            proposed.addCallbacks(committed, lambda _: None).addErrback(note)
+
+        process.clock.run(call)
+        return True
+
+    def fill(self) -> None:
+        """Bring all groups to their size of state."""
+        self.run_until(lambda: all(self.owner(group) is not None for group in self.checkers), 10.0)
+        left = dict.fromkeys(self.checkers, -(-self.plan.state_bytes // CHUNK_BYTES))
+        while any(left.values()):
+            for group in left:
+                if left[group] and self.propose(group, CHUNK_BYTES):
+                    left[group] -= 1
+            self.run(0.02)
+        self.run(1.0)
+
+    def traffic(self) -> None:
+        """Begin to send each group its commands."""
+        for group in self.checkers:
+            self._next_command(group)
+
+    def _next_command(self, group: str) -> None:
+        self.propose(group, self.plan.command_bytes)
+        pause = self.random.expovariate(self.plan.commands_per_s)
+        self.clock.callLater(pause, self._next_command, group)
+
+    # ---- measuring
+
+    def measure(self) -> None:
+        """Begin to note how far each group's repair is."""
+        self.times = {group: GroupTimes() for group in self.checkers}
+        self.bytes_sent = 0
+        self._sample()
+
+    def _sample(self) -> None:
+        self.clock.callLater(SAMPLE_S, self._sample)
+        for placement in self.controller.groups:
+            self._sample_group(placement, self.times[placement.group])
+
+    def _sample_group(self, placement: GroupPlacement, times: GroupTimes) -> None:
+        if self.slack(placement.group) <= 0:
+            times.exposed_s += SAMPLE_S
+        owner = self.owner(placement.group)
+        if owner is None or times.complete_at is not None or placement.generation == 1:
+            return
+        now = self.clock.seconds()
+        members, committed = self._members(owner, placement.group)
+        desired = {member.member for member in placement.members}
+        if times.learner_at is None and desired <= set(members.all):
+            times.learner_at = now
+        if times.voter_at is None and committed and desired <= set(members.voters):
+            times.voter_at = now
+        if committed and desired == set(members.all) == set(members.voters):
+            times.complete_at = now
+
+    @staticmethod
+    def _members(owner: Process, group: str) -> tuple[Members, bool]:
+        return owner.host.members(group), owner.host.committed_members(group) is not None
+
+    def slack(self, group: str) -> int:
+        """How many more voters a group could lose and have a majority still; -1 without any."""
+        owner = self.owner(group)
+        if owner is None:
+            return -1
+        voters = owner.host.members(group).voters
+        up = {
+            machine.process.host.member_id
+            for machine in self.machines.values()
+            if machine.process is not None
+        }
+        return sum(voter in up for voter in voters) - (len(voters) // 2 + 1)
+
+    # ---- play
+
+    def run(self, seconds: float) -> None:
+        """Play events for so long."""
+        self.run_until(lambda: False, seconds)
+
+    def run_until(self, holds: Callable[[], bool], seconds: float) -> bool:
+        """Play events until something holds, for so long at most. Raises `Broken`."""
+        end = self.clock.seconds() + seconds
+        look = self.clock.seconds()
+        while self.clock.step(end):
+            for checker in self.checkers.values():
+                if checker.violation is not None:
+                    raise checker.violation
+            if self.error is not None:
+                raise self.error
+            if self.clock.seconds() >= look:
+                look = self.clock.seconds() + SAMPLE_S
+                if holds():
+                    return True
+        return holds()
+
+    def placement_changed(self) -> bool:
+        """Whether there has been another placement than the first."""
+        return any(placement.generation > 1 for placement in self.controller.groups)
+
+    def repaired(self) -> bool:
+        """Whether all groups that the placement changed have the members that it names."""
+        return all(
+            self.times[placement.group].complete_at is not None
+            for placement in self.controller.groups
+            if placement.generation > 1
+        )
+
+    def check_nothing_lost(self) -> None:
+        """Each group's owner has all that was acknowledged. Raises `Broken`."""
+        for group, checker in self.checkers.items():
+            owner = self.owner(group)
+            if owner is None:
+                raise Broken(f"{group} has no owner")
+            has = self.registers[owner.host.member_id, group].commands
+            if has[: checker.acknowledged] != checker.committed[: checker.acknowledged]:
+                raise Broken(f"{group}: the owner lacks what was acknowledged")
+
+
+def _placement(nodes: Sequence[NodeDescriptor], plan: RepairPlan) -> tuple[GroupPlacement, ...]:
+    """As many groups as the plan says, spread as `first_placement` spreads them."""
+    base = first_placement(nodes, plan.tolerated)
+    return tuple(replace(base[number % len(base)], group=f"queue-{number}") for number in range(plan.groups))
