--- a/benchmarks/repairs.py
+++ b/benchmarks/repairs.py
@@ -68,7 +68,7 @@
     world.add_machine("t0", world.machines["s0"].zone)
     world.start("t0")
     world.run(2.0)
-    world.retire("s0")
+    world.controller.retire("s0")
 
 
 REPAIRS: dict[str, Callable[[RepairWorld], None]] = {
--- a/bitternpath/configuration/feed.py
+++ b/bitternpath/configuration/feed.py
@@ -98,6 +98,10 @@
         """The nodes that follow now."""
         return [link.peer for link in self._subscribers if link.peer is not None]
 
+    def heard_at(self) -> list[tuple[NodeDescriptor, float]]:
+        """The nodes that follow now, and when each was last heard."""
+        return [(link.peer, link.heard_at) for link in self._subscribers if link.peer is not None]
+
     def _beat(self) -> None:
         self.publish()
         self._timer = self.reactor.callLater(HEARTBEAT_S, self._beat)
--- a/bitternpath/configuration/machine.py
+++ b/bitternpath/configuration/machine.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from bitternpath.configuration.documents import Configuration, parse_configuration
+from bitternpath.configuration.storage_roster import Retirement, StorageRoster
 from bitternpath.transport.codec import RecordCodec, RecordSet
 from bitternpath.transport.messages import GroupPlacement
 
@@ -34,15 +35,33 @@
     groups: tuple[GroupPlacement, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class NoteStorageNodes:
+    """Storage nodes have come, or are gone for good; each as a member id."""
+
+    added: tuple[str, ...]
+    removed: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RetireNode:
-    """A storage node is to be emptied, or no longer."""
+    """A storage node is to be emptied; no effect unless `least` of the `remaining` members are left then."""
+
+    member: str
+    remaining: tuple[str, ...]
+    least: int
+
+
+@dataclass(frozen=True, slots=True)
+class FinishRetirement:
+    """No shard has a replica on a node, as committed by the shards' groups at this placement or a later one.
+    No effect where the placement has changed since."""
 
     node: str
-    retired: bool
+    placement_generation: int
 
 
-COMMANDS = RecordSet(AcceptOrder, SetPlacement, RetireNode)
+COMMANDS = RecordSet(AcceptOrder, SetPlacement, RetireNode, NoteStorageNodes, FinishRetirement)
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +80,8 @@
     orders: tuple[OrderDigest, ...]
     placement_generation: int
     groups: tuple[GroupPlacement, ...]
-    retired: tuple[str, ...]
+    storage: tuple[str, ...]
+    retirements: tuple[Retirement, ...]
 
 
 _SNAPSHOT = RecordCodec(ConfigurationSnapshot)
@@ -76,7 +96,7 @@
         self.configuration: Configuration | None = None
         self.placement_generation = 0
         self.groups: tuple[GroupPlacement, ...] = ()
-        self.retired: set[str] = set()
+        self.storage = StorageRoster()
         self._orders: OrderedDict[bytes, int] = OrderedDict()
 
     @property
@@ -95,8 +115,12 @@
                 return self._accept(order)
             case SetPlacement() as placement:
                 return self._place(placement)
-            case RetireNode(node, retired):
-                return self._retire(node, retired)
+            case NoteStorageNodes(added, removed):
+                return self.storage.note(added, removed)
+            case RetireNode(member, remaining, least):
+                return self.storage.retire(member, remaining, least)
+            case FinishRetirement() as finish:
+                return self._finish(finish)
         return False
 
     def snapshot(self) -> bytes:
@@ -104,7 +128,12 @@
         orders = tuple(OrderDigest(digest, version) for digest, version in self._orders.items())
         return _SNAPSHOT.encode(
             ConfigurationSnapshot(
-                self.document, orders, self.placement_generation, self.groups, tuple(sorted(self.retired))
+                self.document,
+                orders,
+                self.placement_generation,
+                self.groups,
+                self.storage.members,
+                self.storage.retirements,
             )
         )
 
@@ -113,7 +142,7 @@
         snapshot: ConfigurationSnapshot = _SNAPSHOT.decode(data)
         self._orders = OrderedDict((order.digest, order.version) for order in snapshot.orders)
         self.placement_generation, self.groups = snapshot.placement_generation, snapshot.groups
-        self.retired = set(snapshot.retired)
+        self.storage.restore(snapshot.storage, snapshot.retirements)
         if snapshot.document:
             self._put(snapshot.document)
 
@@ -132,15 +161,23 @@
         self.configuration = parse_configuration(self.raw)
 
     def _place(self, placement: SetPlacement) -> bool:
-        if placement.base != self.placement_generation:
+        if placement.base != self.placement_generation or self._fills_a_retired_node(placement):
             return False
         self.placement_generation += 1
         self.groups = placement.groups
         return True
 
-    def _retire(self, node: str, retired: bool) -> bool:
-        if retired:
-            self.retired.add(node)
-        else:
-            self.retired.discard(node)
-        return True
+    def _fills_a_retired_node(self, placement: SetPlacement) -> bool:
+        """Whether a node that is being emptied, or is empty, is to get a replica that it hasn't."""
+        has = {(group.group, member.member) for group in self.groups for member in group.members}
+        return any(
+            (group.group, member.member) not in has and self.storage.is_retired(member.member)
+            for group in placement.groups
+            for member in group.members
+        )
+
+    def _finish(self, finish: FinishRetirement) -> bool:
+        placed = any(member.node == finish.node for group in self.groups for member in group.members)
+        if placed or finish.placement_generation != self.placement_generation:
+            return False
+        return self.storage.finish(finish.node)
--- a/bitternpath/configuration/placement.py
+++ b/bitternpath/configuration/placement.py
@@ -13,12 +13,17 @@
 
 from bitternpath.membership.founding import MOST_FOUNDERS, member_address, member_id
 from bitternpath.replication.consensus import Members
+from bitternpath.replication.reconfiguration import node_of
 from bitternpath.transport.messages import GroupPlacement, MemberAddress, NodeDescriptor
 
-# A node that is away is replaced soon where another waits that keeps nothing yet: it has come for that. Else
-# the node is waited for: most come back within seconds, and moving its shards costs more than waiting.
+# A node that is away is replaced soon where another has just come that keeps nothing: it has come for that,
+# and is to have caught up within `catch_up_s` of its start. Else the node is waited for: most come back
+# within seconds, and moving its shards costs more than waiting. Where a spare has been there all the time,
+# no replacement has begun, so there is time to see whether the node comes back.
 AWAY_WITH_SPARE_S = 1.5
+AWAY_WITH_IDLE_SPARE_S = 5.0
 AWAY_WITHOUT_SPARE_S = 30.0
+SPARE_IS_IDLE_AFTER_S = 10.0
 LEAST_SHARDS = 3
 MOST_SHARDS = 256
 
@@ -48,7 +53,7 @@
 ) -> tuple[GroupPlacement, ...]:
     """The placement without members whose disk is lost and without `gone` nodes (names), as far as there are
     others to take their place; groups that don't change keep their generation."""
-    by_name = {node.name: node for node in nodes if node.disk}
+    by_name = {node.name: node for node in sorted(nodes, key=lambda node: node.life) if node.disk}
     load = _load(groups)
     return tuple(_repaired(group, by_name, gone, tolerated, load) for group in groups)
 
@@ -58,33 +63,44 @@
     present: Sequence[NodeDescriptor],
     retired: Collection[str],
     away_for: Callable[[str], float],
+    here_for: Callable[[str], float] = lambda name: 0.0,
 ) -> frozenset[str]:
-    """Names of nodes whose replicas are to move: retired ones, and those that have been away too long."""
+    """Names of nodes whose replicas are to move: retired ones, and those that have been away too long.
+
+    `away_for` and `here_for` give seconds since a node was heard, and since it came.
+    """
     placed = {member.node for group in groups for member in group.members}
-    spares = {node.name for node in present} - placed - set(retired)
-    patience = AWAY_WITH_SPARE_S if spares else AWAY_WITHOUT_SPARE_S
+    spares = {node.name for node in present if not away_for(node.name)} - placed - set(retired)
+    patience = _patience([here_for(name) for name in spares])
     return frozenset(retired) | frozenset(name for name in placed if away_for(name) > patience)
 
 
+def _patience(spares_here_for: Sequence[float]) -> float:
+    if not spares_here_for:
+        return AWAY_WITHOUT_SPARE_S
+    return AWAY_WITH_SPARE_S if min(spares_here_for) < SPARE_IS_IDLE_AFTER_S else AWAY_WITH_IDLE_SPARE_S
+
+
 def desired_members(
     current: Members, present: Sequence[NodeDescriptor], away_for: Callable[[str], float], wanted: int
 ) -> list[str]:
     """Members that the configuration group should have, with these counted nodes present.
 
     A node that has come back with another disk takes its own place. New nodes join, up to `MOST_FOUNDERS`.
-    Members that are away go only while `wanted` others are present.
+    Members that are away go only while `wanted` others are present: they don't take the place of a new one.
     """
     members = {node.name: member_id(node) for node in present}
-    kept = [members.get(voter.partition("/")[0], voter) for voter in current.voters]
+    kept = list(dict.fromkeys(members.get(node_of(voter), voter) for voter in current.voters))
     joining = [member for member in sorted(members.values()) if member not in kept]
-    desired = list(dict.fromkeys(kept))
-    desired += joining[: max(MOST_FOUNDERS - len(desired), 0)]
-    here = [member for member in desired if member in members.values()]
-    for member in list(desired):
-        away = away_for(member.partition("/")[0]) > AWAY_WITH_SPARE_S
-        if away and member not in here and len(here) >= wanted:
-            desired.remove(member)
-    return desired
+    gone = [
+        member
+        for member in kept
+        if member not in members.values() and away_for(node_of(member)) > AWAY_WITH_SPARE_S
+    ]
+    stay = [member for member in kept if member not in gone]
+    stay += joining[: max(max(MOST_FOUNDERS, wanted) - len(stay), 0)]
+    here = [member for member in stay if member in members.values()]
+    return stay if len(here) >= wanted else stay + gone
 
 
 def _repaired(
@@ -94,32 +110,38 @@
     tolerated: int,
     load: dict[str, int],
 ) -> GroupPlacement:
-    kept: list[MemberAddress] = []
-    lost: list[MemberAddress] = []
-    for member in group.members:
-        node = nodes.get(member.node)
-        if node is not None and node.name not in gone and member_id(node) != member.member:
-            kept.append(member_address(node))  # the same machine with an empty disk
-        elif node is not None and node.name not in gone and node.address != member.address:
-            kept.append(replace(member, address=node.address))
-        elif member.node in gone:
-            lost.append(member)
-        else:
-            kept.append(member)
-    wanted = max(2 * tolerated + 1, 1)
-    while len(kept) < wanted:
-        chosen = _replacement(kept, nodes, gone, load)
-        if chosen is None:
-            break
-        kept.append(member_address(chosen))
-        load[chosen.name] += 1
-    kept += lost[: max(wanted - len(kept), 0)]  # nobody can take its place: it stays named
-    members = tuple(kept)
+    kept = {
+        place: _as_it_is_now(member, nodes)
+        for place, member in enumerate(group.members)
+        if member.node not in gone
+    }
+    wanted = 2 * tolerated + 1
+    for place in range(max(wanted, len(group.members))):
+        if place in kept or len(kept) >= wanted:
+            continue
+        chosen = _replacement(list(kept.values()), nodes, gone, load)
+        if chosen is not None:  # in the lost one's place, so that it is the preferred owner of as many shards
+            kept[place] = member_address(chosen)
+            load[chosen.name] += 1
+    for place, member in enumerate(group.members):
+        if place not in kept and len(kept) < wanted:
+            kept[place] = member  # nobody can take its place: it stays named
+    members = tuple(kept[place] for place in sorted(kept))
     if members == group.members:
         return group
     return GroupPlacement(group.group, group.generation + 1, members)
 
 
+def _as_it_is_now(member: MemberAddress, nodes: dict[str, NodeDescriptor]) -> MemberAddress:
+    """The member that its node is now: another one where the disk is empty, perhaps at another address."""
+    node = nodes.get(member.node)
+    if node is None:
+        return member
+    if member_id(node) != member.member:
+        return member_address(node)
+    return replace(member, address=node.address)
+
+
 def _replacement(
     kept: list[MemberAddress], nodes: dict[str, NodeDescriptor], gone: frozenset[str], load: dict[str, int]
 ) -> NodeDescriptor | None:
--- a/bitternpath/configuration/repair_simulation.py
+++ b/bitternpath/configuration/repair_simulation.py
@@ -26,7 +26,7 @@
 from bitternpath.replication.consensus import Members
 from bitternpath.replication.group import CompactionBounds
 from bitternpath.replication.host import SYSTEM_TIMES, ReplicaHost
-from bitternpath.replication.reconfiguration import next_members
+from bitternpath.replication.member_changes import MemberChanges
 from bitternpath.replication.virtual_time import EventClock, ProcessClock
 from bitternpath.storage.journal import Journal
 from bitternpath.storage.segments import SegmentLog
@@ -39,7 +39,7 @@
 GREETING_S = 0.1  # from the start of a process until the configuration's owner has its subscription
 SILENCE_S = 1.6  # until a link to a machine without power is given up (`transport.connections`)
 COMMIT_S = 2 * LATENCY_S + SYNC_S  # of a command of the configuration group
-LOOK_S = 0.25  # between looks at the members, and at the placement
+LOOK_S = 0.25  # between looks at what no event tells
 SAMPLE_S = 0.005  # between looks of the measurement
 CHUNK_BYTES = 32 << 10  # of the commands that fill a group before the repair
 ZONES = 3
@@ -53,6 +53,7 @@
     clock: ProcessClock
     runner: VirtualRunner
     host: ReplicaHost
+    changes: MemberChanges
     placements: dict[str, GroupPlacement] = field(default_factory=dict)
 
 
@@ -104,6 +105,7 @@
     def __init__(self, world: RepairWorld) -> None:
         self.world = world
         self.present: dict[str, NodeDescriptor] = {}
+        self._planned = False
         self.presence = Presence(0.0)
         self.groups: tuple[GroupPlacement, ...] = ()
         self.retired: set[str] = set()
@@ -113,21 +115,36 @@
         """A process follows the feed."""
         self.present[node.name] = node
         self._tell([node.name])
+        self._look_soon()
 
     def gone(self, node: NodeDescriptor) -> None:
         """Its link has ended."""
         if self.present.get(node.name) == node:
             del self.present[node.name]
+            self._look_soon()
+
+    def retire(self, name: str) -> None:
+        """The operator's order is committed."""
+        self.retired.add(name)
+        self._look_soon()
+
+    def _look_soon(self) -> None:
+        if not self._planned:
+            self._planned = True
+            self.world.clock.callLater(0.0, self.look)
 
     def look(self) -> None:
         """Compare the placement with who is there."""
+        self._planned = False
         now = self.world.clock.seconds()
-        here = list(self.present.values())
-        self.presence.update(now, [node.name for node in here if not node.leaving])
+        heard = {node.name: self.world.heard_at(node) for node in self.present.values() if not node.leaving}
+        self.presence.update(now, heard)
         if self._placing or not self.groups:
             return
         away_for = partial(self.presence.away_for, now)
-        gone = nodes_to_replace(self.groups, here, self.retired, away_for)
+        here = [node for node in self.present.values() if not away_for(node.name)]
+        here_for = partial(self.presence.here_for, now)
+        gone = nodes_to_replace(self.groups, here, self.retired, away_for, here_for)
         groups = repaired_placement(self.groups, here, gone, self.world.plan.tolerated)
         if groups != self.groups:
             self._placing = True
@@ -137,6 +154,7 @@
         self._placing = False
         self.groups = groups
         self._tell(self.present)
+        self._look_soon()
 
     def _tell(self, names: Iterable[str]) -> None:
         for name in list(names):
@@ -153,6 +171,7 @@
         self.registers: dict[tuple[str, str], Register] = {}  # by member and group
         self.controller = Controller(self)
         self.times: dict[str, GroupTimes] = {}
+        self.ended_at: dict[tuple[str, int], float] = {}  # by name and life
         self.bytes_sent = 0
         self.error: BaseException | None = None
         self._serial = count(1)
@@ -189,7 +208,7 @@
             clock, member, Journal(log, runner), send, Random(self.random.random()), SYSTEM_TIMES,
             CompactionBounds(),
         )  # fmt: skip
-        machine.process = Process(descriptor, clock, runner, host)
+        machine.process = Process(descriptor, clock, runner, host, MemberChanges(host))
         self._open_groups(machine.process, self.controller.groups if machine.lives == 1 else ())
         self.clock.callLater(GREETING_S, self._greet, name, machine.process)
 
@@ -197,6 +216,12 @@
         if self.machines[name].process is process:
             self.controller.subscribed(process.descriptor)
 
+    def heard_at(self, node: NodeDescriptor) -> float:
+        """When the configuration's owner heard a node last."""
+        process = self.machines[node.name].process
+        alive = process is not None and process.descriptor.life == node.life
+        return self.clock.seconds() if alive else self.ended_at.get((node.name, node.life), 0.0)
+
     def stop(self, name: str, *, says_so: bool, wipe: bool = False) -> None:
         """End a process: after a SIGTERM (`says_so`) or by a loss of power."""
         machine = self.machines[name]
@@ -209,6 +234,7 @@
             process.runner.end_inside_batch(self.random)
             self.clock.callLater(SILENCE_S, self.controller.gone, process.descriptor)
         process.clock.end()
+        self.ended_at[name, process.descriptor.life] = self.clock.seconds()
         if wipe:
             machine.disk.wipe()
             machine.disks += 1
@@ -226,10 +252,6 @@
             if process.host.is_owner(group):
                 process.clock.run(partial(process.host.hand_over, group))
 
-    def retire(self, name: str) -> None:
-        """The operator wants a machine emptied."""
-        self.controller.retired.add(name)
-
     # ---- groups
 
     def placement_heard(self, name: str, groups: tuple[GroupPlacement, ...]) -> None:
@@ -244,21 +266,23 @@
             process.placements[placement.group] = placement
             named = any(member.member == me for member in placement.members)
             if named and placement.group not in process.host.groups:
-                founders = None
-                if placement.generation == 1:
-                    founders = Members(tuple(member.member for member in placement.members))
-                checker = self.checkers[placement.group]
-                register = self.registers[me, placement.group] = Register(me, checker)
-                process.host.open_group(placement.group, register, founders, Listener(me, checker))
-
-    def _step(self, process: Process) -> None:
-        for group, placement in process.placements.items():
-            if process.host.is_owner(group):
-                desired = [member.member for member in placement.members]
-                caught_up = partial(process.host.caught_up, group)
-                changed = next_members(process.host.members(group), desired, caught_up)
-                if changed is not None:
-                    process.host.change_members(group, changed)
+                self._open_group(process, placement)
+            members = [member.member for member in placement.members]
+            process.changes.desire(placement.group, members, placement.generation)
+
+    def _open_group(self, process: Process, placement: GroupPlacement) -> None:
+        founders = None
+        if placement.generation == 1:
+            founders = Members(tuple(member.member for member in placement.members), (), 1)
+        me, checker = process.host.member_id, self.checkers[placement.group]
+        register = self.registers[me, placement.group] = Register(me, checker)
+        process.host.open_group(placement.group, register, founders, Listener(me, checker))
+        process.changes.opened(placement.group)
+
+    @staticmethod
+    def _step(process: Process) -> None:
+        for group in process.placements:
+            process.changes.look(group)
 
     def _repeat_look(self) -> None:
         self.clock.callLater(LOOK_S, self._repeat_look)
--- a/bitternpath/replication/consensus.py
+++ b/bitternpath/replication/consensus.py
@@ -51,10 +51,12 @@
 
 
 class Members(Struct, frozen=True, array_like=True):
-    """Who takes part. Learners get all entries, and neither vote nor count."""
+    """Who takes part. Learners get all entries, and neither vote nor count. `generation`: of the placement
+    that this follows; it never falls in a log."""
 
     voters: tuple[str, ...] = ()
     learners: tuple[str, ...] = ()
+    generation: int = 0
 
     @property
     def all(self) -> tuple[str, ...]:
--- a/bitternpath/replication/group.py
+++ b/bitternpath/replication/group.py
@@ -95,17 +95,27 @@
         self._stretch = 1.0 + random.random() * COMPACTION_SPREAD
         self.size_bound = bounds.size  # the host lowers it where it has many groups
         self.owned_epoch = 0  # 0: not the owner
+        self.forgotten_at: int | None = None  # generation at which an earlier state here was given up
+        self._members_seen: tuple[int, int, bool, tuple[str, ...]] = (0, 0, False, ())
         if kept.snapshot.index:
             machine.restore(kept.snapshot.data)
 
     # ---- inputs
 
     def hear(self, now: float, sender: str, message: Message) -> None:
-        """Take a consensus message. A member that knows of no members gives nobody a vote."""
-        if isinstance(message, AskVote) and not self.raft.members.voters:
+        """Take a consensus message. Whoever may not vote gives nobody an answer on that."""
+        if isinstance(message, AskVote) and not self._may_vote():
             return
         self.raft.hear(now, sender, message)
 
+    def _may_vote(self) -> bool:
+        """Not while it knows of no members. Nor, where the state that it voted with before was given up,
+        until its log holds members that name it again: an older candidate may take it for what it was."""
+        members = self.raft.members
+        if self.forgotten_at is None:
+            return bool(members.voters)
+        return members.generation > self.forgotten_at and self.raft.me in members.voters
+
     def propose(self, command: bytes) -> Deferred[object]:
         """Queue a command for the next flush."""
         proposal = _Proposal(command, Deferred())
@@ -128,7 +138,7 @@
         voters, old = set(members.voters), set(self.raft.members.voters)
         if not voters or len(voters | set(members.learners)) != len(members.all):
             return False
-        if len(voters ^ old) > 1:
+        if len(voters ^ old) > 1 or members.generation < self.raft.members.generation:
             return False
         return all(self.caught_up(name) for name in voters - old)
 
@@ -161,6 +171,16 @@
         peer = self.raft.peers.get(member)
         return now - peer.heard if peer is not None else float("inf")
 
+    def members_progressed(self) -> bool:
+        """Whether, since the last call, this replica became owner, or as such saw a change of members
+        committed or a learner catch up."""
+        seen: tuple[int, int, bool, tuple[str, ...]] = (0, 0, False, ())
+        if self.is_owner:
+            learners = tuple(filter(self.caught_up, self.raft.members.learners))
+            seen = (self.owned_epoch, self.raft.members_at, self.raft.may_change_members, learners)
+        before, self._members_seen = self._members_seen, seen
+        return seen != before and self.is_owner
+
     # ---- effects
 
     def flush(self, now: float) -> Effects:
--- a/bitternpath/replication/host.py
+++ b/bitternpath/replication/host.py
@@ -47,6 +47,7 @@
         self._bounds = bounds or CompactionBounds()
         self.groups: dict[str, ReplicaGroup] = {}
         self._dirty: dict[str, ReplicaGroup] = {}
+        self._watchers: dict[str, Callable[[], None]] = {}
         self._flush_call: Any = None
         self._timer: Any = None
         self._stopped = False
@@ -61,27 +62,31 @@
         if group in self.groups:
             raise ValueError(f"group {group} is open")
         kept = self._journal.take_kept(group)
+        forgotten_at = self._journal.forgotten_at(group)
         if kept is None:
             kept = Kept()
             names_me = founders is not None and self.member_id in founders.voters
-            if founders is not None and names_me and not self._journal.was_forgotten(group):
+            if founders is not None and names_me and forgotten_at is None:
                 kept = Kept(snapshot=Snapshot(members=founders))
                 self._journal.found(group, kept)
         now = self._reactor.seconds()
         self.groups[group] = ReplicaGroup(
             self.member_id, kept, machine, listener, self._random, now, self._times, self._bounds
         )
+        self.groups[group].forgotten_at = forgotten_at
         self._share_bounds()
         self._set_timer()
 
-    def close_group(self, group: str) -> None:
-        """Stop taking part, and forget the group's state on disk."""
+    def close_group(self, group: str, generation: int) -> None:
+        """Stop taking part, and forget the group's state on disk. Only once members of this generation that
+        don't name this replica are committed."""
         closed = self.groups.pop(group, None)
+        self._watchers.pop(group, None)
         self._dirty.pop(group, None)
         if closed is not None:
             closed.close()
         self._share_bounds()
-        self._journal.forget(group)
+        self._journal.forget(group, generation)
 
     def _share_bounds(self) -> None:
         share = self._bounds.host_size // max(len(self.groups), 1)
@@ -169,6 +174,11 @@
         found = self.groups.get(group)
         return found.raft.leader if found is not None else ""
 
+    def watch_members(self, group: str, progressed: Callable[[], None]) -> None:
+        """`progressed` is called, in a turn of its own, when this replica became the group's owner, or owns
+        it and a change of members was committed or a learner has caught up."""
+        self._watchers[group] = progressed
+
     def members(self, group: str) -> Members:
         """The last members in the log, committed or not."""
         found = self.groups.get(group)
@@ -218,6 +228,12 @@
             self._journal.write(name, write, done)
         for receiver, message in effects.messages:
             self._send(name, receiver, encode_message(message))
+        if name in self._watchers and group.members_progressed():
+            self._reactor.callLater(0, self._tell_watcher, name, group)
+
+    def _tell_watcher(self, name: str, group: ReplicaGroup) -> None:
+        if self.groups.get(name) is group and name in self._watchers:
+            self._watchers[name]()
 
     def _stop_group(self, name: str, group: ReplicaGroup) -> None:
         """In an `except`: consensus or the state machine may have done half of something."""
--- a/bitternpath/roles/configuration_member.py
+++ b/bitternpath/roles/configuration_member.py
@@ -14,23 +14,8 @@
 from twisted.internet.defer import Deferred
 
 from bitternpath.configuration.feed import FeedServer
-from bitternpath.configuration.machine import COMMANDS, ConfigurationState, RetireNode, SetPlacement
-from bitternpath.configuration.orders import Order, OrderCode, OrderDesk, OrderResult, result
-from bitternpath.configuration.placement import (
-    desired_members,
-    first_placement,
-    nodes_to_replace,
-    repaired_placement,
-)
-from bitternpath.configuration.presence import Presence
-from bitternpath.configuration.retirement import (
-    GroupReports,
-    RetireCheck,
-    RetireState,
-    check,
-    progress,
-    state_body,
-)
+from bitternpath.configuration.machine import ConfigurationState
+from bitternpath.configuration.orders import Order, OrderDesk, OrderResult
 from bitternpath.discovery.platform_list import PlatformList
 from bitternpath.discovery.reader import ListReader
 from bitternpath.membership.founding import (
@@ -43,9 +28,13 @@
 from bitternpath.membership.view import MembershipView
 from bitternpath.replication.consensus import Members
 from bitternpath.replication.host import ReplicaHost
-from bitternpath.replication.reconfiguration import next_members
+from bitternpath.replication.reconfiguration import node_of
+from bitternpath.roles.core_members import CoreMembers
 from bitternpath.roles.group_carrier import GroupCarrier
+from bitternpath.roles.nodes_here import NodesHere
+from bitternpath.roles.retirements import Retirements
 from bitternpath.roles.settings import Settings
+from bitternpath.roles.shard_placement import ShardPlacement
 from bitternpath.transport.connections import Link, NodeHub
 from bitternpath.transport.messages import (
     FeedRefused,
@@ -54,14 +43,11 @@
     FoundingAnswer,
     GroupReport,
     MemberAddress,
-    NodeDescriptor,
-    NodeKind,
 )
 
 log = logbook.Logger("configuration")
 
-LOOK_S = 0.25  # how often the owner looks at members and placement, and founders at the founding
-STORAGE_AT_REST_S = 0.8  # the first placement waits until the storage nodes have been the same for so long
+LOOK_S = 0.25  # how often the owner looks at what no event tells, and founders at the founding
 FOUNDING_USER = "founding"
 
 
@@ -93,11 +79,12 @@
         self._told: set[str] = set()
         self._open = False
         self._started_at = reactor.seconds()
-        self._storage: dict[str, str] = {}
-        self._storage_changed_at = reactor.seconds()
-        self._placing = False
-        self._presence = Presence(reactor.seconds())
-        self._reports = GroupReports()
+        tolerated = settings.tolerated_machines
+        self.nodes = NodesHere(reactor, self.feed)
+        self.core = CoreMembers(host, self.nodes, lambda: view.me, tolerated)
+        self.placement = ShardPlacement(reactor, self, self.state, self.nodes, tolerated)
+        self.retirements = Retirements(self, self.state, self.nodes, tolerated)
+        self._look_planned = False
         self._timer: Any = None
 
     def start(self) -> None:
@@ -163,6 +150,7 @@
         """A node wants the feed."""
         if self.is_owner():
             self.feed.subscribe(link, wanted)
+            self._look_soon()
         else:
             link.send(self.refusal())
 
@@ -178,47 +166,24 @@
     def group_reported(self, report: GroupReport) -> None:
         """A shard's owner has told who the members are."""
         if self.is_owner():
-            self._reports.update(report)
+            self.retirements.reported(report)
 
     def retire(self, node: str) -> Deferred[OrderResult]:
         """The operator wants a storage node emptied."""
-        checked = check(self.state, node, self._storage_nodes(), self.settings.tolerated_machines)
-        if checked is RetireCheck.UNKNOWN_NODE:
-            return self._confirmed(result(OrderCode.UNKNOWN_NODE, checked.value))
-        if checked is RetireCheck.TOO_FEW_LEFT:
-            return self._confirmed(result(OrderCode.TOO_FEW_NODES, checked.value))
-        accepted = OrderResult(OrderCode.RETIRING, state_body(RetireState.RUNNING))
-        decided: Deferred[OrderResult] = Deferred()
-        self.propose(COMMANDS.encode(RetireNode(node, True))).addCallbacks(
-            lambda _: decided.callback(accepted),
-            lambda failure: decided.callback(result(OrderCode.FATE_OPEN, str(failure.value))),
-        )
-        return decided
+        return self.retirements.order(node)
 
     def retirement(self, node: str) -> Deferred[OrderResult]:
         """How far the emptying of a node is."""
-        state = progress(self.state, self._reports, node)
-        if state is RetireState.UNKNOWN:
-            return self._confirmed(result(OrderCode.UNKNOWN_NODE, f"{node} isn't being emptied"))
-        return self._confirmed(OrderResult(OrderCode.RETIRING, state_body(state)))
-
-    def _confirmed(self, answer: OrderResult) -> Deferred[OrderResult]:
-        """An answer from the state, once ownership is confirmed."""
-        decided: Deferred[OrderResult] = Deferred()
-        self.barrier().addCallbacks(
-            lambda _: decided.callback(answer),
-            lambda failure: decided.callback(result(OrderCode.NOT_OWNER, str(failure.value))),
-        )
-        return decided
+        return self.retirements.state(node)
 
     # ---- GroupListener
 
     def became_owner(self, epoch: int) -> None:
         """This node owns the configuration from now on."""
         log.info("event=owner group={} epoch={}", CONFIGURATION_GROUP, epoch)
-        self._storage_changed_at = self.reactor.seconds()
-        self._presence = Presence(self.reactor.seconds())
-        self._reports = GroupReports()
+        self.nodes.begin([node_of(member) for member in self.state.storage.members])
+        self.placement.begin()
+        self.retirements.begin()
         self.feed.begin()
         self.reader.start()
 
@@ -232,6 +197,7 @@
         """The state has changed."""
         if result:
             self.feed.publish()
+            self._look_soon()
 
     # ---- looking after things
 
@@ -243,16 +209,27 @@
             founders = Members(tuple(member.member for member in members))
         self._open = True
         self.host.open_group(CONFIGURATION_GROUP, self.state, founders, self)
+        self.core.opened(self._look_soon)
 
     def _look(self) -> None:
         self._timer = self.reactor.callLater(LOOK_S, self._look)
         if self._founding is not None:
             self._spread_founding(self._founding)
+        self._look_after()
+
+    def _look_soon(self) -> None:
+        """Something has happened; what comes of it is looked at once, after all of this turn."""
+        if not self._look_planned:
+            self._look_planned = True
+            self.reactor.callLater(0, self._look_after)
+
+    def _look_after(self) -> None:
+        self._look_planned = False
         if self.is_owner():
-            now = self.reactor.seconds()
-            self._presence.update(now, [node.name for node in self.feed.followers() if not node.leaving])
-            self._look_after_members()
-            self._look_after_placement()
+            self.nodes.update()
+            self.core.look()
+            self.placement.look()
+            self.retirements.look()
 
     def _spread_founding(self, founding: Founding) -> None:
         """Until a leader is heard, founders tell each other: whoever decided may be gone."""
@@ -260,50 +237,6 @@
             return
         tell_founding(self.hub, founding, self._told | {self.host.member_id})
 
-    def _look_after_members(self) -> None:
-        current = self.host.members(CONFIGURATION_GROUP)
-        nodes = [node for node in self.feed.followers() if node.kind is NodeKind.EDGE and node.counted]
-        desired = desired_members(current, nodes, self._away_for, 2 * self.settings.tolerated_machines + 1)
-        changed = next_members(current, desired, self._caught_up)
-        if changed is not None and self.host.change_members(CONFIGURATION_GROUP, changed):
-            log.info("event=members_changing voters={} learners={}", changed.voters, changed.learners)
-
-    def _away_for(self, node: str) -> float:
-        return self._presence.away_for(self.reactor.seconds(), node)
-
-    def _caught_up(self, member: str) -> bool:
-        return self.host.caught_up(CONFIGURATION_GROUP, member)
-
-    def _storage_nodes(self) -> list[NodeDescriptor]:
-        return [node for node in self.feed.followers() if node.kind is NodeKind.STORAGE and node.disk]
-
-    def _look_after_placement(self) -> None:
-        nodes = self._storage_nodes()
-        disks = {node.name: node.disk for node in nodes}
-        now = self.reactor.seconds()
-        if disks != self._storage:
-            self._storage, self._storage_changed_at = disks, now
-        if self._placing:
-            return
-        tolerated = self.settings.tolerated_machines
-        if self.state.groups:
-            gone = nodes_to_replace(self.state.groups, nodes, self.state.retired, self._away_for)
-            groups = repaired_placement(self.state.groups, nodes, gone, tolerated)
-        elif len(nodes) >= 2 * tolerated + 1 and now - self._storage_changed_at >= STORAGE_AT_REST_S:
-            groups = first_placement(nodes, tolerated)
-        else:
-            return
-        if groups != self.state.groups:
-            self._place(SetPlacement(self.state.placement_generation, groups))
-
-    def _place(self, placement: SetPlacement) -> None:
-        log.info("event=placing generation={} groups={}", placement.base + 1, len(placement.groups))
-        self._placing = True
-        self.propose(COMMANDS.encode(placement)).addBoth(self._placed)
-
-    def _placed(self, _: object) -> None:
-        self._placing = False
-
     def _member_addresses(self) -> tuple[MemberAddress, ...]:
         """Members whose address is known."""
         found: dict[str, MemberAddress] = {}
--- /dev/null
+++ b/bitternpath/roles/nodes_here.py
@@ -0,0 +1,59 @@
+"""The nodes as the configuration's owner hears them: who follows, who has been away, who has just come."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from typing import Any
+
+from bitternpath.configuration.feed import FeedServer
+from bitternpath.configuration.presence import Presence
+from bitternpath.transport.messages import NodeDescriptor, NodeKind
+
+
+class NodesHere:
+    """Valid while this node owns the configuration."""
+
+    def __init__(self, reactor: Any, feed: FeedServer) -> None:
+        self._reactor, self._feed = reactor, feed
+        self._presence = Presence(reactor.seconds())
+        self._began_at: float = reactor.seconds()
+
+    def begin(self, known: Collection[str]) -> None:
+        """This node owns the configuration from now on; these nodes belong to the system already."""
+        self._began_at = self._reactor.seconds()
+        self._presence = Presence(self._began_at, known)
+
+    def update(self) -> None:
+        """Take note of who was heard when; four times a second or more often."""
+        heard: dict[str, float] = {}
+        for node, at in self._feed.heard_at():
+            if not node.leaving:
+                heard[node.name] = max(at, heard.get(node.name, at))
+        self._presence.update(self._reactor.seconds(), heard)
+
+    def owned_for(self) -> float:
+        """Seconds since this node became the configuration's owner."""
+        return float(self._reactor.seconds() - self._began_at)
+
+    def away_for(self, name: str) -> float:
+        """Seconds since a node was heard; 0 where that was just now."""
+        return self._presence.away_for(self._reactor.seconds(), name)
+
+    def here_for(self, name: str) -> float:
+        """Seconds since a node came; infinite where it was there before this ownership."""
+        return self._presence.here_for(self._reactor.seconds(), name)
+
+    def storage(self) -> list[NodeDescriptor]:
+        """Storage nodes that follow and don't leave."""
+        return [node for node in self._here() if node.kind is NodeKind.STORAGE and node.disk]
+
+    def counted_edges(self) -> list[NodeDescriptor]:
+        """Edge nodes that can be members of the configuration group."""
+        return [node for node in self._here() if node.kind is NodeKind.EDGE and node.counted]
+
+    def _here(self) -> list[NodeDescriptor]:
+        """One of a name: the newest process, where the link of an earlier one hasn't ended yet."""
+        newest: dict[str, NodeDescriptor] = {}
+        for node in sorted(self._feed.followers(), key=lambda node: node.life):
+            newest[node.name] = node
+        return [node for node in newest.values() if not node.leaving and not self.away_for(node.name)]
--- a/bitternpath/roles/storage.py
+++ b/bitternpath/roles/storage.py
@@ -12,8 +12,9 @@
 from bitternpath.configuration.documents import RoutingTable
 from bitternpath.queue.owner import OwnerBounds
 from bitternpath.replication.consensus import Members
-from bitternpath.replication.reconfiguration import next_members
+from bitternpath.replication.member_changes import MemberChanges
 from bitternpath.roles.node_base import NodeBase
+from bitternpath.roles.replica_closing import ReplicaClosing
 from bitternpath.roles.settings import Settings, SettingsError
 from bitternpath.roles.shard_runtime import EdgeLinks, ShardRuntime
 from bitternpath.roles.status import group_status, node_status
@@ -33,6 +34,7 @@
     GroupMessage,
     GroupPlacement,
     GroupReport,
+    MembersRequest,
     NodeKind,
     PullCancel,
     PullRequest,
@@ -44,7 +46,7 @@
 
 log = logbook.Logger("storage")
 
-LOOK_S = 0.25  # how often owners look at their groups' members
+LOOK_S = 0.25  # how often owners look for what no event tells: silence, and members that are fit again
 HEARD_LATELY_S = 0.3
 PREFER_AFTER_S = 6.0  # of being fit without a break, before ownership goes back to the preferred member
 PREFER_MOST_S = 300.0  # doubled up to that by each hand-over of a shard: one that comes back was no gain
@@ -68,6 +70,8 @@
         self.shards: dict[str, ShardRuntime] = {}
         self.placements: dict[str, GroupPlacement] = {}
         self.stopping = False
+        self.changes = MemberChanges(self.host, self._report)
+        self.closing = ReplicaClosing(reactor, self.base.hub, self.host, self.placements, self._close)
         self._cache = DocumentWriter(reactor, settings.data_dir / CACHE_NAME)
         self._slots: dict[str, int] | None = None
         self._patience: dict[str, float] = {}
@@ -128,19 +132,24 @@
             shard.set_capacities(self._slots)
 
     def _place(self, groups: tuple[GroupPlacement, ...]) -> None:
+        """Open what is to be here, and what is on the disk: whoever is to leave may be needed still."""
         me = self.base.carrier.me
+        kept = self.base.journal.groups() if self.base.journal is not None else ()
         for placement in groups:
             self.placements[placement.group] = placement
             self.base.carrier.learn(placement.members)
             named = any(member.member == me for member in placement.members)
-            if named and placement.group not in self.shards:
+            if (named or placement.group in kept) and placement.group not in self.shards:
                 self._open(placement, len(groups))
+            members = [member.member for member in placement.members]
+            self.changes.desire(placement.group, members, placement.generation)
 
     def _open(self, placement: GroupPlacement, shards: int) -> None:
-        """Take part in a shard's group. Only its first placement names its founders."""
+        """Take part in a shard's group. Only its first placement names its founders, each by its disk: a
+        disk that came later isn't named, and one that has given up its replica founds nothing."""
         founders = None
         if placement.generation == 1:
-            founders = Members(tuple(member.member for member in placement.members))
+            founders = Members(tuple(member.member for member in placement.members), (), 1)
         shard = ShardRuntime(
             self.reactor,
             self.host,
@@ -158,6 +167,12 @@
         if self._slots is not None:
             shard.set_capacities(self._slots)
         self.host.open_group(placement.group, shard.state, founders, shard)
+        self.changes.opened(placement.group)
+
+    def _close(self, group: str, generation: int) -> None:
+        """The shard's members are committed without this node."""
+        self.host.close_group(group, generation)
+        del self.shards[group]
 
     # ---- LinkHandler
 
@@ -203,6 +218,8 @@
             PullCancel: self._for_shard(ShardRuntime.cancel_pull),
             StateRequest: self._for_shard(ShardRuntime.find),
             StatusRequest: self._status,
+            MembersRequest: self._members_asked,
+            GroupReport: lambda link, record: self.closing.reported(record),
             CallbackReport: self._for_shard(lambda shard, link, report: shard.callback_report(report)),
         }
 
@@ -226,22 +243,9 @@
         self._timer = self.reactor.callLater(LOOK_S, self._look)
         for group, placement in self.placements.items():
             if group in self.shards and self.host.is_owner(group):
-                self._look_after(group, placement)
-                self._report(group)
+                self.changes.look(group)
                 self._prefer_owner(group, placement)
-
-    def _look_after(self, group: str, placement: GroupPlacement) -> None:
-        """Bring the group's members towards those of the placement, one at a time."""
-        current = self.host.members(group)
-        desired = [member.member for member in placement.members]
-        changed = next_members(current, desired, lambda member: self.host.caught_up(group, member))
-        if changed is not None and self.host.change_members(group, changed):
-            log.info(
-                "event=members_changing group={} voters={} learners={}",
-                group,
-                changed.voters,
-                changed.learners,
-            )
+        self.closing.ask()
 
     def _prefer_owner(self, group: str, placement: GroupPlacement) -> None:
         """Ownership goes to the member that the placement names first, once it is there and up to date.
@@ -269,9 +273,20 @@
     def _report(self, group: str) -> None:
         """Tell the configuration's owner who the members are, where no change is under way."""
         link = self.base.feed.owner_link()
+        if link is not None:
+            self._send_report(link, group)
+
+    def _members_asked(self, link: Link, request: MembersRequest) -> None:
+        """A replica that is to leave asks whether it may; confirmed by a majority, as it may be the last."""
+        if request.group in self.shards:
+            self.host.barrier(request.group).addCallbacks(
+                lambda _: self._send_report(link, request.group), lambda _: None
+            )
+
+    def _send_report(self, link: Link, group: str) -> None:
         members = self.host.committed_members(group)
-        if link is not None and members is not None:
-            link.send(GroupReport(group, self.host.epoch(group), members.all))
+        if members is not None:
+            link.send(GroupReport(group, self.host.epoch(group), members.all, members.generation))
 
     def _has_room(self) -> bool:
         """Whether the disk can take more messages."""
--- a/bitternpath/storage/groups.py
+++ b/bitternpath/storage/groups.py
@@ -46,11 +46,12 @@
 
 
 class GroupStates:
-    """All groups' states, as given by the records in order. `forgotten`: of which there was one once."""
+    """All groups' states, as given by the records in order. `forgotten`: of which there was one once, with
+    the generation of the members at which it was given up."""
 
     def __init__(self) -> None:
         self.by_group: dict[str, GroupState] = {}
-        self.forgotten: set[str] = set()
+        self.forgotten: dict[str, int] = {}
 
     def apply(self, record: Record) -> None:
         """Take the next record."""
@@ -68,7 +69,7 @@
                 )
             case ForgetRecord():
                 self.by_group.pop(record.group, None)
-                self.forgotten.add(record.group)
+                self.forgotten[record.group] = record.generation
 
 
 def write_record(group: str, write: Write) -> WriteRecord:
--- a/bitternpath/storage/journal.py
+++ b/bitternpath/storage/journal.py
@@ -29,7 +29,7 @@
     def __init__(self, log: SegmentLog, runner: DiskRunner) -> None:
         self._log, self._runner = log, runner
         self._loaded: dict[str, Kept] = {group: log.kept(group) for group in log.groups}
-        self._forgotten = set(log.forgotten)
+        self._forgotten = log.forgotten
         runner.start(log, self._completed)
 
     @property
@@ -50,9 +50,10 @@
         """What the disk held of a group at the start; None where that was nothing. Once for each group."""
         return self._loaded.pop(group, None)
 
-    def was_forgotten(self, group: str) -> bool:
-        """Whether this disk has held a state of the group that was forgotten: it may have voted."""
-        return group in self._forgotten
+    def forgotten_at(self, group: str) -> int | None:
+        """The generation of the members at which this disk forgot a state of the group: it may have voted
+        before. None where it never did."""
+        return self._forgotten.get(group)
 
     def write(self, group: str, write: Write, done: Done) -> None:
         """Queue a consensus write; `done` is called once it is on disk."""
@@ -65,11 +66,11 @@
         """Queue a group's first state. Later writes of the group are done after it."""
         self._runner.submit(JournalCommand(founding_record(group, kept), None, None))
 
-    def forget(self, group: str) -> None:
-        """Queue the removal of all that is kept of a group."""
+    def forget(self, group: str, generation: int) -> None:
+        """Queue the removal of all that is kept of a group, given up at that generation of its members."""
         self._loaded.pop(group, None)
-        self._forgotten.add(group)
-        self._runner.submit(JournalCommand(ForgetRecord(group), None, None))
+        self._forgotten[group] = generation
+        self._runner.submit(JournalCommand(ForgetRecord(group, generation), None, None))
 
     def close(self) -> None:
         """Write what waits, unless the disk fails, and close the files."""
--- a/bitternpath/storage/records.py
+++ b/bitternpath/storage/records.py
@@ -88,9 +88,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ForgetRecord:
-    """Nothing is kept of a group any more."""
+    """Nothing is kept of a group any more, since members of this generation that don't name the replica were
+    committed."""
 
     group: str
+    generation: int = 0
 
 
 Record = WriteRecord | StateRecord | ForgetRecord
--- a/bitternpath/storage/segments.py
+++ b/bitternpath/storage/segments.py
@@ -100,9 +100,9 @@
         return Kept(state.term, state.vote, snapshot, before, list(state.entries))
 
     @property
-    def forgotten(self) -> frozenset[str]:
-        """Groups of which something was kept once and was then forgotten."""
-        return frozenset(self._states.forgotten)
+    def forgotten(self) -> dict[str, int]:
+        """Groups of which something was kept once and was then forgotten, and the generation at that."""
+        return dict(self._states.forgotten)
 
     @property
     def bytes_used(self) -> int:
@@ -240,7 +240,7 @@
         """One group's state, or the removal of one segment. May be called again after an `OSError`."""
         if self._pending is None:
             self._roll()
-            self._pending = [*self._states.by_group, *self._states.forgotten]
+            self._pending = list(self._states.by_group | self._states.forgotten)
             self._first_needed = self._segment.number
         elif self._pending:
             self._write_state(self._pending[-1])
@@ -253,7 +253,11 @@
 
     def _write_state(self, group: str) -> None:
         state = self._states.by_group.get(group)
-        self._append([ForgetRecord(group) if state is None else state_record(group, state)])
+        forgotten = self._states.forgotten.get(group)
+        records: list[Record] = [] if forgotten is None else [ForgetRecord(group, forgotten)]
+        if state is not None:  # of a group that was forgotten and joined again: both stay known
+            records.append(state_record(group, state))
+        self._append(records)
 
     def _remove_segment(self, number: int) -> None:
         self._files.remove(_path(number))
--- a/bitternpath/transport/connections.py
+++ b/bitternpath/transport/connections.py
@@ -142,6 +142,11 @@
             answer.errback(LinkLost())
         self.hub.link_ended(self)
 
+    @property
+    def heard_at(self) -> float:
+        """When the peer last sent anything, by the reactor's clock."""
+        return self._heard_at
+
     @property
     def peer_name(self) -> str:
         """The peer's name, as far as known."""
--- a/bitternpath/transport/messages.py
+++ b/bitternpath/transport/messages.py
@@ -181,11 +181,20 @@
 
 @dataclass(frozen=True, slots=True)
 class GroupReport:
-    """A shard's owner tells the configuration's owner who the shard's members are, as committed."""
+    """A shard's owner tells who the shard's members are, as committed: to the configuration's owner, and to a
+    replica that asks."""
 
     group: str
     epoch: int
     members: tuple[str, ...]  # voters and learners
+    generation: int  # of the placement that the members follow
+
+
+@dataclass(frozen=True, slots=True)
+class MembersRequest:
+    """A replica that the placement doesn't name asks the group's owner for a `GroupReport`."""
+
+    group: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -456,6 +465,7 @@
     StatusRequest,
     StatusAnswer,
     GroupReport,
+    MembersRequest,
 )
 
 ANSWER_RECORDS = (
