--- a/bitternpath/configuration/documents.py
+++ b/bitternpath/configuration/documents.py
@@ -7,12 +7,17 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 from typing import Any
 
 import dacite
 
+MOST_NESTED = 32  # levels of a document; a deeper one could be read on one replica and not on another
+LARGEST_VERSION = 2**63 - 1  # records carry it in 64 bits
+LARGEST_NUMBER = 10**15  # of any other: no bound or time is near that, and records carry them in 64 bits
+
 _DACITE = dacite.Config(cast=[], type_hooks={float: float}, check_types=True)
 
 
@@ -102,19 +107,53 @@
 def read_document(body: bytes) -> dict[str, Any]:
     """The JSON object in a request's body; raises `InvalidConfiguration`."""
     try:
-        document = json.loads(body.decode("utf-8"))
-    except (UnicodeDecodeError, ValueError) as error:
+        document = json.loads(body.decode("utf-8"), parse_constant=_no_number, parse_float=_finite)
+    except (ValueError, RecursionError) as error:
         raise InvalidConfiguration(f"the body is not JSON: {error}") from error
     if not isinstance(document, dict):
         raise InvalidConfiguration("the body must be a JSON object")
+    _check_nesting(document)
     return document
 
 
+def encode_document(document: Mapping[str, Any]) -> bytes:
+    """The bytes in which a checked document is kept and read back."""
+    return json.dumps(document, allow_nan=False).encode()
+
+
+def _no_number(name: str) -> float:
+    raise ValueError(f"{name} is no number")
+
+
+def _finite(text: str) -> float:
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError(f"{text} is too large")
+    return number
+
+
+def _check_nesting(document: Any) -> None:
+    level: list[Any] = [document]
+    for _ in range(MOST_NESTED):
+        level = [inner for outer in level for inner in _children(outer)]
+        if not level:
+            return
+    raise InvalidConfiguration(f"the body is nested deeper than {MOST_NESTED} levels")
+
+
+def _children(value: Any) -> Iterable[Any]:
+    if isinstance(value, dict):
+        return value.values()
+    return value if isinstance(value, list) else ()
+
+
 def parse_configuration(document: Mapping[str, Any]) -> Configuration:
     """Read and check a whole configuration; raises `InvalidConfiguration`."""
     version = document.get("version")
     if not isinstance(version, int) or isinstance(version, bool) or version < 1:
         raise InvalidConfiguration("version: must be a whole number above 0")
+    if version > LARGEST_VERSION:
+        raise InvalidConfiguration(f"version: must be at most {LARGEST_VERSION}")
     routes = tuple(_item(Route, "routes", raw) for raw in _list(document, "routes"))
     services = tuple(_item(Service, "services", raw) for raw in _list(document, "services"))
     limits = _item(RequestLimits, "limits", document.get("limits", {}))
@@ -139,8 +178,10 @@
     if isinstance(upsert, dict) and remove is None and isinstance(result.get(section, {}), dict):
         result[section] = {**result.get(section, {}), **upsert}
         return
-    items = {item.get("name"): item for item in _list(result, section)}
-    for name in remove if isinstance(remove, list) else ():
+    if remove is not None and not (isinstance(remove, list) and all(isinstance(n, str) for n in remove)):
+        raise InvalidConfiguration(f"remove.{section}: must be a list of names")
+    items = {_name(section, item): item for item in _list(result, section)}
+    for name in remove or ():
         items.pop(name, None)
     if upsert is not None and not isinstance(upsert, list):
         raise InvalidConfiguration(f"upsert.{section}: must be a list")
@@ -151,6 +192,13 @@
     result[section] = list(items.values())
 
 
+def _name(section: str, item: Mapping[str, Any]) -> str:
+    name = item.get("name")
+    if not isinstance(name, str):
+        raise InvalidConfiguration(f"{section}: has items without a name, which a patch can't alter")
+    return name
+
+
 def _list(document: Mapping[str, Any], section: str) -> list[Any]:
     items = document.get(section)
     if items is None:
@@ -164,11 +212,19 @@
     if not isinstance(raw, dict):
         raise InvalidConfiguration(f"{section}: must be an object")
     try:
+        _check_numbers(kind, raw)
         return dacite.from_dict(kind, _floats(kind, raw), _DACITE)
     except (dacite.DaciteError, TypeError, ValueError) as error:
         raise InvalidConfiguration(f"{section} {raw.get('name', '')}: {error}") from error
 
 
+def _check_numbers(kind: type, raw: Mapping[str, Any]) -> None:
+    for known in fields(kind):
+        value = raw.get(known.name)
+        if isinstance(value, int | float) and not abs(value) <= LARGEST_NUMBER:
+            raise ValueError(f"{known.name} must be at most {LARGEST_NUMBER}")
+
+
 def _floats(kind: type, raw: Mapping[str, Any]) -> dict[str, Any]:
     """Whole numbers stand for fractions where a field is one."""
     result = dict(raw)
--- a/bitternpath/configuration/machine.py
+++ b/bitternpath/configuration/machine.py
@@ -70,7 +70,8 @@
 class ConfigurationState:
     """State machine of the configuration group (see `replication.host.StateMachine`)."""
 
-    def __init__(self) -> None:
+    def __init__(self, remembered: int = REMEMBERED_ORDERS) -> None:
+        self._remembered = remembered
         self.document = b""
         self.raw: dict[str, Any] = {}
         self.configuration: Configuration | None = None
@@ -88,6 +89,15 @@
         """The version that an order made, if it was accepted."""
         return self._orders.get(digest)
 
+    def may_have_forgotten(self, base: int) -> bool:
+        """Whether an order on that version may have been accepted whose digest isn't kept any more.
+
+        Each accepted order builds on the version that the one before it made, so all orders on the oldest
+        remembered version or a later one are remembered.
+        """
+        oldest = next(iter(self._orders.values()), 0)
+        return len(self._orders) >= self._remembered and base < oldest
+
     def apply(self, index: int, command: bytes) -> object:
         """Apply a committed command; True where it took effect."""
         match COMMANDS.decode(command):
@@ -122,7 +132,7 @@
             return False
         self._put(order.document)
         self._orders[order.digest] = self.version
-        while len(self._orders) > REMEMBERED_ORDERS:
+        while len(self._orders) > self._remembered:
             self._orders.popitem(last=False)
         return True
 
--- a/bitternpath/configuration/orders.py
+++ b/bitternpath/configuration/orders.py
@@ -1,8 +1,11 @@
-"""The operator's orders, decided one at a time by the owner of the configuration group.
-
-An order is answered from the current state only after the owner has confirmed that it still owns the group
-(read index); what changes the state is acknowledged once it is committed. The same order sent again is
-acknowledged again, whatever was accepted in between. An order whose fate is open gets no refusal.
+"""The operator's orders, decided by the owner of the configuration group.
+
+Each order goes through the same three steps: the owner confirms that it still owns the group (a read index
+that begins after the order came); only then it reckons the answer, from the state as it is at that moment;
+what changes the state is proposed in the same turn and acknowledged once it is committed. Proposals are made
+one at a time. So no answer but 503 is given without a majority's word, none is older than the state in which
+it is told, and no refusal meets an earlier try that may still be committed: entries of earlier epochs are
+settled when an owner is ready, and those of its own epoch have had their result.
 """
 
 from __future__ import annotations
@@ -16,12 +19,13 @@
 from typing import Any, Protocol
 
 import logbook
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.python.failure import Failure
 
 from bitternpath.configuration.documents import (
     InvalidConfiguration,
     apply_patch,
+    encode_document,
     parse_configuration,
     read_document,
 )
@@ -108,85 +112,133 @@
     if_match: str
     body: bytes
 
+    def base_version(self) -> int:
+        """The version that it builds on; raises `ValueError`."""
+        text = self.if_match.strip().strip('"')
+        if not text:
+            return 0
+        if not (text.isascii() and text.isdigit()):
+            raise ValueError(text)
+        return int(text)
+
     def digest(self) -> bytes:
-        """Tells this order apart from all others."""
+        """Tells this order apart from all others. Spellings of the same `If-Match` don't differ; bodies are
+        compared byte for byte, as an order is sent again unchanged."""
+        try:
+            base = str(self.base_version())
+        except ValueError:
+            base = self.if_match
         summed = hashlib.blake2b(digest_size=24)
-        for part in (self.method.encode(), self.if_match.strip().strip('"').encode(), self.body):
+        for part in (self.method.encode(), base.encode(), self.body):
             summed.update(len(part).to_bytes(8, "big"))
             summed.update(part)
         return summed.digest()
 
 
-class OrderDesk:
-    """Decides orders on the owner. One at a time: the next begins when the one before has its result."""
+@dataclass(frozen=True, slots=True)
+class _Submission:
+    """An order that waits for its result."""
+
+    order: Order
+    digest: bytes
+    answer: Deferred[OrderResult]
+
+
+@dataclass(frozen=True, slots=True)
+class _Acceptable:
+    """An order that may be proposed now, and the document that it makes."""
+
+    version: int
+    command: bytes
+
+
+class OrderProcessor:
+    """Decides orders on the owner. Confirmations overlap; proposals are made one at a time."""
 
     def __init__(self, state: ConfigurationState, group: ReplicaGroup) -> None:
         self.state, self.group = state, group
-        self._waiting: deque[tuple[Order, Deferred[OrderResult]]] = deque()
-        self._busy = False
+        self._confirmed: deque[_Submission] = deque()
+        self._proposing = False
 
     def submit(self, order: Order) -> Deferred[OrderResult]:
         """Decide a change; never fails."""
+        if not self.group.is_owner():
+            return succeed(not_owner())
         answer: Deferred[OrderResult] = Deferred()
-        self._waiting.append((order, answer))
-        self._next()
+        submission = _Submission(order, order.digest(), answer)
+        self.group.barrier().addCallbacks(
+            lambda _: self._confirm(submission),
+            lambda failure: answer.callback(not_owner(str(failure.value))),
+        )
         return answer
 
     def read(self) -> Deferred[OrderResult]:
         """The document in force, confirmed; never fails."""
-        if not self.group.is_owner():
-            return _done(result(OrderCode.NOT_OWNER, "this node doesn't own the configuration"))
-        return self._confirmed(self._current)
+        return confirmed(self.group, self._current)
 
     def _current(self) -> OrderResult:
         if not self.state.document:
             return result(OrderCode.NO_CONFIGURATION, "no configuration has been accepted yet")
         return OrderResult(OrderCode.CURRENT, self.state.document)
 
+    def _confirm(self, submission: _Submission) -> None:
+        self._confirmed.append(submission)
+        self._next()
+
     def _next(self) -> None:
-        if self._busy or not self._waiting:
-            return
-        self._busy = True
-        order, answer = self._waiting.popleft()
-        self._decide(order).addCallback(self._finish, answer)
-
-    def _finish(self, decided: OrderResult, answer: Deferred[OrderResult]) -> None:
-        self._busy = False
-        answer.callback(decided)
+        """Decide what was confirmed, up to the first order that has to be proposed."""
+        while self._confirmed and not self._proposing:
+            submission = self._confirmed.popleft()
+            reckoned = self._reckon(submission)
+            if isinstance(reckoned, _Acceptable):
+                self._propose(submission, reckoned)
+            else:
+                submission.answer.callback(reckoned)
+
+    def _propose(self, submission: _Submission, acceptable: _Acceptable) -> None:
+        self._proposing = True
+        self.group.propose(acceptable.command).addCallbacks(
+            lambda applied: _committed(bool(applied), acceptable.version),
+            _failed,
+        ).addCallback(self._decided, submission)
+
+    def _decided(self, decided: OrderResult, submission: _Submission) -> None:
+        self._proposing = False
+        submission.answer.callback(decided)
         self._next()
 
-    def _decide(self, order: Order) -> Deferred[OrderResult]:
+    def _reckon(self, submission: _Submission) -> _Acceptable | OrderResult:
+        """What the order comes to in the state as it is now."""
         if not self.group.is_owner():
-            return _done(result(OrderCode.NOT_OWNER, "this node doesn't own the configuration"))
-        digest = order.digest()
-        known = self.state.accepted_as(digest)
+            return not_owner()
+        known = self.state.accepted_as(submission.digest)
         if known is not None:
-            return _done(result(OrderCode.ACCEPTED, version=known))
-        checked = self._check(order)
-        if isinstance(checked, OrderResult):
-            refusal = checked
-            return self._confirmed(lambda: refusal)
-        command = AcceptOrder(self.state.version, digest, json.dumps(checked).encode())
-        decided: Deferred[OrderResult] = Deferred()
-        version = int(checked["version"])
-        self.group.propose(COMMANDS.encode(command)).addCallbacks(
-            lambda applied: decided.callback(_committed(bool(applied), version)),
-            lambda failure: decided.callback(_failed(failure)),
-        )
-        return decided
+            return result(OrderCode.ACCEPTED, version=known)
+        try:
+            return self._check(submission)
+        except InvalidConfiguration as error:
+            return result(OrderCode.INVALID, str(error))
+        except Exception as error:  # one order must not hold up those after it
+            log.exception("event=order_not_checked")
+            return result(OrderCode.INVALID, f"can't be read: {type(error).__name__}")
 
-    def _check(self, order: Order) -> dict[str, Any] | OrderResult:
-        """The document that the order asks for, or its refusal."""
+    def _check(self, submission: _Submission) -> _Acceptable | OrderResult:
+        """The command that the order asks for, or its refusal; raises `InvalidConfiguration`."""
+        order = submission.order
         try:
-            base = _base_version(order.if_match)
+            base = order.base_version()
         except ValueError:
-            return result(OrderCode.INVALID, "If-Match: must be the version that the change builds on")
+            raise InvalidConfiguration("If-Match: must be the version that the change builds on") from None
         if base != self.state.version:
-            return result(OrderCode.OTHER_VERSION, "another version is in force", version=self.state.version)
-        try:
-            return self._document(order)
-        except InvalidConfiguration as error:
-            return result(OrderCode.INVALID, str(error))
+            return self._other_version(base)
+        document = self._document(order)
+        command = AcceptOrder(base, submission.digest, encode_document(document))
+        return _Acceptable(int(document["version"]), COMMANDS.encode(command))
+
+    def _other_version(self, base: int) -> OrderResult:
+        if self.state.may_have_forgotten(base):
+            return result(OrderCode.FATE_OPEN, "too old to tell whether it was accepted")
+        return result(OrderCode.OTHER_VERSION, "another version is in force", version=self.state.version)
 
     def _document(self, order: Order) -> dict[str, Any]:
         document: Mapping[str, Any] = read_document(order.body)
@@ -199,19 +251,24 @@
             raise InvalidConfiguration(f"version: must be above {self.state.version}")
         return dict(document)
 
-    def _confirmed(self, answer: Callable[[], OrderResult]) -> Deferred[OrderResult]:
-        """An answer from the state, once ownership is confirmed."""
-        decided: Deferred[OrderResult] = Deferred()
-        self.group.barrier().addCallbacks(
-            lambda _: decided.callback(answer()),
-            lambda failure: decided.callback(result(OrderCode.NOT_OWNER, str(failure.value))),
-        )
-        return decided
 
+def confirmed(group: ReplicaGroup, answer: Callable[[], OrderResult]) -> Deferred[OrderResult]:
+    """`answer()` as of the moment at which ownership is confirmed; never fails.
 
-def _base_version(if_match: str) -> int:
-    text = if_match.strip().strip('"')
-    return int(text) if text else 0
+    The answer is reckoned after the confirmation, so that it can't be older than what was told to others
+    before the call came.
+    """
+    if not group.is_owner():
+        return succeed(not_owner())
+    return group.barrier().addCallbacks(
+        lambda _: answer(),
+        lambda failure: not_owner(str(failure.value)),
+    )
+
+
+def not_owner(reason: str = "") -> OrderResult:
+    """Another node should be asked; nothing was changed."""
+    return result(OrderCode.NOT_OWNER, reason or "this node doesn't own the configuration")
 
 
 def _committed(applied: bool, version: int) -> OrderResult:
@@ -223,9 +280,3 @@
 
 def _failed(failure: Failure) -> OrderResult:
     return result(OrderCode.FATE_OPEN, f"ownership was lost: {failure.value}")
-
-
-def _done(decided: OrderResult) -> Deferred[OrderResult]:
-    answer: Deferred[OrderResult] = Deferred()
-    answer.callback(decided)
-    return answer
--- a/bitternpath/roles/configuration_member.py
+++ b/bitternpath/roles/configuration_member.py
@@ -11,11 +11,19 @@
 from typing import Any
 
 import logbook
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 
 from bitternpath.configuration.feed import FeedServer
 from bitternpath.configuration.machine import COMMANDS, ConfigurationState, RetireNode, SetPlacement
-from bitternpath.configuration.orders import Order, OrderCode, OrderDesk, OrderResult, result
+from bitternpath.configuration.orders import (
+    Order,
+    OrderCode,
+    OrderProcessor,
+    OrderResult,
+    confirmed,
+    not_owner,
+    result,
+)
 from bitternpath.configuration.placement import (
     desired_members,
     first_placement,
@@ -81,7 +89,7 @@
         self.reactor, self.settings, self.hub, self.view = reactor, settings, hub, view
         self.host, self.carrier, self.random = host, carrier, random
         self.state = ConfigurationState()
-        self.desk = OrderDesk(self.state, self)
+        self.orders = OrderProcessor(self.state, self)
         self.feed = FeedServer(reactor, self.state, self.epoch)
         platform = PlatformList(reactor, settings.platform)
         self.reader = ListReader(
@@ -133,7 +141,7 @@
 
     def order(self, order: Order) -> Deferred[OrderResult]:
         """Decide an operator's change."""
-        return self.desk.submit(order)
+        return self.orders.submit(order)
 
     # ---- what comes over links
 
@@ -182,34 +190,34 @@
 
     def retire(self, node: str) -> Deferred[OrderResult]:
         """The operator wants a storage node emptied."""
+        if not self.is_owner():
+            return succeed(not_owner())
+        return self.barrier().addCallbacks(
+            lambda _: self._retire(node),
+            lambda failure: not_owner(str(failure.value)),
+        )
+
+    def _retire(self, node: str) -> OrderResult | Deferred[OrderResult]:
+        """As `retire`, once ownership is confirmed."""
         checked = check(self.state, node, self._storage_nodes(), self.settings.tolerated_machines)
         if checked is RetireCheck.UNKNOWN_NODE:
-            return self._confirmed(result(OrderCode.UNKNOWN_NODE, checked.value))
+            return result(OrderCode.UNKNOWN_NODE, checked.value)
         if checked is RetireCheck.TOO_FEW_LEFT:
-            return self._confirmed(result(OrderCode.TOO_FEW_NODES, checked.value))
-        accepted = OrderResult(OrderCode.RETIRING, state_body(RetireState.RUNNING))
-        decided: Deferred[OrderResult] = Deferred()
-        self.propose(COMMANDS.encode(RetireNode(node, True))).addCallbacks(
-            lambda _: decided.callback(accepted),
-            lambda failure: decided.callback(result(OrderCode.FATE_OPEN, str(failure.value))),
+            return result(OrderCode.TOO_FEW_NODES, checked.value)
+        return self.propose(COMMANDS.encode(RetireNode(node, True))).addCallbacks(
+            lambda _: OrderResult(OrderCode.RETIRING, state_body(RetireState.RUNNING)),
+            lambda failure: result(OrderCode.FATE_OPEN, str(failure.value)),
         )
-        return decided
 
     def retirement(self, node: str) -> Deferred[OrderResult]:
         """How far the emptying of a node is."""
+        return confirmed(self, lambda: self._retirement(node))
+
+    def _retirement(self, node: str) -> OrderResult:
         state = progress(self.state, self._reports, node)
         if state is RetireState.UNKNOWN:
-            return self._confirmed(result(OrderCode.UNKNOWN_NODE, f"{node} isn't being emptied"))
-        return self._confirmed(OrderResult(OrderCode.RETIRING, state_body(state)))
-
-    def _confirmed(self, answer: OrderResult) -> Deferred[OrderResult]:
-        """An answer from the state, once ownership is confirmed."""
-        decided: Deferred[OrderResult] = Deferred()
-        self.barrier().addCallbacks(
-            lambda _: decided.callback(answer),
-            lambda failure: decided.callback(result(OrderCode.NOT_OWNER, str(failure.value))),
-        )
-        return decided
+            return result(OrderCode.UNKNOWN_NODE, f"{node} isn't being emptied")
+        return OrderResult(OrderCode.RETIRING, state_body(state))
 
     # ---- GroupListener
 
--- a/bitternpath/roles/operator_calls.py
+++ b/bitternpath/roles/operator_calls.py
@@ -1,4 +1,9 @@
-"""The operator's calls on any edge node: decided by the configuration's owner, forwarded to it elsewhere."""
+"""The operator's calls on any edge node: decided by the configuration's owner, forwarded to it elsewhere.
+
+A call is passed on once at most: a node that gets a forwarded call and doesn't own the group says so. Every
+call has an answer before the operator moves on to another node; one without a clear answer by then gets 503,
+and the same call sent again meets the first one's result at the owner.
+"""
 
 from __future__ import annotations
 
@@ -14,7 +19,8 @@
 from bitternpath.roles.configuration_member import ConfigurationMember
 from bitternpath.transport.messages import OperatorAnswer, OperatorOrder
 
-PATIENCE_S = 3.0  # a forwarded order; the operator itself moves on after a second
+ANSWER_WITHIN_S = 0.8  # the operator moves on to another node after a second of silence
+BODY_BYTES_PER_S = 1 << 20  # it waits longer for a large body, which also takes longer to reach the owner
 CONFIGURATION_PATH = "/config"
 RETIRE_PREFIX = "/retire/"
 
@@ -26,11 +32,13 @@
         self.reactor, self.feed, self.member = reactor, feed, member
 
     def call(self, method: str, path: str, if_match: str, body: bytes) -> Deferred[OperatorReply]:
-        """A call from outside; never fails."""
+        """A call from outside; answered in time, and never fails."""
         order = OperatorOrder(0, method, path, if_match, body)
         if self.member is not None and self.member.is_owner():
-            return self.forwarded(order).addCallback(_reply)
-        return self._forward(order)
+            answer = self.forwarded(order).addCallback(_reply)
+        else:
+            answer = self._forward(order)
+        return answer.addTimeout(_patience(body), self.reactor).addErrback(_lost)
 
     def forwarded(self, order: OperatorOrder) -> Deferred[OrderResult]:
         """A call that reached the owner, or a node that was it."""
@@ -38,7 +46,7 @@
         if member is None or not member.is_owner():
             return succeed(result(OrderCode.NOT_OWNER, "this node doesn't own the configuration"))
         if order.path == CONFIGURATION_PATH and order.method == "GET":
-            return member.desk.read()
+            return member.orders.read()
         if order.path == CONFIGURATION_PATH and order.method in ("PUT", "PATCH"):
             return member.order(Order(order.method, order.if_match, order.body))
         if order.path.startswith(RETIRE_PREFIX) and order.method in ("POST", "GET"):
@@ -50,11 +58,13 @@
         link = self.feed.owner_link()
         if link is None:
             return succeed(_reply(result(OrderCode.NOT_OWNER, "no owner of the configuration is known")))
-        forwarded = link.request(
+        return link.request(
             lambda number: OperatorOrder(number, order.method, order.path, order.if_match, order.body)
-        )
-        forwarded.addTimeout(PATIENCE_S, self.reactor)
-        return forwarded.addCallbacks(_forwarded_reply, _lost)
+        ).addCallback(_forwarded_reply)
+
+
+def _patience(body: bytes) -> float:
+    return ANSWER_WITHIN_S + len(body) / BODY_BYTES_PER_S
 
 
 def _reply(decided: OrderResult) -> OperatorReply:
@@ -68,4 +78,4 @@
 
 
 def _lost(failure: Failure) -> OperatorReply:
-    return _reply(result(OrderCode.FATE_OPEN, "the configuration's owner didn't answer"))
+    return _reply(result(OrderCode.FATE_OPEN, f"the configuration's owner didn't answer: {failure.value}"))
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -16,7 +16,7 @@
     read_document,
 )
 from bitternpath.configuration.machine import COMMANDS, ConfigurationState, SetPlacement
-from bitternpath.configuration.orders import Order, OrderCode, OrderDesk, OrderResult
+from bitternpath.configuration.orders import Order, OrderCode, OrderProcessor, OrderResult
 from bitternpath.replication.interfaces import FateOpen, NotOwner
 from bitternpath.transport.messages import GroupPlacement
 
@@ -167,7 +167,7 @@
     def setUp(self) -> None:
         self.state = ConfigurationState()
         self.group = FakeGroup(self.state)
-        self.desk = OrderDesk(self.state, self.group)
+        self.orders = OrderProcessor(self.state, self.group)
 
     def answer(self, waiting: Deferred[OrderResult]) -> OrderResult:
         results: list[OrderResult] = []
@@ -177,11 +177,11 @@
 
     def put(self, version: int, base: str, **changes: Any) -> OrderResult:
         body = json.dumps(document(version, **changes)).encode()
-        return self.answer(self.desk.submit(Order("PUT", base, body)))
+        return self.answer(self.orders.submit(Order("PUT", base, body)))
 
     def patch(self, version: int, base: str, **changes: Any) -> OrderResult:
         body = json.dumps({"version": version, **changes}).encode()
-        return self.answer(self.desk.submit(Order("PATCH", base, body)))
+        return self.answer(self.orders.submit(Order("PATCH", base, body)))
 
     def test_the_first_builds_on_nothing(self) -> None:
         self.assertEqual(self.put(3, "0").status, 200)
@@ -223,14 +223,14 @@
         restored = ConfigurationState()
         restored.restore(self.state.snapshot())
         self.state, self.group = restored, FakeGroup(restored)
-        self.desk = OrderDesk(restored, self.group)
+        self.orders = OrderProcessor(restored, self.group)
         self.assertEqual((self.put(3, "0").status, self.state.version), (200, 5))
 
     def test_of_two_on_one_version_one_wins(self) -> None:
         self.put(3, "0")
         self.group.hold = True
         bodies = [json.dumps(document(5, limits={"max_body_bytes": n})).encode() for n in (1, 2)]
-        waiting = [self.desk.submit(Order("PUT", "3", body)) for body in bodies]
+        waiting = [self.orders.submit(Order("PUT", "3", body)) for body in bodies]
         self.assertEqual(len(self.group.held), 1)  # the second waits for the first one's fate
         command, proposed = self.group.held.pop()
         proposed.callback(self.state.apply(2, command))
@@ -240,7 +240,7 @@
         self.put(3, "0")
         self.group.hold = True
         body = json.dumps(document(5)).encode()
-        waiting = self.desk.submit(Order("PUT", "3", body))
+        waiting = self.orders.submit(Order("PUT", "3", body))
         self.group.held.pop()[1].errback(FateOpen())
         self.assertEqual(self.answer(waiting).status, 503)
 
@@ -248,15 +248,15 @@
         self.put(3, "0")
         self.group.confirms = False
         self.assertEqual([self.put(5, "0").status, self.put(5, "x").status], [503, 503])
-        self.assertEqual(self.answer(self.desk.read()).status, 503)
+        self.assertEqual(self.answer(self.orders.read()).status, 503)
         self.group.owner = False
         self.assertEqual(
-            [self.put(5, "3").code, self.answer(self.desk.read()).code], [OrderCode.NOT_OWNER] * 2
+            [self.put(5, "3").code, self.answer(self.orders.read()).code], [OrderCode.NOT_OWNER] * 2
         )
 
     def test_it_reads_back_what_was_sent(self) -> None:
         self.put(3, "0", novel={"kept": True})
-        self.assertEqual(json.loads(self.answer(self.desk.read()).body)["novel"], {"kept": True})
+        self.assertEqual(json.loads(self.answer(self.orders.read()).body)["novel"], {"kept": True})
 
     def test_placements_build_on_the_one_before(self) -> None:
         groups = (GroupPlacement("queue-0", 1, ()),)
--- /dev/null
+++ b/tests/system/test_order_bodies.py
@@ -0,0 +1,160 @@
+"""Bodies that must be refused with 4xx, and that never hold up or break what comes after them.
+
+The kinds of invalid configurations that operators send, and bodies that once ended in an exception: the
+owner then decided no order any more, or the replica group of all members stopped.
+"""
+
+from __future__ import annotations
+
+import json
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred, succeed
+
+from bitternpath.configuration.documents import LARGEST_VERSION, MOST_NESTED
+from bitternpath.configuration.machine import ConfigurationState
+from bitternpath.configuration.orders import Order, OrderProcessor, OrderResult
+from bitternpath.transport.codec import RecordCodec
+from bitternpath.transport.messages import FeedUpdate
+
+
+def route(**changes: Any) -> dict[str, Any]:
+    """A valid route."""
+    base = {"name": "r1", "host": "a.example", "path_prefix": "/a/", "service": "s1", "timeout_ms": 1000}
+    return {**base, **changes}
+
+
+def document(version: int, **changes: Any) -> dict[str, Any]:
+    """A valid configuration."""
+    return {"version": version, "routes": [route()], "services": [{"name": "s1"}], **changes}
+
+
+def encoded(content: Any) -> bytes:
+    """JSON."""
+    return json.dumps(content).encode()
+
+
+class Group:
+    """A group of one member that commits at once."""
+
+    def __init__(self, state: ConfigurationState) -> None:
+        self.state = state
+
+    def is_owner(self) -> bool:
+        return True
+
+    def propose(self, command: bytes) -> Deferred[object]:
+        return succeed(self.state.apply(1, command))
+
+    def barrier(self) -> Deferred[None]:
+        return succeed(None)
+
+
+WHOLE = encoded(document(5))
+SECOND = route(name="r2", path_prefix="/b/")
+
+INVALID_PUTS: dict[str, tuple[str, bytes]] = {
+    "cut_short": ("3", WHOLE[: len(WHOLE) // 2]),
+    "cut_short by one byte": ("3", WHOLE[:-1]),
+    "empty": ("3", b""),
+    "unknown_service": ("3", encoded(document(5, routes=[route(service="none")]))),
+    "same_place": ("3", encoded(document(5, routes=[route(), route(name="r2")]))),
+    "same_place, capitals": ("3", encoded(document(5, routes=[route(), route(name="r2", host="A.EXAMPLE")]))),
+    "same name": ("3", encoded(document(5, routes=[route(), route(path_prefix="/b/")]))),
+    "no_timeout: 0": ("3", encoded(document(5, routes=[route(timeout_ms=0)]))),
+    "no_timeout: missing": ("3", encoded(document(5, routes=[route(timeout_ms=None)]))),
+    "no_timeout: below 1 ms": ("3", encoded(document(5, routes=[route(timeout_ms=0.4)]))),
+    "old_version": ("3", encoded(document(2))),
+    "same_version": ("3", encoded(document(3, limits={"max_body_bytes": 7}))),
+    "stale_match": ("1", WHOLE),
+    "stale_match: ahead": ("4", WHOLE),
+    "match is no number": ("3x", WHOLE),
+    "match is negative": ("-3", WHOLE),
+    "match is very long": ("3" * 5000, WHOLE),
+    "a time-out beyond floats": ("3", WHOLE.replace(b"1000", b"1e999")),
+    "a time-out that is no number": ("3", WHOLE.replace(b"1000", b"NaN")),
+    "a time-out that is endless": ("3", WHOLE.replace(b"1000", b"Infinity")),
+    "a time-out beyond 64 bits": ("3", WHOLE.replace(b"1000", b"9" * 30)),
+    "a number of 5,000 digits": ("3", WHOLE.replace(b"1000", b"9" * 5000)),
+    "a version beyond 64 bits": ("3", encoded(document(LARGEST_VERSION + 1))),
+    "lists without end": ("3", b"[" * 100_000),
+    "nested too deep": ("3", b'{"version":5,"x":' + b"[" * MOST_NESTED + b"]" * MOST_NESTED + b"}"),
+    "objects without end": ("3", b'{"version":5,"x":' + b'{"a":' * 50_000),
+    "no UTF-8": ("3", b"\xff" + WHOLE),
+}  # fmt: skip
+
+INVALID_PATCHES: dict[str, tuple[str, bytes]] = {
+    "cut_short": ("3", b'{"version":5,"upsert":{"routes":['),
+    "unknown_service": ("3", encoded({"version": 5, "upsert": {"routes": [route(service="none")]}})),
+    "same_place": ("3", encoded({"version": 5, "upsert": {"routes": [route(name="r2")]}})),
+    "no_timeout": ("3", encoded({"version": 5, "upsert": {"routes": [route(timeout_ms=0)]}})),
+    "old_version": ("3", encoded({"version": 2})),
+    "same_version": ("3", encoded({"version": 3, "upsert": {"routes": [SECOND]}})),
+    "no version": ("3", encoded({"upsert": {"routes": [SECOND]}})),
+    "stale_match": ("1", encoded({"version": 5})),
+    "removes what is in use": ("3", encoded({"version": 5, "remove": {"services": ["s1"]}})),
+    "removes by no list": ("3", encoded({"version": 5, "remove": {"routes": 7}})),
+    "removes by no names": ("3", encoded({"version": 5, "remove": {"routes": [["r1"]]}})),
+    "alters items whose names are lists": ("3", encoded({"version": 5, "upsert": {"extra": []}})),
+    "a time-out beyond floats": ("3", b'{"version":5,"upsert":{"routes":[{"name":"r","timeout_ms":1e999}]}}'),
+}  # fmt: skip
+
+
+class BodyTest(unittest.TestCase):
+    """Each invalid order gets 4xx, changes nothing, and the next proper one is accepted."""
+
+    def setUp(self) -> None:
+        self.state = ConfigurationState()
+        self.processor = OrderProcessor(self.state, Group(self.state))
+        self.assertEqual(self.send("PUT", "0", encoded(document(3, extra=[{"name": ["x"]}]))), 200)
+
+    def send(self, method: str, base: str, body: bytes) -> int:
+        results: list[OrderResult] = []
+        self.processor.submit(Order(method, base, body)).addCallback(results.append)
+        return results[0].status
+
+    def check(self, method: str, cases: dict[str, tuple[str, bytes]]) -> None:
+        for label, (base, body) in cases.items():
+            with self.subTest(label):
+                self.setUp()
+                before = self.state.snapshot()
+                self.assertIn(self.send(method, base, body), (400, 412))
+                self.assertEqual(self.state.snapshot(), before)
+                self.assertEqual(self.send("PUT", "3", WHOLE), 200)
+
+    def test_whole_configurations(self) -> None:
+        self.check("PUT", INVALID_PUTS)
+
+    def test_patches(self) -> None:
+        self.check("PATCH", INVALID_PATCHES)
+
+    def test_what_is_accepted_fits_records_and_snapshots(self) -> None:
+        cases: tuple[tuple[str, Callable[[], dict[str, Any]]], ...] = (
+            ("the largest version", lambda: document(LARGEST_VERSION)),
+            ("unknown fields of any size", lambda: document(5, novel=[10**40, 1e300, "x" * 100])),
+            ("unknown fields of a route", lambda: document(5, routes=[route(made_at=10**18)])),
+        )
+        for label, make in cases:
+            with self.subTest(label):
+                self.setUp()
+                self.assertEqual(self.send("PUT", "3", encoded(make())), 200)
+                restored = ConfigurationState()
+                restored.restore(self.state.snapshot())
+                self.assertEqual(restored.version, self.state.version)
+                RecordCodec(FeedUpdate).encode(FeedUpdate(1, self.state.version, b"", 0, None, 1))
+
+    def test_a_check_that_fails_inside_holds_up_no_other_order(self) -> None:
+        class Faulty(OrderProcessor):
+            def _document(self, order: Order) -> dict[str, Any]:
+                if order.body == b"faulty":
+                    raise ZeroDivisionError
+                return super()._document(order)
+
+        self.processor = Faulty(self.state, Group(self.state))
+        self.assertEqual((self.send("PUT", "3", b"faulty"), self.send("PUT", "3", WHOLE)), (400, 200))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/system/test_order_races.py
+++ b/tests/system/test_order_races.py
@@ -1,44 +1,84 @@
-"""Two operators on one version: all orders of events in a small scope (RULES, "CONFIG").
-
-The world has two nodes that may own the configuration group, one log, and two different orders A and B on the
-same base. Events: an order is sent to a node (any number of times, as acknowledgements may be lost), what the
-owner has proposed is committed, or ownership moves to the other node, with the open proposal committed before
-that or lost. Every sequence up to a length is played; after each one the checker looks at all answers.
+"""Operators' orders: all sequences of events in small scopes (RULES, "CONFIG"; PROTOCOL, the operator's API).
+
+The world has two nodes that may own the configuration group, one log, and orders that build on version 3 or
+on one another. Events: an order is sent to a node, or to the owner by a node that forwards (any number of
+times, as answers may be lost); a majority answers the owner's rounds; what the owner has proposed is
+committed, with or without the owner hearing of it; the other node takes over, with the open proposals kept or
+lost, while the earlier owner knows of nothing until it learns of it; the other node is brought up by a
+snapshot.
+Every sequence up to a length is played, without events that change nothing; the checker looks at each answer
+when it comes, and at all at the end.
+Broken builds show that the search finds what it is for.
 """
 
 from __future__ import annotations
 
 import json
 import unittest
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from twisted.internet.defer import Deferred, fail, succeed
 
-from bitternpath.configuration.machine import ConfigurationState
-from bitternpath.configuration.orders import Order, OrderDesk, OrderResult
+from bitternpath.configuration.machine import ConfigurationSnapshot, ConfigurationState
+from bitternpath.configuration.orders import (
+    Order,
+    OrderCode,
+    OrderProcessor,
+    OrderResult,
+    _Acceptable,
+    _Submission,
+    result,
+)
 from bitternpath.replication.interfaces import FateOpen, NotOwner
+from bitternpath.transport.codec import RecordCodec
+
+
+@dataclass(frozen=True)
+class Sent:
+    """An order of the scope."""
+
+    base: int
+    version: int
+    method: str = "PUT"
+
+    def order(self, name: str) -> Order:
+        """As it is on the wire."""
+        content = {"version": self.version, "by": name}
+        whole = {"routes": [], "services": []} if self.method == "PUT" else {}
+        return Order(self.method, str(self.base), json.dumps({**content, **whole}).encode())
+
 
-LENGTH = 5
 ORDERS = {
-    name: Order(
-        "PUT", "3", json.dumps({"version": version, "routes": [], "services": [], "by": name}).encode()
-    )
-    for name, version in (("A", 5), ("B", 7))
+    "A": Sent(3, 5),
+    "B": Sent(3, 5),  # the same number, other content
+    "P": Sent(3, 5, "PATCH"),
+    "C": Sent(5, 9),  # on top of whichever of these wins
+    "D": Sent(9, 11),
 }
+WIRE = {name: sent.order(name) for name, sent in ORDERS.items()}
 FIRST = Order("PUT", "0", json.dumps({"version": 3, "routes": [], "services": []}).encode())
 
 
+@dataclass
+class Build:
+    """What is played."""
+
+    processor: type[OrderProcessor] = OrderProcessor
+    state: type[ConfigurationState] = ConfigurationState
+    remembered: int = 100
+
+
 class Node:
     """A node with its replica of the state; implements `orders.ReplicaGroup`."""
 
-    def __init__(self, world: World, desk: type[OrderDesk]) -> None:
+    def __init__(self, world: World) -> None:
         self.world = world
-        self.state = ConfigurationState()
+        self.state = world.build.state(world.build.remembered)
         self.applied = 0
-        self.owner = False
-        self.desk = desk(self.state, self)
+        self.owner = False  # as far as it knows
+        self.processor = world.build.processor(self.state, self)
         self.open: list[tuple[bytes, Deferred[object]]] = []
+        self.barriers: list[Deferred[None]] = []
 
     def is_owner(self) -> bool:
         return self.owner
@@ -46,167 +86,394 @@
     def propose(self, command: bytes) -> Deferred[object]:
         if not self.owner:
             return fail(NotOwner())
-        waiting: Deferred[object] = Deferred()
-        self.open.append((command, waiting))
-        return waiting
+        self.open.append((command, Deferred()))
+        return self.open[-1][1]
 
     def barrier(self) -> Deferred[None]:
-        return succeed(None) if self.owner and self.world.owner is self else fail(NotOwner())
+        if not self.owner:
+            return fail(NotOwner())
+        self.barriers.append(Deferred())
+        return self.barriers[-1]
 
     def catch_up(self) -> None:
         """Apply what is committed."""
         while self.applied < len(self.world.log):
-            command = self.world.log[self.applied]
             self.applied += 1
-            self.state.apply(self.applied, command)
+            self.state.apply(self.applied, self.world.log[self.applied - 1])
+
+    def learn(self) -> None:
+        """It doesn't own the group any more, if it did."""
+        self.owner = False
+        barriers, self.barriers = self.barriers, []
+        open_, self.open = self.open, []
+        for _, proposed in open_:
+            proposed.errback(FateOpen())
+        for barrier in barriers:
+            barrier.errback(NotOwner())
+        self.catch_up()
 
 
 @dataclass
 class World:
-    """Two nodes and the committed log."""
+    """Two nodes, the committed log, and what the operators have heard."""
 
-    desk: type[OrderDesk] = OrderDesk
+    build: Build
     log: list[bytes] = field(default_factory=list)
-    answers: dict[str, list[OrderResult]] = field(default_factory=lambda: {"A": [], "B": []})
+    answers: dict[str, list[OrderResult]] = field(default_factory=dict)
+    contacts: int = 0  # how often a majority has answered the owner
+    violation: str = ""
 
     def __post_init__(self) -> None:
-        self.nodes = [Node(self, self.desk), Node(self, self.desk)]
+        self.nodes = [Node(self), Node(self)]
         self.owner = self.nodes[0]
         self.owner.owner = True
-        self.owner.desk.submit(FIRST)
-        self.commit()
+        self.history = ConfigurationState()  # of the log, for the checker
+        self.owner.processor.submit(FIRST)
+        self.settle()
+        self.nodes[1].catch_up()
+
+    # ---- events
+
+    def confirm(self) -> None:
+        """A majority answers the rounds of the owner."""
+        barriers, self.owner.barriers = self.owner.barriers, []
+        self.contacts += 1
+        for barrier in barriers:
+            barrier.callback(None)
 
     def commit(self) -> None:
         """What the owner has proposed is committed, and applied there."""
-        open_, self.owner.open = self.owner.open, []
-        for command, waiting in open_:
-            self.log.append(command)
-            self.owner.applied += 1
-            waiting.callback(self.owner.state.apply(self.owner.applied, command))
-
-    def move(self, keeps: bool) -> None:
-        """The other node becomes owner. `keeps`: the open proposal reached it; the old one never hears."""
+        owner = self.owner
+        open_, owner.open = owner.open, []
+        self.contacts += 1
+        for command, proposed in open_:
+            self._append(command)
+            owner.applied += 1
+            proposed.callback(owner.state.apply(owner.applied, command))
+
+    def _append(self, command: bytes) -> None:
+        self.log.append(command)
+        self.history.apply(len(self.log), command)
+
+    def take_over(self, keeps: bool) -> None:
+        """The other node becomes owner. `keeps`: the open proposals had reached it, and are committed."""
         old, new = self.owner, next(node for node in self.nodes if node is not self.owner)
-        open_, old.open = old.open, []
+        new.learn()
         if keeps:
-            self.log += [command for command, _ in open_]
-        old.owner = False
-        for _, waiting in open_:
-            waiting.errback(FateOpen())
+            for command, _ in old.open:
+                self._append(command)
         new.catch_up()
         new.owner = True
         self.owner = new
-        old.catch_up()
 
-    def send(self, name: str, node: int) -> None:
-        """An operator sends an order to a node; where that isn't the owner it is forwarded."""
-        target = self.owner if node == 2 else self.nodes[node]
-        target.desk.submit(ORDERS[name]).addCallback(self.answers[name].append)
+    def learn(self) -> None:
+        """A node that isn't the owner any more hears so."""
+        for node in self.nodes:
+            if node is not self.owner:
+                node.learn()
+
+    def install(self) -> None:
+        """The node that isn't the owner is brought up by a snapshot of the owner's state."""
+        for node in self.nodes:
+            if node is not self.owner and not node.owner:
+                node.state.restore(self.owner.state.snapshot())
+                node.applied = self.owner.applied
+
+    def send(self, name: str, node: Node) -> None:
+        """An operator sends an order to a node; where that isn't the owner it gets 503 or is forwarded."""
+        contacts = self.contacts
+
+        def come(answer: OrderResult) -> None:
+            self.answers.setdefault(name, []).append(answer)
+            self._look_at(name, answer, contacts)
+
+        node.processor.submit(WIRE[name]).addCallback(come)
+
+    def read(self, node: Node) -> None:
+        """An operator reads the configuration."""
+        contacts, known = self.contacts, self.history.version
+
+        def come(answer: OrderResult) -> None:
+            if answer.code is not OrderCode.CURRENT:
+                return
+            if self.contacts == contacts:
+                self._break("a read was answered without a word of a majority")
+            if json.loads(answer.body)["version"] < known:
+                self._break("a read is older than what was committed before it")
+
+        node.processor.read().addCallback(come)
 
     def play(self, event: str) -> None:
         """One event."""
         match event:
+            case "confirm":
+                self.confirm()
             case "commit":
                 self.commit()
-            case "move, kept":
-                self.move(True)
-            case "move, lost":
-                self.move(False)
+            case "take over, kept":
+                self.take_over(True)
+            case "take over, lost":
+                self.take_over(False)
+            case "learn":
+                self.learn()
+            case "install":
+                self.install()
             case _:
-                self.send(event[0], int(event[1]))
-
+                node = self.owner if event[1] == "o" else self.nodes[int(event[1])]
+                if event[0] == "R":
+                    self.read(node)
+                else:
+                    self.send(event[0], node)
+
+    def changes(self, event: str) -> bool:
+        """Whether an event would change anything."""
+        other = next(node for node in self.nodes if node is not self.owner)
+        match event:
+            case "confirm":
+                return bool(self.owner.barriers)
+            case "commit" | "take over, kept":
+                return bool(self.owner.open)
+            case "learn":
+                return other.owner
+            case "install":
+                return not other.owner and other.applied < self.owner.applied
+        return True
+
+    # ---- rules
+
+    def _break(self, rule: str) -> None:
+        self.violation = self.violation or rule
+
+    def _took_effect(self, name: str) -> bool:
+        return self.history.accepted_as(WIRE[name].digest()) is not None
+
+    def _look_at(self, name: str, answer: OrderResult, contacts: int) -> None:
+        """An answer, when it comes."""
+        if not answer.decided:
+            return
+        if self.contacts == contacts:
+            self._break(f"{name} got {answer.status} without a word of a majority")
+        if answer.status == 200 and not self._took_effect(name):
+            self._break(f"{name} was acknowledged and isn't committed")
+        if answer.status != 200 and self.history.version < ORDERS[name].base:
+            self.answers[name].pop()  # its operator had no reason to build on that version yet
+
+    def settle(self) -> None:
+        """All that is under way comes to its end."""
+        self.learn()
+        while self.owner.barriers or self.owner.open:
+            self.confirm()
+            self.commit()
+
+    def judge(self) -> str:
+        """The rule that the answers break, or ""."""
+        self.settle()
+        for name, answers in self.answers.items():
+            if self._took_effect(name) and any(400 <= answer.status < 500 for answer in answers):
+                self._break(f"{name} is in force and was refused")
+        for name in list(self.answers):
+            self._send_again(name)
+        for node in self.nodes:
+            node.catch_up()
+        if {node.state.version for node in self.nodes} != {self.history.version}:
+            self._break("the nodes differ")
+        return self.violation
+
+    def _send_again(self, name: str) -> None:
+        if self.history.version <= ORDERS[name].base:
+            return
+        took_effect = self._took_effect(name)
+        self.send(name, self.owner)
+        self.settle()
+        last = self.answers[name][-1:]
+        forgotten = self.build.remembered < 100 and last and last[0].status == 503
+        if took_effect and last[0].status != 200 and not forgotten:
+            self._break(f"{name} is in force and sent again it gets {last[0].status}")
+        if not took_effect and last and last[0].status != 412 and not forgotten:
+            self._break(f"{name} isn't in force and gets {last[0].status}")
+
+
+@dataclass(frozen=True)
+class Scope:
+    """Which events are played, in sequences of that length, after the `beginning`."""
+
+    events: tuple[str, ...]
+    length: int
+    beginning: tuple[str, ...] = ()
+    remembered: int = 100
+
+
+CHANGES = ("confirm", "commit", "take over, kept", "take over, lost", "learn")
+SCOPES = {
+    "two operators, one number": Scope(("Ao", "A0", "Bo", *CHANGES), 5),
+    "PUT against PATCH": Scope(("Ao", "Po", "P1", *CHANGES), 5),
+    "three tries, an answer lost, another version between": Scope(
+        ("Ao", "Co", *CHANGES), 6, ("Ao", "confirm", "commit", "Ao")
+    ),
+    "owner lost between commit and answer": Scope(
+        ("A0", "A1", "Co", *CHANGES), 5, ("Ao", "confirm", "take over, kept")
+    ),
+    "on top of one another": Scope(("Ao", "Co", *CHANGES), 6),
+    "reads": Scope(("Ao", "R0", "R1", *CHANGES), 5, ("Ao", "confirm")),
+    "brought up by a snapshot": Scope(("Ao", "Co", "install", *CHANGES), 6),
+    "more orders than digests": Scope(("Ao", "Co", "Do", "install", *CHANGES), 5, remembered=1),
+    "more orders than two digests": Scope(
+        ("Ao", "Bo", "Do", "confirm", "commit", "take over, kept"),
+        5,
+        ("Ao", "confirm", "commit", "Co", "confirm", "commit"),
+        remembered=2,
+    ),
+}
 
-EVENTS = ("A0", "A2", "B1", "B2", "commit", "move, kept", "move, lost")
 
+@dataclass
+class Search:
+    """Plays a scope with a build."""
 
-def sequences(length: int) -> Iterator[tuple[str, ...]]:
-    """All sequences of that length in which something is sent first."""
+    build: Build
+    scope: Scope
+    count: int = 0
 
-    def extend(done: tuple[str, ...]) -> Iterator[tuple[str, ...]]:
-        if len(done) == length:
-            yield done
-            return
-        for event in EVENTS:
-            yield from extend((*done, event))
-
-    for first in ("A0", "B2"):
-        yield from extend((first,))
-
-
-def broken(world: World) -> str:
-    """The rule that the answers break, or ""."""
-    world.commit()
-    for node in world.nodes:
-        node.catch_up()
-    version = world.owner.state.version
-    in_force = {"A": version == 5, "B": version == 7}
-    for name in "AB":
-        statuses = [answer.status for answer in world.answers[name]]
-        if 200 in statuses and not in_force[name]:
-            return f"{name} was acknowledged and isn't in force"
-        if in_force[name] and any(status in (400, 412) for status in statuses):
-            return f"{name} is in force and was refused"
-        if version == 3:
-            continue
-        world.send(name, 2)
-        last = world.answers[name][-1].status
-        if in_force[name] and last != 200:
-            return f"{name} is in force and isn't acknowledged again: {last}"
-        if not in_force[name] and last != 412:
-            return f"{name} isn't in force and gets {last}"
-    if {node.state.version for node in world.nodes} != {version}:
-        return "the nodes differ"
-    return ""
-
-
-def search(desk: type[OrderDesk], length: int) -> tuple[int, tuple[str, ...], str]:
-    """How many sequences were played, and the first that breaks a rule."""
-    count = 0
-    for sequence in sequences(length):
-        count += 1
-        world = World(desk)
-        for event in sequence:
+    def run(self, done: tuple[str, ...] = ()) -> str:
+        """The first sequence that breaks a rule, of those that begin with `done`; or ""."""
+        world = World(self.build)
+        for event in self.scope.beginning + done:
             world.play(event)
-        rule = broken(world)
+        going_on = [event for event in self.scope.events if world.changes(event)]
+        self.count += 1
+        rule = world.judge()
         if rule:
-            return count, sequence, rule
-    return count, (), ""
+            return f"{rule}: {', '.join(self.scope.beginning + done)}"
+        if len(done) < self.scope.length:
+            for event in going_on:
+                found = self.run((*done, event))
+                if found:
+                    return found
+        return ""
 
 
-class ForgetfulDesk(OrderDesk):
-    """Broken build: an order that was accepted isn't remembered."""
+def search(build: type[OrderProcessor], state: type[ConfigurationState], scope: Scope) -> tuple[int, str]:
+    """How many sequences were played, and the first that breaks a rule, or ""."""
+    played = Search(Build(build, state, scope.remembered), scope)
+    found = played.run()
+    return played.count, found
 
-    def _decide(self, order: Order) -> Deferred[OrderResult]:
-        self.state._orders.clear()
-        return super()._decide(order)
 
+# ---- broken builds
 
-class HastyDesk(OrderDesk):
-    """Broken build: refusals aren't confirmed, and orders are decided while another one is open."""
 
-    def _next(self) -> None:
-        self._busy = False
-        super()._next()
+class WithoutConfirmation(OrderProcessor):
+    """Answers are given without asking a majority."""
 
-    def _decide(self, order: Order) -> Deferred[OrderResult]:
-        checked = self._check(order)
-        if isinstance(checked, OrderResult) and self.state.accepted_as(order.digest()) is None:
-            return succeed(checked)
-        return super()._decide(order)
+    def submit(self, order: Order) -> Deferred[OrderResult]:
+        if not self.group.is_owner():
+            return super().submit(order)
+        answer: Deferred[OrderResult] = Deferred()
+        self._confirm(_Submission(order, order.digest(), answer))
+        return answer
+
+
+class ReadWithoutConfirmation(OrderProcessor):
+    """A read is answered from what this node has."""
+
+    def read(self) -> Deferred[OrderResult]:
+        return succeed(self._current()) if self.group.is_owner() else super().read()
+
+
+class ReckonedBefore(OrderProcessor):
+    """Answers are reckoned when the order comes, and sent once ownership is confirmed."""
+
+    def __init__(self, state: ConfigurationState, group: Node) -> None:
+        super().__init__(state, group)
+        self.reckoned: dict[int, _Acceptable | OrderResult] = {}
+
+    def submit(self, order: Order) -> Deferred[OrderResult]:
+        early = super()._reckon(_Submission(order, order.digest(), Deferred()))
+        if isinstance(early, OrderResult) and early.decided:
+            return self.group.barrier().addCallbacks(lambda _: early, lambda _: result(OrderCode.NOT_OWNER))
+        return super().submit(order)
+
+
+class AcknowledgedBeforeCommit(OrderProcessor):
+    """An order is acknowledged once it is proposed."""
+
+    def _propose(self, submission: _Submission, acceptable: _Acceptable) -> None:
+        submission.answer.callback(result(OrderCode.ACCEPTED, version=acceptable.version))
+        early = _Submission(submission.order, submission.digest, Deferred())
+        super()._propose(early, acceptable)
+
+
+class RefusedWhileOpen(OrderProcessor):
+    """An order whose proposal failed is refused, though it may be committed still."""
+
+    def _decided(self, decided: OrderResult, submission: _Submission) -> None:
+        open_ = decided.code is OrderCode.FATE_OPEN
+        super()._decided(result(OrderCode.OTHER_VERSION) if open_ else decided, submission)
+
+
+class ForgetsAccepted(ConfigurationState):
+    """No order is remembered."""
+
+    def accepted_as(self, digest: bytes) -> int | None:
+        return None
+
+
+class SnapshotWithoutDigests(ConfigurationState):
+    """Snapshots lack the digests of accepted orders."""
+
+    def restore(self, data: bytes) -> None:
+        codec = RecordCodec(ConfigurationSnapshot)
+        whole: ConfigurationSnapshot = codec.decode(data)
+        without = ConfigurationSnapshot(
+            whole.document, (), whole.placement_generation, whole.groups, whole.retired
+        )
+        super().restore(codec.encode(without))
+
+
+class RefusesForgotten(ConfigurationState):
+    """What was too long ago to be remembered is refused."""
+
+    def may_have_forgotten(self, base: int) -> bool:
+        return False
 
 
 class RaceTest(unittest.TestCase):
     """The search."""
 
     def test_no_sequence_of_events_breaks_a_rule(self) -> None:
-        count, sequence, rule = search(OrderDesk, LENGTH)
-        self.assertEqual((sequence, rule), ((), ""))
-        self.assertEqual(count, 2 * len(EVENTS) ** (LENGTH - 1))
-
-    def test_broken_builds_are_found(self) -> None:
-        for desk in (ForgetfulDesk, HastyDesk):
-            with self.subTest(desk=desk.__name__):
-                self.assertNotEqual(search(desk, LENGTH)[2], "")
+        for label, scope in SCOPES.items():
+            with self.subTest(label):
+                count, found = search(OrderProcessor, ConfigurationState, scope)
+                self.assertEqual(found, "")
+                self.assertGreater(count, 800)
+
+    def assert_found(
+        self, label: str, build: type = OrderProcessor, state: type = ConfigurationState
+    ) -> None:
+        self.assertNotEqual(search(build, state, SCOPES[label])[1], "")
+
+    def test_broken_no_confirmation_before_an_answer(self) -> None:
+        self.assert_found("two operators, one number", WithoutConfirmation)
+        self.assert_found("reads", ReadWithoutConfirmation)
+
+    def test_broken_reckoned_before_the_confirmation(self) -> None:
+        self.assert_found("on top of one another", ReckonedBefore)
+
+    def test_broken_acknowledged_before_commit(self) -> None:
+        self.assert_found("two operators, one number", AcknowledgedBeforeCommit)
+
+    def test_broken_refused_while_its_fate_is_open(self) -> None:
+        self.assert_found("two operators, one number", RefusedWhileOpen)
+
+    def test_broken_accepted_orders_are_forgotten(self) -> None:
+        self.assert_found("three tries, an answer lost, another version between", state=ForgetsAccepted)
+
+    def test_broken_digests_not_in_the_snapshot(self) -> None:
+        self.assert_found("brought up by a snapshot", state=SnapshotWithoutDigests)
+
+    def test_broken_forgotten_orders_are_refused(self) -> None:
+        self.assert_found("more orders than digests", state=RefusesForgotten)
+        self.assert_found("more orders than two digests", state=RefusesForgotten)
 
 
 if __name__ == "__main__":
