Same seed, same run: what is walked through in a process has an order

Sets of links, channels, tickets and addresses were walked through in the order of their hashes, so that two runs of one seed in the simulated world differed (first difference: the Hellos that greet_all sent, at a change of members). They are dicts or are sorted.

test_ingress compares channels with {} instead of set(). tests.system.test_ingress, test_shards, test_simulation_world, test_journal: 125 tests, OK.

--- a/bitternpath/ingress/channel.py
+++ b/bitternpath/ingress/channel.py
@@ -55,7 +55,7 @@
 
     def connectionMade(self) -> None:
         super().connectionMade()  # type: ignore[no-untyped-call]
-        self.site.channels.add(self)
+        self.site.channels[self] = None
         self._enter(Phase.IDLE)
 
     # ---- reading
@@ -201,7 +201,7 @@
         """Our own half-close after an error answer; the linger time runs."""
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self.site.channels.discard(self)
+        self.site.channels.pop(self, None)
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
         self.site.channel_lost()
 
--- a/bitternpath/ingress/interface.py
+++ b/bitternpath/ingress/interface.py
@@ -60,7 +60,7 @@
     def __init__(self, node: NodeService, reactor: Any) -> None:
         self._node = node
         self._reactor = reactor
-        self._pulls: set[_WaitingPull] = set()
+        self._pulls: dict[_WaitingPull, None] = {}  # in the order in which they came
         self._closing = False
 
     @app.route("/message/<message_id>", methods=["GET"])
@@ -176,7 +176,7 @@
     """One worker that waits for a job."""
 
     def __init__(
-        self, request: Any, ticket: PullTicket, node: NodeService, waiting: set[_WaitingPull]
+        self, request: Any, ticket: PullTicket, node: NodeService, waiting: dict[_WaitingPull, None]
     ) -> None:
         self._request = request
         self._ticket = ticket
@@ -187,7 +187,7 @@
     def wait(self, reactor: Any, wait_ms: int) -> None:
         """Answer with the job or without one, whichever comes first."""
         self._request.needs_open_peer = True
-        self._waiting.add(self)
+        self._waiting[self] = None
         self._timer = reactor.callLater(wait_ms / 1000 + PULL_LATE_S, self.release)
         self._request.notifyFinish().addErrback(lambda _: self._gone())
         self._ticket.result.addCallbacks(self._come, self._failed)
@@ -219,7 +219,7 @@
         """Whether it was still waiting; it no longer is."""
         if self not in self._waiting:
             return False
-        self._waiting.discard(self)
+        del self._waiting[self]
         if self._timer.active():
             self._timer.cancel()
         return True
--- a/bitternpath/ingress/site.py
+++ b/bitternpath/ingress/site.py
@@ -102,7 +102,7 @@
         self.limits = limits
         self.max_connections = max_connections
         self.reactor = reactor
-        self.channels: set[StrictChannel] = set()
+        self.channels: dict[StrictChannel, None] = {}  # in the order in which they were made
         self.closing = False
         self._drained: Deferred[None] | None = None
 
--- a/bitternpath/roles/edge.py
+++ b/bitternpath/roles/edge.py
@@ -186,9 +186,9 @@
         """Shards have other members: keep links to all storage nodes that are any."""
         self.appender.shards = self.lookup.shards = len(groups)
         addresses = {member.address for group in groups for member in group.members}
-        for address in self._storage_addresses - addresses:
+        for address in sorted(self._storage_addresses - addresses):
             self.base.hub.hang_up(address, SHARD_USER)
-        for address in addresses - self._storage_addresses:
+        for address in sorted(addresses - self._storage_addresses):
             self.base.hub.dial(address, SHARD_USER)
         self._storage_addresses = addresses
 
--- a/bitternpath/shards/pulls.py
+++ b/bitternpath/shards/pulls.py
@@ -143,7 +143,7 @@
     ) -> None:
         self.reactor, self.owners, self.reports = reactor, owners, reports
         self.zone, self.random = zone, random
-        self._tickets: set[Ticket] = set()
+        self._tickets: dict[Ticket, None] = {}  # in the order in which they were made
 
     def pull(self, service: str, instance: str, wait_ms: int) -> Ticket | EmptyTicket:
         """Wait for a job of a service."""
@@ -153,7 +153,7 @@
         if owner is None:
             return EmptyTicket(self.reactor, wait_ms / 1000)
         ticket = Ticket(self, service, instance, wait_ms / 1000)
-        self._tickets.add(ticket)
+        self._tickets[ticket] = None
         ticket.wait_at(group, owner)
         return ticket
 
@@ -169,7 +169,7 @@
 
     def ended(self, ticket: Ticket) -> None:
         """A ticket has its result."""
-        self._tickets.discard(ticket)
+        self._tickets.pop(ticket, None)
 
     def cancel_all(self) -> None:
         """The node shuts down: nobody waits here any more."""
--- a/bitternpath/storage/segments.py
+++ b/bitternpath/storage/segments.py
@@ -240,7 +240,7 @@
         """One group's state, or the removal of one segment. May be called again after an `OSError`."""
         if self._pending is None:
             self._roll()
-            self._pending = [*self._states.by_group, *self._states.forgotten]
+            self._pending = [*self._states.by_group, *sorted(self._states.forgotten)]
             self._first_needed = self._segment.number
         elif self._pending:
             self._write_state(self._pending[-1])
--- a/bitternpath/transport/connections.py
+++ b/bitternpath/transport/connections.py
@@ -115,7 +115,7 @@
     def connectionMade(self) -> None:
         self._heard_at = self.hub.reactor.seconds()
         _tune(self.transport.getHandle())
-        self.hub.links.add(self)
+        self.hub.links[self] = None
         self.send(Hello(self.hub.describe()))
         self._flush()
         self._ping_timer = self.hub.reactor.callLater(PING_INTERVAL_S, self._ping)
@@ -131,7 +131,7 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self._gone = True
-        self.hub.links.discard(self)
+        self.hub.links.pop(self, None)
         if self._ping_timer is not None and self._ping_timer.active():
             self._ping_timer.cancel()
         was_open, self.open = self.open, False
@@ -247,7 +247,7 @@
         random: Any,
     ) -> None:
         self.reactor, self.handler, self.describe, self.random = reactor, handler, describe, random
-        self.links: set[Link] = set()
+        self.links: dict[Link, None] = {}  # in the order in which they were made
         self._diallers: dict[str, Dialler] = {}
         self._port: Any = None
 
--- a/tests/system/small_actors.py
+++ b/tests/system/small_actors.py
@@ -10,7 +10,7 @@
 from twisted.web.client import Agent, readBody
 from twisted.web.http_headers import Headers
 from twisted.web.resource import Resource
-from twisted.web.server import Site
+from twisted.web.server import Request, Site
 
 from bitternpath.simulation.settings import PLATFORM_IP, PLATFORM_PORT
 from bitternpath.simulation.world import Plan, World
@@ -99,9 +99,17 @@
         return self._handle(request)
 
 
+class _Request(Request):
+    """Without the date that Twisted writes into each answer: it is the real one, so no two runs were equal."""
+
+    def setHeader(self, name: bytes, value: bytes) -> None:
+        if name != b"Date":
+            super().setHeader(name, value)  # type: ignore[no-untyped-call]
+
+
 def serve(world: World, ip: str, port: int, handle: Any) -> None:
     """An HTTP server; `handle(request)` gives the body."""
-    site = Site(_Handler(handle), reactor=world.host(ip))  # type: ignore[no-untyped-call]
+    site = Site(_Handler(handle), requestFactory=_Request, reactor=world.host(ip))  # type: ignore[no-untyped-call]
     site.noisy = False
     world.host(ip).listenTCP(port, site)
 
--- a/tests/system/test_ingress.py
+++ b/tests/system/test_ingress.py
@@ -629,7 +629,7 @@
     def test_nothing_is_left_of_a_lost_connection(self) -> None:
         for data in (b"", HEAD, HEAD + b"Content-Length: 4\r\n\r\n", b"garbage\r\n\r\n"):
             (self.ask(data) if data else self.client()).lose()
-        self.assertEqual((self.clock.getDelayedCalls(), self.site.channels), ([], set()))
+        self.assertEqual((self.clock.getDelayedCalls(), self.site.channels), ([], {}))
 
     def test_too_many_connections(self) -> None:
         self.site = self.front(max_connections=2)
