--- a/bitternpath/queue/leases.py
+++ b/bitternpath/queue/leases.py
@@ -11,8 +11,8 @@
 from bitternpath.queue.entries import Lease
 from bitternpath.queue.lanes import LaneTable, ServiceLane
 from bitternpath.queue.polls import PollTable
-from bitternpath.queue.records import AttemptOutcome
 from bitternpath.queue.tracked import OutLease, Tracked
+from bitternpath.transport.records import AttemptOutcome
 
 PUSH_LEASE_MARGIN_MS = (
     2_000  # beyond the route's time-out: way to the edge node, choice of a worker, way back
@@ -107,7 +107,7 @@
     def _grant_to_edge(self, now: float, lane: ServiceLane, tracked: Tracked) -> GrantLease | None:
         route, service = tracked.route, lane.service.name
         assert route is not None
-        edge = self._edges.choose(tracked.entry.message.origin, service)
+        edge = self._edges.choose(tracked.entry.message.origin, service, tracked.avoided_edge)
         if edge is None:
             return None
         lease_id = self._next_lease_id()
--- a/bitternpath/roles/edge.py
+++ b/bitternpath/roles/edge.py
@@ -25,7 +25,6 @@
     PullTicket,
 )
 from bitternpath.membership.founding import CONFIGURATION_GROUP
-from bitternpath.queue.records import Message
 from bitternpath.roles.configuration_member import ConfigurationMember, FoundingDecider
 from bitternpath.roles.machine import LocalMachine, Machine
 from bitternpath.roles.node_base import NodeBase
@@ -58,6 +57,7 @@
     Ownership,
     StatusRequest,
 )
+from bitternpath.transport.records import Message
 
 log = logbook.Logger("edge")
 
