--- a/tests/system/small_actors.py
+++ b/tests/system/small_actors.py
@@ -100,7 +100,7 @@
 
 
 class _Request(Request):
-    """Without the date that Twisted writes into each answer: it is the real one, so no two runs were equal."""
+    """Without the date that Twisted writes into each answer: it is the real one, and runs must be equal."""
 
     def setHeader(self, name: bytes, value: bytes) -> None:
         if name != b"Date":
