--- a/bitternpath/ingress/channel.py
+++ b/bitternpath/ingress/channel.py
@@ -38,7 +38,7 @@
 class ChannelSite(Protocol):
     """What a connection needs of its server; `HttpSite` is one."""
 
-    channels: set[StrictChannel]  # the open ones
+    channels: dict[StrictChannel, None]  # the open ones, in the order in which they were made
     closing: bool  # whether the server is shutting down
 
     def limits(self) -> RequestLimits:
--- a/bitternpath/simulation/processes.py
+++ b/bitternpath/simulation/processes.py
@@ -114,6 +114,7 @@
         self._machine = SimulatedMachine(self, reactor, Random(self._random.getrandbits(64)))
         reactor.stopped = self._stopped
         reactor.run(self._build, reactor, self._machine)
+        self.document["bootstrap"] = False  # it is true at the first start only
 
     def start_after(self, seconds: float) -> None:
         """Start the process later."""
@@ -151,7 +152,6 @@
         self.host.powered = False
         if wiped:
             self.disk.wipe()
-            self.document["bootstrap"] = False
         else:
             self.disk.lose_power(self._random)
 
--- /dev/null
+++ b/tests/system/test_simulation_faults.py
@@ -0,0 +1,230 @@
+"""Faults of the simulated world against the whole service; and the same seed gives the same run."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import unittest
+from collections.abc import Callable
+from random import Random
+
+from bitternpath.simulation.processes import NodeState
+from bitternpath.simulation.recorder import Ownership
+from bitternpath.simulation.world import Plan, World
+from tests.system.small_actors import Answer, SmallSystem
+
+SETTLE_S = 6.0  # after the last fault, until all must be well again
+
+
+class FaultCase(unittest.TestCase):
+    """Plays one fault in a system at work, and looks whether the system is well afterwards."""
+
+    def setUp(self) -> None:
+        self.system = SmallSystem(11)
+        self.world = self.system.world
+        self.system.found()
+        self.world.run_for(2.0)
+        self.accepted: list[tuple[str, Answer]] = []
+
+    def send(self, edge: int = 0) -> None:
+        self.accepted.append(self.system.send(edge))
+
+    def send_until_taken(self) -> None:
+        """As a client does: a 503 is a promise that the message wasn't taken."""
+        for _ in range(5):
+            name, answer = self.system.send()
+            self.world.run_for(1.0)
+            if answer.status != 503:
+                self.accepted.append((name, answer))
+                self.world.run_for(1.0)
+                return
+        self.fail("503 for 5 s")
+
+    def owner(self, group: str) -> str:
+        """The node that owns a group, by what replicas said last."""
+        last: dict[str, Ownership] = {}
+        for told in self.world.ownerships:
+            if told.group == group and told.gained:
+                last[group] = told
+        return last[group].node
+
+    def check_well(self, versions: int = 2) -> None:
+        """An order is taken and in force everywhere; all accepted messages ran and are done."""
+        self.world.run_for(SETTLE_S)
+        order = self.system.put(versions, versions - 1)
+        self.world.run_for(2.0)
+        self.assertEqual(order.status, 200, order)
+        self.send_until_taken()
+        states = [(self.system.state(answer, name), name) for name, answer in self.accepted]
+        versions_seen = [self.system.version(edge) for edge in range(len(self.world.edges()))]
+        self.world.run_for(2.0)
+        for answer, name in states:
+            self.assertEqual((answer.status, answer.body[:15]), (200, b'{"state":"done"'), (name, answer))
+        self.assertEqual(
+            [answer.json()["version"] for answer in versions_seen], [versions] * len(versions_seen)
+        )
+        self.assertEqual(self.world.failures, [])
+        self.assertEqual(self.world.violations, [])
+
+    def during(self, fault: Callable[[], object]) -> None:
+        """Send, play the fault, check."""
+        self.send_until_taken()
+        fault()
+        self.check_well()
+
+
+class ProcessFaults(FaultCase):
+    def test_kill(self) -> None:
+        for name in list(self.world.nodes):
+            self.world.kill(name)
+        self.check_well()
+        self.assertTrue(all(node.lives == 2 for node in self.world.nodes.values()))
+
+    def test_power_loss_of_all_at_once(self) -> None:
+        self.send(1)
+        self.world.run_for(0.05)
+        self.assertEqual(self.accepted[0][1].status, 202)
+        for name in list(self.world.nodes):
+            self.world.lose_power(name)
+        self.check_well()
+
+    def test_wipe(self) -> None:
+        self.during(lambda: self.world.wipe(self.owner("queue-0")))
+        self.world.wipe(self.owner("configuration"))
+        self.check_well(3)
+
+    def test_freeze_and_thaw(self) -> None:
+        name = self.owner("configuration")
+        self.world.freeze(name)
+        self.world.run_for(3.0)
+        self.assertNotEqual(self.owner("configuration"), name)
+        self.world.thaw(name)
+        self.check_well()
+
+    def test_terminate(self) -> None:
+        name = self.world.edges()[0].name
+        self.during(lambda: self.world.terminate(name))
+        self.assertEqual(self.world.nodes[name].exit_codes, [0])
+        self.assertEqual(self.world.nodes[name].lives, 2)
+
+    def test_reload(self) -> None:
+        name = self.world.edges()[1].name
+        seeds = self.world.current_seeds()[:1]
+        self.during(lambda: self.world.reload(name, seeds=seeds))
+        self.assertEqual(len(self.world.nodes[name].process.node.base.view.seeds), 1)
+
+    def test_slow(self) -> None:
+        name = self.owner("queue-1")
+        self.world.slow(name, 10.0)
+        self.world.run_for(2.0)
+        self.world.slow(name, 1.0)
+        self.check_well()
+
+    def test_a_node_joins_and_another_is_replaced(self) -> None:
+        added = self.world.add_node("edge", counted=False)
+        self.world.run_for(1.0)
+        old = self.world.storages()[0].name
+        new = self.world.replace(old)
+        self.check_well()
+        self.assertIs(self.world.nodes[old].state, NodeState.REMOVED)
+        self.assertEqual((added.state, new.state), (NodeState.UP, NodeState.UP))
+        self.assertNotEqual(new.ip, self.world.nodes[old].ip)
+
+
+class LinkFaults(FaultCase):
+    def test_cut_off_owner_of_the_configuration(self) -> None:
+        name = self.owner("configuration")
+        self.world.cut_off(name)
+        self.world.run_for(3.0)
+        self.assertNotEqual(self.owner("configuration"), name)
+        self.world.rejoin(name)
+        self.check_well()
+
+    def test_cut_in_one_direction(self) -> None:
+        name = self.owner("queue-2")
+        self.world.cut_off(name, both=False)
+        self.world.run_for(3.0)
+        self.world.rejoin(name)
+        self.check_well()
+
+    def test_cut_between_two(self) -> None:
+        first, second = [node.name for node in self.world.storages()][:2]
+        self.world.cut(first, second)
+        self.world.run_for(3.0)
+        self.world.join(first, second)
+        self.check_well()
+
+    def test_resets(self) -> None:
+        random = Random(5)
+        names = list(self.world.nodes)
+        for _ in range(20):
+            self.world.reset(*random.sample(names, 2))
+            self.world.run_for(0.1)
+        self.check_well()
+
+    def test_squeeze(self) -> None:
+        first, second = [node.name for node in self.world.storages()][:2]
+        self.world.squeeze(first, second, 30_000.0)
+        self.world.run_for(2.0)
+        self.world.squeeze(first, second, None)
+        self.check_well()
+
+
+class DiskFaults(FaultCase):
+    def test_stall(self) -> None:
+        self.during(lambda: self.world.stall_disk(self.owner("queue-0"), 2.0))
+
+    def test_full(self) -> None:
+        name = self.owner("queue-0")
+        self.world.bound_disk(name, 100)
+        self.send(0)
+        self.world.run_for(2.0)
+        self.world.bound_disk(name, None)
+        self.check_well()
+
+    def test_damaged_disk_is_set_aside(self) -> None:
+        name = self.owner("queue-1")
+        disk = self.world.disk(name)
+        self.world.kill(name, down_s=None)
+        path = next(path for path in disk.paths() if path.endswith(".log"))
+        disk.flip(path, 40)
+        self.world.nodes[name].start()
+        self.check_well()
+        self.assertTrue(any(path.startswith("damaged-") for path in disk.paths()))
+
+
+def faulty_run(seed: int) -> World:
+    """A run with traffic and many faults."""
+    system = SmallSystem(seed, Plan(storages=4))
+    world = system.world
+    system.found()
+    random = world.random("faults")
+    for step in range(12):
+        name = random.choice([node.name for node in world.edges() + world.storages()])
+        fault = random.choice([world.kill, world.lose_power, world.wipe, world.terminate, world.freeze])
+        fault(name)
+        world.at(world.now + 0.7, world.thaw, name)
+        system.send(step % 3)
+        system.put(2 + step, 1 + step)
+        world.run_for(1.0)
+    return world
+
+
+class SameSeedSameRun(unittest.TestCase):
+    def test_in_one_process(self) -> None:
+        digests = {seed: faulty_run(seed).digest() for seed in (1, 2)}
+        self.assertNotEqual(digests[1], digests[2])
+        self.assertEqual(faulty_run(1).digest(), digests[1])
+        self.assertEqual(faulty_run(1).trace, faulty_run(1).trace)
+
+    def test_in_processes_whose_hashes_differ(self) -> None:
+        code = "from tests.system.test_simulation_faults import faulty_run; print(faulty_run(3).digest())"
+        seen = set()
+        for hash_seed in ("1", "2"):
+            environment = {**os.environ, "PYTHONHASHSEED": hash_seed}
+            done = subprocess.run(
+                [sys.executable, "-c", code], env=environment, capture_output=True, text=True, check=True
+            )
+            seen.add(done.stdout)
+        self.assertEqual(len(seen), 1, seen)
--- /dev/null
+++ b/tests/system/test_simulation_network.py
@@ -0,0 +1,336 @@
+"""Simulated TCP and UDP: order, cuts, half-open ends, resets, refusals, windows, as real sockets do."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+from typing import Any
+
+from twisted.internet.error import CannotListenError
+from twisted.internet.protocol import DatagramProtocol, Factory, Protocol
+from twisted.python.failure import Failure
+
+from bitternpath.simulation.world import World
+
+A, B = "10.1.0.1", "10.2.0.1"
+PORT = 8000
+
+
+class End(Protocol):
+    """Keeps what it hears."""
+
+    transport: Any
+
+    def __init__(self) -> None:
+        self.made = False
+        self.data = b""
+        self.lost = ""
+
+    def connectionMade(self) -> None:
+        self.made = True
+
+    def dataReceived(self, data: bytes) -> None:
+        self.data += data
+
+    def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]
+        assert not self.lost
+        self.lost = reason.type.__name__
+
+
+class Dial(Factory):
+    noisy = False
+
+    def __init__(self, end: End) -> None:
+        self.end, self.failed = end, ""
+
+    def buildProtocol(self, addr: Any) -> End:
+        return self.end
+
+    def startedConnecting(self, connector: Any) -> None:
+        """Nothing to do."""
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self.failed = reason.type.__name__
+
+    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
+        """The protocol knows."""
+
+
+class Accept(Factory):
+    noisy = False
+
+    def __init__(self) -> None:
+        self.ends: list[End] = []
+
+    def buildProtocol(self, addr: Any) -> End:
+        self.ends.append(End())
+        return self.ends[-1]
+
+
+class Streams(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = World(1)
+        self.a, self.b = self.world.host(A), self.world.host(B)
+        self.accept = Accept()
+        self.port: Any = self.b.listenTCP(PORT, self.accept)
+
+    def dial(self, timeout: float = 1.0, port: int = PORT, run_s: float = 0.1) -> tuple[End, Dial]:
+        end = End()
+        factory = Dial(end)
+        self.a.connectTCP(B, port, factory, timeout=timeout)
+        self.world.run_for(run_s)
+        return end, factory
+
+    def pair(self) -> tuple[End, End]:
+        end, _ = self.dial()
+        self.assertTrue(end.made)
+        return end, self.accept.ends[-1]
+
+    def set_user_timeout(self, end: End, milliseconds: int) -> None:
+        end.transport.getHandle().setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+    def test_bytes_come_in_order_and_the_end_after_them(self) -> None:
+        near, far = self.pair()
+        for number in range(100):
+            near.transport.write(b"%03d" % number)
+        near.transport.loseConnection()
+        self.assertEqual(far.data, b"")
+        self.world.run_for(0.1)
+        self.assertEqual(far.data, b"".join(b"%03d" % number for number in range(100)))
+        self.assertEqual((near.lost, far.lost), ("ConnectionDone", "ConnectionDone"))
+
+    def test_a_closed_port_refuses(self) -> None:
+        _, factory = self.dial(port=PORT + 1)
+        self.assertEqual(factory.failed, "ConnectionRefusedError")
+
+    def test_a_port_is_taken_once(self) -> None:
+        with self.assertRaises(CannotListenError):
+            self.b.listenTCP(PORT, Accept())
+        self.port.stopListening()
+        self.b.listenTCP(PORT, Accept())
+
+    def test_nobody_answers_at_an_address_without_host_or_behind_a_cut(self) -> None:
+        self.world.cut(A, B, both=False)
+        _, factory = self.dial(timeout=0.5, run_s=0.4)
+        self.assertEqual(factory.failed, "")
+        self.world.run_for(0.2)
+        self.assertEqual(factory.failed, "TimeoutError")
+
+    def test_a_lost_opening_packet_is_sent_again_after_a_second(self) -> None:
+        self.world.cut(B, A, both=False)
+        self.world.at(0.5, self.world.join, A, B)
+        end, _ = self.dial(timeout=3.0, run_s=0.9)
+        self.assertFalse(end.made)
+        self.world.run_for(0.2)
+        self.assertTrue(end.made)
+
+    def test_reset_loses_what_is_under_way(self) -> None:
+        near, far = self.pair()
+        near.transport.write(b"lost")
+        self.world.reset(A, B)
+        self.world.run_for(0.1)
+        self.assertEqual((far.data, near.lost, far.lost), (b"", "ConnectionLost", "ConnectionLost"))
+
+    def test_abort_resets_the_peer(self) -> None:
+        near, far = self.pair()
+        near.transport.abortConnection()
+        self.assertEqual(near.lost, "")
+        self.world.run_for(0.1)
+        self.assertEqual((near.lost, far.lost), ("ConnectionAborted", "ConnectionLost"))
+
+    def test_bytes_wait_behind_a_cut_and_come_in_order_after_it(self) -> None:
+        near, far = self.pair()
+        self.world.cut(A, B)
+        near.transport.write(b"first ")
+        self.world.run_for(5.0)
+        self.assertEqual((far.data, near.lost), (b"", ""))
+        self.world.join(A, B)
+        near.transport.write(b"second")
+        self.world.run_for(1.0)
+        self.assertEqual(far.data, b"first second")
+
+    def test_a_cut_in_one_direction_holds_only_that_one(self) -> None:
+        near, far = self.pair()
+        self.world.cut(A, B, both=False)
+        near.transport.write(b"held")
+        far.transport.write(b"heard")
+        self.world.run_for(1.0)
+        self.assertEqual((far.data, near.data), (b"", b"heard"))
+
+    def test_user_timeout_ends_only_the_writing_side(self) -> None:
+        near, far = self.pair()
+        self.set_user_timeout(near, 2_000)
+        self.world.cut(A, B)
+        near.transport.write(b"held")
+        self.world.run_for(1.9)
+        self.assertEqual(near.lost, "")
+        self.world.run_for(0.2)
+        self.assertEqual((near.lost, far.lost), ("TimeoutError", ""))
+        self.world.join(A, B)
+        self.world.run_for(1.0)
+        self.assertEqual((far.data, far.lost), (b"", ""))  # what the sender gave up is lost: half-open
+        far.transport.write(b"any")
+        self.world.run_for(1.0)
+        self.assertEqual(far.lost, "ConnectionLost")
+
+    def test_user_timeout_where_only_acknowledgements_are_lost(self) -> None:
+        near, far = self.pair()
+        self.set_user_timeout(near, 2_000)
+        self.world.cut(B, A, both=False)
+        near.transport.write(b"heard")
+        self.world.run_for(2.5)
+        self.assertEqual((far.data, near.lost, far.lost), (b"heard", "TimeoutError", ""))
+
+    def test_a_short_cut_is_no_matter_for_the_user_timeout(self) -> None:
+        near, far = self.pair()
+        self.set_user_timeout(near, 2_000)
+        self.world.cut(A, B)
+        near.transport.write(b"held")
+        self.world.run_for(1.0)
+        self.world.join(A, B)
+        self.world.run_for(5.0)
+        self.assertEqual((far.data, near.lost), (b"held", ""))
+
+    def test_a_reset_behind_a_cut_is_lost_and_so_are_the_bytes_before_it(self) -> None:
+        near, far = self.pair()
+        self.world.cut(A, B)
+        near.transport.write(b"held")
+        self.world.run_for(0.1)
+        near.transport.abortConnection()
+        self.world.run_for(0.1)
+        self.world.join(A, B)
+        self.world.run_for(5.0)
+        self.assertEqual((near.lost, far.data, far.lost), ("ConnectionAborted", b"", ""))
+
+    def test_frozen_process_hears_all_at_once_when_it_goes_on(self) -> None:
+        near, far = self.pair()
+        heard: list[str] = []
+        far.dataReceived = lambda data: heard.append(f"data {len(data)}")  # type: ignore[method-assign]
+        self.b.callLater(0.2, heard.append, "timer")
+        self.b.freeze()
+        for _ in range(3):
+            near.transport.write(b"12345")
+            self.world.run_for(0.1)
+        late, factory = self.dial()
+        self.assertEqual((heard, late.made, factory.failed), ([], True, ""))  # the kernel answers
+        accepted = len(self.accept.ends)
+        self.b.thaw()
+        self.world.run_for(0.0)
+        self.assertEqual(heard, ["timer", "data 15"])
+        self.assertEqual(len(self.accept.ends), accepted + 1)
+
+    def test_a_peer_that_does_not_read_holds_the_writer_up(self) -> None:
+        near, far = self.pair()
+        told: list[str] = []
+
+        class Producer:
+            def pauseProducing(self) -> None:
+                told.append("pause")
+
+            def resumeProducing(self) -> None:
+                told.append("resume")
+
+            def stopProducing(self) -> None:
+                told.append("stop")
+
+        near.transport.registerProducer(Producer(), True)
+        far.transport.pauseProducing()
+        for _ in range(10):
+            near.transport.write(b"x" * (100 << 10))
+        self.world.run_for(1.0)
+        self.assertEqual((told[:1], far.data), (["pause"], b""))
+        far.transport.resumeProducing()
+        self.world.run_for(1.0)
+        self.assertEqual((told[-1], len(far.data)), ("resume", 1000 << 10))
+
+    def test_squeezed_link_takes_time(self) -> None:
+        near, far = self.pair()
+        self.world.squeeze(A, B, 100_000.0)
+        for _ in range(10):
+            near.transport.write(b"x" * 10_000)
+        self.world.run_for(0.5)
+        self.assertTrue(40_000 <= len(far.data) <= 60_000, len(far.data))
+        self.world.run_for(0.6)
+        self.assertEqual(len(far.data), 100_000)
+
+    def test_peek_sees_what_waits_and_the_end(self) -> None:
+        near, far = self.pair()
+        handle = near.transport.getHandle()
+        with self.assertRaises(BlockingIOError):
+            handle.recv(1, socket.MSG_PEEK)
+        near.transport.pauseProducing()
+        far.transport.write(b"abc")
+        self.world.run_for(0.1)
+        self.assertEqual(handle.recv(1, socket.MSG_PEEK), b"a")
+        near.transport.resumeProducing()
+        self.world.run_for(0.1)
+        near.transport.pauseProducing()
+        far.transport.loseConnection()
+        self.world.run_for(0.1)
+        self.assertEqual(handle.recv(1, socket.MSG_PEEK), b"")
+
+    def test_half_close(self) -> None:
+        near, far = self.pair()
+        near.transport.write(b"question")
+        near.transport.loseWriteConnection()
+        self.world.run_for(0.1)
+        self.assertEqual((far.data, far.lost), (b"question", "ConnectionDone"))
+        self.assertEqual(near.lost, "ConnectionDone")
+
+
+class Datagrams(unittest.TestCase):
+    def test_datagrams_come_or_are_lost(self) -> None:
+        world = World(2)
+        got: list[bytes] = []
+
+        class Receiver(DatagramProtocol):
+            def datagramReceived(self, datagram: bytes, addr: Any) -> None:
+                got.append(datagram)
+
+        sender = DatagramProtocol()
+        world.host(A).listenUDP(PORT, sender)
+        world.host(B).listenUDP(PORT, Receiver())
+        transport: Any = sender.transport
+        world.lossy(A, B, 0.0)
+        transport.write(b"one", (B, PORT))
+        transport.write(b"nowhere", (B, PORT + 1))
+        world.run_for(0.1)
+        world.cut(A, B)
+        transport.write(b"two", (B, PORT))
+        world.run_for(0.1)
+        world.join(A, B)
+        world.run_for(1.0)
+        self.assertEqual(got, [b"one"])
+        world.lossy(A, B, 0.5)
+        for _ in range(100):
+            transport.write(b"x", (B, PORT))
+        world.run_for(1.0)
+        self.assertTrue(30 < len(got) < 70, len(got))
+
+
+class Reactors(unittest.TestCase):
+    def test_timers_can_be_moved_and_cancelled(self) -> None:
+        world = World(3)
+        reactor = world.host(A)
+        fired: list[tuple[str, float]] = []
+
+        def note(name: str) -> None:
+            fired.append((name, round(world.now, 3)))
+
+        later = reactor.callLater(1.0, note, "later")
+        later.reset(2.0)
+        sooner = reactor.callLater(5.0, note, "sooner")
+        sooner.reset(0.5)
+        delayed = reactor.callLater(1.0, note, "delayed")
+        delayed.delay(0.5)
+        cancelled = reactor.callLater(1.0, note, "cancelled")
+        cancelled.cancel()
+        world.run_until(10.0)
+        self.assertEqual(fired, [("sooner", 0.5), ("delayed", 1.5), ("later", 2.0)])
+        self.assertFalse(later.active())
+
+    def test_what_an_actor_raises_ends_the_run(self) -> None:
+        world = World(4)
+        world.host(A).callLater(1.0, lambda: 1 // 0)
+        with self.assertRaises(ZeroDivisionError):
+            world.run_until(2.0)
