--- a/bitternpath/ingress/channel.py
+++ b/bitternpath/ingress/channel.py
@@ -38,7 +38,7 @@
 class ChannelSite(Protocol):
     """What a connection needs of its server; `HttpSite` is one."""
 
-    channels: set[StrictChannel]  # the open ones
+    channels: dict[StrictChannel, None]  # the open ones, in the order in which they were made
     closing: bool  # whether the server is shutting down
 
     def limits(self) -> RequestLimits:
@@ -66,7 +66,7 @@
 
     def connectionMade(self) -> None:
         super().connectionMade()  # type: ignore[no-untyped-call]
-        self.site.channels.add(self)
+        self.site.channels[self] = None
         self._enter(Phase.IDLE)
 
     # ---- reading
@@ -221,7 +221,7 @@
         """Our own half-close after an error answer; the linger time runs."""
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self.site.channels.discard(self)
+        self.site.channels.pop(self, None)
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
         self.site.channel_lost()
 
