Feed: no heartbeat without a lease; silent candidates hold no follower up

Cause, found by reading and brought about in virtual time: an owner that can send but not hear, or has just thawed, went on with its heartbeats, answers to subscriptions and lists until it noticed, and so kept followers from looking for its successor. Updates carried the group's newest term, which in the turn of a step-down is already another owner's.

Change: FeedServer speaks only while ReplicaGroup.has_lease (a majority heard within an election's time) and with the epoch of its own ownership. FeedFollower asks the next candidate after 0.45 s beside those that say nothing (three at most), each once a round, and follows whichever sends an update first; the owner it had is one of them. followers() names a node once though its old link isn't given up yet.

--- a/bitternpath/configuration/feed.py
+++ b/bitternpath/configuration/feed.py
@@ -1,9 +1,10 @@
 """The feed by which all nodes follow the configuration group: a snapshot, then what changes.
 
 The group's owner serves it (`FeedServer`); each node follows it (`FeedFollower`). Offsets are the version of
-the document and the generation of the placement. Updates are also sent unchanged as heartbeats: a follower
-that hears none looks for another owner. Offsets never go back in a process's life, and an update of an older
-epoch is passed over.
+the document and the generation of the placement. Updates are also sent unchanged as heartbeats, but only
+while the owner has heard a majority lately: a follower that hears none looks for another owner, and so leaves
+one that is cut off and can't know of its successor. Offsets never go back in a process's life, and an update
+of an older epoch is passed over.
 """
 
 from __future__ import annotations
@@ -34,6 +35,9 @@
 HEARTBEAT_S = 0.4
 SILENCE_S = 1.3  # three heartbeats
 LOOK_S = 0.15  # how often a follower without an owner looks on
+ATTEMPT_S = 0.45  # so long one candidate is asked alone: a connection and an answer, far away
+MOST_ASKED = 3  # candidates at once: those that say nothing hold nobody up
+HINT_AGAIN_S = 0.3  # a node that was asked so lately isn't asked again because another one names it
 FEED_USER = "feed"
 
 
@@ -48,15 +52,20 @@
 class FeedServer:
     """Serves the feed while this node owns the configuration group."""
 
-    def __init__(self, reactor: Any, state: ConfigurationState, epoch: Callable[[], int]) -> None:
-        self.reactor, self.state, self._epoch = reactor, state, epoch
+    def __init__(
+        self, reactor: Any, state: ConfigurationState, has_lease: Callable[[], bool] = lambda: True
+    ) -> None:
+        """`has_lease`: whether a majority was heard so lately that there is no later owner yet."""
+        self.reactor, self.state, self._has_lease = reactor, state, has_lease
+        self.epoch = 0  # of this ownership: the group's own may already be a later owner's
         self._subscribers: dict[Link, _Subscriber] = {}
         self._timer: Any = None
         self.catalogue: CatalogueUpdate | None = None
         self.serving = False
 
-    def begin(self) -> None:
+    def begin(self, epoch: int) -> None:
         """This node owns the group now."""
+        self.epoch = epoch
         self.serving = True
         self._beat()
 
@@ -76,7 +85,8 @@
             wanted.configuration_version, wanted.placement_generation, wanted.wants_catalogue
         )
         self._subscribers[link] = subscriber
-        self._send(link, subscriber)
+        if self._has_lease():
+            self._send(link, subscriber)
 
     def dropped(self, link: Link) -> None:
         """A link has ended."""
@@ -84,19 +94,22 @@
 
     def publish(self) -> None:
         """The state has changed."""
-        if self.serving:
+        if self.serving and self._has_lease():
             for link, subscriber in self._subscribers.items():
                 self._send(link, subscriber)
 
     def publish_catalogue(self, update: CatalogueUpdate) -> None:
         """The platform's list was read."""
         self.catalogue = update
+        if not self._has_lease():
+            return
         for link, subscriber in self._subscribers.items():
             self._send_catalogue(link, subscriber, update)
 
     def followers(self) -> list[NodeDescriptor]:
-        """The nodes that follow now."""
-        return [link.peer for link in self._subscribers if link.peer is not None]
+        """The nodes that follow now. Of two links to one, the last: the other is about to be given up."""
+        peers = [link.peer for link in self._subscribers if link.peer is not None]
+        return list({peer.name: peer for peer in peers}.values())
 
     def _beat(self) -> None:
         self.publish()
@@ -108,9 +121,7 @@
         placed = state.groups if state.placement_generation > subscriber.generation else None
         edges = sum(node.kind is NodeKind.EDGE for node in self.followers())
         link.send(
-            FeedUpdate(
-                self._epoch(), state.version, document, state.placement_generation, placed, max(edges, 1)
-            )
+            FeedUpdate(self.epoch, state.version, document, state.placement_generation, placed, max(edges, 1))
         )
         subscriber.version, subscriber.generation = state.version, state.placement_generation
         if self.catalogue is not None and subscriber.catalogue_serial < 0:
@@ -138,7 +149,12 @@
 
 
 class FeedFollower:
-    """Follows the feed: finds the owner, subscribes, and looks on when it falls silent."""
+    """Follows the feed: finds the owner, subscribes, and looks on when it falls silent.
+
+    A search asks one candidate after the other, those that say nothing beside the next ones; whichever sends
+    an update first is followed. The owner followed before stays one of those asked, as it may have been
+    silent for a moment only.
+    """
 
     def __init__(
         self,
@@ -159,7 +175,9 @@
         self.heard_at = float("-inf")
         self.epoch = 0
         self._address = ""
-        self._link: Link | None = None  # subscribed on this one
+        self._link: Link | None = None  # followed, while its owner is
+        self._asked: dict[str, Link | None] = {}  # by address: where it has been subscribed, if anywhere
+        self._tried: dict[str, float] = {}  # in this search, and when
         self._asked_at = float("-inf")
         self._timer: Any = None
 
@@ -170,13 +188,16 @@
 
     @property
     def owner_address(self) -> str:
-        """The address that the feed is followed from, or looked for at."""
+        """The address that the feed is followed from, or was looked for at last."""
         return self._address
 
     def owner_link(self) -> Link | None:
         """The link to the owner, while the feed is alive."""
-        alive = self.reactor.seconds() - self.heard_at < SILENCE_S
-        return self._link if alive and self._link is not None and self._link.open else None
+        return self._link if self._alive() else None
+
+    def _alive(self) -> bool:
+        heard = self.reactor.seconds() - self.heard_at < SILENCE_S
+        return heard and self._link is not None and self._link.open
 
     def start(self) -> None:
         """Begin to look for the owner."""
@@ -188,11 +209,12 @@
             self._timer.cancel()
 
     def updated(self, link: Link, update: FeedUpdate) -> None:
-        """The owner's word."""
-        if update.epoch < self.epoch or link is not self._link:
+        """An owner's word."""
+        if update.epoch < self.epoch or not self._follow(link):
             return
         self.epoch = update.epoch
         self.heard_at = self.reactor.seconds()
+        self._end_search()
         self.edge_nodes = update.edge_nodes
         self._take(update)
 
@@ -210,50 +232,84 @@
             log.info("event=configuration_in_force version={}", self.table.version)
             self.listener.configuration_changed(self.table)
 
+    def _follow(self, link: Link) -> bool:
+        """Whether a link was asked for the feed; it is followed from now on."""
+        address = self._address_of(link)
+        if not address:
+            return False
+        self._link, self._address = link, address
+        return True
+
+    def _address_of(self, link: Link) -> str:
+        return next((address for address, asked in self._asked.items() if asked is link), "")
+
+    def _end_search(self) -> None:
+        """The owner is known: nobody else is asked any more."""
+        self._tried = {self._address: self.reactor.seconds()}
+        for other in [other for other in self._asked if other != self._address]:
+            self._leave(other)
+
     def refused(self, link: Link, refusal: FeedRefused) -> None:
-        """The asked node doesn't own the group."""
-        if link is not self._link:
+        """An asked node doesn't own the group."""
+        address = self._address_of(link)
+        if not address:
             return
         self.members = refusal.members or self.members
-        self._asked_at = float("-inf")
-        if refusal.leader_address and refusal.leader_address != self._address:
-            self._turn_to(refusal.leader_address)
+        self._leave(address)
+        self._tried[address] = self.reactor.seconds()
+        if refusal.leader_address and not self._tried_lately(refusal.leader_address):
+            self._ask(refusal.leader_address)
         else:
-            self._turn_to(self._other_candidate())
+            self._asked_at = float("-inf")  # the next look asks another one
+
+    def _tried_lately(self, address: str) -> bool:
+        return bool(self.reactor.seconds() - self._tried.get(address, float("-inf")) < HINT_AGAIN_S)
 
     def closed(self, link: Link) -> None:
         """A link has ended."""
         if link is self._link:
             self._link = None
             self._asked_at = float("-inf")
+        for address, asked in self._asked.items():
+            if asked is link:
+                self._asked[address] = None  # subscribed again if it is dialled again
 
     def _look(self) -> None:
         self._timer = self.reactor.callLater(LOOK_S, self._look)
-        now = self.reactor.seconds()
-        if now - max(self.heard_at, self._asked_at) >= SILENCE_S:
-            self._turn_to(self._other_candidate())
+        if not self._alive() and self.reactor.seconds() - self._asked_at >= ATTEMPT_S:
+            self._ask(self._next_candidate())
         self._subscribe()
 
-    def _turn_to(self, address: str) -> None:
+    def _ask(self, address: str) -> None:
         if not address:
             return
-        self._link = None
-        if address != self._address and self._address:
-            self.hub.hang_up(self._address, FEED_USER)
+        self._tried[address] = self.reactor.seconds()
         self._address = address
         self._asked_at = self.reactor.seconds()
+        self._asked.setdefault(address, None)
+        for oldest in list(self._asked)[:-MOST_ASKED]:
+            self._leave(oldest)
         self.hub.dial(address, FEED_USER)
+        self._subscribe()
 
-    def _subscribe(self) -> None:
-        link = self.hub.link_to(self._address) if self._address else None
-        if link is None or link is self._link:
-            return
-        self._link = link
-        self._asked_at = self.reactor.seconds()
-        link.send(FeedSubscribe(self.version, self.placement_generation, self._wants_catalogue))
+    def _leave(self, address: str) -> None:
+        left = self._asked.pop(address, None)
+        if left is self._link:
+            self._link = None
+        self.hub.hang_up(address, FEED_USER)
 
-    def _other_candidate(self) -> str:
-        addresses = [member.address for member in self.members]
-        addresses += [address for address in self._candidates() if address not in addresses]
-        addresses = [address for address in addresses if address != self._address] or addresses
-        return self.hub.random.choice(addresses) if addresses else ""
+    def _subscribe(self) -> None:
+        for address, asked in self._asked.items():
+            link = self.hub.link_to(address)
+            if link is not None and link is not asked:
+                self._asked[address] = link
+                link.send(FeedSubscribe(self.version, self.placement_generation, self._wants_catalogue))
+
+    def _next_candidate(self) -> str:
+        """One that wasn't tried in this search; when all were, the search begins anew."""
+        addresses = dict.fromkeys([*(member.address for member in self.members), *self._candidates()])
+        left = [address for address in addresses if address not in self._tried]
+        if not left:
+            self._tried.clear()
+            left = [address for address in addresses if address not in self._asked] or list(addresses)
+        return str(self.hub.random.choice(left)) if left else ""
--- a/bitternpath/replication/group.py
+++ b/bitternpath/replication/group.py
@@ -151,6 +151,14 @@
         peer = self.raft.peers.get(member)
         return now - peer.last_contact if peer is not None else float("inf")
 
+    def has_lease(self, now: float) -> bool:
+        """Whether this owner has heard a majority so lately that, as far as it knows, nobody else leads."""
+        voters = self.raft.members.voters
+        heard = sum(
+            name == self.raft.me or self.silent_for(now, name) < self._times.election for name in voters
+        )
+        return self.is_owner and 2 * heard > len(voters)
+
     # ---- effects
 
     def flush(self, now: float) -> Effects:
--- a/bitternpath/replication/host.py
+++ b/bitternpath/replication/host.py
@@ -159,6 +159,11 @@
         found = self.groups.get(group)
         return found is not None and found.is_owner
 
+    def has_lease(self, group: str) -> bool:
+        """Whether this replica owns the group and has heard a majority within an election's time."""
+        found = self.groups.get(group)
+        return found is not None and found.has_lease(self._reactor.seconds())
+
     def epoch(self, group: str) -> int:
         """The highest term that this replica knows; 0 for a group not open here."""
         found = self.groups.get(group)
--- a/bitternpath/roles/configuration_member.py
+++ b/bitternpath/roles/configuration_member.py
@@ -92,10 +92,14 @@
         self.host, self.carrier, self.random = host, carrier, random
         self.state = ConfigurationState()
         self.orders = OrderProcessor(self.state, self)
-        self.feed = FeedServer(reactor, self.state, self.epoch)
+        self.feed = FeedServer(reactor, self.state, self.has_lease)
         platform = PlatformList(reactor, settings.platform)
         self.reader = ListReader(
-            reactor, platform, self.epoch, self.feed.publish_catalogue, settings.platform_rate_per_s
+            reactor,
+            platform,
+            lambda: self.feed.epoch,
+            self.feed.publish_catalogue,
+            settings.platform_rate_per_s,
         )
         assert settings.data_dir is not None
         self._file = FoundingFile(settings.data_dir, disk)
@@ -133,6 +137,10 @@
         """The group's term."""
         return self.host.epoch(CONFIGURATION_GROUP) if self._open else 0
 
+    def has_lease(self) -> bool:
+        """Whether no other node can have become owner, as far as this one has heard a majority."""
+        return self._open and self.host.has_lease(CONFIGURATION_GROUP)
+
     def propose(self, command: bytes) -> Deferred[object]:
         """Commit a command."""
         return self.host.propose(CONFIGURATION_GROUP, command)
@@ -229,7 +237,7 @@
         self._storage_changed_at = self.reactor.seconds()
         self._presence = Presence(self.reactor.seconds())
         self._reports = GroupReports()
-        self.feed.begin()
+        self.feed.begin(epoch)
         self.reader.start()
 
     def lost_ownership(self) -> None:
--- a/tests/system/test_feed.py
+++ b/tests/system/test_feed.py
@@ -182,8 +182,9 @@
     def setUp(self) -> None:
         self.clock = Clock()
         self.state = ConfigurationState()
-        self.server = FeedServer(self.clock, self.state, lambda: 7)
-        self.server.begin()
+        self.lease = True
+        self.server = FeedServer(self.clock, self.state, lambda: self.lease)
+        self.server.begin(7)
 
     def accept(self, version: int) -> None:
         self.state.apply(
--- /dev/null
+++ b/tests/system/test_feed_search.py
@@ -0,0 +1,304 @@
+"""How followers of the feed leave an owner that is cut off and find its successor. Virtual time.
+
+Simulated nodes answer subscriptions as `ConfigurationMember` does: the owner with an update and heartbeats,
+others with a refusal that may name whom they take for the owner. Links to nodes that are cut off never open.
+"""
+
+from __future__ import annotations
+
+import json
+import unittest
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from twisted.internet.task import Clock
+
+from bitternpath.configuration.feed import HEARTBEAT_S, SILENCE_S, FeedFollower, FeedServer
+from bitternpath.configuration.machine import COMMANDS, AcceptOrder, ConfigurationState
+from bitternpath.transport.messages import (
+    CatalogueUpdate,
+    FeedRefused,
+    FeedSubscribe,
+    FeedUpdate,
+    MemberAddress,
+    NodeDescriptor,
+    NodeKind,
+)
+
+STEP_S = 0.01
+ROUND_TRIP_S = 0.02
+BOUND_S = 3.0  # config_apply_ms of the pages' example
+
+
+def document(version: int) -> bytes:
+    """A configuration without routes."""
+    return json.dumps({"version": version, "routes": [], "services": []}).encode()
+
+
+class Link:
+    """A link that the follower dialled."""
+
+    def __init__(self, network: Network, address: str) -> None:
+        self.network, self.address = network, address
+        self.open = False
+        self.peer = NodeDescriptor(address, address, NodeKind.EDGE, "z", True, "d", 1, 0)
+
+    def send(self, record: Any) -> None:
+        if isinstance(record, FeedSubscribe):
+            self.network.subscriptions.append((self.network.clock.seconds(), self.address))
+            self.network.later(self.network.answer, self)
+
+
+@dataclass
+class Member:
+    """A member of the configuration group, as it appears to followers."""
+
+    epoch: int = 0  # above 0: it takes itself for the owner
+    version: int = 0
+    names: str = ""  # whom it takes for the owner, if not itself
+    silent: bool = False  # cut off, or frozen
+
+
+@dataclass
+class Network:
+    """Implements what the follower wants of its hub."""
+
+    clock: Clock
+    members: dict[str, Member]
+    random: Random = field(default_factory=lambda: Random(5))
+    links: dict[str, Link] = field(default_factory=dict)
+    subscriptions: list[tuple[float, str]] = field(default_factory=list)
+    follower: Any = None
+
+    def later(self, call: Any, *arguments: Any) -> None:
+        self.clock.callLater(ROUND_TRIP_S, call, *arguments)
+
+    def dial(self, address: str, user: str) -> None:
+        if address not in self.links:
+            self.links[address] = Link(self, address)
+            self.later(self._opened, self.links[address])
+
+    def hang_up(self, address: str, user: str) -> None:
+        link = self.links.pop(address, None)
+        if link is not None and link.open:
+            link.open = False
+            self.follower.closed(link)
+
+    def link_to(self, address: str) -> Link | None:
+        link = self.links.get(address)
+        return link if link is not None and link.open else None
+
+    def _opened(self, link: Link) -> None:
+        if self.links.get(link.address) is not link:
+            return
+        if self.members[link.address].silent:
+            self.later(self._opened, link)
+        else:
+            link.open = True
+
+    def answer(self, link: Link) -> None:
+        """What a member says to a subscription, and its heartbeats."""
+        member = self.members[link.address]
+        if not link.open:
+            return
+        if member.silent:
+            self.clock.callLater(HEARTBEAT_S, self.answer, link)
+        elif member.epoch:
+            content = document(member.version)
+            self.follower.updated(link, FeedUpdate(member.epoch, member.version, content, 0, None, 3))
+            self.clock.callLater(HEARTBEAT_S, self.answer, link)
+        else:
+            addresses = tuple(MemberAddress(each, each, each, "z") for each in self.members)
+            self.follower.refused(link, FeedRefused(member.names, addresses))
+
+
+class Listener:
+    """What the node has in force."""
+
+    def __init__(self) -> None:
+        self.versions: list[int] = []
+
+    def configuration_changed(self, table: Any) -> None:
+        self.versions.append(table.version)
+
+    def placement_changed(self, generation: int, groups: Any) -> None:
+        """Not of interest here."""
+
+    def catalogue_updated(self, update: Any) -> None:
+        """Not of interest here."""
+
+
+class SearchTest(unittest.TestCase):
+    """A follower among members that are gone, frozen or wrong."""
+
+    def begin(self, members: dict[str, Member], seed: int = 5) -> None:
+        self.clock = Clock()
+        self.listener = Listener()
+        self.network = Network(self.clock, members, Random(seed))
+        self.follower = FeedFollower(
+            self.clock,
+            self.network,  # type: ignore[arg-type]
+            self.listener,
+            lambda: list(members),
+            False,
+        )
+        self.network.follower = self.follower
+        self.follower.start()
+
+    def run_until_version(self, version: int, seconds: float) -> float:
+        """Seconds until a version is in force here, or infinity."""
+        began = self.clock.seconds()
+        while self.clock.seconds() - began < seconds:
+            if self.listener.versions[-1:] == [version]:
+                return self.clock.seconds() - began
+            self.clock.advance(STEP_S)
+        return float("inf")
+
+    def run_for(self, seconds: float) -> None:
+        self.clock.pump([STEP_S] * round(seconds / STEP_S))
+
+    def test_a_frozen_owner_is_left_and_its_successor_found_in_time(self) -> None:
+        for seed in range(20):
+            with self.subTest(seed):
+                members = {name: Member(names="a:1") for name in ("a:1", "b:1", "c:1", "d:1", "e:1")}
+                members["a:1"] = Member(1, 5)
+                self.begin(members, seed)
+                self.assertLess(self.run_until_version(5, 5.0), BOUND_S)
+                members["a:1"].silent = members["b:1"].silent = True
+                self.run_for(1.2)
+                members["c:1"] = Member(2, 7)
+                members["d:1"].names = members["e:1"].names = "c:1"
+                self.assertLess(self.run_until_version(7, 5.0), BOUND_S - 1.2)
+
+    def test_one_that_was_cut_off_with_a_minority_is_at_the_newest_version_in_time_after_the_join(
+        self,
+    ) -> None:
+        for seed in range(20):
+            with self.subTest(seed):
+                members = {name: Member(names="a:1") for name in ("a:1", "b:1", "c:1", "d:1", "e:1")}
+                members["a:1"] = Member(1, 5)
+                self.begin(members, seed)
+                self.assertLess(self.run_until_version(5, 5.0), BOUND_S)
+                members["a:1"].epoch, members["a:1"].names = 0, ""  # it has heard no majority
+                for name in ("c:1", "d:1", "e:1"):
+                    members[name] = Member(names="e:1", silent=True)
+                members["e:1"] = Member(2, 9, silent=True)
+                self.run_for(20.0)
+                self.assertIsNone(self.follower.owner_link())
+                for member in members.values():
+                    member.silent = False
+                self.assertLess(self.run_until_version(9, 5.0), BOUND_S)
+                self.assertEqual(self.listener.versions, [5, 9])
+
+    def test_members_that_name_one_another_are_not_asked_in_a_loop(self) -> None:
+        members = {"a:1": Member(names="b:1"), "b:1": Member(names="c:1"), "c:1": Member(names="a:1")}
+        self.begin(members)
+        self.run_for(10.0)
+        self.assertLess(len(self.network.subscriptions), 10.0 / 0.1)
+        self.assertEqual({address for _, address in self.network.subscriptions}, set(members))
+
+    def test_an_owner_that_was_silent_for_a_moment_is_kept(self) -> None:
+        members = {"a:1": Member(1, 5), "b:1": Member(names="a:1", silent=True)}
+        self.begin(members)
+        self.assertLess(self.run_until_version(5, 5.0), BOUND_S)
+        members["a:1"].silent = True
+        self.run_for(SILENCE_S + 0.3)
+        self.assertIsNone(self.follower.owner_link())
+        members["a:1"].silent = False
+        members["a:1"].version = 7
+        self.assertLess(self.run_until_version(7, 5.0), BOUND_S)
+        self.assertEqual(self.follower.owner_address, "a:1")
+        self.run_for(1.0)
+        self.assertEqual(set(self.network.links), {"a:1"})  # nobody else is dialled any more
+        self.assertEqual(sum(address == "a:1" for _, address in self.network.subscriptions), 1)
+
+    def test_an_owner_of_an_older_epoch_is_never_followed_again(self) -> None:
+        members = {"a:1": Member(1, 5), "b:1": Member(names="a:1")}
+        self.begin(members)
+        self.assertLess(self.run_until_version(5, 5.0), BOUND_S)
+        members["a:1"].silent = True
+        members["b:1"] = Member(4, 7)
+        self.assertLess(self.run_until_version(7, 5.0), BOUND_S)
+        members["b:1"].silent = True
+        members["a:1"] = Member(1, 11)  # thawed, and not aware of anything
+        self.run_for(20.0)
+        self.assertEqual(self.listener.versions, [5, 7])
+        self.assertIsNone(self.follower.owner_link())
+
+
+class Untaught(FeedFollower):
+    """Broken build: epochs aren't compared."""
+
+    def updated(self, link: Any, update: FeedUpdate) -> None:
+        self.epoch = 0
+        super().updated(link, update)
+
+
+class BrokenFeedTest(unittest.TestCase):
+    """What the checks above are for."""
+
+    def test_broken_feed_that_takes_an_older_epoch(self) -> None:
+        for build, versions in ((FeedFollower, [5, 7]), (Untaught, [5, 7, 11])):
+            with self.subTest(build.__name__):
+                clock, listener = Clock(), Listener()
+                members = {"a:1": Member(1, 5), "b:1": Member(names="a:1")}
+                network, candidates = Network(clock, members), lambda: ["a:1", "b:1"]
+                follower = build(clock, network, listener, candidates, False)  # type: ignore[arg-type]
+                network.follower = follower
+                follower.start()
+                clock.pump([STEP_S] * 300)
+                members["a:1"].silent = True
+                members["b:1"] = Member(4, 7)
+                clock.pump([STEP_S] * 500)
+                members["b:1"].silent = True
+                members["a:1"] = Member(1, 11)
+                clock.pump([STEP_S] * 2000)
+                self.assertEqual(listener.versions, versions)
+
+
+class LeaseTest(unittest.TestCase):
+    """An owner that hears no majority says nothing."""
+
+    def setUp(self) -> None:
+        self.clock = Clock()
+        self.state = ConfigurationState()
+        self.state.apply(1, COMMANDS.encode(AcceptOrder(0, b"1", document(3))))
+        self.lease = True
+        self.server = FeedServer(self.clock, self.state, lambda: self.lease)
+        self.server.begin(7)
+        self.sent: list[Any] = []
+
+    def subscribe(self) -> None:
+        test = self
+
+        class Subscriber:
+            peer = None
+
+            def send(self, record: Any) -> None:
+                test.sent.append(record)
+
+        self.server.subscribe(Subscriber(), FeedSubscribe(0, 0, True))  # type: ignore[arg-type]
+
+    def test_no_heartbeat_no_catalogue_and_no_answer_without_a_lease(self) -> None:
+        self.subscribe()
+        before = len(self.sent)
+        self.assertEqual(before, 1)
+        self.lease = False
+        self.clock.pump([0.1] * 20)
+        self.server.publish_catalogue(CatalogueUpdate(7, 1, 0, ()))
+        self.subscribe()
+        self.assertEqual(len(self.sent), before)
+        self.lease = True
+        self.clock.pump([0.1] * 5)
+        updates = [record for record in self.sent[before:] if isinstance(record, FeedUpdate)]
+        self.assertEqual(sum(update.configuration is not None for update in updates), 1)  # the late one's
+        self.assertGreaterEqual(len(updates), 2)
+
+    def test_updates_carry_the_epoch_of_this_ownership(self) -> None:
+        self.subscribe()
+        self.assertEqual({record.epoch for record in self.sent if isinstance(record, FeedUpdate)}, {7})
+
+
+if __name__ == "__main__":
+    unittest.main()
