Simulated runs: a typed history of what actors saw, and pure checkers named after RULES

The records of the rehearsal are extended by reads of the configuration, probes of routes, states read, retirements, disruptions and drains. Checkers: CONFIG (older read back, content that nobody sent, refused or invalid and in force, two on one base, not applied in time, goes back), RETIRE (refused, done and then not), ACKS, ROUTE, DRAIN, BUDGET, LOST (404), MIXED (stamp, bytes, one lease for two), UNASKED (order key), and two on the inside: one owner an epoch, committed kept. In touch and stable as RULES define them.

Each has a history that breaks it and the nearest sound one.

--- a/bitternpath/rehearsal/checker.py
+++ b/bitternpath/rehearsal/checker.py
@@ -47,7 +47,7 @@
 class Violation:
     """A broken rule; `request_id` is empty where no single message broke it."""
 
-    rule: Rule
+    rule: Enum  # a `Rule`; checkers of simulated runs have further ones
     request_id: str
     text: str
 
--- a/bitternpath/rehearsal/records.py
+++ b/bitternpath/rehearsal/records.py
@@ -58,6 +58,8 @@
     target: str
     body: bytes
     lease_id: str = ""
+    instance: str = ""  # the worker's incarnation
+    order_key: str | None = None  # None: the worker didn't look
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/bitternpath/simulation/checks/all.py
@@ -0,0 +1,53 @@
+"""All checkers of a simulated run, by name."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from bitternpath.rehearsal import checker as rehearsed
+from bitternpath.rehearsal.checker import Violation
+from bitternpath.simulation.checks import configuration, control, inside, messages
+from bitternpath.simulation.checks.history import SystemHistory, SystemTerms
+
+Check = Callable[[SystemHistory, SystemTerms], Iterator[Violation]]
+
+CHECKS: tuple[Check, ...] = (
+    *rehearsed.CHECKS,
+    configuration.check_older_read,
+    configuration.check_read_content,
+    configuration.check_one_chain,
+    configuration.check_base_in_force,
+    configuration.check_applied,
+    configuration.check_goes_back,
+    control.check_retirement_refused,
+    control.check_retirement_done,
+    control.check_acknowledged_in_time,
+    messages.check_route,
+    messages.check_drain,
+    messages.check_budget,
+    messages.check_state_known,
+    messages.check_states,
+    messages.check_one_holder,
+    messages.check_order_key,
+    inside.check_one_owner,
+    inside.check_committed_kept,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """A violation, with the name of the checker that found it."""
+
+    checker: str
+    violation: Violation
+
+    def __str__(self) -> str:
+        violation = self.violation
+        about = f" {violation.request_id}" if violation.request_id else ""
+        return f"{violation.rule.value} ({self.checker}){about}: {violation.text}"
+
+
+def check_run(history: SystemHistory, terms: SystemTerms) -> list[Found]:
+    """All violations of a run."""
+    return [Found(check.__name__, violation) for check in CHECKS for violation in check(history, terms)]
--- /dev/null
+++ b/bitternpath/simulation/checks/configuration.py
@@ -0,0 +1,128 @@
+"""CONFIG and LOST, of configurations (RULES, "Configuration"; PROTOCOL, "The operator's API"). Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from itertools import pairwise
+from typing import Any
+
+from bitternpath.rehearsal.checker import Rule, Violation
+from bitternpath.rehearsal.records import OrderOutcome, OrderSent
+from bitternpath.simulation.checks.contact import Contact
+from bitternpath.simulation.checks.history import RouteProbe, SystemHistory, SystemTerms
+
+NO_ROUTE = 404
+NOT_FOUNDED = 0  # the version before the first configuration
+
+
+def check_older_read(history: SystemHistory, terms: SystemTerms) -> Iterator[Violation]:
+    """A read that began after an acknowledgement returns that version or a newer one."""
+    for read in history.reads:
+        newest = max((order.version for order in _acknowledged(history, read.sent_at)), default=0)
+        if read.version < newest:
+            text = f"{read.node} read back {read.version} at {read.ended_at:.3f}, {newest} was acknowledged"
+            yield Violation(Rule.CONFIG, "", text)
+
+
+def check_read_content(history: SystemHistory, terms: SystemTerms) -> Iterator[Violation]:
+    """What is read under a number is what was sent under it, and was neither refused nor invalid."""
+    for read in history.reads:
+        if read.version == NOT_FOUNDED:
+            continue
+        under = [order for order in history.orders if order.version == read.version]
+        same = [order for order in under if order.document == read.document]
+        if not same:
+            text = f"{read.node} read back {read.version} at {read.ended_at:.3f}, which nobody sent so"
+            yield Violation(Rule.CONFIG, "", text)
+        elif not any(order.valid for order in same):
+            yield Violation(Rule.CONFIG, "", f"the invalid version {read.version} is in force")
+        elif all(_refused(order) for order in same):
+            text = f"version {read.version} is in force at {read.ended_at:.3f}, and was refused"
+            yield Violation(Rule.CONFIG, "", f"{text} with {same[0].status}")
+
+
+def check_one_chain(history: SystemHistory, terms: SystemTerms) -> Iterator[Violation]:
+    """Acknowledged changes follow one another: none is built on a version below one that went before."""
+    taken: dict[tuple[int, int, str], OrderSent] = {}
+    for order in _acknowledged(history):
+        taken.setdefault((order.version, order.base, repr(order.document)), order)
+    chain = sorted(taken.values(), key=lambda order: (order.version, order.base))
+    for before, after in pairwise(chain):
+        if after.base < before.version:
+            text = f"{before.version} on {before.base} and {after.version} on {after.base} acknowledged"
+            yield Violation(Rule.CONFIG, "", text)
+
+
+def check_base_in_force(history: SystemHistory, terms: SystemTerms) -> Iterator[Violation]:
+    """An acknowledged change is built on a version that was not refused."""
+    for order in _acknowledged(history):
+        under = [other for other in history.orders if other.version == order.base]
+        if under and all(_refused(other) for other in under):
+            text = f"{order.version} was acknowledged on top of {order.base}, which was refused"
+            yield Violation(Rule.CONFIG, "", f"{text} with {under[0].status}")
+
+
+def check_applied(history: SystemHistory, terms: SystemTerms) -> Iterator[Violation]:
+    """Machines in touch handle requests by an acknowledged version from `config_apply_ms` on."""
+    contact = Contact(history, terms)
+    for probe in history.probes:
+        if not _answered(probe) or not contact.in_touch([probe.node], probe.sent_at, probe.ended_at):
+            continue
+        due = _acknowledged(history, probe.sent_at - terms.config_apply_s)
+        least = max((order.version for order in due), default=NOT_FOUNDED)
+        allowed = [version for version in _versions(history, probe) if version[0] >= least]
+        if allowed and not any(_fits(probe, document) for _, document in allowed):
+            text = f"{probe.node} answered {probe.status} to {probe.path} sent at {probe.sent_at:.3f}"
+            yield Violation(Rule.CONFIG, probe.request_id, f"{text}, as only versions below {least} say")
+
+
+def check_goes_back(history: SystemHistory, terms: SystemTerms) -> Iterator[Violation]:
+    """Within one life, a machine never handles a request as only an older version says."""
+    floors: dict[tuple[str, int], list[tuple[float, int]]] = {}
+    for probe in sorted(history.probes, key=lambda probe: probe.ended_at):
+        if not _answered(probe):
+            continue
+        seen = floors.setdefault((probe.node, probe.life), [])
+        before = probe.sent_at - terms.downgrade_slack_s
+        floor = max((version for at, version in seen if at <= before), default=NOT_FOUNDED)
+        possible = [
+            version
+            for version, document in _versions(history, probe)
+            if version >= floor and _fits(probe, document)
+        ]
+        if possible:
+            seen.append((probe.ended_at, min(possible)))
+        else:
+            text = f"{probe.node} went back below {floor}: {probe.status} to {probe.path}"
+            yield Violation(Rule.CONFIG, probe.request_id, f"{text} sent at {probe.sent_at:.3f}")
+
+
+def _acknowledged(history: SystemHistory, before: float | None = None) -> list[OrderSent]:
+    return [
+        order
+        for order in history.orders
+        if order.outcome is OrderOutcome.ACKNOWLEDGED and (before is None or order.ended_at <= before)
+    ]
+
+
+def _refused(order: OrderSent) -> bool:
+    return order.outcome is OrderOutcome.REFUSED
+
+
+def _answered(probe: RouteProbe) -> bool:
+    """Whether the answer says which routes the node knows."""
+    return probe.status in (202, NO_ROUTE)
+
+
+def _versions(history: SystemHistory, probe: RouteProbe) -> list[tuple[int, Any]]:
+    """Versions, with their documents, that may have been in force when the probe was answered."""
+    sent = [(order.version, order.document) for order in history.possible_orders(probe.ended_at)]
+    return [(NOT_FOUNDED, {"routes": []}), *sent]
+
+
+def _fits(probe: RouteProbe, document: Any) -> bool:
+    has_route = any(
+        route["host"] == probe.host and probe.path.startswith(route["path_prefix"])
+        for route in document["routes"]
+    )
+    return has_route == (probe.status != NO_ROUTE)
--- /dev/null
+++ b/bitternpath/simulation/checks/control.py
@@ -0,0 +1,48 @@
+"""Retirement, and the time that orders take (PROTOCOL, "The operator's API"; RULES, "Acks"). Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from bitternpath.rehearsal.checker import Violation
+from bitternpath.rehearsal.records import OrderOutcome
+from bitternpath.simulation.checks.contact import Contact
+from bitternpath.simulation.checks.history import RetireCall, SystemHistory, SystemRule, SystemTerms
+
+
+def check_retirement_refused(history: SystemHistory, terms: SystemTerms) -> Iterator[Violation]:
+    """A proper order to empty a machine isn't refused, except as under way when it is repeated."""
+    ordered: dict[str, float] = {}
+    for asked in history.retirements:
+        if asked.call is not RetireCall.ORDER or not asked.proper:
+            continue
+        repeated = ordered.setdefault(asked.machine, asked.sent_at) < asked.sent_at
+        allowed = (409,) if repeated else ()
+        if 400 <= asked.status < 500 and asked.status not in (408, 429, *allowed):
+            text = f"{asked.asked_of} refused to empty {asked.machine} with {asked.status}"
+            yield Violation(SystemRule.RETIRE, "", f"{text} at {asked.ended_at:.3f}")
+
+
+def check_retirement_done(history: SystemHistory, terms: SystemTerms) -> Iterator[Violation]:
+    """What was said to be done stays done."""
+    done: dict[str, float] = {}
+    for look in sorted(history.retirements, key=lambda look: look.ended_at):
+        if look.call is not RetireCall.LOOK or look.status != 200:
+            continue
+        if look.state == "done":
+            done.setdefault(look.machine, look.ended_at)
+        elif done.get(look.machine, look.sent_at) < look.sent_at:
+            text = f"{look.machine} was done at {done[look.machine]:.3f}"
+            yield Violation(SystemRule.RETIRE, "", f"{text}, and {look.state!r} at {look.ended_at:.3f}")
+
+
+def check_acknowledged_in_time(history: SystemHistory, terms: SystemTerms) -> Iterator[Violation]:
+    """A proper order is answered within `ack_ms` of a stretch without any trouble."""
+    contact = Contact(history, terms)
+    for order in history.orders:
+        if not order.valid or order.outcome is OrderOutcome.REFUSED:
+            continue
+        calm = contact.longest_calm(order.sent_at, order.ended_at)
+        if calm > terms.ack_s:
+            text = f"version {order.version}, sent at {order.sent_at:.3f}, is {order.outcome.value}"
+            yield Violation(SystemRule.ACKS, "", f"{text} after {calm:.1f} s without trouble")
--- /dev/null
+++ b/bitternpath/simulation/checks/history.py
@@ -0,0 +1,197 @@
+"""What was seen in a simulated run: the rehearsal's records, and those of operators, probes and faults.
+
+Times are seconds of virtual time. Nothing here comes from inside the system, except `Inside`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from bitternpath.rehearsal.records import History, OrderSent, Terms
+
+
+class SystemRule(Enum):
+    """What can be broken, besides the rehearsal's `Rule`."""
+
+    ROUTE = "ROUTE"
+    DRAIN = "DRAIN"
+    BUDGET = "BUDGET"
+    RETIRE = "RETIRE"
+    ACKS = "ACKS"
+    OWNER = "OWNER"
+    COMMITTED = "COMMITTED"
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigRead:
+    """A `GET /config` that was answered with 200."""
+
+    node: str
+    sent_at: float
+    ended_at: float
+    document: Any  # as JSON values
+
+    @property
+    def version(self) -> int:
+        """The version that was read; 0 where there is none."""
+        version = self.document.get("version", 0) if isinstance(self.document, dict) else 0
+        return version if isinstance(version, int) else 0
+
+
+@dataclass(frozen=True, slots=True)
+class RouteProbe:
+    """A message sent directly to one node, on a route that may have come or gone."""
+
+    request_id: str
+    node: str
+    life: int  # of the node's process
+    sent_at: float
+    ended_at: float
+    host: str
+    path: str
+    status: int  # 0: no answer
+
+
+@dataclass(frozen=True, slots=True)
+class StateRead:
+    """An answer to `GET /message/ID` or `GET /message-body/ID` during the run."""
+
+    request_id: str
+    node: str
+    sent_at: float
+    ended_at: float
+    status: int
+    state: str = ""
+    stamp: str = ""
+    body: bytes | None = None
+
+
+class RetireCall(Enum):
+    """What was asked of `/retire/NODE`."""
+
+    ORDER = "POST"
+    LOOK = "GET"
+
+
+@dataclass(frozen=True, slots=True)
+class Retirement:
+    """An answer to a call of `/retire/NODE`."""
+
+    call: RetireCall
+    machine: str
+    asked_of: str
+    sent_at: float
+    ended_at: float
+    status: int
+    state: str = ""
+    proper: bool = True  # the machine was there, and enough others stayed
+
+
+class Harm(Enum):
+    """What was done to machines."""
+
+    DOWN = "down"  # killed or without power, until it was started again
+    LEAVING = "leaving"  # SIGTERM: planned work
+    FROZEN = "frozen"
+    CUT = "cut"  # from all or some others, in one direction or both
+    SLOWED = "slowed"
+    NEW = "new"  # started on an empty machine
+
+
+@dataclass(frozen=True, slots=True)
+class Disruption:
+    """Machines were in trouble from `at` to `until`."""
+
+    harm: Harm
+    nodes: frozenset[str]
+    at: float
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Drain:
+    """A listed worker was shown as draining, or gone, by an answer of the platform's list."""
+
+    instance: str
+    shown_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Owner:
+    """A process called itself the owner of a replica group."""
+
+    group: str
+    epoch: int
+    member: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class CommittedEntry:
+    """A process held an entry that it took for committed. `digest` is of the entry's bytes."""
+
+    group: str
+    index: int
+    epoch: int
+    digest: bytes
+    member: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerLog:
+    """How far the log of an owner went when it took over."""
+
+    group: str
+    epoch: int
+    member: str
+    last_index: int
+    at: float
+
+
+@dataclass(slots=True)
+class Inside:
+    """What is looked up inside the processes; two checkers read it."""
+
+    owners: list[Owner] = field(default_factory=list)
+    committed: list[CommittedEntry] = field(default_factory=list)
+    owner_logs: list[OwnerLog] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class SystemHistory(History):
+    """All that was seen in a simulated run."""
+
+    reads: list[ConfigRead] = field(default_factory=list)
+    probes: list[RouteProbe] = field(default_factory=list)
+    state_reads: list[StateRead] = field(default_factory=list)
+    retirements: list[Retirement] = field(default_factory=list)
+    disruptions: list[Disruption] = field(default_factory=list)
+    drains: list[Drain] = field(default_factory=list)
+    inside: Inside = field(default_factory=Inside)
+
+    def possible_orders(self, sent_before: float) -> list[OrderSent]:
+        """Valid orders that may have been in force at that time."""
+        return [
+            order
+            for order in self.orders
+            if order.valid and order.sent_at <= sent_before and order.outcome.value != "refused"
+        ]
+
+
+@dataclass(frozen=True, slots=True)
+class SystemTerms(Terms):
+    """Figures by which a simulated run is judged (RULES; DEPLOY, `bounds`)."""
+
+    core: frozenset[str] = frozenset()  # machines with a disk that serve `control_plane`
+    stores: frozenset[str] = frozenset()
+    edges: frozenset[str] = frozenset()
+    config_apply_s: float = 3.0
+    downgrade_slack_s: float = 0.25
+    drain_s: float = 3.0
+    list_lag_s: float = 0.8
+    ack_s: float = 5.0
+    status_s: float = 120.0
+    state_known_s: float = 2.0  # after the accept, a state is never answered with 404
--- /dev/null
+++ b/bitternpath/simulation/checks/messages.py
@@ -0,0 +1,141 @@
+"""Rules of messages that the rehearsal's checker doesn't have: ROUTE, DRAIN, BUDGET, states. Pure."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterator
+from math import inf
+from typing import Any
+
+from bitternpath.rehearsal.checker import Rule, Violation, ended_times
+from bitternpath.rehearsal.plan import HOSTS
+from bitternpath.simulation.checks.contact import Contact
+from bitternpath.simulation.checks.history import SystemHistory, SystemRule, SystemTerms
+
+GONE = (404, 410)
+ENDED = ("done", "dead_letter")
+REJECTED_RUNS = 3  # answers of 422, after which a message must not come again
+BUDGET_FACTOR = 3  # likewise, times `max_attempts`, answers of 500
+
+
+def check_route(history: SystemHistory, terms: SystemTerms) -> Iterator[Violation]:
+    """A service runs only what some configuration that was sent lets it run."""
+    documents = [order.document for order in history.orders if order.valid]
+    for run in history.runs:
+        send = history.sends.get(run.request_id)
+        if send is None:
+            continue
+        host = HOSTS[send.kind]
+        services = {_service(document, host, send.target) for document in documents}
+        if run.service not in services:
+            yield Violation(
+                SystemRule.ROUTE, run.request_id, f"ran at {run.service!r}, which no version allows"
+            )
+
+
+def check_drain(history: SystemHistory, terms: SystemTerms) -> Iterator[Violation]:
+    """A worker that is shown as draining gets nothing more, `drain_ms` later, from machines in touch."""
+    contact = Contact(history, terms)
+    shown = {drain.instance: drain.shown_at for drain in reversed(history.drains)}
+    for run in history.runs:
+        until = shown.get(run.instance, inf) + terms.drain_s
+        if run.at > until and contact.in_touch(terms.edges, shown[run.instance], run.at):
+            text = f"reached {run.instance} at {run.at:.3f}, {run.at - until:.3f} s after its drain time"
+            yield Violation(SystemRule.DRAIN, run.request_id, text)
+
+
+def check_budget(history: SystemHistory, terms: SystemTerms) -> Iterator[Violation]:
+    """A message that always fails stops coming."""
+    events = sorted(
+        [(answer.at, 0, answer.request_id, answer.status) for answer in history.answers]
+        + [(run.at, 1, run.request_id, 0) for run in history.runs]
+    )
+    failures: dict[int, Counter[str]] = {500: Counter(), 422: Counter()}
+    for at, is_run, request_id, status in events:
+        if not is_run:
+            if status in failures:
+                failures[status][request_id] += 1
+            continue
+        failed, rejected = failures[500][request_id], failures[422][request_id]
+        if failed >= BUDGET_FACTOR * terms.max_attempts or rejected >= REJECTED_RUNS:
+            text = f"ran at {at:.3f} after {failed} answers of 500 and {rejected} of 422"
+            yield Violation(SystemRule.BUDGET, request_id, text)
+
+
+def check_state_known(history: SystemHistory, terms: SystemTerms) -> Iterator[Violation]:
+    """From 2 s after the accept on, a machine in touch doesn't say that there is no such message."""
+    contact = Contact(history, terms)
+    ended = ended_times(history, terms)
+    for read in history.state_reads:
+        send = history.sends.get(read.request_id)
+        if send is None or read.status not in GONE or send.status != 202:
+            continue
+        known = read.sent_at > send.ended_at + terms.state_known_s
+        kept = read.ended_at < ended[read.request_id] + terms.status_s
+        if known and kept and contact.in_touch([read.node], read.sent_at, read.ended_at):
+            text = (
+                f"{read.node} answered {read.status} at {read.ended_at:.3f}, accepted at {send.ended_at:.3f}"
+            )
+            yield Violation(Rule.LOST, read.request_id, text)
+
+
+def check_states(history: SystemHistory, terms: SystemTerms) -> Iterator[Violation]:
+    """A state comes with the stamp of a run of its message, isn't told early, and doesn't change any more."""
+    stamps: dict[str, set[str]] = defaultdict(set)
+    for answer in history.answers:
+        if answer.stamp:
+            stamps[answer.request_id].add(answer.stamp)
+    ended = ended_times(history, terms)
+    final: dict[str, tuple[float, str, str]] = {}
+    for read in sorted(history.state_reads, key=lambda read: read.ended_at):
+        send = history.sends.get(read.request_id)
+        if read.status != 200 or send is None:
+            continue
+        if read.body is not None:
+            if read.body != send.body:
+                yield Violation(Rule.MIXED, read.request_id, f"{read.node} returned other bytes")
+            continue
+        at, state, stamp = final.get(read.request_id, (inf, "", ""))
+        if at < read.sent_at and (state, stamp) != (read.state, read.stamp):
+            text = f"said to be {state!r} at {at:.3f}, and {read.state!r} at {read.ended_at:.3f}"
+            yield Violation(Rule.MIXED, read.request_id, text)
+        if read.state == "done" and read.stamp not in stamps[read.request_id]:
+            text = f"{read.node} said that it is done, with the stamp {read.stamp!r} of no run"
+            yield Violation(Rule.MIXED, read.request_id, text)
+        if read.state == "dead_letter" and ended.get(read.request_id, inf) > read.ended_at:
+            text = f"{read.node} said that it is dead at {read.ended_at:.3f}, before its end"
+            yield Violation(Rule.MIXED, read.request_id, text)
+        if read.state in ENDED:
+            final.setdefault(read.request_id, (read.ended_at, read.state, read.stamp))
+
+
+def check_one_holder(history: SystemHistory, terms: SystemTerms) -> Iterator[Violation]:
+    """A lease is handed to one worker, for one message."""
+    holders: dict[str, tuple[str, str]] = {}
+    for run in history.runs:
+        if not run.lease_id:
+            continue
+        holder = (run.request_id, run.instance)
+        if holders.setdefault(run.lease_id, holder) != holder:
+            text = f"lease {run.lease_id} was handed to {holders[run.lease_id]} and {holder}"
+            yield Violation(Rule.MIXED, run.request_id, text)
+
+
+def check_order_key(history: SystemHistory, terms: SystemTerms) -> Iterator[Violation]:
+    """A message runs with the order key that its sender gave."""
+    for run in history.runs:
+        send = history.sends.get(run.request_id)
+        if send is not None and run.order_key is not None and run.order_key != send.order_key:
+            text = f"ran with the order key {run.order_key!r} in place of {send.order_key!r}"
+            yield Violation(Rule.UNASKED, run.request_id, text)
+
+
+def _service(document: Any, host: str, target: str) -> str:
+    """The service of the longest prefix that fits; "" where there is none."""
+    fitting = [
+        route
+        for route in document["routes"]
+        if route["host"] == host and target.startswith(route["path_prefix"])
+    ]
+    best = max(fitting, key=lambda route: len(route["path_prefix"]), default=None)
+    return str(best["service"]) if best is not None else ""
--- /dev/null
+++ b/tests/system/test_simulation_checks.py
@@ -0,0 +1,371 @@
+"""Checkers of simulated runs: each fires on a history that breaks its rule, not on the nearest sound one."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from dataclasses import replace
+from enum import Enum
+from math import inf
+
+from bitternpath.rehearsal.checker import Rule
+from bitternpath.rehearsal.plan import HOSTS
+from bitternpath.rehearsal.records import (
+    Answer,
+    Kind,
+    OrderOutcome,
+    OrderSent,
+    Run,
+    Send,
+    SendOutcome,
+)
+from bitternpath.simulation.checks import configuration, control, inside, messages
+from bitternpath.simulation.checks.all import CHECKS, check_run
+from bitternpath.simulation.checks.contact import Contact
+from bitternpath.simulation.checks.history import (
+    CommittedEntry,
+    ConfigRead,
+    Disruption,
+    Drain,
+    Harm,
+    Inside,
+    Owner,
+    OwnerLog,
+    RetireCall,
+    Retirement,
+    RouteProbe,
+    StateRead,
+    SystemHistory,
+    SystemRule,
+    SystemTerms,
+)
+
+TERMS = SystemTerms(
+    max_attempts=2,
+    timeout_s=1.5,
+    retention_s=90.0,
+    visible_s=3.0,
+    contact_s=4.0,
+    loss_slack_s=0.2,
+    ceiling_window_s=5.0,
+    origin_rate_over=1.1,
+    early_s=0.1,
+    rates={},
+    core=frozenset({"edge-1", "edge-2", "edge-3"}),
+    stores=frozenset({"storage-1", "storage-2", "storage-3"}),
+    edges=frozenset({"edge-1", "edge-2", "edge-3"}),
+)
+ACKNOWLEDGED, REFUSED, UNCLEAR = OrderOutcome.ACKNOWLEDGED, OrderOutcome.REFUSED, OrderOutcome.UNCLEAR
+HOST = HOSTS[Kind.LISTED]
+
+
+def route(prefix: str, service: str = "listed") -> dict[str, str]:
+    """A route as documents have it."""
+    return {"host": HOST, "path_prefix": prefix, "service": service}
+
+
+def order(version: int, base: int, outcome: OrderOutcome = ACKNOWLEDGED, **fields: object) -> OrderSent:
+    """A change, sent at the second that is its version."""
+    document = {"version": version, "routes": [route("/listed/")]}
+    made = OrderSent(version, base, float(version), version + 0.1, outcome, True, document, 412)
+    return replace(made, **fields)  # type: ignore[arg-type]
+
+
+def read(version: int, at: float, **document: object) -> ConfigRead:
+    """A read of a document like those of `order`."""
+    content = {"version": version, "routes": [route("/listed/")], **document}
+    return ConfigRead("edge-1", at, at + 0.1, content)
+
+
+def probe(status: int, at: float, path: str = "/extra/x", life: int = 0) -> RouteProbe:
+    """A message on a route that comes and goes."""
+    return RouteProbe(f"p{at}", "edge-1", life, at, at + 0.1, HOST, path, status)
+
+
+def retirement(call: RetireCall, at: float, status: int, state: str = "", proper: bool = True) -> Retirement:
+    """An answer about storage-1."""
+    return Retirement(call, "storage-1", "edge-1", at, at + 0.1, status, state, proper)
+
+
+def state(at: float, status: int, told: str = "", stamp: str = "", body: bytes | None = None) -> StateRead:
+    """An answer about the message `a`."""
+    return StateRead("a", "edge-2", at, at + 0.1, status, told, stamp, body)
+
+
+def run(at: float, **fields: object) -> Run:
+    """A run of the message `a`."""
+    made = Run("a", at, "listed", "POST", "/listed/1", b"body")
+    return replace(made, **fields)  # type: ignore[arg-type]
+
+
+def history(**lists: object) -> SystemHistory:
+    """A history of a few events, with the message `a`, accepted at 10.1."""
+    send = Send("a", 10.0, "edge-1", Kind.LISTED, "/listed/1", b"body", "k")
+    send.outcome, send.status, send.ended_at = SendOutcome.ACCEPTED, 202, 10.1
+    return SystemHistory(sends={"a": send}, finished=50.0, **lists)  # type: ignore[arg-type]
+
+
+def disruption(harm: Harm, at: float, until: float, *nodes: str) -> Disruption:
+    """Trouble on some machines."""
+    return Disruption(harm, frozenset(nodes), at, until)
+
+
+WITH_EXTRA = {"version": 2, "routes": [route("/listed/"), route("/extra/")]}
+FIRST, ADDING = order(1, 0), order(2, 1, document=WITH_EXTRA)
+DROPPING = order(8, 2)
+SUCCESS = Answer("a", 11.0, 200, "stamp")
+OWNERS = [Owner("queue-1", 3, "storage-1", 1.0), Owner("queue-1", 4, "storage-2", 2.0)]
+ENTRY = CommittedEntry("queue-1", 7, 3, b"x", "storage-1", 1.5)
+FROZEN_EDGE = disruption(Harm.FROZEN, 12.0, 13.0, "edge-1")
+DONE, LOOK, ORDER = "done", RetireCall.LOOK, RetireCall.ORDER
+
+# checker, rule, what is wrong, a history that breaks it, and one near it that doesn't
+CASES: tuple[tuple[Callable[..., object], Enum, str, SystemHistory, SystemHistory], ...] = (
+    (
+        configuration.check_older_read,
+        Rule.CONFIG,
+        "older read back",
+        history(orders=[FIRST, ADDING], reads=[read(1, 2.2)]),
+        history(orders=[FIRST, ADDING], reads=[read(1, 2.05)]),
+    ),
+    (
+        configuration.check_read_content,
+        Rule.CONFIG,
+        "refused and in force",
+        history(orders=[FIRST, order(2, 1, REFUSED)], reads=[read(2, 3.0)]),
+        history(orders=[FIRST, order(2, 1, UNCLEAR)], reads=[read(2, 3.0)]),
+    ),
+    (
+        configuration.check_read_content,
+        Rule.CONFIG,
+        "invalid and in force",
+        history(orders=[order(1, 0, UNCLEAR, valid=False)], reads=[read(1, 3.0)]),
+        history(orders=[order(1, 0, UNCLEAR)], reads=[read(1, 3.0)]),
+    ),
+    (
+        configuration.check_read_content,
+        Rule.CONFIG,
+        "content that nobody sent",
+        history(orders=[FIRST], reads=[read(1, 3.0, limits={})]),
+        history(orders=[FIRST], reads=[read(1, 3.0)]),
+    ),
+    (
+        configuration.check_one_chain,
+        Rule.CONFIG,
+        "two on one base",
+        history(orders=[FIRST, order(2, 1), order(3, 1)]),
+        history(orders=[FIRST, order(2, 1), order(2, 1), order(3, 2)]),
+    ),
+    (
+        configuration.check_base_in_force,
+        Rule.CONFIG,
+        "a refused one was built on",
+        history(orders=[FIRST, order(2, 1, REFUSED), order(4, 2)]),
+        history(orders=[FIRST, order(2, 1, REFUSED), order(2, 1, UNCLEAR), order(4, 2)]),
+    ),
+    (
+        configuration.check_applied,
+        Rule.CONFIG,
+        "not applied in time",
+        history(orders=[FIRST, ADDING], probes=[probe(404, 5.2)]),
+        history(orders=[FIRST, ADDING], probes=[probe(404, 5.0)]),
+    ),
+    (
+        configuration.check_applied,
+        Rule.CONFIG,
+        "dropped route still there",
+        history(orders=[FIRST, ADDING, DROPPING], probes=[probe(202, 11.2)]),
+        history(
+            orders=[FIRST, ADDING, DROPPING],
+            probes=[probe(202, 11.2)],
+            disruptions=[disruption(Harm.FROZEN, 9.0, 9.5, "edge-1")],
+        ),
+    ),
+    (
+        configuration.check_goes_back,
+        Rule.CONFIG,
+        "goes back",
+        history(orders=[FIRST, ADDING], probes=[probe(202, 2.2), probe(404, 2.6)]),
+        history(orders=[FIRST, ADDING], probes=[probe(202, 2.2), probe(404, 2.6, life=1)]),
+    ),
+    (
+        control.check_retirement_refused,
+        SystemRule.RETIRE,
+        "a proper order refused",
+        history(retirements=[retirement(ORDER, 5.0, 409)]),
+        history(retirements=[retirement(ORDER, 5.0, 409, proper=False)]),
+    ),
+    (
+        control.check_retirement_refused,
+        SystemRule.RETIRE,
+        "404 when repeated",
+        history(retirements=[retirement(ORDER, 5.0, 0), retirement(ORDER, 7.0, 404)]),
+        history(retirements=[retirement(ORDER, 5.0, 0), retirement(ORDER, 7.0, 409)]),
+    ),
+    (
+        control.check_retirement_done,
+        SystemRule.RETIRE,
+        "done, and then not",
+        history(retirements=[retirement(LOOK, 5.0, 200, DONE), retirement(LOOK, 6.0, 200, "running")]),
+        history(retirements=[retirement(LOOK, 5.0, 200, "running"), retirement(LOOK, 6.0, 200, DONE)]),
+    ),
+    (
+        control.check_acknowledged_in_time,
+        SystemRule.ACKS,
+        "no acknowledgement in quiet time",
+        history(orders=[order(3, 1, UNCLEAR, ended_at=11.0)]),
+        history(orders=[order(3, 1, UNCLEAR, ended_at=11.0)], disruptions=[replace(FROZEN_EDGE, at=7.0)]),
+    ),
+    (
+        messages.check_route,
+        SystemRule.ROUTE,
+        "a service that no version names",
+        history(orders=[FIRST], runs=[run(11.0, service="other")]),
+        history(orders=[FIRST], runs=[run(11.0)]),
+    ),
+    (
+        messages.check_drain,
+        SystemRule.DRAIN,
+        "a draining worker",
+        history(runs=[run(11.0, instance="i-1")], drains=[Drain("i-1", 7.9)]),
+        history(runs=[run(11.0, instance="i-1")], drains=[Drain("i-1", 8.1)]),
+    ),
+    (
+        messages.check_budget,
+        SystemRule.BUDGET,
+        "comes after six failures",
+        history(answers=[Answer("a", at, 500, "") for at in range(11, 17)], runs=[run(18.0)]),
+        history(answers=[Answer("a", at, 500, "") for at in range(11, 16)], runs=[run(18.0)]),
+    ),
+    (
+        messages.check_budget,
+        SystemRule.BUDGET,
+        "comes after three refusals",
+        history(answers=[Answer("a", at, 422, "") for at in range(11, 14)], runs=[run(18.0)]),
+        history(answers=[Answer("a", at, 422, "") for at in range(11, 13)], runs=[run(18.0)]),
+    ),
+    (
+        messages.check_state_known,
+        Rule.LOST,
+        "404 for an accepted message",
+        history(state_reads=[state(12.2, 404)]),
+        history(state_reads=[state(12.0, 404)]),
+    ),
+    (
+        messages.check_states,
+        Rule.MIXED,
+        "a stamp of no run",
+        history(answers=[SUCCESS], state_reads=[state(12.0, 200, DONE, "other")]),
+        history(answers=[SUCCESS], state_reads=[state(12.0, 200, DONE, "stamp")]),
+    ),
+    (
+        messages.check_states,
+        Rule.MIXED,
+        "done, and then queued",
+        history(answers=[SUCCESS], state_reads=[state(12.0, 200, DONE, "stamp"), state(13.0, 200, "queued")]),
+        history(answers=[SUCCESS], state_reads=[state(11.5, 200, "queued"), state(12.0, 200, DONE, "stamp")]),
+    ),
+    (
+        messages.check_states,
+        Rule.MIXED,
+        "dead before its end",
+        history(answers=[Answer("a", 11.0, 500, "")], state_reads=[state(12.0, 200, "dead_letter")]),
+        history(answers=[Answer("a", 11.0, 422, "")], state_reads=[state(12.0, 200, "dead_letter")]),
+    ),
+    (
+        messages.check_states,
+        Rule.MIXED,
+        "other bytes",
+        history(state_reads=[state(12.0, 200, body=b"other")]),
+        history(state_reads=[state(12.0, 200, body=b"body")]),
+    ),
+    (
+        messages.check_one_holder,
+        Rule.MIXED,
+        "one lease, two workers",
+        history(runs=[run(11.0, lease_id="1", instance="p-1"), run(11.5, lease_id="1", instance="p-2")]),
+        history(runs=[run(11.0, lease_id="1", instance="p-1"), run(14.5, lease_id="2", instance="p-2")]),
+    ),
+    (
+        messages.check_order_key,
+        Rule.UNASKED,
+        "another order key",
+        history(runs=[run(11.0, order_key="j")]),
+        history(runs=[run(11.0, order_key="k")]),
+    ),
+    (
+        inside.check_one_owner,
+        SystemRule.OWNER,
+        "two owners of an epoch",
+        history(inside=Inside(owners=[*OWNERS, Owner("queue-1", 4, "storage-3", 3.0)])),
+        history(inside=Inside(owners=[*OWNERS, Owner("queue-2", 4, "storage-3", 3.0)])),
+    ),
+    (
+        inside.check_committed_kept,
+        SystemRule.COMMITTED,
+        "two entries at one index",
+        history(inside=Inside(committed=[ENTRY, replace(ENTRY, digest=b"y", member="storage-2")])),
+        history(inside=Inside(committed=[ENTRY, replace(ENTRY, member="storage-2")])),
+    ),
+    (
+        inside.check_committed_kept,
+        SystemRule.COMMITTED,
+        "an owner that lacks a committed entry",
+        history(inside=Inside(committed=[ENTRY], owner_logs=[OwnerLog("queue-1", 4, "storage-2", 6, 2.0)])),
+        history(inside=Inside(committed=[ENTRY], owner_logs=[OwnerLog("queue-1", 4, "storage-2", 7, 2.0)])),
+    ),
+)
+
+
+class TestChecks(unittest.TestCase):
+    """Each checker on both of its histories."""
+
+    def test_broken_and_sound(self) -> None:
+        for check, rule, what, broken, sound in CASES:
+            with self.subTest(check=check.__name__, what=what):
+                rules = {violation.rule for violation in check(broken, TERMS)}  # type: ignore[attr-defined]
+                self.assertEqual(rules, {rule})
+                self.assertEqual(list(check(sound, TERMS)), [])  # type: ignore[call-overload]
+
+    def test_all_new_checkers_have_a_case(self) -> None:
+        tried = {case[0] for case in CASES}
+        new = {check for check in CHECKS if check.__module__.startswith("bitternpath.simulation")}
+        self.assertEqual(new, tried)
+
+    def test_found_names_its_checker(self) -> None:
+        found = check_run(history(inside=Inside(owners=[OWNERS[0], replace(OWNERS[0], member="x")])), TERMS)
+        self.assertIn("check_one_owner", {item.checker for item in found})
+
+
+class TestContact(unittest.TestCase):
+    """In touch and stable, as RULES define them."""
+
+    def contact(self, *disruptions: Disruption) -> Contact:
+        return Contact(history(disruptions=list(disruptions)), TERMS)
+
+    def test_core_change_unsettles_for_contact_ms(self) -> None:
+        contact = self.contact(disruption(Harm.DOWN, 10.0, inf, "edge-1"))
+        self.assertFalse(contact.stable(13.9, 13.95))
+        self.assertTrue(contact.stable(14.1, 14.2))
+
+    def test_machine_in_trouble_is_out_of_touch(self) -> None:
+        contact = self.contact(disruption(Harm.DOWN, 10.0, inf, "edge-1"))
+        self.assertFalse(contact.in_touch(["edge-1"], 20.0, 20.1))
+        self.assertTrue(contact.in_touch(["edge-2"], 20.0, 20.1))
+
+    def test_most_of_the_core_down(self) -> None:
+        contact = self.contact(
+            disruption(Harm.DOWN, 1.0, inf, "edge-1"), disruption(Harm.DOWN, 1.0, inf, "edge-2")
+        )
+        self.assertFalse(contact.in_touch(["edge-3"], 20.0, 20.1))
+
+    def test_longest_calm_between_troubles(self) -> None:
+        contact = self.contact(
+            disruption(Harm.FROZEN, 3.0, 6.0, "edge-1"), disruption(Harm.FROZEN, 5.0, 7.0, "edge-2")
+        )
+        self.assertEqual(contact.longest_calm(0.0, 20.0), 13.0)
+        self.assertEqual(contact.longest_calm(4.0, 6.5), 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
