--- /dev/null
+++ b/bitternpath/rehearsal/changes.py
@@ -0,0 +1,61 @@
+"""Changes of the configuration that operators send: the documents, and the calls that carry them."""
+
+from __future__ import annotations
+
+import copy
+import json
+from typing import Any
+
+from bitternpath.rehearsal.plan import TIMEOUT_MS, route_document
+from bitternpath.rehearsal.plumbing import Call
+from bitternpath.rehearsal.records import Kind
+
+TIMEOUTS_MS = (TIMEOUT_MS, TIMEOUT_MS + 200, TIMEOUT_MS + 400)
+EXTRA_ROUTE = "route-extra"
+JSON = "application/json"
+
+
+def changed_document(document: dict[str, Any], number: int, version: int) -> dict[str, Any]:
+    """Another time-out for a route, and a route that comes or goes."""
+    wanted = copy.deepcopy(document)
+    wanted["version"] = version
+    routes = [route for route in wanted["routes"] if not route["name"].startswith(EXTRA_ROUTE)]
+    routes[0] = {**routes[0], "timeout_ms": TIMEOUTS_MS[number % len(TIMEOUTS_MS)]}
+    if number % 2:
+        routes.append(
+            route_document(Kind.LISTED, TIMEOUT_MS, f"{EXTRA_ROUTE}-{number}", extra_prefix(number))
+        )
+    wanted["routes"] = routes
+    return wanted
+
+
+def extra_prefix(number: int) -> str:
+    """The path prefix of the route that the change of that number adds."""
+    return f"/extra-{number}/"
+
+
+def invalid_document(wanted: dict[str, Any]) -> dict[str, Any]:
+    """The same with a route that names an unknown service."""
+    first, *others = wanted["routes"]
+    return {**wanted, "routes": [{**first, "service": "nowhere"}, *others]}
+
+
+def put_call(base: int, wanted: dict[str, Any]) -> Call:
+    """The whole configuration, on top of version `base`."""
+    return Call("PUT", "/config", _headers(base), json.dumps(wanted).encode())
+
+
+def patch_call(document: dict[str, Any], wanted: dict[str, Any]) -> Call:
+    """The same by named items, as they differ from the document in force."""
+    before = {route["name"]: route for route in document["routes"]}
+    after = {route["name"]: route for route in wanted["routes"]}
+    patch = {
+        "version": wanted["version"],
+        "upsert": {"routes": [route for name, route in after.items() if before.get(name) != route]},
+        "remove": {"routes": [name for name in before if name not in after]},
+    }
+    return Call("PATCH", "/config", _headers(document["version"]), json.dumps(patch).encode())
+
+
+def _headers(base: int) -> dict[str, str]:
+    return {"If-Match": str(base), "Content-Type": JSON}
--- a/bitternpath/rehearsal/clients.py
+++ b/bitternpath/rehearsal/clients.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Callable
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 
@@ -11,7 +12,7 @@
 from twisted.internet.task import deferLater
 
 from bitternpath.rehearsal.entry import Entry
-from bitternpath.rehearsal.plan import HOSTS, PREFIXES, SHARES, Plan, Port
+from bitternpath.rehearsal.plan import HOSTS, PREFIXES, SHARES, Port, Reachable
 from bitternpath.rehearsal.plumbing import Call, Reply, Unanswered, send_call
 from bitternpath.rehearsal.records import Clock, Found, History, Kind, Send, SendOutcome
 
@@ -28,66 +29,79 @@
 ASKERS = 16  # questions under way at once
 
 
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """A message that a client wants done; each try gets an id of its own."""
+
+    kind: Kind
+    body: bytes
+    order_key: str = ""
+    delay_s: float = 0.0
+    zone: str = ""  # of the client
+
+
+def draw_wanted(random: Random) -> Wanted:
+    """A message of any kind."""
+    kind = random.choices(list(SHARES), list(SHARES.values()))[0]
+    body = random.randbytes(BODY_BYTES[kind])
+    key = f"key-{random.randrange(ORDER_KEYS)}" if kind is Kind.ENDPOINT else ""
+    delayed = kind is Kind.PULLED and random.random() < DELAYED_SHARE
+    delay_s = round(random.uniform(0.2, MOST_DELAY_S), 3) if delayed else 0.0
+    return Wanted(kind, body, key, delay_s)
+
+
 class Clients:
-    """Sends messages at a mean rate, with exponential gaps."""
+    """Sends messages: given ones, or drawn ones at a mean rate with exponential gaps."""
 
-    def __init__(
-        self, reactor: Any, clock: Clock, history: History, entry: Entry, plan: Plan, callback_url: str
-    ) -> None:
+    def __init__(self, reactor: Any, clock: Clock, history: History, entry: Entry, callback_url: str) -> None:
         self._reactor, self._clock, self._history = reactor, clock, history
-        self._entry, self._plan, self._callback_url = entry, plan, callback_url
-        self._random = Random(plan.seed)
-        self._numbers = 0
+        self._entry, self._callback_url = entry, callback_url
         self.open = 0  # messages whose client still waits or will try again
 
-    def run(self, until: float, failed: Callable[[Any], None]) -> None:
-        """Send until then; `failed` hears an error in the rehearsal itself."""
-        Deferred.fromCoroutine(self._send_all(until, failed)).addErrback(failed)
+    def run(self, until: float, rate: float, random: Random, failed: Callable[[Any], None]) -> None:
+        """Send drawn ones until then; `failed` hears an error in the rehearsal itself."""
+        Deferred.fromCoroutine(self._send_all(until, rate, random, failed)).addErrback(failed)
 
-    async def _send_all(self, until: float, failed: Callable[[Any], None]) -> None:
+    async def _send_all(
+        self, until: float, rate: float, random: Random, failed: Callable[[Any], None]
+    ) -> None:
         while self._clock() < until:
-            await deferLater(self._reactor, self._random.expovariate(self._plan.rate))
-            Deferred.fromCoroutine(self._message()).addErrback(failed)
+            await deferLater(self._reactor, random.expovariate(rate))
+            Deferred.fromCoroutine(self.send(draw_wanted(random), random)).addErrback(failed)
 
-    async def _message(self) -> None:
-        """One message: tries until it is taken, its fate is open, or its time is up."""
+    async def send(self, wanted: Wanted, random: Random) -> Send:
+        """One message: tries until it is taken, its fate is open, or its time is up; the last try."""
         self.open += 1
-        kind = self._random.choices(list(SHARES), list(SHARES.values()))[0]
-        body = self._random.randbytes(BODY_BYTES[kind])
-        key = f"key-{self._random.randrange(ORDER_KEYS)}" if kind is Kind.ENDPOINT else ""
-        delayed = kind is Kind.PULLED and self._random.random() < DELAYED_SHARE
-        delay_s = round(self._random.uniform(0.2, MOST_DELAY_S), 3) if delayed else 0.0
         give_up_at = self._clock() + DEADLINE_MS / 1000
         for _ in range(MOST_TRIES):
-            send = self._prepare(kind, body, key, delay_s)
-            pause = await self._try(send, give_up_at)
+            node = self._entry.choose(wanted.zone)
+            send = self._prepare(wanted, node, random)
+            pause = await self._try(send, node, give_up_at)
             if pause is None or self._clock() + pause >= give_up_at:
                 break
             await deferLater(self._reactor, pause)
         self.open -= 1
+        return send
 
-    def _prepare(self, kind: Kind, body: bytes, key: str, delay_s: float) -> Send:
-        self._numbers += 1
-        request_id = f"{self._numbers:06d}{self._random.getrandbits(40):010x}"
-        target = f"{PREFIXES[kind]}{self._random.getrandbits(24):06x}/x?n={self._numbers}"
-        wants_callback = kind is not Kind.LISTED
+    def _prepare(self, wanted: Wanted, node: Reachable, random: Random) -> Send:
+        request_id = f"{random.getrandbits(64):016x}"
+        target = f"{PREFIXES[wanted.kind]}{random.getrandbits(24):06x}/x?n={random.getrandbits(16)}"
         send = Send(
             request_id,
             self._clock(),
-            self._entry.choose().name,
-            kind,
+            node.name,
+            wanted.kind,
             target,
-            body,
-            key,
-            delay_s,
-            wants_callback,
+            wanted.body,
+            wanted.order_key,
+            wanted.delay_s,
+            wants_callback=wanted.kind is not Kind.LISTED,
         )
         self._history.sends[request_id] = send
         return send
 
-    async def _try(self, send: Send, give_up_at: float) -> float | None:
+    async def _try(self, send: Send, node: Reachable, give_up_at: float) -> float | None:
         """Send it; the pause before the next try, None where there is none."""
-        node = next(edge for edge in self._plan.edges if edge.name == send.node)
         left = max(give_up_at - self._clock(), 0.05)
         answer = await send_call(self._reactor, node.address(Port.FRONT), self._call(send, left), left)
         send.ended_at = self._clock()
--- a/bitternpath/rehearsal/entry.py
+++ b/bitternpath/rehearsal/entry.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Sequence
 from random import Random
 from typing import Any
 
-from bitternpath.rehearsal.plan import Machine, Port
+from bitternpath.rehearsal.plan import Port, Reachable
 from bitternpath.rehearsal.plumbing import Call, Reply, Unanswered, send_call
 
 ASK_EVERY_S = 1.0
@@ -17,9 +18,10 @@
 class Entry:
     """Asks each edge node whether it is ready, and passes connections on to those that are."""
 
-    def __init__(self, reactor: Any, edges: Sequence[Machine], random: Random) -> None:
+    def __init__(self, reactor: Any, edges: Sequence[Reachable], random: Random) -> None:
+        """`edges` may change while it asks."""
         self._reactor, self._edges, self._random = reactor, edges, random
-        self._misses = {edge.name: MOST_MISSES for edge in edges}
+        self._misses: dict[str, int] = defaultdict(lambda: MOST_MISSES)
         self._timer: Any = None
 
     def start(self) -> None:
@@ -36,13 +38,15 @@
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
-    def ready(self) -> list[Machine]:
+    def ready(self) -> list[Reachable]:
         """The nodes that get new connections."""
         return [edge for edge in self._edges if self._misses[edge.name] < MOST_MISSES]
 
-    def choose(self) -> Machine:
-        """The node of a new connection: a ready one, or any where none is."""
-        return self._random.choice(self.ready() or list(self._edges))
+    def choose(self, zone: str = "") -> Reachable:
+        """The node of a new connection: a ready one, in that zone if there is one, or any where none is."""
+        ready = self.ready()
+        near = [edge for edge in ready if edge.zone == zone]
+        return self._random.choice(near or ready or list(self._edges))
 
     def _answered(self, answer: Reply | Unanswered, name: str) -> None:
         is_ready = isinstance(answer, Reply) and answer.status == 200
--- a/bitternpath/rehearsal/plan.py
+++ b/bitternpath/rehearsal/plan.py
@@ -6,11 +6,12 @@
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
-from typing import Any
+from typing import Any, Protocol
 
 from bitternpath.rehearsal.records import Kind, Terms
 
 REGION = "loopback"
+LOOPBACK = "127.0.0.1"  # of what isn't a machine of the system
 FIRST_PORT, LAST_PORT = 20_000, 32_000  # below the ports that the kernel gives to clients
 MOST_DISK_EDGES = 3
 TIMEOUT_MS = 1_500
@@ -64,6 +65,21 @@
 INTERNAL_PORTS = 4
 
 
+class Reachable(Protocol):
+    """A node that is called."""
+
+    @property
+    def name(self) -> str:
+        """Of its machine."""
+
+    @property
+    def zone(self) -> str:
+        """Where it is."""
+
+    def address(self, port: Port) -> str:
+        """Where it listens, `ip:port`."""
+
+
 @dataclass(frozen=True, slots=True)
 class Machine:
     """One machine: an address of its own on loopback."""
--- a/bitternpath/rehearsal/platform.py
+++ b/bitternpath/rehearsal/platform.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from bitternpath.http.http1 import Request
+from bitternpath.rehearsal.plan import LOOPBACK
 from bitternpath.rehearsal.plumbing import Reply, ServerConnection, serve
 from bitternpath.rehearsal.records import CallbackGot, Clock, History
 
@@ -22,13 +23,13 @@
 class PlatformList:
     """Answers `GET /instances`, at most `RATE_PER_S` times a second."""
 
-    def __init__(self, reactor: Any, clock: Clock) -> None:
+    def __init__(self, reactor: Any, clock: Clock, host: str = LOOPBACK, port: int = 0) -> None:
         self._clock = clock
         self._entries: list[dict[str, Any]] = []
         self._recent: list[float] = []
         self.calls = 0
         self.refused = 0
-        self.port, self.address = serve(reactor, "127.0.0.1", self._handle)
+        self.port, self.address = serve(reactor, host, self._handle, port)
 
     def publish(self, entries: Sequence[dict[str, Any]]) -> None:
         """List these workers from now on."""
@@ -55,9 +56,11 @@
 class CallbackReceiver:
     """Takes call-backs; some it fails, and those that name no ended message it refuses."""
 
-    def __init__(self, reactor: Any, clock: Clock, history: History, random: Random) -> None:
+    def __init__(
+        self, reactor: Any, clock: Clock, history: History, random: Random, host: str = LOOPBACK
+    ) -> None:
         self._clock, self._history, self._random = clock, history, random
-        self.port, address = serve(reactor, "127.0.0.1", self._handle)
+        self.port, address = serve(reactor, host, self._handle)
         self.url = f"http://{address}/done"
 
     def _handle(self, request: Request, connection: ServerConnection) -> Deferred[Reply]:
--- a/bitternpath/rehearsal/plumbing.py
+++ b/bitternpath/rehearsal/plumbing.py
@@ -141,8 +141,9 @@
 
     transport: Any
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, reactor: Any) -> None:
         self._handler = handler
+        self._reactor = reactor
         self._reader = RequestReader()
         self._running: Deferred[Any] | None = None
         self.on_lost: Callable[[], None] | None = None  # hears the end of the connection
@@ -163,6 +164,10 @@
         if self.on_lost is not None:
             self.on_lost()
 
+    def callLater(self, period: float, func: Callable[[], object]) -> Any:
+        """The time-out's clock (see `TimeoutMixin`)."""
+        return self._reactor.callLater(period, func)
+
     def timeoutConnection(self) -> None:
         self.transport.loseConnection()
 
@@ -197,14 +202,14 @@
 
     noisy = False
 
-    def __init__(self, handler: Handler) -> None:
-        self._handler = handler
+    def __init__(self, handler: Handler, reactor: Any) -> None:
+        self._handler, self._reactor = handler, reactor
 
     def buildProtocol(self, addr: Any) -> ServerConnection:
-        return ServerConnection(self._handler)
+        return ServerConnection(self._handler, self._reactor)
 
 
-def serve(reactor: Any, host: str, handler: Handler) -> tuple[Any, str]:
-    """Listen on a free port of `host`; the port object and its address."""
-    port = reactor.listenTCP(0, ServerFactory(handler), interface=host)
+def serve(reactor: Any, host: str, handler: Handler, port_number: int = 0) -> tuple[Any, str]:
+    """Listen on a port of `host`, a free one if none is given; the port object and its address."""
+    port = reactor.listenTCP(port_number, ServerFactory(handler, reactor), interface=host)
     return port, f"{host}:{port.getHost().port}"
--- a/bitternpath/rehearsal/workers.py
+++ b/bitternpath/rehearsal/workers.py
@@ -12,7 +12,7 @@
 
 from bitternpath.http.http1 import Request
 from bitternpath.rehearsal.entry import Entry
-from bitternpath.rehearsal.plan import BOUNDS, Port
+from bitternpath.rehearsal.plan import BOUNDS, LOOPBACK, Port
 from bitternpath.rehearsal.plumbing import Call, Reply, ServerConnection, send_call, serve
 from bitternpath.rehearsal.records import Answer, Arrival, Clock, History, LeaseEnd, LeaseWord, Run
 
@@ -74,12 +74,13 @@
         service: str,
         instance: str,
         slots: int,
+        host: str = LOOPBACK,
     ) -> None:
         self._reactor, self._clock, self._history, self._work = reactor, clock, history, work
         self.service, self.instance, self._slots = service, instance, slots
         self._running: set[str] = set()
         self._waiting: list[_Job] = []
-        self.port, self.address = serve(reactor, "127.0.0.1", self.handle)
+        self.port, self.address = serve(reactor, host, self.handle)
 
     def listed(self) -> dict[str, Any]:
         """Its entry in the platform's list."""
@@ -145,6 +146,8 @@
                 request.method.decode("latin-1"),
                 request.target.decode("latin-1"),
                 request.body,
+                instance=self.instance,
+                order_key=_header(request, b"x-order-key"),
             )
             self._history.runs.append(run)
             seconds = min(self._work.seconds(), max(job.ends_at - self._clock(), 0.0))
@@ -181,9 +184,17 @@
     """One endpoint, on no list: it counts arrivals, and refuses those over the rate of a second."""
 
     def __init__(
-        self, reactor: Any, clock: Clock, history: History, work: Work, service: str, slots: int, rate: float
+        self,
+        reactor: Any,
+        clock: Clock,
+        history: History,
+        work: Work,
+        service: str,
+        slots: int,
+        rate: float,
+        host: str = LOOPBACK,
     ) -> None:
-        super().__init__(reactor, clock, history, work, service, f"{service}-endpoint", slots)
+        super().__init__(reactor, clock, history, work, service, f"{service}-endpoint", slots, host)
         self._rate = rate
         self._recent: list[float] = []
         self.over_rate = 0
@@ -253,7 +264,9 @@
     async def _do(self, job: Reply) -> None:
         request_id, lease_id = job.headers.get("x-request-id", ""), job.headers.get("x-lease-id", "")
         method, target = job.headers.get("x-job-method", ""), job.headers.get("x-job-target", "")
-        run = Run(request_id, self._clock(), self._service, method, target, job.body, lease_id)
+        run = Run(
+            request_id, self._clock(), self._service, method, target, job.body, lease_id, self._instance
+        )
         self._history.runs.append(run)
         if await self._hold(request_id, lease_id):
             status = self._work.status(request_id)
--- a/bitternpath/rehearsal/world.py
+++ b/bitternpath/rehearsal/world.py
@@ -77,7 +77,7 @@
             plan.endpoint_rate,
         )
         self.pullers = self._pulling_workers(random)
-        self.clients = Clients(reactor, self.now, self.history, self.entry, plan, self.receiver.url)
+        self.clients = Clients(reactor, self.now, self.history, self.entry, self.receiver.url)
         self.operator = Operator(reactor, self.now, self.history, plan)
         self._seconds = LoopingCall(self._second)
         self._ticks = 0
@@ -116,7 +116,7 @@
         """Send messages for as long as planned."""
         until = self.now() + self.plan.seconds
         self._seconds.start(1.0, now=False)
-        self.clients.run(until, self.failed)
+        self.clients.run(until, self.plan.rate, Random(self.plan.seed), self.failed)
         while self.now() < until or self.clients.open:
             await deferLater(self.reactor, LOOK_S)
 
