--- /dev/null
+++ b/bitternpath/simulation/actors/nodes.py
@@ -0,0 +1,71 @@
+"""Which nodes actors know of: the platform's entry at once, operators by a list that lags."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from bitternpath.rehearsal.plan import Port
+
+if TYPE_CHECKING:
+    from bitternpath.simulation.world import SimulatedNode, World
+
+
+@dataclass(frozen=True, slots=True)
+class NodeAddress:
+    """`rehearsal.plan.Reachable` for a simulated node."""
+
+    name: str
+    zone: str
+    front: str
+    readiness: str
+    control: str
+
+    def address(self, port: Port) -> str:
+        """Where it listens."""
+        return {Port.FRONT: self.front, Port.READINESS: self.readiness, Port.CONTROL: self.control}[port]
+
+
+class Directory:
+    """The edge nodes of a world, now and a while ago, and the names that a plan uses.
+
+    Plans call machines `e1`, `e2` ... (edge) and `s1`, `s2` ... (storage), in the world's order; a successor
+    is called as its predecessor was.
+    """
+
+    def __init__(self, world: World, lag_s: float) -> None:
+        self._world, self._lag_s = world, lag_s
+        self.edges: list[NodeAddress] = []
+        self._before: list[tuple[float, tuple[NodeAddress, ...]]] = []
+        self._names = {f"e{place}": node.name for place, node in enumerate(world.edges(), 1)}
+        self._names.update({f"s{place}": node.name for place, node in enumerate(world.storages(), 1)})
+        self.changed()
+
+    def changed(self) -> None:
+        """Machines have come or gone."""
+        self.edges[:] = [_address(node) for node in self._world.edges()]
+        self._before.append((self._world.now, tuple(self.edges)))
+
+    def lagging(self) -> Sequence[NodeAddress]:
+        """The list that operators draw on."""
+        then = self._world.now - self._lag_s
+        known = [edges for at, edges in self._before if at <= then]
+        return known[-1] if known else self._before[0][1]
+
+    def name(self, planned: str) -> str:
+        """What the world calls a machine of the plan now."""
+        return self._names[planned]
+
+    def replaced(self, planned: str, successor: str) -> None:
+        """Another machine has taken a machine's place."""
+        self._names[planned] = successor
+        self.changed()
+
+    def life(self, name: str) -> int:
+        """How many lives a node's process has had."""
+        return self._world.nodes[name].lives
+
+
+def _address(node: SimulatedNode) -> NodeAddress:
+    return NodeAddress(node.name, node.zone, node.front, node.readiness, node.control)
--- /dev/null
+++ b/bitternpath/simulation/actors/operators.py
@@ -0,0 +1,228 @@
+"""Operators of a simulated run: changes, races, orders sent again, retirements, reads (PROTOCOL)."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.task import deferLater
+
+from bitternpath.rehearsal.changes import changed_document, invalid_document, patch_call, put_call
+from bitternpath.rehearsal.control_calls import (
+    ENDING,
+    FIRST_PAUSE_S,
+    MOST_PAUSE_S,
+    PAUSE_GROWTH,
+    TRIES_OF_REFUSED,
+    ControlCalls,
+)
+from bitternpath.rehearsal.plumbing import Call, Reply
+from bitternpath.rehearsal.records import OrderOutcome, OrderSent
+from bitternpath.simulation.actors.nodes import Directory, NodeAddress
+from bitternpath.simulation.checks.history import ConfigRead, RetireCall, Retirement, SystemHistory
+from bitternpath.simulation.runs.events import Look, Order, OrderStyle, Retire, RunPlan
+
+if TYPE_CHECKING:
+    from bitternpath.simulation.world import World
+
+OPERATOR_IP = "10.99.0.1"
+ORDER_FOR_S = 8.0  # beyond `ack_ms`, so that the record says how late an acknowledgement was
+FIRST_ORDER_FOR_S = 25.0
+RETIRE_FOR_S = 5.0  # `ack_ms`: for so long an order to retire is sent again
+RETIRE_LOOK_S = 0.3
+RETIRE_DONE_FOR_S = 25.0  # then it is given up
+LOOKS_AFTER_DONE = 6
+RIVAL_NUMBERS = 10_000  # between the numbers of rivals' changes
+LOOK_TRIES = 10
+
+Failed = Callable[[Any], object]
+
+
+class Operators:
+    """All operators. `known`: the newest document that any of them knows to be in force."""
+
+    def __init__(
+        self, world: World, plan: RunPlan, history: SystemHistory, directory: Directory, failed: Failed
+    ) -> None:
+        self._world, self._plan, self._history, self._directory = world, plan, history, directory
+        self._reactor = world.host(OPERATOR_IP)
+        self._failed = failed
+        self.known: dict[str, Any] = {"version": 0, "routes": []}
+        self.documents: list[dict[str, Any]] = []  # that were sent, in their order
+        self.open = 0  # calls under way
+        self.on_retired: Callable[[str], object] = lambda planned: None
+
+    def found(self, document: dict[str, Any]) -> None:
+        """Send the first configuration until it is accepted."""
+        calls = self._calls(Random(f"{self._plan.seed}/founding"))
+        self._begin(self._send(calls, put_call(0, document), 0, document, seconds=FIRST_ORDER_FOR_S))
+
+    def order(self, event: Order) -> None:
+        """Send a change."""
+        self._begin(self._order(event))
+
+    def look(self, event: Look) -> None:
+        """Read the configuration once."""
+        self._begin(self._look(self._calls(self._plan.random(event)), tries=1))
+
+    def retire(self, event: Retire) -> None:
+        """Have a machine emptied, and remove it then."""
+        self._begin(self._retire(event))
+
+    def read_back(self, seconds: float) -> None:
+        """Read the configuration again and again for so long; the last answer counts."""
+        self._begin(self._read_back(seconds))
+
+    # ---- changes
+
+    async def _order(self, event: Order) -> None:
+        random = self._plan.random(event)
+        before = self.known
+        base, version = before["version"], before["version"] + event.step
+        wanted = changed_document(before, event.number, version)
+        if event.style is OrderStyle.INVALID:
+            wanted = invalid_document(wanted)
+        call = patch_call(before, wanted) if event.style is OrderStyle.PATCH else put_call(base, wanted)
+        valid = event.style is not OrderStyle.INVALID
+        calls = self._calls(random)
+        sent = [self._send(calls, call, base, wanted, valid=valid, lost=event.lost_answers)]
+        if event.twice:
+            sent.append(self._send(self._calls(random), call, base, wanted, valid=valid))
+        for rival in range(1, event.rivals + 1):
+            other = changed_document(before, event.number + rival * RIVAL_NUMBERS + rival, version)
+            sent.append(self._send(self._calls(random), put_call(base, other), base, other))
+        outcomes = await gatherResults([Deferred.fromCoroutine(each) for each in sent])
+        if event.again and outcomes[0] is OrderOutcome.ACKNOWLEDGED:
+            await self._send(calls, call, base, wanted, valid=valid)
+        if OrderOutcome.ACKNOWLEDGED not in outcomes:
+            await self._look(calls, LOOK_TRIES)
+
+    async def _send(
+        self,
+        calls: ControlCalls,
+        call: Call,
+        base: int,
+        wanted: dict[str, Any],
+        valid: bool = True,
+        lost: int = 0,
+        seconds: float = ORDER_FOR_S,
+    ) -> OrderOutcome:
+        """One change, sent until there is a clear answer."""
+        sent_at = self._world.now
+        if valid:
+            self.documents.append(wanted)
+        outcome, status = await calls.until_clear(call, sent_at + seconds, lost)
+        version = wanted["version"]
+        self._history.orders.append(
+            OrderSent(version, base, sent_at, self._world.now, outcome, valid, wanted, status)
+        )
+        if outcome is OrderOutcome.ACKNOWLEDGED:
+            self._learn(wanted)
+        return outcome
+
+    # ---- reads
+
+    async def _look(self, calls: ControlCalls, tries: int) -> None:
+        for _ in range(tries):
+            if await self._read(calls) is not None:
+                return
+            await deferLater(self._reactor, FIRST_PAUSE_S)
+
+    async def _read_back(self, seconds: float) -> None:
+        calls = self._calls(Random(f"{self._plan.seed}/read back"))
+        until = self._world.now + seconds
+        while self._world.now < until:
+            document = await self._read(calls)
+            if document is not None:
+                self._history.read_back = document
+            await deferLater(self._reactor, FIRST_PAUSE_S)
+
+    async def _read(self, calls: ControlCalls) -> dict[str, Any] | None:
+        node, sent_at = calls.choose(), self._world.now
+        answer = await calls.send(node, Call("GET", "/config"))
+        if answer is None or answer.status != 200:
+            return None
+        document: dict[str, Any] = json.loads(answer.body)
+        self._history.reads.append(ConfigRead(node.name, sent_at, self._world.now, document))
+        self._learn(document)
+        return document
+
+    def _learn(self, document: dict[str, Any]) -> None:
+        if document.get("version", 0) > self.known["version"]:
+            self.known = document
+
+    # ---- retirement
+
+    async def _retire(self, event: Retire) -> None:
+        calls = self._calls(self._plan.random(event))
+        machine = self._directory.name(event.node)
+        if await self._order_retirement(calls, machine) and await self._until_done(calls, machine):
+            self.on_retired(event.node)
+            for _ in range(LOOKS_AFTER_DONE):
+                await deferLater(self._reactor, RETIRE_LOOK_S)
+                await self._call_retire(calls, RetireCall.LOOK, machine)
+
+    async def _order_retirement(self, calls: ControlCalls, machine: str) -> bool:
+        """Whether the machine is being emptied."""
+        give_up_at = self._world.now + RETIRE_FOR_S
+        pause, refused, tries = FIRST_PAUSE_S, 0, 0
+        while self._world.now < give_up_at:
+            answer = await self._call_retire(calls, RetireCall.ORDER, machine)
+            tries += 1
+            status = answer.status if answer is not None else 0
+            if status == 200 or (status == 409 and tries > 1):
+                return True
+            refused += 400 <= status < 500
+            if status in ENDING or refused >= TRIES_OF_REFUSED:
+                return False
+            await deferLater(self._reactor, pause)
+            pause = min(pause * PAUSE_GROWTH, MOST_PAUSE_S)
+        return False
+
+    async def _until_done(self, calls: ControlCalls, machine: str) -> bool:
+        give_up_at = self._world.now + RETIRE_DONE_FOR_S
+        while self._world.now < give_up_at:
+            answer = await self._call_retire(calls, RetireCall.LOOK, machine)
+            if answer is not None and answer.status == 200 and json.loads(answer.body)["state"] == "done":
+                return True
+            await deferLater(self._reactor, RETIRE_LOOK_S)
+        return False
+
+    async def _call_retire(self, calls: ControlCalls, kind: RetireCall, machine: str) -> Reply | None:
+        node, sent_at, proper = calls.choose(), self._world.now, self._is_proper(machine)
+        body = json.dumps({"duration_s": 10}).encode() if kind is RetireCall.ORDER else b""
+        headers = {"Content-Type": "application/json"} if body else {}
+        answer = await calls.send(node, Call(kind.value, f"/retire/{machine}", headers, body))
+        if answer is not None:
+            state = json.loads(answer.body).get("state", "") if answer.status == 200 and answer.body else ""
+            self._history.retirements.append(
+                Retirement(
+                    kind, machine, node.name, sent_at, self._world.now, answer.status, state, proper
+                )
+            )
+        return answer
+
+    def _is_proper(self, machine: str) -> bool:
+        """Whether the machine runs, and enough others do."""
+        running = [node.name for node in self._world.storages() if node.state.value == "up"]
+        wanted = 2 * self._plan.layout.tolerated + 1
+        return machine in running and len(running) - 1 >= wanted
+
+    def _calls(self, random: Random) -> ControlCalls:
+        own = Random(random.getrandbits(64))
+        return ControlCalls(self._reactor, lambda: self._world.now, self._nodes, own)
+
+    def _nodes(self) -> list[NodeAddress]:
+        return list(self._directory.lagging())
+
+    def _begin(self, work: Any) -> None:
+        self.open += 1
+
+        def ended(result: Any) -> Any:
+            self.open -= 1
+            return result
+
+        Deferred.fromCoroutine(work).addBoth(ended).addErrback(self._failed)
--- /dev/null
+++ b/bitternpath/simulation/actors/senders.py
@@ -0,0 +1,129 @@
+"""Senders of messages, those who ask for states, and probes of routes that come and go."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from bitternpath.rehearsal.clients import ASK_WITHIN_S, DEADLINE_MS, Clients, Wanted
+from bitternpath.rehearsal.entry import Entry
+from bitternpath.rehearsal.plan import HOSTS, Port
+from bitternpath.rehearsal.plumbing import Call, Reply, send_call
+from bitternpath.rehearsal.records import Kind, Send, SendOutcome
+from bitternpath.simulation.actors.nodes import Directory
+from bitternpath.simulation.actors.operators import Operators
+from bitternpath.simulation.checks.history import RouteProbe, StateRead, SystemHistory
+from bitternpath.simulation.runs.events import Message, Probe, RunPlan
+
+if TYPE_CHECKING:
+    from bitternpath.simulation.world import World
+
+CLIENT_IP = "10.95.0.1"
+PROBE_BODY = b"probe"
+PROBED_DOCUMENTS = 3  # the newest ones that were sent: their routes are probed
+NEVER_THERE = "/never/"
+
+Failed = Callable[[Any], object]
+
+
+class Senders:
+    """Plays messages and probes."""
+
+    def __init__(
+        self,
+        world: World,
+        plan: RunPlan,
+        history: SystemHistory,
+        directory: Directory,
+        entry: Entry,
+        operators: Operators,
+        callback_url: str,
+        failed: Failed,
+    ) -> None:
+        self._world, self._plan, self._history, self._directory = world, plan, history, directory
+        self._entry, self._operators, self._failed = entry, operators, failed
+        self._reactor = world.host(CLIENT_IP)
+        self._clients = Clients(self._reactor, lambda: world.now, history, entry, callback_url)
+        self.open = 0  # messages, questions and probes under way
+
+    def message(self, event: Message) -> None:
+        """Send a message, and ask for its state later."""
+        self._begin(self._message(event))
+
+    def probe(self, event: Probe) -> None:
+        """Send a message directly to one node."""
+        self._begin(self._probe(event))
+
+    async def _message(self, event: Message) -> None:
+        random = self._plan.random(event)
+        body = random.randbytes(event.size)
+        wanted = Wanted(event.kind, body, event.key, event.delay_s, event.zone)
+        send = await self._clients.send(wanted, random)
+        if event.ask_after and send.outcome is SendOutcome.ACCEPTED:
+            await deferLater(self._reactor, event.ask_after)
+            await self._ask(send, "message")
+            await self._ask(send, "message-body")
+
+    async def _ask(self, send: Send, what: str) -> None:
+        node, sent_at = self._entry.choose(), self._world.now
+        call = Call("GET", f"/{what}/{send.message_id}", {"Host": HOSTS[send.kind]})
+        answer = await send_call(self._reactor, node.address(Port.FRONT), call, ASK_WITHIN_S)
+        if not isinstance(answer, Reply):
+            return
+        state, stamp, body = "", "", None
+        if answer.status == 200 and what == "message":
+            told = json.loads(answer.body)
+            state, stamp = str(told.get("state", "")), str(told.get("stamp") or "")
+        elif answer.status == 200:
+            body = answer.body
+        elif what == "message-body":
+            return  # a message that has ended well has no body any more
+        self._history.state_reads.append(
+            StateRead(send.request_id, node.name, sent_at, self._world.now, answer.status, state, stamp, body)
+        )
+
+    async def _probe(self, event: Probe) -> None:
+        random = self._plan.random(event)
+        edges = self._directory.edges
+        node = random.choice(edges)
+        path = f"{random.choice(self._prefixes())}{random.getrandbits(32):08x}"
+        request_id = f"probe-{event.number}-{random.getrandbits(32):08x}"
+        host, sent_at = HOSTS[Kind.LISTED], self._world.now
+        self._history.sends[request_id] = Send(
+            request_id, sent_at, node.name, Kind.LISTED, path, PROBE_BODY, outcome=SendOutcome.UNCLEAR
+        )
+        life = self._directory.life(node.name)
+        headers = {"Host": host, "X-Request-Id": request_id, "X-Deadline-Ms": str(DEADLINE_MS)}
+        call = Call("POST", path, headers, PROBE_BODY)
+        answer = await send_call(self._reactor, node.address(Port.FRONT), call, DEADLINE_MS / 1000)
+        status = answer.status if isinstance(answer, Reply) else 0
+        if life == self._directory.life(node.name):
+            self._history.probes.append(
+                RouteProbe(request_id, node.name, life, sent_at, self._world.now, host, path, status)
+            )
+
+    def _prefixes(self) -> list[str]:
+        """Of routes that the newest documents have or had, and of one that never was."""
+        prefixes = [NEVER_THERE]
+        for document in self._operators.documents[-PROBED_DOCUMENTS:]:
+            prefixes += [route["path_prefix"] for route in document["routes"][len(Kind) :]]
+        return prefixes
+
+    def _begin(self, work: Any) -> None:
+        self.open += 1
+
+        def ended(result: Any) -> Any:
+            self.open -= 1
+            return result
+
+        Deferred.fromCoroutine(work).addBoth(ended).addErrback(self._failed)
+
+
+def seeded(plan: RunPlan, purpose: str) -> Random:
+    """A generator of the run's seed for one actor."""
+    return Random(f"{plan.seed}/{purpose}")
