--- a/bitternpath/rehearsal/plumbing.py
+++ b/bitternpath/rehearsal/plumbing.py
@@ -147,6 +147,7 @@
         self._reader = RequestReader()
         self._running: Deferred[Any] | None = None
         self.on_lost: Callable[[], None] | None = None  # hears the end of the connection
+        self.closed = False
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -157,6 +158,7 @@
         self._next()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.closed = True
         self.setTimeout(None)  # type: ignore[no-untyped-call]
         running, self._running = self._running, None
         if running is not None:
