--- a/bitternpath/simulation/actors/operators.py
+++ b/bitternpath/simulation/actors/operators.py
@@ -92,7 +92,8 @@
         if event.twice:
             sent.append(self._send(self._calls(random), call, base, wanted, valid=valid))
         for rival in range(1, event.rivals + 1):
-            other = changed_document(before, event.number + rival * RIVAL_NUMBERS + rival, version)
+            number = 2 * (event.number + rival * RIVAL_NUMBERS) + 1  # odd: it adds a route of its own
+            other = changed_document(before, number, version)
             sent.append(self._send(self._calls(random), put_call(base, other), base, other))
         outcomes = await gatherResults([Deferred.fromCoroutine(each) for each in sent])
         if event.again and outcomes[0] is OrderOutcome.ACKNOWLEDGED:
--- a/bitternpath/simulation/actors/workers.py
+++ b/bitternpath/simulation/actors/workers.py
@@ -6,22 +6,23 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 from typing import TYPE_CHECKING, Any
 
 from bitternpath.http.http1 import Request
 from bitternpath.rehearsal.plan import RATE_PER_S, SERVICES
 from bitternpath.rehearsal.platform import PlatformList
-from bitternpath.rehearsal.plumbing import Reply
-from bitternpath.rehearsal.records import Kind
-from bitternpath.rehearsal.workers import Endpoint, HttpWorker, Job, PullingWorker, Work
+from bitternpath.rehearsal.plumbing import Reply, ServerConnection
+from bitternpath.rehearsal.records import Answer, Kind
+from bitternpath.rehearsal.workers import READ_WITHIN_S, Endpoint, HttpWorker, Job, PullingWorker, Work
 from bitternpath.simulation.checks.history import Drain, SystemHistory
 from bitternpath.simulation.runs.events import Mood, RunPlan, WorkerLeaves, WorkerTrouble
 from bitternpath.simulation.settings import PLATFORM_IP, PLATFORM_PORT
 
 if TYPE_CHECKING:
     from bitternpath.rehearsal.entry import Entry
-    from bitternpath.simulation.world import World
+    from bitternpath.simulation.world import SimulatedNode, World
 
 LISTED_WORKERS, LISTED_SLOTS, LISTED_WORK_S = 3, 4, (0.02, 0.12)
 ENDPOINT_SLOTS, ENDPOINT_WORK_S = 8, (0.02, 0.1)
@@ -44,6 +45,7 @@
     """A worker that is called, with moods."""
 
     mood: Mood | None = None
+    watch: Callable[[Answer, str], object]  # hears each answer, and the address to which it goes
 
     def set_mood(self, world: World, mood: Mood, lasts: float) -> None:
         """Behave so for a while."""
@@ -64,6 +66,10 @@
             return
         super()._answer(job, status)
 
+    def _note(self, answer: Answer, connection: ServerConnection) -> None:
+        super()._note(answer, connection)
+        self.watch(answer, connection.transport.getPeer().host)
+
     def _answer_badly(self, mood: Mood, job: Job) -> bool:
         """Answer as the mood has it; False where it has no say."""
         transport, stamp = job.connection.transport, self._work.stamp(self.instance)
@@ -111,6 +117,7 @@
             RATE_PER_S,
             ENDPOINT_IP,
         )
+        self.endpoint.watch = self._watch
         self.pullers = [self._puller(number, entry) for number in range(PULLERS)]
 
     def trouble(self, event: WorkerTrouble) -> None:
@@ -156,9 +163,21 @@
             ip,
             WORKER_PORT,
         )
+        worker.watch = self._watch
         self._entries[instance] = worker.listed()
         return worker
 
+    def _watch(self, answer: Answer, sender: str) -> None:
+        """An answer counts as read only if its sender runs all the time that it takes to come."""
+        node = next(node for node in self._world.nodes.values() if node.ip == sender)
+        life = node.lives
+        answer.read = _runs(node)
+
+        def look() -> None:
+            answer.read = answer.read and _runs(node) and node.lives == life
+
+        self._world.at(self._world.now + READ_WITHIN_S, look)
+
     def _publish(self, draining: str = "") -> None:
         """The list shows its entries as they are now, a while later."""
         entries = list(self._entries.values())
@@ -184,3 +203,7 @@
             f"p-{number}",
             Random(f"{self._seed}/puller/{number}"),
         )
+
+
+def _runs(node: SimulatedNode) -> bool:
+    return node.state.value == "up" and node.factor == 1.0
