--- a/bitternpath/roles/edge.py
+++ b/bitternpath/roles/edge.py
@@ -25,7 +25,6 @@
     PullTicket,
 )
 from bitternpath.membership.founding import CONFIGURATION_GROUP
-from bitternpath.queue.records import Message
 from bitternpath.roles.configuration_member import ConfigurationMember, FoundingDecider
 from bitternpath.roles.machine import LocalMachine, Machine
 from bitternpath.roles.node_base import NodeBase
@@ -58,6 +57,7 @@
     Ownership,
     StatusRequest,
 )
+from bitternpath.transport.records import Message
 
 log = logbook.Logger("edge")
 
@@ -186,9 +186,9 @@
         """Shards have other members: keep links to all storage nodes that are any."""
         self.appender.shards = self.lookup.shards = len(groups)
         addresses = {member.address for group in groups for member in group.members}
-        for address in self._storage_addresses - addresses:
+        for address in sorted(self._storage_addresses - addresses):
             self.base.hub.hang_up(address, SHARD_USER)
-        for address in addresses - self._storage_addresses:
+        for address in sorted(addresses - self._storage_addresses):
             self.base.hub.dial(address, SHARD_USER)
         self._storage_addresses = addresses
 
--- a/bitternpath/simulation/actors/workers.py
+++ b/bitternpath/simulation/actors/workers.py
@@ -10,7 +10,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from bitternpath.http.http1 import Request
+from bitternpath.net.http1 import Request
 from bitternpath.rehearsal.plan import RATE_PER_S, SERVICES
 from bitternpath.rehearsal.platform import PlatformList
 from bitternpath.rehearsal.plumbing import Reply, ServerConnection
--- a/bitternpath/simulation/inside.py
+++ b/bitternpath/simulation/inside.py
@@ -9,9 +9,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from bitternpath.replication.consensus import Members
 from bitternpath.replication.host import ReplicaHost
 from bitternpath.replication.interfaces import GroupListener, StateMachine
+from bitternpath.replication.records import Members
 from bitternpath.simulation.recorder import Recorder
 
 
--- a/bitternpath/storage/segments.py
+++ b/bitternpath/storage/segments.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass
 from itertools import pairwise
 
-from bitternpath.replication.consensus import Kept
+from bitternpath.replication.records import Kept
 from bitternpath.storage.commands import Batch
 from bitternpath.storage.files import FileSystem
 from bitternpath.storage.groups import GroupStates, state_record
@@ -240,7 +240,7 @@
         """One group's state, or the removal of one segment. May be called again after an `OSError`."""
         if self._pending is None:
             self._roll()
-            self._pending = [*self._states.by_group, *self._states.forgotten]
+            self._pending = [*self._states.by_group, *sorted(self._states.forgotten)]
             self._first_needed = self._segment.number
         elif self._pending:
             self._write_state(self._pending[-1])
