A configuration member that joined later opens its group at its start

The two successors are a majority, but had no founding file, and ConfigurationMember.start opened the group only with one; each waited for a leader to speak: no owner for ever, `GET /config` without answer. Ruled out: lost journals (both held the group), links (up).

A founding decision that comes after that is stored, and the group isn't opened twice.

--- a/bitternpath/replication/host.py
+++ b/bitternpath/replication/host.py
@@ -74,6 +74,10 @@
         self._share_bounds()
         self._set_timer()
 
+    def holds(self, group: str) -> bool:
+        """Whether the disk held something of a group at the start that nobody has opened yet."""
+        return group in self._journal.groups()
+
     def close_group(self, group: str) -> None:
         """Stop taking part, and forget the group's state on disk."""
         closed = self.groups.pop(group, None)
--- a/bitternpath/roles/configuration_member.py
+++ b/bitternpath/roles/configuration_member.py
@@ -103,9 +103,13 @@
         self._timer: Any = None
 
     def start(self) -> None:
-        """Take part: as before, as a founder once there is a system, or when a leader adds this member."""
+        """Take part: as before, as a founder once there is a system, or when a leader adds this member.
+
+        A member that joined later has no founding file. It must not wait until somebody speaks: perhaps all
+        that are left have joined later.
+        """
         self._founding = self._file.load()
-        if self._founding is not None:
+        if self._founding is not None or self.host.holds(CONFIGURATION_GROUP):
             self._open_group()
         self._look()
 
@@ -153,7 +157,8 @@
             self._file.store(founding)
             self._founding = founding
             log.info("event=founded system={} members={}", founding.system, len(founding.group.members))
-            self._open_group()
+            if not self._open:
+                self._open_group()
         if self._founding.system == founding.system:
             link.send(FoundingAnswer(me))
 
