--- a/bitternpath/replication/interfaces.py
+++ b/bitternpath/replication/interfaces.py
@@ -32,6 +32,9 @@
 class GroupJournal(Protocol):
     """Where the groups of a process are kept; `storage/journal.py` has it."""
 
+    def groups(self) -> tuple[str, ...]:
+        """The groups that the disk held at the start and that nobody has taken yet."""
+
     def take_kept(self, group: str) -> Kept | None:
         """What the disk held of a group at the start; given once."""
 
--- a/bitternpath/simulation/actors/machines.py
+++ b/bitternpath/simulation/actors/machines.py
@@ -8,7 +8,7 @@
 from bitternpath.rehearsal.records import Trouble
 from bitternpath.simulation.actors.nodes import Directory
 from bitternpath.simulation.checks.history import Disruption, Harm, SystemHistory
-from bitternpath.simulation.runs.events import Fault, FaultKind
+from bitternpath.simulation.events import Fault, FaultKind
 
 if TYPE_CHECKING:
     from bitternpath.simulation.world import World
--- a/bitternpath/simulation/actors/operators.py
+++ b/bitternpath/simulation/actors/operators.py
@@ -23,7 +23,7 @@
 from bitternpath.rehearsal.records import OrderOutcome, OrderSent
 from bitternpath.simulation.actors.nodes import Directory, NodeAddress
 from bitternpath.simulation.checks.history import ConfigRead, RetireCall, Retirement, SystemHistory
-from bitternpath.simulation.runs.events import Look, Order, OrderStyle, Retire, RunPlan
+from bitternpath.simulation.events import Look, Order, OrderStyle, Retire, RunPlan
 
 if TYPE_CHECKING:
     from bitternpath.simulation.world import World
--- a/bitternpath/simulation/actors/senders.py
+++ b/bitternpath/simulation/actors/senders.py
@@ -18,7 +18,7 @@
 from bitternpath.simulation.actors.nodes import Directory
 from bitternpath.simulation.actors.operators import Operators
 from bitternpath.simulation.checks.history import RouteProbe, StateRead, SystemHistory
-from bitternpath.simulation.runs.events import Message, Probe, RunPlan
+from bitternpath.simulation.events import Message, Probe, RunPlan
 
 if TYPE_CHECKING:
     from bitternpath.simulation.world import World
--- a/bitternpath/simulation/actors/workers.py
+++ b/bitternpath/simulation/actors/workers.py
@@ -17,7 +17,7 @@
 from bitternpath.rehearsal.records import Answer, Kind
 from bitternpath.rehearsal.workers import READ_WITHIN_S, Endpoint, HttpWorker, Job, PullingWorker, Work
 from bitternpath.simulation.checks.history import Drain, SystemHistory
-from bitternpath.simulation.runs.events import Mood, RunPlan, WorkerLeaves, WorkerTrouble
+from bitternpath.simulation.events import Mood, RunPlan, WorkerLeaves, WorkerTrouble
 from bitternpath.simulation.settings import PLATFORM_IP, PLATFORM_PORT
 
 if TYPE_CHECKING:
--- a/bitternpath/simulation/runs/draw.py
+++ b/bitternpath/simulation/runs/draw.py
@@ -11,7 +11,7 @@
 from random import Random
 
 from bitternpath.rehearsal.records import Kind
-from bitternpath.simulation.runs.events import (
+from bitternpath.simulation.events import (
     Event,
     Fault,
     FaultKind,
--- a/bitternpath/simulation/runs/once.py
+++ b/bitternpath/simulation/runs/once.py
@@ -4,8 +4,8 @@
 
 from pathlib import Path
 
+from bitternpath.simulation.events import RunPlan, save_plan
 from bitternpath.simulation.runs.draw import SCENARIOS, draw
-from bitternpath.simulation.runs.events import RunPlan, save_plan
 from bitternpath.simulation.runs.play import RunReport, play
 from bitternpath.simulation.runs.shrink import shrink
 
--- a/bitternpath/simulation/runs/play.py
+++ b/bitternpath/simulation/runs/play.py
@@ -30,7 +30,7 @@
 from bitternpath.simulation.actors.workers import Workers
 from bitternpath.simulation.checks.all import Found, check_run
 from bitternpath.simulation.checks.history import SystemHistory, SystemRule, SystemTerms
-from bitternpath.simulation.runs.events import (
+from bitternpath.simulation.events import (
     Event,
     Fault,
     Look,
--- a/bitternpath/simulation/runs/shrink.py
+++ b/bitternpath/simulation/runs/shrink.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from bitternpath.simulation.runs.events import Event, RunPlan
+from bitternpath.simulation.events import Event, RunPlan
 from bitternpath.simulation.runs.play import RunReport, play
 
 FIRST_PIECES = 2
--- a/tests/system/test_simulation_runs.py
+++ b/tests/system/test_simulation_runs.py
@@ -9,7 +9,7 @@
 import unittest
 from pathlib import Path
 
-from bitternpath.simulation.runs.events import load_plan
+from bitternpath.simulation.events import load_plan
 from bitternpath.simulation.runs.play import play
 
 RUNS = Path(__file__).parent / "runs"
