--- a/bitternpath/configuration/placement.py
+++ b/bitternpath/configuration/placement.py
@@ -12,8 +12,8 @@
 from dataclasses import replace
 
 from bitternpath.membership.founding import MOST_FOUNDERS, member_address, member_id
-from bitternpath.replication.consensus import Members
 from bitternpath.replication.reconfiguration import node_of
+from bitternpath.replication.records import Members
 from bitternpath.transport.messages import GroupPlacement, MemberAddress, NodeDescriptor
 
 # A node that is away is replaced soon where another has just come that keeps nothing: it has come for that,
--- a/bitternpath/configuration/repair_simulation.py
+++ b/bitternpath/configuration/repair_simulation.py
@@ -23,10 +23,10 @@
 from bitternpath.configuration.presence import Presence
 from bitternpath.membership.founding import member_id
 from bitternpath.replication.checking import Broken, Checker, Listener, Register
-from bitternpath.replication.consensus import Members
 from bitternpath.replication.group import CompactionBounds
 from bitternpath.replication.host import SYSTEM_TIMES, ReplicaHost
 from bitternpath.replication.member_changes import MemberChanges
+from bitternpath.replication.records import Members
 from bitternpath.replication.virtual_time import EventClock, ProcessClock
 from bitternpath.storage.journal import Journal
 from bitternpath.storage.segments import SegmentLog
--- a/bitternpath/replication/group.py
+++ b/bitternpath/replication/group.py
@@ -10,21 +10,10 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
-from bitternpath.replication.consensus import (
-    CHANGE,
-    MEMBERS,
-    Appended,
-    AskVote,
-    Entry,
-    Kept,
-    Members,
-    Message,
-    Out,
-    Raft,
-    Times,
-    Write,
-)
+from bitternpath.replication.consensus import Out, Raft
 from bitternpath.replication.interfaces import FateOpen, GroupListener, NotOwner, StateMachine
+from bitternpath.replication.messages import Appended, AskVote, Message
+from bitternpath.replication.records import CHANGE, MEMBERS, Entry, Kept, Members, Times, Write
 
 COMPACTION_BYTES = 8 << 20  # of entries applied since the last snapshot
 HOST_COMPACTION_BYTES = 32 << 20  # likewise, of all groups together: entries are also kept in memory
@@ -145,12 +134,12 @@
     def hand_over(self, now: float, to: str = "") -> bool:
         """Pass leadership to a voter that was heard lately: `to`, or the one that has most of the log."""
         peers = [
-            (peer.match, name)
+            (peer.match_index, name)
             for name, peer in self.raft.peers.items()
-            if name in self.raft.members.voters and now - peer.heard < self._times.election
+            if name in self.raft.members.voters and now - peer.last_contact < self._times.election
         ]
         wanted = [each for each in peers if to in ("", each[1])]
-        return bool(wanted) and self.raft.pass_on(now, max(wanted)[1])
+        return bool(wanted) and self.raft.transfer_leadership(now, max(wanted)[1])
 
     # ---- views
 
@@ -162,14 +151,23 @@
     def caught_up(self, member: str) -> bool:
         """Whether a member lacks little of what is committed; only a leader knows."""
         peer = self.raft.peers.get(member) if self.raft.ready else None
-        if peer is None or not peer.match or peer.offset is not None:
+        if peer is None or not peer.match_index or peer.offset is not None:
             return False
-        return peer.match >= self.raft.commit - CAUGHT_UP_ENTRIES and peer.match >= self.raft.since
+        least = max(self.raft.commit_index - CAUGHT_UP_ENTRIES, self.raft.first_own_index)
+        return peer.match_index >= least
 
     def silent_for(self, now: float, member: str) -> float:
         """Seconds since a member was heard; infinite where this replica doesn't lead or doesn't know it."""
         peer = self.raft.peers.get(member)
-        return now - peer.heard if peer is not None else float("inf")
+        return now - peer.last_contact if peer is not None else float("inf")
+
+    def has_lease(self, now: float) -> bool:
+        """Whether this owner has heard a majority so lately that, as far as it knows, nobody else leads."""
+        voters = self.raft.members.voters
+        heard = sum(
+            name == self.raft.me or self.silent_for(now, name) < self._times.election for name in voters
+        )
+        return self.is_owner and 2 * heard > len(voters)
 
     def members_progressed(self) -> bool:
         """Whether, since the last call, this replica became owner, or as such saw a change of members
@@ -177,7 +175,7 @@
         seen: tuple[int, int, bool, tuple[str, ...]] = (0, 0, False, ())
         if self.is_owner:
             learners = tuple(filter(self.caught_up, self.raft.members.learners))
-            seen = (self.owned_epoch, self.raft.members_at, self.raft.may_change_members, learners)
+            seen = (self.owned_epoch, self.raft.log.members_index, self.raft.may_change_members, learners)
         before, self._members_seen = self._members_seen, seen
         return seen != before and self.is_owner
 
@@ -227,7 +225,7 @@
             self._machine.restore(out.restore.data)
             self._applied, self._size = out.restore.index, 0
             self._snapshot_size = len(out.restore.data)
-        for entry in out.agreed:
+        for entry in out.committed:
             self._applied = entry.index
             self._size += len(entry.data) + ENTRY_OVERHEAD_BYTES
             if entry.kind == CHANGE:
@@ -260,7 +258,7 @@
         self._listener.lost_ownership()
 
     def _answer_barriers(self) -> None:
-        while self._barriers and self._barriers[0].round <= self.raft.confirmed:
+        while self._barriers and self._barriers[0].round <= self.raft.confirmed_round:
             self._barriers.popleft().result.callback(None)
 
     def _compact(self) -> bool:
@@ -280,8 +278,8 @@
 
     def _kept_entries(self) -> int:
         """How many entries stay: few, and not more than a quarter of the bound on bytes."""
-        log, kept, size = self.raft.log, 0, 0
-        applied = self._applied - self.raft.before[0]  # number of applied ones in the log
+        log, kept, size = self.raft.log.entries, 0, 0
+        applied = self._applied - self.raft.log.before[0]  # number of applied ones in the log
         while kept < min(self._bounds.kept, applied):
             size += len(log[applied - kept - 1].data)
             if size > self.size_bound // 4:
--- a/bitternpath/replication/host.py
+++ b/bitternpath/replication/host.py
@@ -11,11 +11,10 @@
 import logbook
 from twisted.internet.defer import Deferred, fail
 
-from bitternpath.replication.consensus import Kept, Members, Snapshot, Times
 from bitternpath.replication.group import CompactionBounds, ReplicaGroup
-from bitternpath.replication.interfaces import GroupListener, NotOwner, StateMachine
+from bitternpath.replication.interfaces import GroupJournal, GroupListener, NotOwner, StateMachine
+from bitternpath.replication.records import Kept, Members, Snapshot, Times
 from bitternpath.replication.wire import decode_message, encode_message
-from bitternpath.storage.journal import Journal
 from bitternpath.transport.codec import CodecError
 
 log = logbook.Logger("replication")
@@ -34,7 +33,7 @@
         self,
         reactor: Any,
         member_id: str,
-        journal: Journal,
+        journal: GroupJournal,
         send: Send,
         random: Random,
         times: Times = SYSTEM_TIMES,
@@ -77,6 +76,10 @@
         self._share_bounds()
         self._set_timer()
 
+    def holds(self, group: str) -> bool:
+        """Whether the disk held something of a group at the start that nobody has opened yet."""
+        return group in self._journal.groups()
+
     def close_group(self, group: str, generation: int) -> None:
         """Stop taking part, and forget the group's state on disk. Only once members of this generation that
         don't name this replica are committed."""
@@ -164,6 +167,11 @@
         found = self.groups.get(group)
         return found is not None and found.is_owner
 
+    def has_lease(self, group: str) -> bool:
+        """Whether this replica owns the group and has heard a majority within an election's time."""
+        found = self.groups.get(group)
+        return found is not None and found.has_lease(self._reactor.seconds())
+
     def epoch(self, group: str) -> int:
         """The highest term that this replica knows; 0 for a group not open here."""
         found = self.groups.get(group)
--- a/bitternpath/replication/member_changes.py
+++ b/bitternpath/replication/member_changes.py
@@ -13,9 +13,9 @@
 
 import logbook
 
-from bitternpath.replication.consensus import Members
 from bitternpath.replication.host import ReplicaHost
 from bitternpath.replication.reconfiguration import next_members
+from bitternpath.replication.records import Members
 
 log = logbook.Logger("members")
 
--- a/bitternpath/roles/configuration_member.py
+++ b/bitternpath/roles/configuration_member.py
@@ -15,7 +15,7 @@
 
 from bitternpath.configuration.feed import FeedServer
 from bitternpath.configuration.machine import ConfigurationState
-from bitternpath.configuration.orders import Order, OrderDesk, OrderResult
+from bitternpath.configuration.orders import Order, OrderProcessor, OrderResult
 from bitternpath.discovery.platform_list import PlatformList
 from bitternpath.discovery.reader import ListReader
 from bitternpath.membership.founding import (
@@ -26,15 +26,16 @@
     member_id,
 )
 from bitternpath.membership.view import MembershipView
-from bitternpath.replication.consensus import Members
 from bitternpath.replication.host import ReplicaHost
 from bitternpath.replication.reconfiguration import node_of
+from bitternpath.replication.records import Members
 from bitternpath.roles.core_members import CoreMembers
 from bitternpath.roles.group_carrier import GroupCarrier
 from bitternpath.roles.nodes_here import NodesHere
 from bitternpath.roles.retirements import Retirements
 from bitternpath.roles.settings import Settings
 from bitternpath.roles.shard_placement import ShardPlacement
+from bitternpath.storage.node_disk import NodeDisk
 from bitternpath.transport.connections import Link, NodeHub
 from bitternpath.transport.messages import (
     FeedRefused,
@@ -63,18 +64,23 @@
         host: ReplicaHost,
         carrier: GroupCarrier,
         random: Random,
+        disk: NodeDisk | None = None,
     ) -> None:
         self.reactor, self.settings, self.hub, self.view = reactor, settings, hub, view
         self.host, self.carrier, self.random = host, carrier, random
         self.state = ConfigurationState()
-        self.desk = OrderDesk(self.state, self)
-        self.feed = FeedServer(reactor, self.state, self.epoch)
+        self.orders = OrderProcessor(self.state, self)
+        self.feed = FeedServer(reactor, self.state, self.has_lease)
         platform = PlatformList(reactor, settings.platform)
         self.reader = ListReader(
-            reactor, platform, self.epoch, self.feed.publish_catalogue, settings.platform_rate_per_s
+            reactor,
+            platform,
+            lambda: self.feed.epoch,
+            self.feed.publish_catalogue,
+            settings.platform_rate_per_s,
         )
         assert settings.data_dir is not None
-        self._file = FoundingFile(settings.data_dir)
+        self._file = FoundingFile(settings.data_dir, disk)
         self._founding: Founding | None = None
         self._told: set[str] = set()
         self._open = False
@@ -88,9 +94,13 @@
         self._timer: Any = None
 
     def start(self) -> None:
-        """Take part: as before, as a founder once there is a system, or when a leader adds this member."""
+        """Take part: as before, as a founder once there is a system, or when a leader adds this member.
+
+        A member that joined later has no founding file. It must not wait until somebody speaks: perhaps all
+        that are left have joined later.
+        """
         self._founding = self._file.load()
-        if self._founding is not None:
+        if self._founding is not None or self.host.holds(CONFIGURATION_GROUP):
             self._open_group()
         self._look()
 
@@ -110,6 +120,10 @@
         """The group's term."""
         return self.host.epoch(CONFIGURATION_GROUP) if self._open else 0
 
+    def has_lease(self) -> bool:
+        """Whether no other node can have become owner, as far as this one has heard a majority."""
+        return self._open and self.host.has_lease(CONFIGURATION_GROUP)
+
     def propose(self, command: bytes) -> Deferred[object]:
         """Commit a command."""
         return self.host.propose(CONFIGURATION_GROUP, command)
@@ -120,7 +134,7 @@
 
     def order(self, order: Order) -> Deferred[OrderResult]:
         """Decide an operator's change."""
-        return self.desk.submit(order)
+        return self.orders.submit(order)
 
     # ---- what comes over links
 
@@ -138,7 +152,8 @@
             self._file.store(founding)
             self._founding = founding
             log.info("event=founded system={} members={}", founding.system, len(founding.group.members))
-            self._open_group()
+            if not self._open:
+                self._open_group()
         if self._founding.system == founding.system:
             link.send(FoundingAnswer(me))
 
@@ -184,7 +199,7 @@
         self.nodes.begin([node_of(member) for member in self.state.storage.members])
         self.placement.begin()
         self.retirements.begin()
-        self.feed.begin()
+        self.feed.begin(epoch)
         self.reader.start()
 
     def lost_ownership(self) -> None:
--- a/bitternpath/roles/edge.py
+++ b/bitternpath/roles/edge.py
@@ -25,8 +25,8 @@
     PullTicket,
 )
 from bitternpath.membership.founding import CONFIGURATION_GROUP
-from bitternpath.queue.records import Message
 from bitternpath.roles.configuration_member import ConfigurationMember, FoundingDecider
+from bitternpath.roles.machine import LocalMachine, Machine
 from bitternpath.roles.node_base import NodeBase
 from bitternpath.roles.operator_calls import OperatorCalls
 from bitternpath.roles.settings import Settings
@@ -57,6 +57,7 @@
     Ownership,
     StatusRequest,
 )
+from bitternpath.transport.records import Message
 
 log = logbook.Logger("edge")
 
@@ -72,9 +73,9 @@
 class EdgeNode:
     """One edge process. Implements `ingress.service.NodeService`, `LinkHandler` and `FeedListener`."""
 
-    def __init__(self, reactor: Any, settings: Settings) -> None:
+    def __init__(self, reactor: Any, settings: Settings, machine: Machine | None = None) -> None:
         self.reactor, self.settings = reactor, settings
-        self.base = NodeBase(reactor, settings, NodeKind.EDGE, self, self)
+        self.base = NodeBase(reactor, settings, NodeKind.EDGE, self, self, machine or LocalMachine())
         random = self.base.random
         self.owners = ShardOwners(self._owner_changed)
         self.reports = LeaseReports(reactor, self.owners)
@@ -116,6 +117,7 @@
             host,
             self.base.carrier,
             self.base.random,
+            self.base.disk,
         )
 
     # ---- NodeService
@@ -184,9 +186,9 @@
         """Shards have other members: keep links to all storage nodes that are any."""
         self.appender.shards = self.lookup.shards = len(groups)
         addresses = {member.address for group in groups for member in group.members}
-        for address in self._storage_addresses - addresses:
+        for address in sorted(self._storage_addresses - addresses):
             self.base.hub.hang_up(address, SHARD_USER)
-        for address in addresses - self._storage_addresses:
+        for address in sorted(addresses - self._storage_addresses):
             self.base.hub.dial(address, SHARD_USER)
         self._storage_addresses = addresses
 
@@ -303,5 +305,6 @@
         self._reading = False
 
     def _owner_changed(self, group: str) -> None:
+        self.pulls.owner_changed(group)
         owner = self.owners.owner(group)
         log.debug("event=shard_owner group={} owner={}", group, owner.link.peer_name if owner else "")
--- a/bitternpath/roles/edge_process.py
+++ b/bitternpath/roles/edge_process.py
@@ -11,6 +11,7 @@
 from bitternpath.ingress.servers import build_control, build_front, build_readiness
 from bitternpath.membership.founding import CONFIGURATION_GROUP
 from bitternpath.roles.edge import EdgeNode
+from bitternpath.roles.machine import Machine
 from bitternpath.roles.settings import Settings
 
 log = logbook.Logger("edge")
@@ -18,6 +19,7 @@
 RESERVED_DESCRIPTORS = 600  # for files, links to nodes, workers and receivers
 UNREADY_S = 2.1  # two misses of the platform's question, a second apart: then no new connections come
 LAST_CALL_S = 1.2  # of the time of grace, kept for the end
+LAST_ANSWERS_S = 0.4  # before that, whoever waits still gets an answer without a promise, and time to read it
 LISTEN_BACKLOG = 1024
 LOOK_S = 0.05
 
@@ -25,15 +27,16 @@
 class EdgeProcess:
     """One edge process (see `roles.process.Role`)."""
 
-    def __init__(self, reactor: Any, settings: Settings) -> None:
+    def __init__(self, reactor: Any, settings: Settings, machine: Machine | None = None) -> None:
         self.reactor, self.settings = reactor, settings
-        self.node = EdgeNode(reactor, settings)
+        self.node = EdgeNode(reactor, settings, machine)
         self._servers = self._build_servers()
         self._ports: dict[str, Any] = {}
         self._sites: list[Any] = []
         self._give_up_at = 0.0
         self._finished: Callable[[], None] | None = None
         self._served = False
+        self._last_answers_given = False
 
     def listen(self) -> None:
         """Open all ports, the internal one last; raises `CannotListenError`, and may be called again then."""
@@ -83,6 +86,8 @@
         at_rest = (
             self._served and not node.deliveries.open and not node.reports.open and not node.callbacks.open
         )
+        if not self._served and self.reactor.seconds() >= self._give_up_at - LAST_ANSWERS_S:
+            self._give_last_answers()
         if not at_rest and self.reactor.seconds() < self._give_up_at:
             self.reactor.callLater(LOOK_S, self._look)
             return
@@ -96,6 +101,13 @@
         node.base.stop()
         self.reactor.callLater(LOOK_S, self._end)
 
+    def _give_last_answers(self) -> None:
+        """A request that was read must not end without an answer, however long its deadline is."""
+        if not self._last_answers_given:
+            self._last_answers_given = True
+            for site in self._sites:
+                site.answer_open()
+
     def _end(self) -> None:
         self.node.base.close_disk()
         if self._finished is not None:
@@ -105,7 +117,8 @@
         """Name, address and site of the listeners for clients, the platform and the operator."""
         settings, node, reactor = self.settings, self.node, self.reactor
         most = max(settings.max_fds - RESERVED_DESCRIPTORS, 64)
-        front = build_front(node, reactor, origin=settings.node_name, max_connections=most)
+        wall_ms = node.base.machine.wall_ms
+        front = build_front(node, reactor, origin=settings.node_name, max_connections=most, wall_ms=wall_ms)
         return [
             ("front", settings.front, front),
             ("readiness", settings.readiness, build_readiness(node, reactor)),
--- a/tests/system/test_member_changes.py
+++ b/tests/system/test_member_changes.py
@@ -9,20 +9,12 @@
 import msgspec
 from twisted.internet.task import Clock
 
-from bitternpath.replication.consensus import (
-    MEMBERS,
-    Append,
-    AskVote,
-    Entry,
-    Kept,
-    Members,
-    Snapshot,
-    Vote,
-)
 from bitternpath.replication.group import CompactionBounds, ReplicaGroup
 from bitternpath.replication.host import SYSTEM_TIMES, ReplicaHost
 from bitternpath.replication.member_changes import DesiredMembers, MemberChanges
+from bitternpath.replication.messages import Append, AskVote, Vote
 from bitternpath.replication.reconfiguration import next_members
+from bitternpath.replication.records import MEMBERS, Entry, Kept, Members, Snapshot
 from bitternpath.replication.wire import decode_message, encode_message
 from bitternpath.roles.replica_closing import ReplicaClosing
 from bitternpath.storage.journal import Journal
@@ -183,8 +175,8 @@
         return host
 
     def votes(self, host: Host) -> list[Any]:
-        """For a candidate that still takes it for a voter, told so that no leader stands in its way."""
-        return host.hear("a/a", AskVote(9, 2, 3, False, told=True))
+        """For a candidate that still takes it for a voter, as an heir, so that no leader stands in its way."""
+        return host.hear("a/a", AskVote(9, 2, 3, False, leadership_transfer=True))
 
     def test_it_votes_for_nobody_until_it_is_named_again(self) -> None:
         """Else `a`, cut off since `c` was a voter, leads with `c` while `b` and `d` go on."""
@@ -208,12 +200,14 @@
         named = members("bdc", generation=3)
         host.hear("b/b", Append(4, 0, 0, (member_entry(1, 3, self.OLD), member_entry(2, 4, named)), 2, 1))
         self.assertEqual(
-            host.hear("b/b", AskVote(9, 2, 4, False, told=True)), [Vote(9, pre=False, granted=True)]
+            host.hear("b/b", AskVote(9, 2, 4, False, leadership_transfer=True)),
+            [Vote(9, pre=False, granted=True)],
         )
         again = host.restarted()
         again.open(None)
         self.assertEqual(
-            again.hear("d/d", AskVote(10, 2, 4, False, told=True)), [Vote(10, pre=False, granted=True)]
+            again.hear("d/d", AskVote(10, 2, 4, False, leadership_transfer=True)),
+            [Vote(10, pre=False, granted=True)],
         )
 
     def test_that_it_was_given_up_outlives_checkpoints_after_it_joined_again(self) -> None:
