--- a/bitternpath/roles/shard_runtime.py
+++ b/bitternpath/roles/shard_runtime.py
@@ -227,11 +227,11 @@
         )
 
     def cancel_pull(self, link: Link, request: PullCancel) -> None:
-        """It waits no more."""
+        """It waits no more. Its request is answered all the same: the link keeps it until then."""
         poll_id = self._poll_ids.get((link, request.number))
         if poll_id is None:
             return
-        self._drop_poll(poll_id)
+        self._answer_poll(poll_id, "", None)
         if self.owner is not None:
             self._do(self.owner.cancel_poll(self.reactor.seconds(), poll_id))
 
--- a/tests/system/test_shard_runtime.py
+++ b/tests/system/test_shard_runtime.py
@@ -28,6 +28,7 @@
     NodeDescriptor,
     NodeKind,
     PullAnswer,
+    PullCancel,
     PullRequest,
     Refused,
     StateAnswer,
@@ -261,6 +262,14 @@
         self.append("m")
         self.assertEqual(len(later.take(Delivery)), 1)
 
+    def test_a_poll_that_is_given_up_is_answered_once(self) -> None:
+        self.pull(number=7)
+        for _ in range(2):
+            self.runtime.cancel_pull(self.link, PullCancel(7, GROUP))  # type: ignore[arg-type]
+        self.assertEqual(self.link.take(PullAnswer), [PullAnswer(7, "", None)])
+        self.append("m", "/jobs/x")
+        self.assertEqual(self.link.take(PullAnswer), [])
+
     def test_one_number_on_two_links_is_two_polls(self) -> None:
         other = EdgeLink("edge-2")
         self.join(other)
