--- a/benchmarks/repairs.py
+++ b/benchmarks/repairs.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from bitternpath.configuration.repair_simulation import RepairPlan, RepairWorld
+from bitternpath.simulation.repairs import RepairPlan, RepairWorld
 
 AWAY_S = 1.0  # between a machine's end and the start of what comes after it
 LONGEST_S = 60.0
@@ -88,7 +88,7 @@
     REPAIRS[repair](world)
     began = world.clock.seconds()
     world.measure()
-    if not world.run_until(lambda: world.placement_changed() and world.repaired(), LONGEST_S):
+    if not world.run_until(world.repaired, LONGEST_S):
         raise SystemExit(f"{repair}, seed {seed}, {plan}: not repaired within {LONGEST_S} s")
     moved = world.bytes_sent
     world.check_nothing_lost()
--- a/bitternpath/configuration/repair_simulation.py
+++ b/bitternpath/simulation/repairs.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 from functools import partial
 from itertools import count
@@ -17,28 +17,24 @@
 
 from bitternpath.configuration.placement import (
     first_placement,
-    nodes_to_replace,
-    repaired_placement,
 )
-from bitternpath.configuration.presence import Presence
 from bitternpath.membership.founding import member_id
 from bitternpath.replication.checking import Broken, Checker, Listener, Register
 from bitternpath.replication.group import CompactionBounds
 from bitternpath.replication.host import SYSTEM_TIMES, ReplicaHost
 from bitternpath.replication.member_changes import MemberChanges
+from bitternpath.replication.reconfiguration import node_of
 from bitternpath.replication.records import Members
 from bitternpath.replication.virtual_time import EventClock, ProcessClock
+from bitternpath.simulation.repair_controller import LATENCY_S, SYNC_S, Controller
 from bitternpath.storage.journal import Journal
 from bitternpath.storage.segments import SegmentLog
 from bitternpath.storage.simulated import SimulatedDisk, VirtualRunner
 from bitternpath.transport.messages import GroupPlacement, NodeDescriptor, NodeKind
 
-LATENCY_S = 0.002  # of a message, one way
-SYNC_S = 0.005  # of a batch of the journal
 LINK_BYTES_PER_S = 125e6  # 1000 Mbit/s
 GREETING_S = 0.1  # from the start of a process until the configuration's owner has its subscription
 SILENCE_S = 1.6  # until a link to a machine without power is given up (`transport.connections`)
-COMMIT_S = 2 * LATENCY_S + SYNC_S  # of a command of the configuration group
 LOOK_S = 0.25  # between looks at what no event tells
 SAMPLE_S = 0.005  # between looks of the measurement
 CHUNK_BYTES = 32 << 10  # of the commands that fill a group before the repair
@@ -99,68 +95,6 @@
     exposed_s: float = 0.0
 
 
-class Controller:
-    """Plays the configuration's owner: keeps the placement, and tells it to all processes."""
-
-    def __init__(self, world: RepairWorld) -> None:
-        self.world = world
-        self.present: dict[str, NodeDescriptor] = {}
-        self._planned = False
-        self.presence = Presence(0.0)
-        self.groups: tuple[GroupPlacement, ...] = ()
-        self.retired: set[str] = set()
-        self._placing = False
-
-    def subscribed(self, node: NodeDescriptor) -> None:
-        """A process follows the feed."""
-        self.present[node.name] = node
-        self._tell([node.name])
-        self._look_soon()
-
-    def gone(self, node: NodeDescriptor) -> None:
-        """Its link has ended."""
-        if self.present.get(node.name) == node:
-            del self.present[node.name]
-            self._look_soon()
-
-    def retire(self, name: str) -> None:
-        """The operator's order is committed."""
-        self.retired.add(name)
-        self._look_soon()
-
-    def _look_soon(self) -> None:
-        if not self._planned:
-            self._planned = True
-            self.world.clock.callLater(0.0, self.look)
-
-    def look(self) -> None:
-        """Compare the placement with who is there."""
-        self._planned = False
-        now = self.world.clock.seconds()
-        heard = {node.name: self.world.heard_at(node) for node in self.present.values() if not node.leaving}
-        self.presence.update(now, heard)
-        if self._placing or not self.groups:
-            return
-        away_for = partial(self.presence.away_for, now)
-        here = [node for node in self.present.values() if not away_for(node.name)]
-        here_for = partial(self.presence.here_for, now)
-        gone = nodes_to_replace(self.groups, here, self.retired, away_for, here_for)
-        groups = repaired_placement(self.groups, here, gone, self.world.plan.tolerated)
-        if groups != self.groups:
-            self._placing = True
-            self.world.clock.callLater(COMMIT_S, self._placed, groups)
-
-    def _placed(self, groups: tuple[GroupPlacement, ...]) -> None:
-        self._placing = False
-        self.groups = groups
-        self._tell(self.present)
-        self._look_soon()
-
-    def _tell(self, names: Iterable[str]) -> None:
-        for name in list(names):
-            self.world.clock.callLater(LATENCY_S, self.world.placement_heard, name, self.groups)
-
-
 class RepairWorld:
     """One run."""
 
@@ -169,9 +103,10 @@
         self.checkers: dict[str, Checker] = {}
         self.machines: dict[str, Machine] = {}
         self.registers: dict[tuple[str, str], Register] = {}  # by member and group
-        self.controller = Controller(self)
+        self.controller = Controller(self, plan.tolerated)
         self.times: dict[str, GroupTimes] = {}
         self.ended_at: dict[tuple[str, int], float] = {}  # by name and life
+        self.isolated: set[str] = set()  # machines whose members neither hear nor reach others
         self.bytes_sent = 0
         self.error: BaseException | None = None
         self._serial = count(1)
@@ -209,7 +144,7 @@
             CompactionBounds(),
         )  # fmt: skip
         machine.process = Process(descriptor, clock, runner, host, MemberChanges(host))
-        self._open_groups(machine.process, self.controller.groups if machine.lives == 1 else ())
+        self._open_groups(machine.process, self.controller.groups)  # as from the feed's cache
         self.clock.callLater(GREETING_S, self._greet, name, machine.process)
 
     def _greet(self, name: str, process: Process) -> None:
@@ -265,7 +200,8 @@
         for placement in groups:
             process.placements[placement.group] = placement
             named = any(member.member == me for member in placement.members)
-            if named and placement.group not in process.host.groups:
+            wanted = named or process.host.holds(placement.group)
+            if wanted and placement.group not in process.host.groups:
                 self._open_group(process, placement)
             members = [member.member for member in placement.members]
             process.changes.desire(placement.group, members, placement.generation)
@@ -300,7 +236,9 @@
         self.clock.callLater(delay, self._deliver, member, group, receiver, body)
 
     def _deliver(self, sender: str, group: str, receiver: str, body: bytes) -> None:
-        machine = self.machines.get(receiver.partition("/")[0])
+        if {node_of(sender), node_of(receiver)} & self.isolated:
+            return
+        machine = self.machines.get(node_of(receiver))
         process = machine.process if machine is not None else None
         if process is not None and process.host.member_id == receiver:
             process.clock.run(lambda: process.host.hear(group, sender, body))
@@ -426,17 +364,10 @@
                     return True
         return holds()
 
-    def placement_changed(self) -> bool:
-        """Whether there has been another placement than the first."""
-        return any(placement.generation > 1 for placement in self.controller.groups)
-
     def repaired(self) -> bool:
-        """Whether all groups that the placement changed have the members that it names."""
-        return all(
-            self.times[placement.group].complete_at is not None
-            for placement in self.controller.groups
-            if placement.generation > 1
-        )
+        """Whether the placement has changed, and all groups that it changed have the members it names."""
+        changed = [placement.group for placement in self.controller.groups if placement.generation > 1]
+        return bool(changed) and all(self.times[group].complete_at is not None for group in changed)
 
     def check_nothing_lost(self) -> None:
         """Each group's owner has all that was acknowledged. Raises `Broken`."""
--- a/tests/system/test_member_changes.py
+++ b/tests/system/test_member_changes.py
@@ -175,7 +175,7 @@
         return host
 
     def votes(self, host: Host) -> list[Any]:
-        """For a candidate that still takes it for a voter, as an heir, so that no leader stands in its way."""
+        """For an heir that still takes it for a voter: no leader stands in its way."""
         return host.hear("a/a", AskVote(9, 2, 3, False, leadership_transfer=True))
 
     def test_it_votes_for_nobody_until_it_is_named_again(self) -> None:
--- /dev/null
+++ b/tests/system/test_repairs.py
@@ -0,0 +1,188 @@
+"""Losses one after the other, in virtual time: each repair is complete before the next loss may come."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Sequence
+from unittest import mock
+
+from bitternpath.replication import reconfiguration
+from bitternpath.replication.checking import Broken
+from bitternpath.replication.group import ReplicaGroup
+from bitternpath.replication.host import ReplicaHost
+from bitternpath.simulation.repairs import RepairPlan, RepairWorld
+
+CATCH_UP_S = 4.2
+AWAY_S = 0.6  # between the loss of a machine and its return
+MB = 1 << 20
+
+
+def wipe_in_turn(world: RepairWorld, rounds: int) -> None:
+    """Wipe a machine; as soon as it has been back for `CATCH_UP_S`, the next."""
+    names = sorted(world.machines)
+    for number in range(rounds):
+        name = names[(number * 2) % len(names)]
+        world.stop(name, says_so=False, wipe=True)
+        world.run(AWAY_S)
+        world.start(name)
+        world.run(CATCH_UP_S)
+        world.check_nothing_lost()
+
+
+class SecondLossTest(unittest.TestCase):
+    """A loss right after a repair takes nothing that was acknowledged, in any group."""
+
+    def world(self, seed: int, plan: RepairPlan) -> RepairWorld:
+        world = RepairWorld(seed, plan)
+        world.fill()
+        world.traffic()
+        return world
+
+    def test_disks_lost_in_turn(self) -> None:
+        for seed, groups, state, rounds in ((1, 1, MB, 12), (2, 12, 0, 8), (3, 4, MB, 6)):
+            with self.subTest(seed=seed, groups=groups):
+                wipe_in_turn(self.world(seed, RepairPlan(groups=groups, state_bytes=state)), rounds)
+
+    def test_two_disks_at_once_where_two_may_be_lost(self) -> None:
+        world = self.world(4, RepairPlan(groups=3, tolerated=2))
+        for first, second in (("s0", "s1"), ("s2", "s3"), ("s4", "s0")):
+            for name in (first, second):
+                world.stop(name, says_so=False, wipe=True)
+            world.run(AWAY_S)
+            for name in (first, second):
+                world.start(name)
+            world.run(CATCH_UP_S)
+            world.check_nothing_lost()
+
+    def test_machines_replaced_in_turn(self) -> None:
+        """Each by an empty one at another address; then the next one goes."""
+        for says_so in (False, True):
+            with self.subTest(says_so=says_so):
+                world = self.world(5, RepairPlan(groups=6))
+                for number in range(4):
+                    world.stop(f"s{number}", says_so=says_so)
+                    world.run(AWAY_S)
+                    world.add_machine(f"s{number + 3}", world.machines[f"s{number}"].zone)
+                    world.start(f"s{number + 3}")
+                    world.run(CATCH_UP_S)
+                    world.check_nothing_lost()
+
+    def test_every_repair_is_complete_well_before_the_next_loss(self) -> None:
+        """All groups of a machine at once, with traffic: half of `catch_up_s` is left."""
+        for tolerated, groups, state in ((1, 1, 8 * MB), (1, 20, MB), (2, 10, MB // 2)):
+            with self.subTest(tolerated=tolerated, groups=groups):
+                plan = RepairPlan(groups=groups, tolerated=tolerated, state_bytes=state, commands_per_s=50)
+                world = self.world(6, plan)
+                world.stop("s1", says_so=False, wipe=True)
+                world.run(AWAY_S)
+                world.start("s1")
+                world.measure()
+                self.assertTrue(world.run_until(world.repaired, CATCH_UP_S / 2), world.times)
+
+    def test_a_wiped_machine_leaves_no_group_exposed_for_a_second(self) -> None:
+        world = self.world(7, RepairPlan(groups=10, state_bytes=MB))
+        world.stop("s2", says_so=False, wipe=True)
+        world.run(AWAY_S)
+        world.start("s2")
+        world.measure()
+        world.run(2.0)
+        self.assertLess(max(times.exposed_s for times in world.times.values()), 0.5)
+
+    def test_a_retired_machine_leaves_no_group_without_an_owner(self) -> None:
+        """It passes ownership on before it goes; else each of its groups waits for an election."""
+        world = self.world(8, RepairPlan(groups=9))
+        world.add_machine("s3", "z0")
+        world.start("s3")
+        world.run(1.0)
+        world.measure()
+        world.controller.retire("s0")
+        world.run(2.0)
+        self.assertTrue(world.repaired())
+        self.assertLess(max(times.exposed_s for times in world.times.values()), 0.1)
+
+
+def still_serves(world: RepairWorld, seconds: float = 1.0) -> None:
+    """Every group commits something. Raises `Broken`."""
+    before = {group: checker.acknowledged for group, checker in world.checkers.items()}
+    world.run(seconds)
+    for group, checker in world.checkers.items():
+        if checker.acknowledged <= before[group]:
+            raise Broken(f"{group} commits nothing")
+
+
+def leaving_machine_restarts(seed: int) -> None:
+    """A machine is to be emptied and its successor is slow; it starts again with its disk, and then another
+    machine is lost: what the leaving one has is needed."""
+    world = RepairWorld(seed, RepairPlan(groups=3))
+    world.fill()
+    world.traffic()
+    world.add_machine("s3", "z0")
+    world.start("s3")
+    world.run(1.0)
+    world.isolated.add("s3")  # it hears of the placement, and nothing of the groups
+    world.controller.retire("s0")
+    world.run(0.5)
+    world.stop("s0", says_so=False)
+    world.run(0.3)
+    world.start("s0")
+    world.run(CATCH_UP_S)
+    world.stop("s1", says_so=False)
+    world.run(3.0)
+    world.check_nothing_lost()
+    still_serves(world)
+
+
+def successor_is_slow(seed: int) -> None:
+    """A machine is lost, and what comes in its place hears nothing of the groups for a while."""
+    world = RepairWorld(seed, RepairPlan(groups=3, state_bytes=MB // 4))
+    world.fill()
+    world.traffic()
+    world.stop("s0", says_so=False)
+    world.run(AWAY_S)
+    world.add_machine("t0", "z0")
+    world.start("t0")
+    world.isolated.add("t0")
+    world.run(CATCH_UP_S)
+    still_serves(world)
+    world.isolated.clear()
+    world.run(CATCH_UP_S)
+    world.stop("s1", says_so=False)
+    world.run(2.0)
+    world.check_nothing_lost()
+    still_serves(world)
+
+
+class LeavingMemberTest(unittest.TestCase):
+    """A member that the placement no longer names is needed until those that stay have everything."""
+
+    def test_it_takes_part_after_a_restart(self) -> None:
+        for seed in range(3):
+            leaving_machine_restarts(seed)
+
+    def test_a_slow_successor_holds_nobody_up(self) -> None:
+        for seed in range(3):
+            successor_is_slow(seed)
+
+
+class BrokenBuildTest(unittest.TestCase):
+    """What the steps exclude is found by the runs above."""
+
+    def test_a_voter_before_it_has_caught_up(self) -> None:
+        with mock.patch.object(ReplicaGroup, "caught_up", lambda *_: True), self.assertRaises(Broken):
+            successor_is_slow(0)
+
+    def test_removal_before_the_others_have_it(self) -> None:
+        def at_once(voters: Sequence[str], desired: Sequence[str], *_: object) -> str | None:
+            return next((name for name in voters if name not in desired), None)
+
+        patched = mock.patch.object(reconfiguration, "_leaving_voter", at_once)
+        with patched, self.assertRaises(Broken):
+            leaving_machine_restarts(0)
+
+    def test_a_replica_that_the_placement_no_longer_names_stays_shut_after_a_restart(self) -> None:
+        with mock.patch.object(ReplicaHost, "holds", lambda *_: False), self.assertRaises(Broken):
+            leaving_machine_restarts(0)
+
+
+if __name__ == "__main__":
+    unittest.main()
