--- a/tests/system/test_order_races.py
+++ b/tests/system/test_order_races.py
@@ -15,7 +15,7 @@
 
 import json
 import unittest
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from twisted.internet.defer import Deferred, fail, succeed
 
@@ -424,9 +424,7 @@
     def restore(self, data: bytes) -> None:
         codec = RecordCodec(ConfigurationSnapshot)
         whole: ConfigurationSnapshot = codec.decode(data)
-        without = ConfigurationSnapshot(
-            whole.document, (), whole.placement_generation, whole.groups, whole.retired
-        )
+        without = replace(whole, orders=())
         super().restore(codec.encode(without))
 
 
