--- a/tests/system/test_order_races.py
+++ b/tests/system/test_order_races.py
@@ -424,7 +424,8 @@
     def restore(self, data: bytes) -> None:
         codec = RecordCodec(ConfigurationSnapshot)
         whole: ConfigurationSnapshot = codec.decode(data)
-        super().restore(codec.encode(replace(whole, orders=())))
+        without = replace(whole, orders=())
+        super().restore(codec.encode(without))
 
 
 class RefusesForgotten(ConfigurationState):
