--- a/bitternpath/emulator/fleet/broken.py
+++ b/bitternpath/emulator/fleet/broken.py
@@ -9,9 +9,10 @@
 from unittest.mock import patch
 
 from bitternpath.emulator.fleet import world
-from bitternpath.fleet import agency, audit, desk
+from bitternpath.fleet import audit, lease_holder, record_replica
 from bitternpath.fleet import messages as m
 from bitternpath.fleet import plan as p
+from bitternpath.fleet.leadership import Leadership
 from bitternpath.replication import consensus, leadership
 from bitternpath.replication.messages import Append
 from bitternpath.replication.records import CHANGE, Kept, Role, Write
@@ -66,11 +67,11 @@
 def no_wait_for_leases(stack: ExitStack) -> None:
     """A new leader takes all leases of the one before for over."""
 
-    class Hasty(desk.Tenure):
+    class Hasty(Leadership):
         def __init__(self, term: int, since: float) -> None:
             super().__init__(term, since - 1000.0)
 
-    _put(stack, desk, "Tenure", Hasty)
+    _put(stack, record_replica, "Leadership", Hasty)
 
 
 def drift_forgotten(stack: ExitStack) -> None:
@@ -80,42 +81,42 @@
 
 def no_round(stack: ExitStack) -> None:
     """A leader renews leases without asking whether it leads."""
-    renew = desk.Desk._renew
+    renew = record_replica.RecordReplica._renew
 
-    def at_once(self: Any, now: float, tenure: Any, watch: Any, route: Any, said: m.Renew) -> None:
-        renew(self, now, tenure, watch, route, said)
-        for waiting in tenure.rounds:
-            if isinstance(waiting.said, m.Renew):
-                self._grant(now, tenure, waiting)
+    def at_once(self: Any, now: float, leadership: Any, state: Any, route: Any, said: m.Renew) -> None:
+        renew(self, now, leadership, state, route, said)
+        for pending in leadership.awaiting_round:
+            if isinstance(pending.request, m.Renew):
+                self._grant(now, leadership, pending)
 
-    _put(stack, desk.Desk, "_renew", at_once)
+    _put(stack, record_replica.RecordReplica, "_renew", at_once)
 
 
 def two_versions_off(stack: ExitStack) -> None:
     """A version is released as soon as it is agreed."""
 
-    def hasty(self: Any, now: float, tenure: Any) -> None:
+    def hasty(self: Any, now: float, leadership: Any) -> None:
         released = self.record.released.version
-        if self.record.latest.version > released and tenure.releasing <= self.applied:
+        if self.record.latest.version > released and leadership.release_index <= self.applied:
             item = p.Release(released + 1, self.wall())
-            tenure.releasing = self.raft.propose(now, CHANGE, p.item_bytes(item)) or 0
+            leadership.release_index = self.raft.propose(now, CHANGE, p.item_bytes(item)) or 0
 
-    _put(stack, desk.Desk, "_release", hasty)
+    _put(stack, record_replica.RecordReplica, "_release_next", hasty)
 
 
 def lease_from_arrival(stack: ExitStack) -> None:
     """A node's lease runs from when the answer came."""
-    lease = agency.Agency._lease
+    lease = lease_holder.LeaseHolder._lease
 
     def late(self: Any, now: float, told: m.Lease) -> None:
         lease(self, now, m.Lease(now, told.length, told.fence, told.released, told.digest))
 
-    _put(stack, agency.Agency, "_lease", late)
+    _put(stack, lease_holder.LeaseHolder, "_lease", late)
 
 
 def lease_by_timer(stack: ExitStack) -> None:
     """A node takes its lease for good until a timer has rung."""
-    tick, holds = agency.Agency.tick, agency.Agency.holds
+    tick, holds = lease_holder.LeaseHolder.tick, lease_holder.LeaseHolder.holds
     ringing: list[bool] = []
 
     def ring(self: Any, now: float) -> None:
@@ -125,8 +126,12 @@
         finally:
             ringing.pop()
 
-    _put(stack, agency.Agency, "tick", ring)
-    _put(stack, agency.Agency, "holds", lambda self, now: holds(self, now) if ringing else bool(self.fence))
+    _put(stack, lease_holder.LeaseHolder, "tick", ring)
+
+    def while_ringing(self: Any, now: float) -> bool:
+        return bool(holds(self, now) if ringing else self.fence)
+
+    _put(stack, lease_holder.LeaseHolder, "holds", while_ringing)
 
 
 def lease_not_looked_at(stack: ExitStack) -> None:
@@ -136,19 +141,19 @@
         self.until = max(self.until, now + 1.0)
         return bool(self.fence)
 
-    _put(stack, agency.Agency, "holds", for_good)
+    _put(stack, lease_holder.LeaseHolder, "holds", for_good)
 
 
 def fence_ignored(stack: ExitStack) -> None:
     """A node takes any lease that names it, of whatever fence."""
-    lease = agency.Agency._lease
+    lease = lease_holder.LeaseHolder._lease
 
     def any_fence(self: Any, now: float, told: m.Lease) -> None:
         if self.fence and told.fence < self.fence:
             self.fence = told.fence
         lease(self, now, told)
 
-    _put(stack, agency.Agency, "_lease", any_fence)
+    _put(stack, lease_holder.LeaseHolder, "_lease", any_fence)
 
 
 def digest_ignored(stack: ExitStack) -> None:
@@ -160,7 +165,7 @@
             self._next.remove(plan)
         return bool(self.plan.version == lease.released)
 
-    _put(stack, agency.Agency, "_advance", by_number)
+    _put(stack, lease_holder.LeaseHolder, "_advance", by_number)
 
 
 def told_before_written(stack: ExitStack) -> None:
--- a/bitternpath/emulator/fleet/campaign.py
+++ b/bitternpath/emulator/fleet/campaign.py
@@ -75,8 +75,8 @@
         stuck = ""
     leader = made.leader()
     if leader is not None and not stuck and not made.checker.broken:
-        made.checker.end(later.now, leader.desk.record)
-    record = leader.desk.record if leader is not None else p.Record()
+        made.checker.end(later.now, leader.replica.record)
+    record = leader.replica.record if leader is not None else p.Record()
     names = tuple(f"{at:.1f}+{lasts:.1f} {name}" for at, lasts, name in sorted(told))
     broken = tuple(str(b) for b in made.checker.broken)
     return Outcome(
--- a/bitternpath/emulator/fleet/faults.py
+++ b/bitternpath/emulator/fleet/faults.py
@@ -171,7 +171,7 @@
 
     def again() -> None:
         leader = world.leader()
-        waiting = leader.desk.record.waiting if leader is not None else []
+        waiting = leader.replica.record.waiting if leader is not None else []
         if waiting:
             version = random.choice(waiting).version
             world.operator.type(m.Withdraw(version, "somebody", "it was a mistake"))
@@ -201,12 +201,12 @@
 def refuse(world: FleetWorld, random: Random) -> Undo:
     """Nodes cannot take what comes now."""
     name = random.choice(list(world.nodes))
-    agency = world.nodes[name].agency
-    agency.check = lambda plan: "its own file is at odds with it"
+    holder = world.nodes[name].holder
+    holder.check = lambda plan: "its own file is at odds with it"
 
     def undo() -> None:
-        agency.check = world.check
-        agency.refuses = ""
+        holder.check = world.check
+        holder.refuses = ""
 
     return undo
 
--- a/bitternpath/emulator/fleet/search/leases.py
+++ b/bitternpath/emulator/fleet/search/leases.py
@@ -15,9 +15,10 @@
 from bitternpath.fleet import audit
 from bitternpath.fleet import messages as m
 from bitternpath.fleet import plan as p
-from bitternpath.fleet.agency import Agency, Who
-from bitternpath.fleet.desk import Desk
 from bitternpath.fleet.founding import founded
+from bitternpath.fleet.leadership import PendingRequest
+from bitternpath.fleet.lease_holder import LeaseHolder, Who
+from bitternpath.fleet.record_replica import RecordReplica
 from bitternpath.replication.records import Times
 
 
@@ -48,24 +49,25 @@
         self.versions = 0
         self.broken = ""
         self.begun = 0.0  # when the steward led, by its clock
-        self.nodes: dict[str, Agency] = {}
-        self.desk = self._desk()
-        while self.desk.tenure is None or not self.desk.tenure.began:  # it leads, and nothing is on the way
-            self.desk.tick(self.desk.alarm)
+        self.nodes: dict[str, LeaseHolder] = {}
+        self.replica = self._new_replica()
+        while self.catching_up:  # until it leads, and nothing is on the way
+            self.replica.tick(self.replica.alarm)
             self.settle()
-        self.begun = self.desk.raft.now
+        self.begun = self.replica.raft.now
         fixed: Any = FixedRandom()
         for k in range(scope.nodes):
             who = Who(f"n{k}", "b", "site", (1,))
-            agency = Agency(who, ["S"], fixed, self.clock(k), lambda: 0.0, lambda plan: "")
-            self.nodes[who.node] = agency
-            agency.dial = None
-            agency.up(self.clock(k), "S")
+            holder = LeaseHolder(who, ["S"], fixed, self.clock(k), lambda: 0.0, lambda plan: "")
+            self.nodes[who.node] = holder
+            holder.dial = None
+            holder.up(self.clock(k), "S")
             self.said(who.node)
 
-    def _desk(self) -> Desk:
+    def _new_replica(self) -> RecordReplica:
         fixed: Any = FixedRandom()
-        return Desk("S", world.kept_copy(self.disk), fixed, self.steward_clock(), lambda: 0.0, Times())
+        kept, now = world.kept_copy(self.disk), self.steward_clock()
+        return RecordReplica("S", kept, fixed, now, lambda: 0.0, Times())
 
     def clock(self, node: int) -> float:
         return 100.0 * (node + 1) + RATES[node % len(RATES)] * STEP * self.now
@@ -79,33 +81,36 @@
         twin.left, twin.nodes = dict(self.left), dict(self.nodes)
         return twin
 
-    def own(self) -> Desk:
+    def own(self) -> RecordReplica:
         """The steward, as one that this state may change."""
         self.disk = world.kept_copy(self.disk)
-        desk: Desk = copied(self.desk)
-        self.desk = desk
-        desk.raft = copied(desk.raft)
-        desk.record = p.record_from(p.record_bytes(desk.record))
-        if desk.tenure is not None:
-            desk.tenure = copied(desk.tenure)
-        return desk
-
-    def own_node(self, name: str) -> Agency:
-        agency: Agency = copied(self.nodes[name])
-        self.nodes[name] = agency
-        agency.ledger = audit.Ledger("b")  # what it writes down decides nothing
-        return agency
+        replica: RecordReplica = copied(self.replica)
+        self.replica = replica
+        replica.raft = copied(replica.raft)
+        replica.record = p.record_from(p.record_bytes(replica.record))
+        if replica.leadership is not None:
+            replica.leadership = copied(replica.leadership)
+        return replica
+
+    def own_node(self, name: str) -> LeaseHolder:
+        holder: LeaseHolder = copied(self.nodes[name])
+        self.nodes[name] = holder
+        holder.ledger = audit.Ledger("b")  # what it writes down decides nothing
+        return holder
 
     def key(self) -> Hashable:
-        desk, raft = self.desk, self.desk.raft
-        tenure = desk.tenure
-        watches = tuple(
+        replica, raft = self.replica, self.replica.raft
+        leadership = replica.leadership
+        holders = tuple(
             (key, w.until, w.acting, w.have, w.digest, w.sent, w.behind_since, w.ending)
-            for key, w in (tenure.watches.items() if tenure is not None else ())
+            for key, w in (leadership.holders.items() if leadership is not None else ())
         )
-        waiting = tuple(
-            (w.at, w.came, encoded(w.said)) for w in (*tenure.rounds, *tenure.entries.values())
-        ) if tenure is not None else ()  # fmt: skip
+        pending: list[PendingRequest] = []
+        own: tuple[Hashable, ...] = ()
+        if leadership is not None:
+            pending = [*leadership.awaiting_round, *leadership.awaiting_entry.values()]
+            own = (leadership.ready, leadership.release_index, tuple(leadership.joining.items()))
+        waiting = tuple((each.awaited, each.received, encoded(each.request)) for each in pending)
         nodes = tuple(
             (a.fence, a._lost, a.until, a.plan.version, a.plan.digest, a.taken.version, a.taken.digest,
              a.connected, a.latest, a._renew_at, a._answer_by, a._dial_at,
@@ -115,9 +120,9 @@
         return (
             self.now, tuple(self.left.values()), tuple(e.data for e in raft.log.entries), raft.term,
             raft.role.value, raft.commit_index, raft.log.stable_index, raft.last_index, raft.round,
-            raft.confirmed_round, watches, waiting, nodes,
+            raft.confirmed_round, holders, waiting, nodes,
             self.channels.key(self.scope.shuffled),
-            (tenure.began, tenure.releasing, tuple(tenure.joining.items())) if tenure is not None else (),
+            own,
         )  # fmt: skip
 
     def moves(self) -> Iterator[Move]:
@@ -132,16 +137,16 @@
             yield "a change", _agreed
         if self.left["crash"]:
             yield "S: ends and comes back", _steward_crash
-        if self.desk.alarm <= self.steward_clock():
+        if self.replica.alarm <= self.steward_clock():
             yield "S: its timer rings", _steward_ring
-        for k, (name, agency) in enumerate(self.nodes.items()):
-            if agency.alarm <= self.clock(k) or agency.dial is not None:
+        for k, (name, holder) in enumerate(self.nodes.items()):
+            if holder.alarm <= self.clock(k) or holder.dial is not None:
                 yield f"{name}: its timer rings", partial(_node_ring, name=name)
 
     def settle(self) -> None:
         """The steward's effects, and what must hold in every state."""
         while True:
-            effects = self.desk.take(self.steward_clock())
+            effects = self.replica.take(self.steward_clock())
             for token, said in effects.replies:
                 if token >= 0:
                     self.channels = self.channels.with_message("S", f"n{token}", said)
@@ -149,15 +154,15 @@
                 break
             for write in effects.writes:
                 world.keep(self.disk, write)
-                self.desk.stored(self.steward_clock(), write.number)
+                self.replica.stored(self.steward_clock(), write.number)
         self.check()
 
     def said(self, name: str) -> None:
         """A node's effects."""
-        agency = self.nodes[name]
-        sends, agency.sends = agency.sends, []
-        agency.acts.clear()
-        agency.ledger = audit.Ledger("b")
+        holder = self.nodes[name]
+        sends, holder.sends = holder.sends, []
+        holder.acts.clear()
+        holder.ledger = audit.Ledger("b")
         for said in sends:
             if not isinstance(said, m.Acts):
                 self.channels = self.channels.with_message(name, "S", said)
@@ -165,20 +170,20 @@
 
     def check(self) -> None:
         """By true time: who could act now, on which version, and does the record still count it in?"""
-        holders = {h.node: h.fence for h in self.desk.record.holders.values()}
+        holders = {h.node: h.fence for h in self.replica.record.holders.values()}
         acting = {}
-        for k, (name, agency) in enumerate(self.nodes.items()):
-            if agency.fence and self.clock(k) < agency.until:
-                acting[name] = agency.plan.version
-                if holders.get(name, 0) < agency.fence and not self.catching_up:
-                    self.broken = f"{name} may act under fence {agency.fence}, which is let go of"
+        for k, (name, holder) in enumerate(self.nodes.items()):
+            if holder.fence and self.clock(k) < holder.until:
+                acting[name] = holder.plan.version
+                if holders.get(name, 0) < holder.fence and not self.catching_up:
+                    self.broken = f"{name} may act under fence {holder.fence}, which is let go of"
         if acting and max(acting.values()) - min(acting.values()) > 1:
             self.broken = f"two versions apart: {acting}"
 
     @property
     def catching_up(self) -> bool:
         """A steward that has come back does not know its own record before it leads again."""
-        return self.desk.tenure is None or not self.desk.tenure.began
+        return self.replica.leadership is None or not self.replica.leadership.ready
 
 
 def _pass(state: Leases, sender: str, to: str, said: Any, rest: Channels) -> None:
@@ -187,9 +192,9 @@
         state.own().say(state.steward_clock(), int(sender[1:]), said)
         state.settle()
         return
-    agency, k = state.own_node(to), int(to[1:])
-    if agency.connected:
-        agency.hear(state.clock(k), said)
+    holder, k = state.own_node(to), int(to[1:])
+    if holder.connected:
+        holder.hear(state.clock(k), said)
         state.said(to)
 
 
@@ -213,8 +218,8 @@
 def _steward_crash(state: Leases) -> None:
     state.left["crash"] -= 1
     state.disk = world.kept_copy(state.disk)
-    state.desk = state._desk()
-    state.desk.tick(state.desk.alarm)  # alone, it may stand at once
+    state.replica = state._new_replica()
+    state.replica.tick(state.replica.alarm)  # alone, it may stand at once
     state.settle()
 
 
@@ -224,10 +229,10 @@
 
 
 def _node_ring(state: Leases, name: str) -> None:
-    agency, k = state.own_node(name), int(name[1:])
-    if agency.dial is not None:
-        agency.dial, agency.hang_up = None, False
-        agency.up(state.clock(k), "S")
+    holder, k = state.own_node(name), int(name[1:])
+    if holder.dial is not None:
+        holder.dial, holder.hang_up = None, False
+        holder.up(state.clock(k), "S")
     else:
-        agency.tick(state.clock(k))
+        holder.tick(state.clock(k))
     state.said(name)
--- a/bitternpath/emulator/fleet/walk.py
+++ b/bitternpath/emulator/fleet/walk.py
@@ -17,7 +17,7 @@
 from bitternpath.emulator.fleet.checker import Broken, FleetChecker
 from bitternpath.fleet import messages as m
 from bitternpath.fleet import plan as p
-from bitternpath.fleet.desk import Desk
+from bitternpath.fleet.record_replica import RecordReplica
 from bitternpath.replication.records import CHANGE, MEMBERS, Entry, Kept, Members, Role, Times, Write
 
 JUMP = 10.0  # s that pass for a steward whose timer rings
@@ -41,7 +41,7 @@
         self.name, self.disk, self.now = name, kept, 0.0
         self.writing: list[Write] = []
         self.lives = 0
-        self.desk: Desk
+        self.replica: RecordReplica
 
 
 class Walk:
@@ -66,7 +66,8 @@
         one.lives += 1
         one.writing = []
         kept = world.kept_copy(one.disk)
-        one.desk = Desk(one.name, kept, Random(self.random.random()), one.now, lambda: 0.0, Times())
+        random = Random(self.random.random())
+        one.replica = RecordReplica(one.name, kept, random, one.now, lambda: 0.0, Times())
         self._settle(one)
 
     def run(self, steps: int) -> FleetChecker:
@@ -90,7 +91,7 @@
         flying = self._take()
         if flying is not None:
             one = self.all[flying.to]
-            one.desk.hear(one.now, flying.sender, flying.said)
+            one.replica.hear(one.now, flying.sender, flying.said)
             self._settle(one)
 
     def _lose(self) -> None:
@@ -105,16 +106,16 @@
         if one.writing:
             write = one.writing.pop(0)
             world.keep(one.disk, write)
-            one.desk.stored(one.now, write.number)
+            one.replica.stored(one.now, write.number)
             self._settle(one)
 
     def _ring(self) -> None:
         one = self._any()
-        if one.desk.raft.role is Role.LEADER and self.random.random() < 0.8:
-            one.now = one.desk.alarm  # a heartbeat
+        if one.replica.raft.role is Role.LEADER and self.random.random() < 0.8:
+            one.now = one.replica.alarm  # a heartbeat
         else:
             one.now += JUMP
-        one.desk.tick(one.now)
+        one.replica.tick(one.now)
         self._settle(one)
 
     def _crash(self) -> None:
@@ -125,48 +126,48 @@
         self.sequence += 1
         change = p.SetClass("lookup", {"aim": 1.0 + self.sequence})
         said = m.Ask(self.sequence, m.Propose(f"c{self.sequence}", "a", "b", change))
-        one.desk.say(one.now, 1, said)
+        one.replica.say(one.now, 1, said)
         self._settle(one)
 
     def _renew(self) -> None:
         one = self._any()
         self.sequence += 1
         node = self.random.choice("xy")
-        record = one.desk.record
+        record = one.replica.record
         holder = record.holders.get(f"{node}#b")
         self.asked[float(self.sequence)] = self.step
         said = m.Renew(
             node, "b", "site", (1,), "serve", float(self.sequence), holder.fence if holder else 0,
             record.released.version, record.latest.version, record.latest.digest,
         )  # fmt: skip
-        one.desk.say(one.now, 2, said)
+        one.replica.say(one.now, 2, said)
         self._settle(one)
 
     # ---- what follows
 
     def _settle(self, one: One) -> None:
-        desk, step = one.desk, float(self.step)
-        effects = desk.take(one.now)
+        replica, step = one.replica, float(self.step)
+        effects = replica.take(one.now)
         for index, term, data in effects.applied:
             self.checker.applied(step, one.name, index, term, data)
         for index, item in effects.agreed:
-            self.checker.agreed(step, desk.record, index, item)
-        if desk.raft.role is Role.LEADER:
-            self.checker.leads(step, one.name, desk.raft.term)
-            self.elected.setdefault(desk.raft.term, self.step)
+            self.checker.agreed(step, replica.record, index, item)
+        if replica.raft.role is Role.LEADER:
+            self.checker.leads(step, one.name, replica.raft.term)
+            self.elected.setdefault(replica.raft.term, self.step)
         one.writing += effects.writes
         for to, said in effects.send:
             if isinstance(said, m.Back) and isinstance(said.said, m.Lease):
                 self._granted(one, said.said)
             self.flying.append(Flying(one.name, to, said))
         for _, answer in effects.replies:
-            if isinstance(answer, m.Lease) and desk.raft.role is Role.LEADER:
+            if isinstance(answer, m.Lease) and replica.raft.role is Role.LEADER:
                 self._granted(one, answer)
         del self.flying[:-IN_FLIGHT]
 
     def _granted(self, one: One, lease: m.Lease) -> None:
         """A later leader takes all leases for granted by its election; was this one asked for before?"""
-        came, term = self.asked[lease.sent], one.desk.raft.term
+        came, term = self.asked[lease.sent], one.replica.raft.term
         for later, chosen in self.elected.items():
             if later > term and chosen < came:
                 self.checker.broken.append(
--- a/bitternpath/emulator/fleet/world.py
+++ b/bitternpath/emulator/fleet/world.py
@@ -1,8 +1,8 @@
 """Stewards, agents and operators in virtual time: own clocks, links that fail, disks that are slow.
 
-The parts under test are the real ones (`fleet/desk.py` with what it rests on, `fleet/agency.py`); only
-sockets and disks are played. A process that is stalled hears nothing and does nothing until it goes on; one
-that crashes comes back with what its disk had synced.
+The parts under test are the real ones (`fleet/record_replica.py` with what it rests on,
+`fleet/lease_holder.py`); only sockets and disks are played. A process that is stalled hears nothing and does
+nothing until it goes on; one that crashes comes back with what its disk had synced.
 """
 
 from __future__ import annotations
@@ -21,9 +21,9 @@
 from bitternpath.fleet import audit
 from bitternpath.fleet import messages as m
 from bitternpath.fleet import plan as p
-from bitternpath.fleet.agency import Agency, Who
-from bitternpath.fleet.desk import Desk
 from bitternpath.fleet.founding import founded
+from bitternpath.fleet.lease_holder import LeaseHolder, Who
+from bitternpath.fleet.record_replica import RecordReplica
 from bitternpath.replication.records import Kept, Role, Times, Write
 
 QUICK = 0.0002, 0.003  # s on the way, usually
@@ -116,7 +116,7 @@
         self.disk = kept  # what is synced
         self.slow_disk = 0.0  # s added to each write
         self._writing: list[Write] = []
-        self.desk: Any = None
+        self.replica: Any = None
         self.connections: dict[
             int, tuple[Host, int]
         ] = {}  # token: who is at the other end, and in which life
@@ -125,12 +125,12 @@
         self.up = True
         self._writing = []
         self.connections.clear()
-        self.desk = Desk(
+        self.replica = RecordReplica(
             self.name, kept_copy(self.disk), Random(self.world.random.random()), self.clock(),
             lambda: self.world.later.now, self.world.times,
         )  # fmt: skip
         for name in self.world.stewards:
-            self.desk.met(name)
+            self.replica.met(name)
         self.settle()
 
     def kill(self) -> None:
@@ -140,35 +140,35 @@
         self.connections.clear()
 
     def tick(self) -> None:
-        self.desk.tick(self.clock())
+        self.replica.tick(self.clock())
 
     def hear(self, sender: str, said: m.Consensus | m.Passed | m.Back) -> None:
-        self.desk.hear(self.clock(), sender, said)
+        self.replica.hear(self.clock(), sender, said)
 
     def say(self, host: Host, token: int, life: int, said: m.FromOutside) -> None:
         self.connections[token] = host, life
-        self.desk.say(self.clock(), token, said)
+        self.replica.say(self.clock(), token, said)
 
     def _stored(self) -> None:
         write = self._writing.pop(0)
         keep(self.disk, write)
         if self._writing:
             self._write()
-        self.desk.stored(self.clock(), write.number)
+        self.replica.stored(self.clock(), write.number)
 
     def _write(self) -> None:
         wait = self.world.random.uniform(*SYNC) + self.slow_disk
         self.world.later.callLater(wait, self.do, self.life, self._stored)
 
     def settle(self) -> None:
-        world, desk = self.world, self.desk
-        effects = desk.take(self.clock())
+        world, replica = self.world, self.replica
+        effects = replica.take(self.clock())
         for index, term, data in effects.applied:
             world.checker.applied(world.later.now, self.name, index, term, data)
         for index, item in effects.agreed:
-            world.checker.agreed(world.later.now, desk.record, index, item)
-        if desk.raft.role is Role.LEADER:
-            world.checker.leads(world.later.now, self.name, desk.raft.term)
+            world.checker.agreed(world.later.now, replica.record, index, item)
+        if replica.raft.role is Role.LEADER:
+            world.checker.leads(world.later.now, self.name, replica.raft.term)
         if effects.writes:
             idle = not self._writing
             self._writing += effects.writes
@@ -184,7 +184,7 @@
                 world.send(
                     self.name, host.name, partial(host.do, life, partial(host.hear, token, answer))  # type: ignore[attr-defined]
                 )  # fmt: skip
-        self._ring_at(desk.alarm)
+        self._ring_at(replica.alarm)
 
 
 class NodeHost(Host):
@@ -196,7 +196,7 @@
         self.keeps = int(name[1:]) % 2 == 1  # whether it has a folder that lasts
         self.folder: dict[str, list[audit.Line]] = {}
         self.disk_free = 0.0  # when its disk has done all that it was given
-        self.agency: Any = None
+        self.holder: Any = None
         self.token = 0
         self.steward = ""
 
@@ -204,16 +204,16 @@
         self.up = True
         self.steward = ""
         who = Who(self.name, f"b{self.life}", self.site, RELEASE)
-        self.agency = Agency(
+        self.holder = LeaseHolder(
             who, list(self.world.stewards), Random(self.world.random.random()), self.clock(),
             lambda: self.world.later.now, self.world.check,
         )  # fmt: skip
         for boot, lines in self.folder.items():
             ledger, why = audit.read_back(boot, lines)
             assert not why
-            self.agency.older.append(ledger)
+            self.holder.older.append(ledger)
         if self.keeps:
-            self.agency.ledger.written = 0
+            self.holder.ledger.written = 0
         self.settle()
         self._act(self.life)
 
@@ -229,22 +229,22 @@
         self.do(life, self.act)
 
     def act(self) -> None:
-        if self.agency.holds(self.clock()):
-            now, agency = self.world.later.now, self.agency
-            self.world.checker.act(now, self.process, agency.plan, agency.fence)
+        if self.holder.holds(self.clock()):
+            now, holder = self.world.later.now, self.holder
+            self.world.checker.act(now, self.process, holder.plan, holder.fence)
             self.world.look()
 
     def tick(self) -> None:
-        self.agency.tick(self.clock())
+        self.holder.tick(self.clock())
 
     def hear(self, token: int, said: m.ToOutside) -> None:
         if token == self.token:
-            self.agency.hear(self.clock(), said)
+            self.holder.hear(self.clock(), said)
 
     def cut_off(self, steward: str) -> None:
         if steward == self.steward:
             self.steward = ""
-            self.agency.lost(self.clock())
+            self.holder.lost(self.clock())
 
     def _connect(self, steward: str) -> None:
         """The handshake goes there and back."""
@@ -263,20 +263,20 @@
     def _up(self, steward: str, token: int) -> None:
         if token == self.token and not self.steward:
             self.steward = steward
-            self.agency.up(self.clock(), steward)
+            self.holder.up(self.clock(), steward)
 
     def _dialled_in_vain(self, token: int) -> None:
         if token == self.token and not self.steward:
-            self.agency.lost(self.clock())
+            self.holder.lost(self.clock())
 
     def _wrote(self, lines: list[audit.Line]) -> None:
-        kept = self.folder.setdefault(self.agency.who.boot, [])
+        kept = self.folder.setdefault(self.holder.who.boot, [])
         kept += lines
-        self.agency.wrote(self.clock(), len(kept))
+        self.holder.wrote(self.clock(), len(kept))
 
     def settle(self) -> None:
-        agency, world = self.agency, self.world
-        sends, agency.sends = agency.sends, []
+        holder, world = self.holder, self.world
+        sends, holder.sends = holder.sends, []
         if sends and self.steward:
             other = world.stewards[self.steward]
             for said in sends:
@@ -284,27 +284,27 @@
                     self.name, self.steward,
                     partial(other.do, other.life, partial(other.say, self, self.token, self.life, said)),
                 )  # fmt: skip
-        if not agency.connected:
+        if not holder.connected:
             self.steward = ""
-        if agency.dial is not None:
-            dial, agency.dial = agency.dial, None
+        if holder.dial is not None:
+            dial, holder.dial = holder.dial, None
             self._connect(dial)
-        if agency.ledger.fresh:
-            lines, agency.ledger.fresh = agency.ledger.fresh, []
+        if holder.ledger.fresh:
+            lines, holder.ledger.fresh = holder.ledger.fresh, []
             if self.keeps:
                 takes = world.random.uniform(*(WRITE if world.random.random() < 0.6 else HELD_UP))
                 self.disk_free = max(self.disk_free, world.later.now) + takes
                 world.later.callLater(
                     self.disk_free - world.later.now, self.do, self.life, partial(self._wrote, lines)
                 )
-        if agency.acts:
-            acts, agency.acts = agency.acts, []
+        if holder.acts:
+            acts, holder.acts = holder.acts, []
             for act in acts:
                 world.checker.did(self.process, act.what, act.version, act.fence)
                 if act.what in ("joined", "acts"):
-                    world.checker.act(world.later.now, self.process, agency.plan, act.fence)
+                    world.checker.act(world.later.now, self.process, holder.plan, act.fence)
             world.look()
-        self._ring_at(agency.alarm)
+        self._ring_at(holder.alarm)
 
 
 class OperatorHost(Host):
@@ -421,33 +421,33 @@
             wait += 0.5
 
     def leader(self) -> StewardHost | None:
-        leads = [s for s in self.stewards.values() if s.up and s.desk.raft.role is Role.LEADER]
-        return max(leads, key=lambda s: int(s.desk.raft.term), default=None)
+        leads = [s for s in self.stewards.values() if s.up and s.replica.raft.role is Role.LEADER]
+        return max(leads, key=lambda s: int(s.replica.raft.term), default=None)
 
     def look(self) -> None:
         """Who could act now, and on what."""
         holding: dict[str, int] = {}
         for node in self.nodes.values():
-            agency = node.agency
-            if node.up and agency.fence and node.clock() < agency.until:
-                holding[node.process] = agency.plan.version
+            holder = node.holder
+            if node.up and holder.fence and node.clock() < holder.until:
+                holding[node.process] = holder.plan.version
         self.checker.hold(self.later.now, holding)
 
     def settled(self) -> str:
         """Empty where all that lives is in order; else what is not."""
         leader = self.leader()
-        if leader is None or not leader.desk.raft.ready:
+        if leader is None or not leader.replica.raft.ready:
             return "no leader"
-        record = leader.desk.record
+        record = leader.replica.record
         if record.latest.version != record.released.version:
             return f"version {record.latest.version} is agreed, {record.released.version} released"
         for node in self.nodes.values():
-            agency = node.agency
-            if node.up and not node.stalled and not (agency.fence and node.clock() < agency.until):
-                return f"{node.name} has no lease: {agency.withheld}"
-            if node.up and agency.plan.version != record.released.version:
-                return f"{node.name} acts on {agency.plan.version} of {record.released.version}"
-            if node.up and not node.stalled and (agency.ledger.unheard or agency.older):
+            holder = node.holder
+            if node.up and not node.stalled and not (holder.fence and node.clock() < holder.until):
+                return f"{node.name} has no lease: {holder.withheld}"
+            if node.up and holder.plan.version != record.released.version:
+                return f"{node.name} acts on {holder.plan.version} of {record.released.version}"
+            if node.up and not node.stalled and (holder.ledger.unheard or holder.older):
                 return f"{node.name}: lines of its audit are not heard of"
         alive = {node.process for node in self.nodes.values() if node.up}
         if dead := record.holders.keys() - alive:
--- a/bitternpath/fleet/agent.py
+++ b/bitternpath/fleet/agent.py
@@ -1,4 +1,4 @@
-"""A node's side of the fleet on sockets: the agency with its connection, its files and what it does.
+"""A node's side of the fleet on sockets: the `LeaseHolder` with its connection, its files and what it does.
 
 The node gives three things: a check of a plan, a way to act on one, and its roster. In return it asks `gate`
 before it takes an invocation: there the lease is looked at, in the very turn in which the act happens.
@@ -27,8 +27,8 @@
 from bitternpath.fleet import audit, clock
 from bitternpath.fleet import messages as m
 from bitternpath.fleet import plan as p
-from bitternpath.fleet.agency import Agency, Who
 from bitternpath.fleet.files import Folder
+from bitternpath.fleet.lease_holder import LeaseHolder, Who
 from bitternpath.fleet.steward import DIAL_WITHIN, where
 from bitternpath.fleet.wire import Wire
 from bitternpath.net.sockets import dial
@@ -81,7 +81,7 @@
         self.reactor, self.fleet, self.roster, self.act, self.advice = reactor, fleet, roster, act, advice
         self.stewards: dict[str, Address] = where(fleet)
         who = Who(node, secrets.token_hex(4), fleet.site or site, release_of(__version__), fleet.alone)
-        self.agency = Agency(who, list(self.stewards), Random(), clock.elapsed(), time.time, check)
+        self.holder = LeaseHolder(who, list(self.stewards), Random(), clock.elapsed(), time.time, check)
         self.wire: Wire | None = None
         self.fleet_id = ""  # of the first fleet that granted a lease
         self._alarm: Any = None
@@ -93,8 +93,8 @@
 
     def gate(self, job_class: str) -> float | None:
         """An invocation has come; None, or the ms after which it may come again where this node leaves."""
-        agency = self.agency
-        if agency.fence != self.span.fence or (agency.fence and clock.elapsed() >= agency.until):
+        holder = self.holder
+        if holder.fence != self.span.fence or (holder.fence and clock.elapsed() >= holder.until):
             self.settle()
         span = self.span
         if span.fence == ALONE and self.fleet.alone == "leave":
@@ -106,35 +106,35 @@
 
     def welcome(self) -> bool:
         """Whether consumers may be sent here."""
-        return self.fleet.alone == "serve" or self.agency.holds(clock.elapsed())
+        return self.fleet.alone == "serve" or self.holder.holds(clock.elapsed())
 
     # ---- files
 
     def _open(self, path: Path) -> Folder | None:
         """What earlier processes did and had agreed. Nothing of it keeps a node from starting."""
-        agency = self.agency
+        holder = self.holder
         try:
-            folder = Folder(self.reactor, path, agency.who.boot, self._written)
-            agency.older += folder.older()
+            folder = Folder(self.reactor, path, holder.who.boot, self._written)
+            holder.older += folder.older()
         except OSError as error:
             log.error("no file for the audit: kept in memory", folder=str(path), why=error)
             return None
-        agency.ledger.written = 0
+        holder.ledger.written = 0
         plan = folder.plan()
-        if plan is not None and (why := agency.check(plan)):
+        if plan is not None and (why := holder.check(plan)):
             log.warning("the plan last acted on cannot be taken", version=plan.version, why=why)
         elif plan is not None:
-            agency.plan = agency.taken = plan
+            holder.plan = holder.taken = plan
             self.span.version = plan.version
         return folder
 
     def _written(self, upto: int | None) -> None:
-        self.agency.wrote(clock.elapsed(), upto)
+        self.holder.wrote(clock.elapsed(), upto)
         self.settle()
 
     def _write_down(self, plan: p.Plan | None = None) -> None:
         """In the order in which it is done; a steward hears of it once it is on file."""
-        ledger = self.agency.ledger
+        ledger = self.holder.ledger
         fresh, ledger.fresh = ledger.fresh, []
         if self.folder is not None and (fresh or plan is not None):
             self.folder.write(fresh, plan)
@@ -143,39 +143,39 @@
 
     def begin(self) -> None:
         """Serve as last agreed, and ask for a lease."""
-        if self.agency.plan.version:
-            self._do(self.agency.plan)
+        if self.holder.plan.version:
+            self._do(self.holder.plan)
         self.settle()
 
     def settle(self) -> None:
         """Carry out what follows, in its order: written down, then done, then said."""
-        agency, now = self.agency, clock.elapsed()
-        under = agency.fence if agency.holds(now) else ALONE
-        if (agency.plan.version, under) != (self.span.version, self.span.fence):
+        holder, now = self.holder, clock.elapsed()
+        under = holder.fence if holder.holds(now) else ALONE
+        if (holder.plan.version, under) != (self.span.version, self.span.fence):
             self._turn(under)
         self._write_down()
-        agency.acts.clear()
-        sends, agency.sends = agency.sends, []
+        holder.acts.clear()
+        sends, holder.sends = holder.sends, []
         for said in sends:
             if self.wire is not None:
                 self.wire.say(said)
-        if agency.hang_up:
-            agency.hang_up = False
+        if holder.hang_up:
+            holder.hang_up = False
             wire, self.wire = self.wire, None
             if wire is not None:
                 wire.close()
-        if agency.dial is not None:
-            name, agency.dial = agency.dial, None
+        if holder.dial is not None:
+            name, holder.dial = holder.dial, None
             self._dial(name)
         if self._alarm is not None and self._alarm.active():
             self._alarm.cancel()
         self._alarm = None
-        if agency.alarm != float("inf"):
-            self._alarm = self.reactor.callLater(max(agency.alarm - now, 0.0), self._tick)
+        if holder.alarm != float("inf"):
+            self._alarm = self.reactor.callLater(max(holder.alarm - now, 0.0), self._tick)
 
     def _turn(self, under: int) -> None:
         """Another version, or a lease got or lost: what comes from now on is under that."""
-        plan, before = self.agency.plan, self.span.version
+        plan, before = self.holder.plan, self.span.version
         self._close_span()
         self.span = Span(plan.version, under)
         changed = plan.version != before
@@ -187,7 +187,7 @@
     def _close_span(self) -> None:
         span = self.span
         if span.taken:
-            self.agency.ledger.add(time.time(), audit.SERVED, span.version, span.fence, span.detail())
+            self.holder.ledger.add(time.time(), audit.SERVED, span.version, span.fence, span.detail())
             span.taken = Counter()
 
     def _do(self, plan: p.Plan) -> None:
@@ -201,23 +201,23 @@
     def _noted(self, id: str, by: str, out: bool) -> None:
         """Staff have taken a provider out, or back, at this node's own console."""
         if by == BY_HAND:
-            self.agency.note(audit.OUT if out else audit.BACK, id)
+            self.holder.note(audit.OUT if out else audit.BACK, id)
             self._write_down()
 
     def stop(self) -> None:
         """The node ends: it acts no more."""
         self._close_span()
-        self.agency.end(clock.elapsed())
+        self.holder.end(clock.elapsed())
         self.settle()
 
     # ---- the connection
 
     def _tick(self) -> None:
-        self.agency.tick(clock.elapsed())
+        self.holder.tick(clock.elapsed())
         self.settle()
 
     def _dial(self, name: str) -> None:
-        who = self.agency.who
+        who = self.holder.who
         hello = m.Hello(m.VERSION, self.fleet_id, "agent", f"{who.node}#{who.boot}")
         wire = Wire(self.reactor, hello, self._hear, self._lost)
         wire.name = name
@@ -230,12 +230,12 @@
             return
         now = clock.elapsed()
         if isinstance(said, m.Hello):
-            self.agency.up(now, wire.name)
+            self.holder.up(now, wire.name)
         elif isinstance(said, m.Lease | m.Withheld | m.Changes | m.Whole | m.News | m.Heard):
             if isinstance(said, m.Lease) and not self.fleet_id and wire.peer is not None:
                 self.fleet_id = wire.peer.fleet
-            before = self.agency.withheld
-            self.agency.hear(now, said)
+            before = self.holder.withheld
+            self.holder.hear(now, said)
             if isinstance(said, m.Withheld) and said.why != before:
                 log.warning("withheld", steward=wire.name, why=said.why)
         else:
@@ -245,5 +245,5 @@
     def _lost(self, wire: Wire) -> None:
         if wire is self.wire:
             self.wire = None
-            self.agency.lost(clock.elapsed())
+            self.holder.lost(clock.elapsed())
             self.settle()
--- /dev/null
+++ b/bitternpath/fleet/commands.py
@@ -0,0 +1,159 @@
+"""The leader's answers to operators: changes, members, leadership, and what the record says. Pure."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from bitternpath.fleet import messages as m
+from bitternpath.fleet import plan as p
+from bitternpath.fleet.leadership import HolderState, Leadership, PendingRequest, Route
+from bitternpath.fleet.replica import ReplicaState
+from bitternpath.replication.records import Members, Role
+
+CLOSE_ENTRIES = 64  # by which a learner may lag to become a voter
+CHANGING = "leadership or membership is changing; ask again"
+
+
+class Commands(ReplicaState):
+    """Commands of operators, while this member leads; the status also where it doesn't."""
+
+    def _command(self, now: float, leadership: Leadership, route: Route, ask: m.Ask) -> None:
+        match ask.command:
+            case m.Look():
+                waits = PendingRequest(self.raft.want_round(), now, route, ask)
+                leadership.awaiting_round.append(waits)
+            case m.Propose():
+                self._propose_change(now, leadership, route, ask, ask.command)
+            case m.Withdraw(version, author, reason):
+                index = self._propose(now, p.Void(version, author, reason))
+                self._answer_when_committed(now, leadership, route, ask, index)
+            case m.ChangeMembers():
+                self._change_members(now, leadership, route, ask, ask.command)
+            case m.PassOn(to):
+                to = self._voter_id(to)
+                done = self.raft.transfer_leadership(now, to)
+                self._answer(route, ask.number, "" if done else f"{to} is no other voter")
+
+    def _propose_change(
+        self, now: float, leadership: Leadership, route: Route, ask: m.Ask, command: m.Propose
+    ) -> None:
+        if command.id in self.record.ids:  # asked again
+            self._answer(route, ask.number, "", {"version": self.record.ids[command.id]})
+            return
+        adopt = p.Adopt(command.id, command.author, command.reason, self.wall(), command.change)
+        self._answer_when_committed(now, leadership, route, ask, self._propose(now, adopt))
+
+    def _change_members(
+        self, now: float, leadership: Leadership, route: Route, ask: m.Ask, command: m.ChangeMembers
+    ) -> None:
+        if command.add and command.add not in self.member_ids:
+            self._answer(route, ask.number, f"{command.add} has not been heard of; does it run?")
+            return
+        members = self.raft.members
+        add = self.member_ids.get(command.add, "")
+        remove = next((id for id in members.all if id.partition(".")[0] == command.remove), command.remove)
+        why_not = self._members_fault(add, remove)
+        if why_not:
+            self._answer(route, ask.number, why_not)
+            return
+        voters = tuple(name for name in members.voters if name != remove)
+        learners = tuple(name for name in members.learners if name != remove)
+        index = self._propose_members(now, Members(voters, (*learners, add) if add else learners))
+        self._answer_when_committed(now, leadership, route, ask, index)
+
+    def _answer_when_committed(
+        self, now: float, leadership: Leadership, route: Route, ask: m.Ask, index: int | None
+    ) -> None:
+        if index is None:
+            self._answer(route, ask.number, CHANGING)
+        else:
+            leadership.awaiting_entry[index] = PendingRequest(index, now, route, ask)
+
+    def _voter_id(self, name: str) -> str:
+        return next((id for id in self.raft.members.voters if id.partition(".")[0] == name), name)
+
+    def _members_fault(self, add: str, remove: str) -> str:
+        members = self.raft.members
+        if bool(add) == bool(remove):
+            return "one steward is added or removed at a time"
+        if not self.raft.may_change_members or (members.learners and add):
+            return "another change of members is under way; ask again"
+        if add in members.all:
+            return f"{add} is a member already"
+        if remove and remove not in members.all:
+            return f"{remove} is no member; members are {', '.join(members.all)}"
+        if remove and members.voters == (remove,):
+            return f"{remove} is the last one"
+        return ""
+
+    def _promote_learner(self, now: float) -> None:
+        """A learner that has nearly all becomes a voter."""
+        members, raft = self.raft.members, self.raft
+        if not members.learners or not raft.may_change_members:
+            return
+        for name in members.learners:
+            peer = raft.peers.get(name)
+            near = raft.commit_index - CLOSE_ENTRIES
+            if peer is not None and peer.match_index and peer.match_index >= near:
+                left = tuple(other for other in members.learners if other != name)
+                self._propose_members(now, Members((*members.voters, name), left))
+                return
+
+    # ---- status
+
+    def _answer_status(self, now: float, route: Route, ask: m.Ask) -> None:
+        found = self._status(now)
+        if isinstance(ask.command, m.Look) and ask.command.what == "audit":
+            found |= self._audit()
+        self._answer(route, ask.number, "", found)
+
+    def _status(self, now: float) -> dict[str, Any]:
+        """What is known. Times in s; those of holders are ages on the leader's clock."""
+        record, raft = self.record, self.raft
+        states = self.leadership.holders if self.leadership is not None else {}
+        acting = (state.acting for state in states.values())
+        return {
+            "steward": self.me,
+            "applied": self.applied,
+            "terms": record.terms,
+            "leader": raft.leader,
+            "term": raft.term,
+            "voters": raft.members.voters,
+            "learners": raft.members.learners,
+            "heard": now - raft.last_contact if raft.role is not Role.LEADER else 0.0,
+            "released": record.released.version,
+            "latest": record.latest.version,
+            "in_effect": min(acting, default=record.released.version),
+            "plan": record.released,
+            "waiting": record.waiting,
+            "changes": record.changes,
+            "release_times": record.release_times,
+            "holders": [
+                holder_status(now, holder, states.get(key)) for key, holder in record.holders.items()
+            ],
+        }
+
+    def _audit(self) -> dict[str, Any]:
+        record = self.record
+        accounts = [
+            msgspec.to_builtins(account) | {"unheard": account.says_missing(key in record.holders)}
+            for key, account in record.accounts.items()
+        ]
+        return {"ids": record.ids, "accounts": accounts}
+
+
+def holder_status(now: float, holder: p.Holder, state: HolderState | None) -> dict[str, Any]:
+    """A holder as the record has it, and what the leader knows of it."""
+    status: dict[str, Any] = msgspec.to_builtins(holder)
+    if state is not None:
+        status |= {
+            "acting": state.acting,
+            "have": state.have,
+            "heard": now - state.heard if state.route is not None else None,
+            "until": state.until - now,
+            "refuses": state.refuses,
+            "behind": now - state.behind_since if state.behind_since is not None else 0.0,
+        }
+    return status
--- a/bitternpath/fleet/files.py
+++ b/bitternpath/fleet/files.py
@@ -1,8 +1,8 @@
 """A node's folder: what its processes did, and the plan last acted on, written by a thread of its own.
 
 A disk may hold a write up for a long time (a neighbour's sync, a journal that is full), and no invocation
-may wait for that. So lines are handed over here, and the agency hears when they are on file: only then are
-they told to a steward, because the audit must hold nothing that the process's own file may come to lack.
+may wait for that. So lines are handed over here, and the `LeaseHolder` hears when they are on file: only then
+are they told to a steward, because the audit must hold nothing that the process's own file may come to lack.
 Files: `acts-BOOT` with a process's audit, a line of JSON each, and `plan`.
 """
 
--- a/bitternpath/fleet/agency.py
+++ b/bitternpath/fleet/lease_holder.py
@@ -47,7 +47,7 @@
     fence: int
 
 
-class Agency:
+class LeaseHolder:
     """One process's side. What it wants done is in `sends`, `acts` and `dial` until it is taken."""
 
     def __init__(
--- /dev/null
+++ b/bitternpath/fleet/leases.py
@@ -0,0 +1,149 @@
+"""The leader's side of leases: who holds one, who lags, and when the next version may be released. Pure."""
+
+from __future__ import annotations
+
+from bitternpath.fleet import messages as m
+from bitternpath.fleet import plan as p
+from bitternpath.fleet.leadership import HolderState, Leadership, PendingRequest, Route
+from bitternpath.fleet.replica import ReplicaState
+
+
+class LeaseGrants(ReplicaState):
+    """Leases of the nodes' processes, while this member leads."""
+
+    def _lease_requested(self, now: float, leadership: Leadership, route: Route, request: m.Renew) -> None:
+        holder = self.record.holders.get(f"{request.node}#{request.boot}")
+        if holder is not None and request.sent < leadership.holders[holder.key].sent:
+            return  # it came late, and says less than what is known
+        if holder is not None and holder.fence == request.fence:
+            self._renew(now, leadership, leadership.holders[holder.key], route, request)
+        else:
+            self._join(now, leadership, route, request)
+
+    def _renew(
+        self, now: float, leadership: Leadership, state: HolderState, route: Route, request: m.Renew
+    ) -> None:
+        state.update(now, route, request)
+        current = request.acting >= self.record.released.version
+        if current and self._has_taken(state, self.record.latest.version):
+            state.behind_since = None
+        else:
+            if state.behind_since is None:
+                state.behind_since = now
+            self._send_missing(route, request)
+            if self._lags_too_long(now, leadership, state):
+                why = state.refuses or f"it acts on {request.acting} and has {request.have}"
+                late = f"a straggler for {self.record.terms.catch_up:g} s"
+                self._reply(route, m.Withheld(request.sent, f"{late}: {why}"))
+                return
+        leadership.awaiting_round.append(PendingRequest(self.raft.want_round(), now, route, request))
+
+    def _lags_too_long(self, now: float, leadership: Leadership, state: HolderState) -> bool:
+        since = state.behind_since or now
+        excused = bool(state.refuses) and leadership.half_refuse()
+        return now > since + self.record.terms.catch_up and not excused
+
+    def _has_taken(self, state: HolderState, version: int) -> bool:
+        """Whether a holder has taken that version as it is now."""
+        return state.have >= version and self.record.digest_of(state.have) == state.digest
+
+    def _send_missing(self, route: Route, request: m.Renew) -> None:
+        """What a process lacks."""
+        since = self.record.since(request.have, request.digest)
+        if since is None:
+            self._reply(route, m.Whole(self.record.released, tuple(self.record.waiting)))
+        elif changes := tuple(since):
+            self._reply(route, m.Changes(changes))
+
+    def _join(self, now: float, leadership: Leadership, route: Route, request: m.Renew) -> None:
+        same_plan = self.record.digest_of(request.have) == request.digest
+        too_old = request.release < self.record.latest.least_release
+        if not too_old and not (same_plan and request.have >= self.record.latest.version):
+            self._send_missing(route, request)
+        why = self._join_refused(leadership, request)
+        if why:
+            self._reply(route, m.Withheld(request.sent, why))
+        else:
+            self._propose_join(now, leadership, route, request)
+
+    def _join_refused(self, leadership: Leadership, request: m.Renew) -> str:
+        """Why a process can't become a holder now; empty where it can."""
+        record = self.record
+        if request.release < record.latest.least_release:
+            least = ".".join(map(str, record.latest.least_release))
+            return f"its release is older than {least}, the least allowed"
+        if request.have < record.released.version or record.digest_of(request.have) != request.digest:
+            return request.refuses or f"it has {request.have}, {record.released.version} is released"
+        if request.refuses and request.have < record.latest.version and not leadership.half_refuse():
+            return request.refuses  # it would hold up all the others
+        return ""
+
+    def _propose_join(self, now: float, leadership: Leadership, route: Route, request: m.Renew) -> None:
+        key = f"{request.node}#{request.boot}"
+        if leadership.joining.get(key, 0) > self.applied:
+            return
+        item = p.Joined(
+            request.node, request.boot, request.site, request.release, request.alone, request.have,
+            request.digest, self.wall(),
+        )  # fmt: skip
+        index = self._propose(now, item)
+        if index is not None:
+            leadership.joining[key] = index
+            leadership.awaiting_entry[index] = PendingRequest(index, now, route, request)
+
+    def _joined(self, now: float, leadership: Leadership, key: str, pending: PendingRequest | None) -> None:
+        """The entry by which a process becomes a holder is committed."""
+        if key not in self.record.holders:
+            return
+        # Proposed by this leader: entries of earlier ones were applied before its leadership was ready.
+        assert pending is not None and isinstance(pending.request, m.Renew)
+        state = HolderState(pending.received + self.record.terms.longest)
+        leadership.holders[key] = state
+        state.update(now, pending.route, pending.request)
+        self._grant(now, leadership, pending)
+
+    def _grant(self, now: float, leadership: Leadership, pending: PendingRequest) -> None:
+        """A request's round is answered, or its entry committed."""
+        request = pending.request
+        assert isinstance(request, m.Renew)
+        holder = self.record.holders.get(f"{request.node}#{request.boot}")
+        state = leadership.holders.get(holder.key) if holder is not None else None
+        if holder is None or state is None or state.ending:
+            return
+        state.until = max(state.until, pending.received + self.record.terms.longest)
+        released, length = self.record.released, self.record.terms.lease
+        lease = m.Lease(request.sent, length, holder.fence, released.version, released.digest)
+        self._reply(pending.route, lease)
+
+    def _parting(self, leadership: Leadership, parting: m.Parting) -> None:
+        """A process says that it ends."""
+        holder = self.record.holders.get(f"{parting.node}#{parting.boot}")
+        if holder is not None and holder.fence == parting.fence:
+            self._end_lease(leadership, holder, "it ended")
+
+    def _end_lease(self, leadership: Leadership, holder: p.Holder, why: str) -> None:
+        state = leadership.holders[holder.key]
+        if not state.ending:
+            item = p.Parted(holder.node, holder.boot, holder.fence, why, self.wall())
+            state.ending = self._propose(self.raft.now, item) is not None
+
+    def _end_old_leases(self, now: float, leadership: Leadership) -> None:
+        for key, state in leadership.holders.items():
+            if now > state.until and not state.ending:
+                self._end_lease(leadership, self.record.holders[key], "its lease is over")
+
+    def _release_next(self, now: float, leadership: Leadership) -> None:
+        """The next version, once every holder has it and acts on the one before."""
+        released = self.record.released.version
+        if self.record.latest.version <= released or leadership.release_index > self.applied:
+            return
+        states = leadership.holders.values()
+        if all(state.acting >= released and self._has_taken(state, released + 1) for state in states):
+            leadership.release_index = self._propose(now, p.Release(released + 1, self.wall())) or 0
+
+    def _tell_versions(self, leadership: Leadership) -> None:
+        """What is released and what is latest has changed."""
+        news = m.News(self.record.released.version, self.record.latest.version)
+        for state in leadership.holders.values():
+            if state.route is not None:
+                self._reply(state.route, news)
--- a/bitternpath/fleet/overlay.py
+++ b/bitternpath/fleet/plan_settings.py
@@ -26,7 +26,7 @@
 }
 
 
-def overlaid(config: Config, plan: Plan) -> Config:
+def with_plan(config: Config, plan: Plan) -> Config:
     """The configuration with what the fleet has agreed; PlanError where the two are at odds."""
     return replace(config, settings=_settings(config.settings, plan))
 
--- /dev/null
+++ b/bitternpath/fleet/record_replica.py
@@ -0,0 +1,235 @@
+"""A replica of the fleet's record, and what its leader decides: leases, releases, answers. Pure.
+
+A `RecordReplica` is a member of the consensus with the record that follows from it. What agents and commands
+say goes to the leader, whichever member hears it. The leader alone grants leases (`leases.py`), releases
+versions and does what operators ask (`commands.py`); what it needs for that beyond the record it keeps in a
+`Leadership`, which ends with its term.
+
+Why two members never grant at odds:
+
+- A lease is granted only once a round has been answered by a majority that began after the request came. Who
+  answered had voted for nobody else by then, so the request is older than any later leader's election.
+- A node's lease runs from the moment of its asking, by its own clock. For the leader it runs from the moment
+  in which the request came, and `Terms.longest` on: longer, whatever both clocks do within the drift stated.
+- A new leader takes every holder's lease as granted in the moment of its election.
+- A holder leaves the record only after that time, or by its own word; and a version is released only when
+  every holder in the record has said, under its fence, that it acts on the one before and has taken this one.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from bitternpath.fleet import messages as m
+from bitternpath.fleet import plan as p
+from bitternpath.fleet.commands import Commands
+from bitternpath.fleet.leadership import HolderState, Leadership, PendingRequest, Route
+from bitternpath.fleet.leases import LeaseGrants
+from bitternpath.replication.records import CHANGE, Entry, Role, Write
+
+COMPACT_ENTRIES = 1024  # after which the record is written down whole
+KEPT_ENTRIES = 512  # that stay for members that lag
+
+
+class Effects(Struct):
+    """What follows; `agreed` tells of entries that changed the record."""
+
+    send: list[tuple[str, m.Consensus | m.Passed | m.Back]]  # to other members
+    writes: list[Write]
+    replies: list[tuple[int, m.ToOutside]]  # on this member's own connections
+    agreed: list[tuple[int, p.Item]]
+    applied: list[tuple[int, int, bytes]]  # index, term and content of all that was taken for agreed
+
+
+class RecordReplica(LeaseGrants, Commands):
+    """One member."""
+
+    # ---- inputs
+
+    @property
+    def alarm(self) -> float:
+        """When `tick` is wanted next."""
+        return self.raft.alarm
+
+    def tick(self, now: float) -> None:
+        """Time has passed."""
+        self.raft.tick(now)
+
+    def stored(self, now: float, number: int) -> None:
+        """That write and those before it are on disk."""
+        self.raft.stored(now, number)
+
+    def hear(self, now: float, sender: str, message: m.Consensus | m.Passed | m.Back) -> None:
+        """Another member speaks."""
+        match message:
+            case m.Consensus(inner):
+                self.raft.hear(now, sender, inner)
+            case m.Passed(token, request):
+                self._take_request(now, (sender, token), request, passed=True)
+            case m.Back(token, answer):
+                self._replies.append((token, answer))
+
+    def say(self, now: float, token: int, request: m.FromOutside) -> None:
+        """An agent or a command speaks on a connection of this member's."""
+        self._take_request(now, (self.me, token), request, passed=False)
+
+    def met(self, id: str) -> None:
+        """A member has said who it is: its name, a dot, and its incarnation."""
+        self.member_ids[id.partition(".")[0]] = id
+
+    def take(self, now: float) -> Effects:
+        """All that follows from what was put in."""
+        effects = Effects([], [], [], [], [])
+        self._keep_leadership()
+        while True:
+            out = self.raft.take(now)
+            effects.send += [(to, m.Consensus(message)) for to, message in out.send]
+            effects.writes += out.writes
+            if out.restore is not None:
+                self.record, self.applied = p.record_from(out.restore.data), out.restore.index
+            for entry in out.committed:
+                self._apply(now, entry, effects)
+            before = self.raft.last_index, self.raft.round_wanted
+            self._lead(now)
+            if (self.raft.last_index, self.raft.round_wanted) == before:
+                break
+        self._compact()
+        effects.send += self._send
+        effects.replies = self._replies
+        self._send, self._replies = [], []
+        return effects
+
+    # ---- requests
+
+    def _take_request(self, now: float, route: Route, request: m.FromOutside, passed: bool) -> None:
+        raft = self.raft
+        if isinstance(request, m.Ask) and isinstance(request.command, m.Look) and request.command.stale:
+            self._answer_status(now, route, request)
+        elif raft.role is Role.LEADER:
+            if self.leadership is not None and self.leadership.ready:
+                self._lead_request(now, self.leadership, route, request)
+            else:
+                self._turn_away(route, request, "the leader is new and does not know the record yet")
+        elif raft.leader and not passed:
+            self._send.append((raft.leader, m.Passed(route[1], request)))
+        else:
+            self._turn_away(route, request, "no leader is known here")
+
+    def _turn_away(self, route: Route, request: m.FromOutside, why: str) -> None:
+        if isinstance(request, m.Renew):
+            self._reply(route, m.Withheld(request.sent, why, elsewhere=True))
+        elif isinstance(request, m.Ask):
+            self._reply(route, m.Answer(request.number, False, why))
+
+    def _lead_request(self, now: float, leadership: Leadership, route: Route, request: m.FromOutside) -> None:
+        match request:
+            case m.Renew():
+                self._lease_requested(now, leadership, route, request)
+            case m.Parting():
+                self._parting(leadership, request)
+            case m.Acts():
+                self._take_audit_lines(now, leadership, route, request)
+            case m.Ask():
+                self._command(now, leadership, route, request)
+
+    def _take_audit_lines(self, now: float, leadership: Leadership, route: Route, request: m.Acts) -> None:
+        """Lines are acknowledged once the record has them."""
+        account = self.record.accounts.get(f"{request.node}#{request.boot}")
+        upto = account.upto if account is not None else 0
+        fresh = any(line.number > upto for line in request.lines)
+        ends_here = 0 < request.final < upto
+        if not fresh and not ends_here and account is not None and account.agrees(request.lines):
+            self._reply(route, m.Heard(request.boot, upto))
+            return
+        item = p.Noted(request.node, request.boot, request.lines, request.final, self.wall())
+        index = self._propose(now, item)
+        if index is not None:
+            leadership.awaiting_entry[index] = PendingRequest(index, now, route, request)
+
+    # ---- leading
+
+    def _lead(self, now: float) -> None:
+        self._keep_leadership()
+        raft, leadership = self.raft, self.leadership
+        if leadership is None or not raft.ready or self.applied < raft.first_own_index:
+            return
+        if not leadership.ready:
+            leadership.ready = True
+            until = leadership.since + self.record.terms.longest
+            leadership.holders = {key: HolderState(until) for key in self.record.holders}
+        self._answer_rounds(now, leadership)
+        self._end_old_leases(now, leadership)
+        self._release_next(now, leadership)
+        self._promote_learner(now)
+
+    def _answer_rounds(self, now: float, leadership: Leadership) -> None:
+        """A majority has answered a round: what waited for it is answered."""
+        confirmed = self.raft.confirmed_round
+        due = [pending for pending in leadership.awaiting_round if pending.awaited <= confirmed]
+        later = [pending for pending in leadership.awaiting_round if pending.awaited > confirmed]
+        leadership.awaiting_round = later
+        for pending in due:
+            if isinstance(pending.request, m.Ask):
+                self._answer_status(now, pending.route, pending.request)
+            else:
+                self._grant(now, leadership, pending)
+
+    def _keep_leadership(self) -> None:
+        """A leadership is one term's."""
+        leadership, leads = self.leadership, self.raft.role is Role.LEADER
+        if leadership is not None and not (leads and leadership.term == self.raft.term):
+            self._step_down(leadership)
+        if self.leadership is None and leads:
+            self.leadership = Leadership(self.raft.term, self.raft.elected_at)
+
+    def _step_down(self, leadership: Leadership) -> None:
+        self.leadership = None
+        for pending in [*leadership.awaiting_round, *leadership.awaiting_entry.values()]:
+            self._turn_away(pending.route, pending.request, "the leader has changed; ask again")
+
+    # ---- the record
+
+    def _apply(self, now: float, entry: Entry, effects: Effects) -> None:
+        self.applied = entry.index
+        effects.applied.append((entry.index, entry.term, entry.data))
+        leadership, pending = self.leadership, None
+        if leadership is not None and leadership.term == entry.term:
+            pending = leadership.awaiting_entry.pop(entry.index, None)
+        if entry.kind != CHANGE:
+            if pending is not None and isinstance(pending.request, m.Ask):
+                self._reply(pending.route, m.Answer(pending.request.number, True, ""))
+            return
+        item = p.item_from(entry.data)
+        why_not = self.record.apply(entry.index, item)
+        if not why_not:
+            effects.agreed.append((entry.index, item))
+        if leadership is None or not leadership.ready:
+            return
+        if not why_not:
+            self._record_changed(now, leadership, item, pending)
+        if pending is not None:
+            self._answer_entry(item, why_not, pending)
+
+    def _record_changed(
+        self, now: float, leadership: Leadership, item: p.Item, pending: PendingRequest | None
+    ) -> None:
+        match item:
+            case p.Joined(node, boot):
+                self._joined(now, leadership, f"{node}#{boot}", pending)
+            case p.Parted(node, boot):
+                leadership.holders.pop(f"{node}#{boot}", None)
+            case p.Adopt() | p.Void() | p.Release():
+                self._tell_versions(leadership)
+
+    def _answer_entry(self, item: p.Item, why_not: str, pending: PendingRequest) -> None:
+        """An entry that somebody waited for is applied."""
+        if isinstance(item, p.Noted):
+            account = self.record.accounts[f"{item.node}#{item.boot}"]
+            self._reply(pending.route, m.Heard(item.boot, account.upto))
+        if isinstance(pending.request, m.Ask):
+            data = {"version": self.record.ids.get(item.id, 0)} if isinstance(item, p.Adopt) else None
+            self._answer(pending.route, pending.request.number, why_not, data)
+
+    def _compact(self) -> None:
+        if self.applied - self.raft.snapshot.index >= COMPACT_ENTRIES:
+            self.raft.compact(self.applied, p.record_bytes(self.record), KEPT_ENTRIES)
--- /dev/null
+++ b/bitternpath/fleet/replica.py
@@ -0,0 +1,49 @@
+"""What the parts of a replica of the fleet's record share: consensus, the record, and what is to be sent."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import msgspec
+
+from bitternpath.fleet import messages as m
+from bitternpath.fleet import plan as p
+from bitternpath.fleet.leadership import Leadership, Route
+from bitternpath.replication.consensus import Raft
+from bitternpath.replication.records import CHANGE, MEMBERS, Kept, Members, Times
+
+
+class ReplicaState:
+    """A member of the consensus and the record that follows from it."""
+
+    def __init__(
+        self, me: str, kept: Kept, random: Random, now: float, wall: Callable[[], float], times: Times
+    ) -> None:
+        self.me, self.wall = me, wall
+        self.record = p.record_from(kept.snapshot.data)
+        self.applied = kept.snapshot.index
+        self.raft = Raft(me, kept, random, now, times)
+        self.leadership: Leadership | None = None
+        self.member_ids: dict[str, str] = {}  # a member's name: the incarnation that it is, as it last said
+        self._send: list[tuple[str, m.Consensus | m.Passed | m.Back]] = []
+        self._replies: list[tuple[int, m.ToOutside]] = []
+
+    def _reply(self, route: Route, reply: m.ToOutside) -> None:
+        if route[0] == self.me:
+            self._replies.append((route[1], reply))
+        else:
+            self._send.append((route[0], m.Back(route[1], reply)))
+
+    def _answer(self, route: Route, number: int, why_not: str, data: Any = None) -> None:
+        """Answer a command; `why_not` is empty where it was done."""
+        content = msgspec.Raw(msgspec.msgpack.encode(data))
+        self._reply(route, m.Answer(number, not why_not, why_not, content))
+
+    def _propose(self, now: float, item: p.Item) -> int | None:
+        """The index of the item's entry; None where it can't be proposed now."""
+        return self.raft.propose(now, CHANGE, p.item_bytes(item))
+
+    def _propose_members(self, now: float, members: Members) -> int | None:
+        return self.raft.propose(now, MEMBERS, msgspec.msgpack.encode(members))
--- a/bitternpath/fleet/steward.py
+++ b/bitternpath/fleet/steward.py
@@ -1,8 +1,8 @@
-"""A steward's process: the desk with its disk, the links to the other stewards, and a listener (Twisted).
+"""A steward's process: a replica of the record with its disk, links to the others, a listener (Twisted).
 
-What comes goes into the desk; what follows is carried out at once, but for writes: a thread of its own does
-them one batch after the other, and the desk hears when they are on disk. A disk that fails ends the process:
-a steward that can't keep its word must not give it.
+What comes goes into the replica; what follows is carried out at once, but for writes: a thread of its own
+does them one batch after the other, and the replica hears when they are on disk. A disk that fails ends the
+process: a steward that can't keep its word must not give it.
 """
 
 from __future__ import annotations
@@ -27,8 +27,8 @@
 from bitternpath.fleet import clock
 from bitternpath.fleet import messages as m
 from bitternpath.fleet import plan as p
-from bitternpath.fleet.desk import Desk, Effects
 from bitternpath.fleet.founding import founded
+from bitternpath.fleet.record_replica import Effects, RecordReplica
 from bitternpath.fleet.store import DamagedError, Store, StoreError, set_aside
 from bitternpath.fleet.wire import Wire
 from bitternpath.net.sockets import dial
@@ -100,7 +100,7 @@
     def _lost(self, wire: Wire) -> None:
         if self.wire is wire:
             self.wire = None
-            self.steward.desk.known.pop(self.name, None)  # who comes next may be another
+            self.steward.replica.member_ids.pop(self.name, None)  # who comes next may be another
         self._again()
 
     def say(self, to: str, said: m.Said) -> None:
@@ -115,7 +115,7 @@
     def __init__(self, reactor: Any, fleet: Fleet, store: Store, kept: Any, times: Times) -> None:
         self.reactor, self.fleet, self.store = reactor, fleet, store
         self.random = Random()
-        self.desk = Desk(store.me, kept, Random(), clock.elapsed(), time.time, times)
+        self.replica = RecordReplica(store.me, kept, Random(), clock.elapsed(), time.time, times)
         self.links = {
             name: Link(self, name, at) for name, at in where(fleet).items() if name != fleet.name
         }  # fmt: skip
@@ -137,7 +137,7 @@
         for link in self.links.values():
             link.dial()
         at = self.port.getHost()
-        members = self.desk.raft.members.all
+        members = self.replica.raft.members.all
         log.info("listening", name=self.store.me, address=f"{at.host}:{at.port}", members=len(members))
         if self.store.me not in members:
             log.info("no member of a fleet yet", do=f"bitternpath fleet members add {self.fleet.name}")
@@ -145,7 +145,7 @@
 
     @property
     def hello(self) -> m.Hello:
-        return m.Hello(m.VERSION, self.desk.record.fleet, "steward", self.store.me)
+        return m.Hello(m.VERSION, self.replica.record.fleet, "steward", self.store.me)
 
     # ---- who speaks
 
@@ -172,18 +172,18 @@
             if isinstance(said, m.Hello):
                 self.met(said.name)
             elif isinstance(said, m.Consensus | m.Passed | m.Back):
-                self.desk.hear(now, wire.peer.name, said)
+                self.replica.hear(now, wire.peer.name, said)
             else:
                 wire.drop(f"a steward does not say {type(said).__name__}")
         elif isinstance(said, m.FromOutside):
             self.wires[token] = self.wires.pop(token)  # the one heard last is at the end
-            self.desk.say(now, token, said)
+            self.replica.say(now, token, said)
         elif not isinstance(said, m.Hello):
             wire.drop(f"only a steward says {type(said).__name__}")
         self.settle()
 
     def met(self, id: str) -> None:
-        self.desk.met(id)
+        self.replica.met(id)
 
     # ---- what follows
 
@@ -196,14 +196,14 @@
     def _settle(self) -> None:
         self._settling = False
         now = clock.elapsed()
-        effects = self.desk.take(now)
+        effects = self.replica.take(now)
         self._carry_out(effects)
-        if self.desk.raft.role is not self.role:
-            self.role = self.desk.raft.role
-            log.info("role", role=self.role.value, term=self.desk.raft.term)
+        if self.replica.raft.role is not self.role:
+            self.role = self.replica.raft.role
+            log.info("role", role=self.role.value, term=self.replica.raft.term)
         if self._alarm is not None and self._alarm.active():
             self._alarm.cancel()
-        self._alarm = self.reactor.callLater(max(self.desk.alarm - now, 0.0), self._tick)
+        self._alarm = self.reactor.callLater(max(self.replica.alarm - now, 0.0), self._tick)
 
     def _carry_out(self, effects: Effects) -> None:
         self._queued += effects.writes
@@ -218,21 +218,21 @@
                 wire.say(answer)
 
     def _tick(self) -> None:
-        self.desk.tick(clock.elapsed())
+        self.replica.tick(clock.elapsed())
         self.settle()
 
     def _write(self) -> None:
         if self._writing or not self._queued:
             return
         self._writing, self._queued = self._queued, []
-        voters = len(self.desk.raft.members.voters)
+        voters = len(self.replica.raft.members.voters)
         done: Any = deferToThreadPool(self.reactor, self.disk, self.store.write, self._writing, voters)
         done.addCallbacks(self._written, self._not_written)
 
     def _written(self, _: None) -> None:
         number = self._writing[-1].number
         self._writing = []
-        self.desk.stored(clock.elapsed(), number)
+        self.replica.stored(clock.elapsed(), number)
         self._write()
         self.settle()
 
--- a/bitternpath/node.py
+++ b/bitternpath/node.py
@@ -161,11 +161,11 @@
 
     def _plan_fault(self, plan: Plan) -> str:
         """Why this node cannot act on that plan; empty: it can."""
-        from bitternpath.fleet.overlay import overlaid
         from bitternpath.fleet.plan import PlanError
+        from bitternpath.fleet.plan_settings import with_plan
 
         try:
-            overlaid(self.filed.platform, plan)
+            with_plan(self.filed.platform, plan)
         except (PlanError, ValueError) as error:
             return str(error)
         return ""
@@ -174,11 +174,11 @@
         """With what the fleet has agreed on top; ConfigError where the two are at odds, now or soon."""
         if self.agent is None:
             return loaded
-        from bitternpath.fleet.overlay import overlaid
         from bitternpath.fleet.plan import PlanError
+        from bitternpath.fleet.plan_settings import with_plan
 
         try:
-            now, *_ = [overlaid(loaded.platform, plan) for plan in self.agent.agency.in_hand]
+            now, *_ = [with_plan(loaded.platform, plan) for plan in self.agent.holder.in_hand]
         except (PlanError, ValueError) as error:
             raise ConfigError(f"at odds with what the fleet has agreed: {error}") from error
         return Loaded(now, loaded.operator)
--- a/tests/test_fleet_record.py
+++ b/tests/test_fleet_record.py
@@ -19,8 +19,8 @@
 from bitternpath.emulator.fleet.walk import Walk, walk
 from bitternpath.fleet import messages as m
 from bitternpath.fleet import plan as p
-from bitternpath.fleet.agency import Agency, Who
 from bitternpath.fleet.founding import founded
+from bitternpath.fleet.lease_holder import LeaseHolder, Who
 from bitternpath.replication.consensus import Raft
 from bitternpath.replication.messages import Append, Appended, AskVote, Vote
 from bitternpath.replication.records import CHANGE, MEMBERS, Entry, Kept, Members, Role, Snapshot
@@ -112,22 +112,22 @@
 
 def test_two_requests_to_join_leave_a_node_the_later_lease() -> None:
     """It kept the earlier one, which could not be renewed, and was without a lease once that was over."""
-    agency = Agency(Who("n", "b", "s", (1,)), ["S"], Random(1), 0.0, lambda: 0.0, lambda plan: "")
-    agency.up(0.0, "S")
+    holder = LeaseHolder(Who("n", "b", "s", (1,)), ["S"], Random(1), 0.0, lambda: 0.0, lambda plan: "")
+    holder.up(0.0, "S")
     for fence in (6, 7, 6):
-        agency.hear(0.1, m.Lease(0.0, 1.0, fence, 0, b""))
-    assert agency.fence == 7 and [act.fence for act in agency.acts] == [6, 7]
+        holder.hear(0.1, m.Lease(0.0, 1.0, fence, 0, b""))
+    assert holder.fence == 7 and [act.fence for act in holder.acts] == [6, 7]
 
 
 def test_a_lease_that_is_over_is_not_found_again() -> None:
-    agency = Agency(Who("n", "b", "s", (1,)), ["S"], Random(1), 0.0, lambda: 0.0, lambda plan: "")
-    agency.up(0.0, "S")
-    agency.hear(0.1, m.Lease(0.0, 1.0, 6, 0, b""))
-    assert agency.holds(0.9) and not agency.holds(1.0)
-    agency.hear(1.1, m.Lease(0.8, 1.0, 6, 0, b""))  # a renewal that was on its way
-    assert not agency.holds(1.1)
-    agency.hear(1.2, m.Lease(1.1, 1.0, 9, 0, b""))
-    assert agency.holds(1.3) and agency.fence == 9
+    holder = LeaseHolder(Who("n", "b", "s", (1,)), ["S"], Random(1), 0.0, lambda: 0.0, lambda plan: "")
+    holder.up(0.0, "S")
+    holder.hear(0.1, m.Lease(0.0, 1.0, 6, 0, b""))
+    assert holder.holds(0.9) and not holder.holds(1.0)
+    holder.hear(1.1, m.Lease(0.8, 1.0, 6, 0, b""))  # a renewal that was on its way
+    assert not holder.holds(1.1)
+    holder.hear(1.2, m.Lease(1.1, 1.0, 9, 0, b""))
+    assert holder.holds(1.3) and holder.fence == 9
 
 
 def test_one_seed_is_one_run() -> None:
