--- a/bitternpath/replication/host.py
+++ b/bitternpath/replication/host.py
@@ -73,6 +73,10 @@
         self._share_bounds()
         self._set_timer()
 
+    def holds(self, group: str) -> bool:
+        """Whether the disk held something of a group at the start that nobody has opened yet."""
+        return group in self._journal.groups()
+
     def close_group(self, group: str) -> None:
         """Stop taking part, and forget the group's state on disk."""
         closed = self.groups.pop(group, None)
@@ -158,6 +162,11 @@
         found = self.groups.get(group)
         return found is not None and found.is_owner
 
+    def has_lease(self, group: str) -> bool:
+        """Whether this replica owns the group and has heard a majority within an election's time."""
+        found = self.groups.get(group)
+        return found is not None and found.has_lease(self._reactor.seconds())
+
     def epoch(self, group: str) -> int:
         """The highest term that this replica knows; 0 for a group not open here."""
         found = self.groups.get(group)
--- a/bitternpath/simulation/processes.py
+++ b/bitternpath/simulation/processes.py
@@ -110,10 +110,13 @@
         self.lives += 1
         self.state = NodeState.UP
         self._network.recorder.event("start", f"{self.name} life={self.lives}")
+        if self.lives > 1:
+            self.document["bootstrap"] = False  # true only at the first start of the whole system (DEPLOY)
         reactor = self._reactor = VirtualReactor(self.host, self.name)
         self._machine = SimulatedMachine(self, reactor, Random(self._random.getrandbits(64)))
         reactor.stopped = self._stopped
         reactor.run(self._build, reactor, self._machine)
+        self.document["bootstrap"] = False  # it is true at the first start only
 
     def start_after(self, seconds: float) -> None:
         """Start the process later."""
@@ -151,7 +154,6 @@
         self.host.powered = False
         if wiped:
             self.disk.wipe()
-            self.document["bootstrap"] = False
         else:
             self.disk.lose_power(self._random)
 
