--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 build: .venv/built
 
-.venv/built: requirements.txt requirements-fleet.txt requirements-lab.txt
+.venv/built: requirements.txt requirements-fleet.txt requirements-lab.txt requirements-system.txt
 	python3 -m venv .venv
 	.venv/bin/pip -q install -r requirements-lab.txt
 	touch $@
