Test: the configuration's owner cut off for 20 s, seven ways, in the simulated world

From the core or all nodes, both ways or one, frozen, and restarted while cut with seeds of its side only. Watch reads from every edge node each 0.3 s: answers in time, none but 503 from a node without a majority, no read older than what was acknowledged before it, nobody goes back; all at the newest version within 3 s after the join.

--- /dev/null
+++ b/tests/system/test_cut_off.py
@@ -0,0 +1,293 @@
+"""A control machine cut off, in the simulated world: what operators are told, what followers have in force.
+
+The owner of the configuration is cut off for twenty seconds, one way or both, from the core or from
+everything, or frozen; operators reach both sides all the while. `Watch` asks every edge node every 0.3 s,
+and looks at every answer: in time, no 2xx or 4xx from a node without a majority, reads never older than what
+was acknowledged before they began. Versions in force on the nodes never go back.
+"""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from unittest.mock import patch
+
+from twisted.internet.defer import Deferred, succeed
+
+from bitternpath.configuration.orders import OrderProcessor, OrderResult, not_owner
+from bitternpath.roles import operator_calls
+from bitternpath.simulation.processes import NodeState, SimulatedNode
+from bitternpath.simulation.world import Plan
+from tests.system.small_actors import CALLER_IP, Answer, SmallSystem
+
+GROUP = "configuration"
+CUT_S = 20.0
+ANSWER_S = 1.0  # operators move on after it
+APPLY_S = 3.0  # config_apply_ms
+ELECTION_S = 4.0  # by then the larger side takes orders; measured: see docs/design/control-safety/point-1.md
+POLL_S = 0.3
+
+
+@dataclass
+class Acknowledged:
+    """A version, and when its acknowledgement had come."""
+
+    version: int
+    at: float
+
+
+@dataclass
+class Watch:
+    """Operators that ask all edge nodes all the time, and a look at what is in force there."""
+
+    system: SmallSystem
+    acknowledged: list[Acknowledged] = field(default_factory=list)
+    late: list[str] = field(default_factory=list)
+    wrong: list[str] = field(default_factory=list)
+    in_force: dict[str, int] = field(default_factory=dict)
+    lives: dict[str, int] = field(default_factory=dict)
+    alone: set[str] = field(default_factory=set)  # nodes that reach no majority
+    alone_since: float = 0.0
+
+    def start(self) -> None:
+        """Begin to ask."""
+        self._ask()
+
+    def _ask(self) -> None:
+        world = self.system.world
+        world.at(world.now + POLL_S, self._ask)
+        for index, edge in enumerate(world.edges()):
+            if edge.state is not NodeState.UP:
+                continue
+            floor = max((each.version for each in self.acknowledged), default=0)
+            answer = self.system.version(index)
+            world.at(world.now + ANSWER_S, self._look, edge, answer, floor)
+            self._look_at_force(edge)
+
+    def _look_at_force(self, edge: SimulatedNode) -> None:
+        if self.lives.setdefault(edge.name, edge.lives) != edge.lives:
+            self.lives[edge.name] = edge.lives
+            self.in_force.pop(edge.name, None)  # a new life may begin from nothing
+        version = version_at(edge)
+        if version < self.in_force.get(edge.name, 0):
+            self.wrong.append(f"{edge.name} went back to {version}")
+        self.in_force[edge.name] = version
+
+    def _look(self, edge: SimulatedNode, answer: Answer, floor: int) -> None:
+        began_alone = edge.name in self.alone and answer.began >= self.alone_since
+        if began_alone and 200 <= answer.status < 500:
+            self.wrong.append(f"{edge.name} said {answer.status} at {answer.ended}, alone")
+        if edge.state is NodeState.UP and not answer.status:
+            self.late.append(f"{edge.name} said nothing to a read of {answer.began}: {answer.error}")
+        if answer.status == 200 and answer.json()["version"] < floor:
+            self.wrong.append(f"{edge.name} read {answer.body[:40]!r} after {floor} was acknowledged")
+
+    def leave_alone(self, *names: str) -> None:
+        """These reach no majority from now on."""
+        self.alone, self.alone_since = set(names), self.system.world.now
+
+    def order(self, version: int, base: int, edge: int) -> Answer:
+        """Send a configuration, and note its acknowledgement."""
+        world = self.system.world
+        answer = self.system.put(version, base, edge)
+
+        def look() -> None:
+            if answer.status == 200:
+                self.acknowledged.append(Acknowledged(version, answer.ended))
+
+        for pause in range(1, 21):
+            world.at(world.now + pause * 0.1, look)
+        return answer
+
+
+def version_at(edge: SimulatedNode) -> int:
+    """In force on a node."""
+    return int(edge.process.node.base.feed.version)
+
+
+def owners(system: SmallSystem) -> list[int]:
+    """Which edge nodes take themselves for the configuration's owner."""
+    found = []
+    for index, edge in enumerate(system.world.edges()):
+        member = edge.process.node.member if edge.process is not None else None
+        if member is not None and member.is_owner():
+            found.append(index)
+    return found
+
+
+@dataclass
+class Course:
+    """What a scenario does to the owner, and how it ends."""
+
+    begin: Callable[[SmallSystem, SimulatedNode], None]
+    end: Callable[[SmallSystem, SimulatedNode], None]
+    reachable: bool = True  # for operators
+
+
+def core_ips(system: SmallSystem, without: SimulatedNode) -> list[str]:
+    """Of the other counted edge nodes."""
+    return [edge.ip for edge in system.world.edges() if edge.counted and edge is not without]
+
+
+def node_ips(system: SmallSystem, without: SimulatedNode) -> list[str]:
+    """Of all other nodes."""
+    return [node.ip for node in system.world.nodes.values() if node is not without]
+
+
+def cut_from(names: Callable[[SmallSystem, SimulatedNode], list[str]], out: bool, into: bool) -> Course:
+    """Cut the owner's ways out, into it, or both."""
+
+    def begin(system: SmallSystem, owner: SimulatedNode) -> None:
+        for ip in names(system, owner):
+            if out:
+                system.world.cut(owner.name, ip, both=False)
+            if into:
+                system.world.cut(ip, owner.name, both=False)
+
+    def end(system: SmallSystem, owner: SimulatedNode) -> None:
+        system.world.rejoin(owner.name)
+
+    return Course(begin, end)
+
+
+COURSES = {
+    "from the core": cut_from(core_ips, True, True),
+    "from all nodes": cut_from(node_ips, True, True),
+    "it hears the core and can't send": cut_from(core_ips, True, False),
+    "it sends to the core and can't hear": cut_from(core_ips, False, True),
+    "it sends to all and can't hear": cut_from(node_ips, False, True),
+    "it hears all and can't send": cut_from(node_ips, True, False),
+    "frozen": Course(
+        lambda system, owner: system.world.freeze(owner.name),
+        lambda system, owner: system.world.thaw(owner.name),
+        reachable=False,
+    ),
+}
+
+
+class CutOffTest(unittest.TestCase):
+    """Twenty seconds without the owner, in each way."""
+
+    def begin(self, seed: int) -> tuple[SmallSystem, Watch, int]:
+        system = SmallSystem(seed, Plan(core_edges=3, other_edges=2))
+        system.found()
+        watch = Watch(system)
+        watch.acknowledged.append(Acknowledged(1, system.world.now))
+        watch.start()
+        system.world.run_for(2.0)
+        (owner,) = owners(system)
+        return system, watch, owner
+
+    def play(self, seed: int, course: Course) -> Watch:
+        system, watch, index = self.begin(seed)
+        world = system.world
+        owner = world.edges()[index]
+        other = next(place for place, edge in enumerate(world.edges()) if edge.counted and place != index)
+        course.begin(system, owner)
+        watch.leave_alone(owner.name)
+        alone = [watch.order(9, 1, index)]
+        world.run_for(ELECTION_S)
+        alone.append(watch.order(9, 1, index))
+        accepted = watch.order(3, 1, other)
+        world.run_for(1.0)
+        self.assertEqual(accepted.status, 200, "the larger side doesn't take orders")
+        again = watch.order(3, 1, other)
+        world.run_for(CUT_S - ELECTION_S - 1.0)
+        self.assertEqual(again.status, 200)
+        for answer in alone:
+            self.assertEqual(answer.status, 503 if course.reachable else 0, answer)
+            if course.reachable:
+                self.assertLess(answer.ended - answer.began, ANSWER_S)
+        watch.leave_alone()
+        course.end(system, owner)
+        joined = world.now
+        while any(version_at(edge) != 3 for edge in world.edges()) and world.now < joined + 10:
+            world.run_for(0.1)
+        self.assertLess(world.now - joined, APPLY_S)
+        world.run_for(5.0)
+        self.assertEqual(len(owners(system)), 1)
+        final = watch.order(5, 3, index)
+        world.run_for(2.0)
+        self.assertEqual(final.status, 200)
+        self.assertEqual((world.violations, world.failures), ([], []))
+        return watch
+
+    def test_each_way(self) -> None:
+        for label, course in COURSES.items():
+            for seed in range(2):
+                with self.subTest(label, seed=seed):
+                    watch = self.play(seed, course)
+                    self.assertEqual((watch.wrong, watch.late), ([], []))
+
+    def test_restarted_while_cut_with_seeds_of_its_side_only(self) -> None:
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                system, watch, index = self.begin(seed)
+                world = system.world
+                owner, outer = world.edges()[index], world.edges()[-1]
+                other = next(
+                    place for place, each in enumerate(world.edges()) if each.counted and place != index
+                )
+                for node in (owner, outer):  # both are on the smaller side, with each other
+                    near = (owner.ip, outer.ip, CALLER_IP)
+                    world.cut_off(node.name, [ip for ip in node_ips(system, node) if ip not in near])
+                watch.leave_alone(owner.name, outer.name)
+                for node in (owner, outer):
+                    world.change_settings(node.name, seeds=[owner.control, outer.control])
+                    world.kill(node.name)
+                world.run_for(ELECTION_S)
+                accepted = watch.order(3, 1, other)
+                lost = [watch.order(9, 1, index), watch.order(9, 0, len(world.edges()) - 1)]
+                world.run_for(CUT_S - ELECTION_S)
+                self.assertEqual([accepted.status, *(answer.status for answer in lost)], [200, 503, 503])
+                watch.leave_alone()
+                world.rejoin(owner.name)
+                world.rejoin(outer.name)
+                joined = world.now
+                while any(version_at(edge) != 3 for edge in world.edges()) and world.now < joined + 10:
+                    world.run_for(0.1)
+                self.assertLess(world.now - joined, APPLY_S)
+                world.run_for(3.0)
+                self.assertEqual(len(owners(system)), 1)
+                self.assertEqual(len(systems(system)), 1)
+                self.assertEqual((watch.wrong, watch.late, world.violations), ([], [], []))
+
+
+def systems(system: SmallSystem) -> set[str]:
+    """The systems that nodes take themselves for founders of."""
+    members = [edge.process.node.member for edge in system.world.edges() if edge.process is not None]
+    foundings = [member._founding for member in members if member is not None]
+    return {founding.system for founding in foundings if founding is not None}
+
+
+class BrokenBuildsTest(unittest.TestCase):
+    """What the runs above are for: each broken build fails one that is named here."""
+
+    def play(self, label: str, seeds: int = 3) -> list[str]:
+        found: list[str] = []
+        for seed in range(seeds):
+            try:
+                watch = CutOffTest().play(seed, COURSES[label])
+            except AssertionError as error:
+                found.append(str(error))
+            else:
+                found += watch.wrong + watch.late
+        return found
+
+    def test_broken_no_confirmation_before_a_read(self) -> None:
+        def read(processor: OrderProcessor) -> Deferred[OrderResult]:
+            return succeed(processor._current() if processor.group.is_owner() else not_owner())
+
+        with patch.object(OrderProcessor, "read", read):
+            found = self.play("from all nodes")
+        self.assertTrue(any("alone" in each for each in found), found)
+
+    def test_broken_answers_without_a_bound(self) -> None:
+        with patch.object(operator_calls, "ANSWER_WITHIN_S", 3.0):
+            found = self.play("frozen")
+        self.assertTrue(any("said nothing" in each for each in found), found)
+
+
+if __name__ == "__main__":
+    unittest.main()
