--- a/bitternpath/roles/machine.py
+++ b/bitternpath/roles/machine.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import Protocol
 
+from bitternpath.replication.group import CompactionBounds
 from bitternpath.roles.settings import Settings, load_settings, settings_path
 from bitternpath.storage.node_disk import LocalDisk, NodeDisk
 
@@ -21,6 +22,10 @@
     def random(self) -> Random:
         """The one source of chance of this process."""
 
+    @property
+    def compaction(self) -> CompactionBounds:
+        """When replica groups replace entries by a snapshot."""
+
     def wall_ms(self) -> int:
         """The time of day in milliseconds since 1970. It may step."""
 
@@ -41,6 +46,10 @@
     def random(self) -> Random:
         return self._random
 
+    @property
+    def compaction(self) -> CompactionBounds:
+        return CompactionBounds()
+
     def wall_ms(self) -> int:
         return int(time.time() * 1000)
 
--- a/bitternpath/roles/node_base.py
+++ b/bitternpath/roles/node_base.py
@@ -116,7 +116,14 @@
     def _open_host(self, disk: NodeDisk) -> ReplicaHost:
         bound = int(self.settings.disk_mb * (1 << 20) * DISK_SHARE_OF_LOG) or (64 << 20)
         self.journal = disk.open_journal(self.reactor, bound)
-        host = ReplicaHost(self.reactor, self.carrier.me, self.journal, self.carrier.send, self.random)
+        host = ReplicaHost(
+            self.reactor,
+            self.carrier.me,
+            self.journal,
+            self.carrier.send,
+            self.random,
+            bounds=self.machine.compaction,
+        )
         self.carrier.connect(host.hear)
         return host
 
--- a/bitternpath/simulation/__init__.py
+++ b/bitternpath/simulation/__init__.py
@@ -29,6 +29,8 @@
     world.edges(), world.storages() those of one role that aren't removed
     world.start()                 starts all nodes within 0.3 s, in the seed's order
 
+`Plan(logs=SMALL_LOGS)` makes logs so small that a short run has snapshots, transfers and checkpoints.
+
 Faults, each at once (use `world.at` for later); all by node name:
 
     world.kill(name, down_s=0.5)         the process ends, peers are reset, it starts again after `down_s`
@@ -40,9 +42,12 @@
     world.cut_off(name, others=None), world.rejoin(name)
     world.reset(a, b)                          all connections between two hosts, with the bytes under way
     world.squeeze(a, b, bytes_per_s)           a link's bandwidth; None for the usual one
+    world.lossy(a, b, share)                   datagrams lost, packets of connections late
+    world.step_clock(name, milliseconds)       the time of day jumps
+    world.stall_disk(name, seconds), world.bound_disk(name, free_bytes)
     world.terminate(name)                      SIGTERM; starts again after `down_s` unless it was removed
     world.reload(name, **settings)             other settings in its file, then SIGHUP
-    world.disk(name)                           its `SimulatedDisk`: `stall(seconds)`, `capacity`
+    world.disk(name)                           its `SimulatedDisk`
     world.add_node(role, ...) -> SimulatedNode an empty one, started at once
     world.replace(name) -> SimulatedNode       gone for good; an empty one at another address takes its place
     world.remove(name)                         gone for good
--- a/bitternpath/simulation/disk.py
+++ b/bitternpath/simulation/disk.py
@@ -8,10 +8,11 @@
 from random import Random
 from typing import Any
 
+from bitternpath.simulation.settings import LogSizes
 from bitternpath.storage.documents import DRAFT_SUFFIX, decode_document, encode_document
 from bitternpath.storage.identity import load_identity
 from bitternpath.storage.journal import Journal
-from bitternpath.storage.segments import SEGMENT_BYTES, SegmentLog
+from bitternpath.storage.segments import SegmentLog
 from bitternpath.storage.simulated import PowerCut, SimulatedDisk, VirtualRunner
 
 IDENTITY_BITS = 32
@@ -24,8 +25,10 @@
 class SimulatedNodeDisk:
     """`storage.node_disk.NodeDisk` for one life of a process. What is on it outlives the process."""
 
-    def __init__(self, disk: SimulatedDisk, reactor: Any, random: Random, sync_seconds: float) -> None:
-        self._disk, self._reactor, self._random = disk, reactor, random
+    def __init__(
+        self, disk: SimulatedDisk, reactor: Any, random: Random, sync_seconds: float, logs: LogSizes
+    ) -> None:
+        self._disk, self._reactor, self._random, self._logs = disk, reactor, random, logs
         self._sync_seconds = sync_seconds
         self._runner: VirtualRunner | None = None
         self._works: dict[int, Callable[[], object]] = {}
@@ -38,7 +41,10 @@
 
     def open_journal(self, reactor: Any, checkpoint_bytes: int) -> Journal:
         log = SegmentLog(
-            self._disk, lambda: self._random.getrandbits(SALT_BITS), checkpoint_bytes, SEGMENT_BYTES
+            self._disk,
+            lambda: self._random.getrandbits(SALT_BITS),
+            self._logs.checkpoint_bytes or checkpoint_bytes,
+            self._logs.segment_bytes,
         )
         self._runner = VirtualRunner(reactor, self._disk, self._sync_seconds)
         return Journal(log, self._runner)
--- a/bitternpath/simulation/faults.py
+++ b/bitternpath/simulation/faults.py
@@ -63,6 +63,11 @@
         self.change_settings(name, **settings)
         self.nodes[name].reload()
 
+    def step_clock(self, name: str, milliseconds: int) -> None:
+        """The time of day jumps; the steady clock doesn't."""
+        self.recorder.event("step_clock", f"{name} {milliseconds}")
+        self.nodes[name].skew_ms += milliseconds
+
     def change_settings(self, name: str, **settings: Any) -> None:
         """Change the settings file; the process reads it at its next start, or at a SIGHUP."""
         self.nodes[name].document.update(settings)
@@ -126,10 +131,11 @@
             self.network.path(self.ip(source), self.ip(target)).bytes_per_s = bytes_per_s
 
     def lossy(self, a: str, b: str, share: float) -> None:
-        """Lose a share of the datagrams between two hosts."""
+        """Lose a share of the packets between two hosts: datagrams for good, others come late."""
         self.recorder.event("lossy", f"{a} {b} {share}")
         for source, target in ((a, b), (b, a)):
-            self.network.path(self.ip(source), self.ip(target)).loss = share
+            path = self.network.path(self.ip(source), self.ip(target))
+            path.loss = path.stream_loss = share
 
     # ---- disks
 
--- a/bitternpath/simulation/paths.py
+++ b/bitternpath/simulation/paths.py
@@ -7,6 +7,7 @@
 
 JITTER = 0.5  # of the delay, at most, added to each packet
 PACKET_BYTES = 1_500  # below that a packet's size adds nothing to its time
+RESENT_LEAST_S, RESENT_MOST_S = 0.2, 0.4  # until a packet that was lost on an open way comes
 RETRY_LEAST_S, RETRY_MOST_S = 0.02, 0.4  # until a held packet is sent again once its way is open
 
 
@@ -30,11 +31,14 @@
         "factor",
         "holding",
         "loss",
+        "stream_loss",
     )
 
     def __init__(self, random: Random, delay: float, loss: float) -> None:
         self._random = random
-        self.delay, self.factor, self.loss = delay, 1.0, loss
+        self.delay, self.factor = delay, 1.0
+        self.loss = loss  # share of datagrams
+        self.stream_loss = 0.0  # share of packets of connections, which are sent again after a while
         self.cut, self.cut_since = False, 0.0
         self.bytes_per_s: float | None = None  # None: more than the run needs
         self.holding: dict[Held, None] = {}
@@ -43,6 +47,8 @@
     def arrival(self, now: float, size: int) -> float:
         """When a packet that is sent now arrives."""
         taken = self.delay * self.factor * (1 + JITTER * self._random.random())
+        if self.stream_loss and self._random.random() < self.stream_loss:
+            taken += self._random.uniform(RESENT_LEAST_S, RESENT_MOST_S)
         if self.bytes_per_s is not None and size:
             self._free_at = max(self._free_at, now) + max(size, PACKET_BYTES) / self.bytes_per_s
             return self._free_at + taken
--- a/bitternpath/simulation/processes.py
+++ b/bitternpath/simulation/processes.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import Any
 
+from bitternpath.replication.group import CompactionBounds
 from bitternpath.roles.process import RoleLife, build_role
 from bitternpath.roles.settings import Settings, SettingsError, read_settings
 from bitternpath.simulation.disk import SimulatedNodeDisk
@@ -15,7 +16,7 @@
 from bitternpath.simulation.inside import InsideChecker
 from bitternpath.simulation.network import Host, Network
 from bitternpath.simulation.reactor import VirtualReactor
-from bitternpath.simulation.settings import Place
+from bitternpath.simulation.settings import LogSizes, Place
 from bitternpath.storage.documents import DamagedDocument
 from bitternpath.storage.records import JournalDamaged
 from bitternpath.storage.simulated import SimulatedDisk
@@ -45,6 +46,10 @@
     def random(self) -> Random:
         return self._random
 
+    @property
+    def compaction(self) -> CompactionBounds:
+        return self._node.logs.compaction
+
     def wall_ms(self) -> int:
         return BEGAN_WALL_MS + int(self._reactor.seconds() * 1000) + self._node.skew_ms
 
@@ -52,7 +57,9 @@
         if self.node_disk is None:
             chance = Random(self._random.getrandbits(64))
             seconds = self._node.sync_seconds * self._node.factor
-            self.node_disk = SimulatedNodeDisk(self._node.disk, self._reactor, chance, seconds)
+            self.node_disk = SimulatedNodeDisk(
+                self._node.disk, self._reactor, chance, seconds, self._node.logs
+            )
             self._reactor.thread_work = self.node_disk.work
         return self.node_disk
 
@@ -71,6 +78,7 @@
         document: dict[str, Any],
         random: Random,
         skew_ms: int,
+        logs: LogSizes,
     ) -> None:
         self.place, self.document = place, document
         self.name, self.role, self.ip, self.zone = place.name, place.role, place.ip, place.zone
@@ -80,7 +88,7 @@
         self.readiness: str = listen.get("readiness", "")
         self.control: str = listen.get("control", "")
         self.state = NodeState.DOWN
-        self.skew_ms = skew_ms
+        self.skew_ms, self.logs = skew_ms, logs
         self.factor = 1.0  # of its links' delays and its disk's times
         self.disk = SimulatedDisk(own_sync_keeps_name=False)
         self.sync_seconds = random.uniform(SYNC_LEAST_S, SYNC_MOST_S)
--- a/bitternpath/simulation/settings.py
+++ b/bitternpath/simulation/settings.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from bitternpath.replication.group import CompactionBounds
+from bitternpath.storage.segments import SEGMENT_BYTES
+
 FRONT_PORT, READINESS_PORT, CONTROL_PORT = 8069, 8063, 8064
 INTERNAL_PORTS = [7780, 7795]
 PLATFORM_IP, PLATFORM_PORT = "10.200.0.70", 8065
@@ -31,6 +34,22 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class LogSizes:
+    """When logs are shortened; the usual sizes are never reached in a short run."""
+
+    compaction: CompactionBounds = field(default_factory=CompactionBounds)
+    segment_bytes: int = SEGMENT_BYTES
+    checkpoint_bytes: int = 0  # 0: as the role wants it
+
+
+SMALL_LOGS = LogSizes(
+    CompactionBounds(size=20_000, host_size=60_000, entries=24, kept=6),
+    segment_bytes=8_000,
+    checkpoint_bytes=40_000,
+)
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """What a world is made of."""
@@ -45,6 +64,7 @@
     platform_rate_per_s: float = 44.0
     skew_ms: int = 50  # at most, between a machine's time of day and the true one
     keep_log: bool = False
+    logs: LogSizes = field(default_factory=LogSizes)
     bounds: dict[str, float] = field(default_factory=lambda: dict(BOUNDS))
 
 
--- a/bitternpath/simulation/world.py
+++ b/bitternpath/simulation/world.py
@@ -12,12 +12,19 @@
 from bitternpath.simulation.reactor import VirtualReactor
 from bitternpath.simulation.recorder import HostFailure, Ownership, Recorder
 from bitternpath.simulation.scheduler import Call, Scheduler, Timer
-from bitternpath.simulation.settings import PLATFORM_IP, PLATFORM_PORT, Place, Plan, settings_document
+from bitternpath.simulation.settings import (
+    PLATFORM_IP,
+    PLATFORM_PORT,
+    SMALL_LOGS,
+    Place,
+    Plan,
+    settings_document,
+)
 
 START_SPREAD_S = 0.3  # all machines start within this
 MOST_SEEDS = 3
 
-__all__ = ["PLATFORM_IP", "PLATFORM_PORT", "NodeState", "Plan", "SimulatedNode", "World"]
+__all__ = ["PLATFORM_IP", "PLATFORM_PORT", "SMALL_LOGS", "NodeState", "Plan", "SimulatedNode", "World"]
 
 
 class World(Faults):
@@ -172,7 +179,7 @@
         random = self.random(place.name)
         document = settings_document(self.plan, place, self.current_seeds(), bootstrap)
         skew_ms = random.randint(-self.plan.skew_ms, self.plan.skew_ms)
-        node = SimulatedNode(self.network, self.inside, place, document, random, skew_ms)
+        node = SimulatedNode(self.network, self.inside, place, document, random, skew_ms, self.plan.logs)
         self.nodes[place.name] = node
         return node
 
