Broken builds of the control side, each caught by a named run of the whole service

Acknowledged before it is committed, and an empty disk that votes: all machines lose power right after an acknowledgement and one its disk, while another's disk stalled. The system as it is passes the same runs.

--- a/tests/system/small_actors.py
+++ b/tests/system/small_actors.py
@@ -133,7 +133,8 @@
     def __init__(self, world: World, platform: Platform, service: str) -> None:
         self.world = world
         self.runs: list[tuple[float, str]] = []
-        serve(world, WORKER_IP, WORKER_PORT, self._work)
+        self.handle = self._work  # a test may put another in its place
+        serve(world, WORKER_IP, WORKER_PORT, lambda request: self.handle(request))
         platform.entries.append(
             {
                 "service": service,
--- /dev/null
+++ b/tests/system/test_simulation_broken.py
@@ -0,0 +1,198 @@
+"""Named runs of the whole service, each of which catches a build with one safeguard taken out.
+
+A run gives what it found broken, in words; the system as it is gives nothing.
+"""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from unittest.mock import patch
+
+from twisted.internet.defer import Deferred, fail, succeed
+
+from bitternpath.configuration.machine import ConfigurationState
+from bitternpath.replication.host import ReplicaHost
+from bitternpath.replication.interfaces import NotOwner
+from bitternpath.roles.configuration_member import ConfigurationMember
+from bitternpath.simulation.disk import SimulatedNodeDisk
+from bitternpath.simulation.world import SMALL_LOGS, Plan
+from tests.system.small_actors import Answer, SmallSystem
+
+SEEDS = range(12)
+Run = Callable[[int], list[str]]
+
+
+def started(seed: int, plan: Plan | None = None) -> SmallSystem:
+    """A system at rest, with the first configuration."""
+    system = SmallSystem(f"broken-{seed}", plan)
+    system.found()
+    system.world.run_for(1.5)
+    return system
+
+
+def owner_of_configuration(system: SmallSystem) -> int:
+    """The edge node that owns the configuration, by its place in the list."""
+    names = [node.name for node in system.world.edges()]
+    told = [told for told in system.world.ownerships if told.group == "configuration" and told.gained]
+    return names.index(told[-1].node)
+
+
+def ask_until_answered(system: SmallSystem, call: Callable[[int], Answer], tries: int = 30) -> Answer:
+    """Send unchanged, to one node after the other, until an answer is clear."""
+    answer = Answer(system.world.now)
+    for attempt in range(tries):
+        answer = call(attempt % 3)
+        system.world.run_for(0.5)
+        if answer.status and answer.status < 500:
+            break
+    return answer
+
+
+def found_in(system: SmallSystem, *more: str) -> list[str]:
+    """What checkers of the inside found, and more."""
+    return [violation.rule for violation in system.world.violations] + [text for text in more if text]
+
+
+# ---- runs
+
+
+def read_at_an_owner_that_does_not_know_it_was_replaced(seed: int) -> list[str]:
+    """Answers of the others take long to come back, so the owner goes on for a while when it isn't heard."""
+    system = started(seed)
+    world = system.world
+    owner = owner_of_configuration(system)
+    edges = world.edges()
+    others = [node for node in edges if node is not edges[owner]]
+    for factor in (100.0, 200.0, 300.0, 400.0):  # at once would be a silence in which the owner gives up
+        for other in others:
+            world.network.path(other.ip, edges[owner].ip).factor = factor
+        world.run_for(1.0)
+    if owner_of_configuration(system) != owner:
+        return []
+    for other in others:
+        world.cut(edges[owner].name, other.name, both=False)
+    accepted_at = 0.0
+    reads: list[Answer] = []
+    orders: list[Answer] = []
+    for _ in range(150):
+        world.run_for(0.01)
+        reads.append(system.version(owner))
+        orders += [system.put(2, 1, edges.index(other)) for other in others]
+        accepted = [order.ended for order in orders if order.status == 200]
+        accepted_at = min(accepted, default=0.0)
+    world.run_for(2.0)
+    old = [
+        read
+        for read in reads
+        if accepted_at and read.began > accepted_at and read.status == 200 and read.json()["version"] < 2
+    ]
+    return found_in(system, f"{len(old)} reads of an old version" if old else "")
+
+
+def resent_after_many_changes_and_restarts(seed: int) -> list[str]:
+    """An order whose acknowledgement was lost is sent again unchanged when its entry is long in a snapshot."""
+    system = started(seed, Plan(logs=SMALL_LOGS))
+    world = system.world
+    ask_until_answered(system, lambda edge: system.put(2, 1, edge))
+    for version in range(3, 35):
+        order = system.put(version, version - 1, timeout_ms=1000 + version)
+        world.run_for(0.1)
+        if order.status != 200:
+            ask_until_answered(system, lambda edge, v=version: system.put(v, v - 1, edge, 1000 + v))  # type: ignore[misc]
+    for node in world.edges():
+        world.kill(node.name)
+    world.run_for(4.0)
+    again = ask_until_answered(system, lambda edge: system.put(2, 1, edge))
+    return found_in(system, f"refused with {again.status}" if again.status != 200 else "")
+
+
+def all_lose_power_and_one_its_disk(seed: int) -> list[str]:
+    """Right after an acknowledgement, while one disk stalls; the node that has the version comes back last."""
+    system = started(seed)
+    world = system.world
+    owner = world.edges()[owner_of_configuration(system)]
+    slow, other = [node for node in world.edges() if node.counted and node is not owner]
+    world.stall_disk(slow.name, 0.3)
+    order = system.put(2, 1, world.edges().index(owner))
+    while not order.status and order.ended < 0:
+        world.run_for(0.001)
+    for node in list(world.nodes.values()):
+        late = 4.0 if node is owner else 0.5
+        (world.wipe if node is other else world.lose_power)(node.name, late)
+    world.run_for(12.0)
+    read = ask_until_answered(system, system.version)
+    lost = order.status == 200 and (read.status != 200 or read.json()["version"] != 2)
+    return found_in(system, f"an acknowledged version is gone: {read.status}" if lost else "")
+
+
+# ---- the builds
+
+
+def hasty_propose(self: ConfigurationMember, command: bytes) -> Deferred[object]:
+    """Acknowledged before it is committed."""
+    self.host.propose("configuration", command).addErrback(lambda _: None)
+    return succeed(True)
+
+
+def hasty_barrier(self: ReplicaHost, group: str) -> Deferred[None]:
+    """Nobody is asked whether this is the owner still."""
+    return succeed(None) if self.is_owner(group) else fail(NotOwner())
+
+
+def forgetful_snapshot(self: ConfigurationState) -> bytes:
+    """Digests of accepted orders are left out of the snapshot."""
+    orders, self._orders = self._orders, type(self._orders)()
+    try:
+        return real_snapshot(self)
+    finally:
+        self._orders = orders
+
+
+def identity_of_the_machine(self: SimulatedNodeDisk) -> str:
+    """An empty disk counts as the one before."""
+    self._random.getrandbits(32)
+    return f"{sum(self._reactor.name.encode()):08x}"
+
+
+real_snapshot = ConfigurationState.snapshot
+
+
+class Sound(unittest.TestCase):
+    """The runs find nothing in the system as it is."""
+
+    def test_all_runs(self) -> None:
+        for run in (
+            read_at_an_owner_that_does_not_know_it_was_replaced,
+            resent_after_many_changes_and_restarts,
+            all_lose_power_and_one_its_disk,
+        ):
+            for seed in SEEDS[:3]:
+                with self.subTest(run.__name__, seed=seed):
+                    self.assertEqual(run(seed), [])
+
+
+class Broken(unittest.TestCase):
+    """Each build is caught by its run."""
+
+    def assert_caught(self, run: Run) -> None:
+        for seed in SEEDS:
+            if run(seed):
+                return
+        self.fail(f"{run.__name__} finds nothing in {len(SEEDS)} seeds")
+
+    def test_acknowledged_before_commit(self) -> None:
+        with patch.object(ConfigurationMember, "propose", hasty_propose):
+            self.assert_caught(all_lose_power_and_one_its_disk)
+
+    def test_no_confirmation_before_an_answer(self) -> None:
+        with patch.object(ReplicaHost, "barrier", hasty_barrier):
+            self.assert_caught(read_at_an_owner_that_does_not_know_it_was_replaced)
+
+    def test_digests_not_in_the_snapshot(self) -> None:
+        with patch.object(ConfigurationState, "snapshot", forgetful_snapshot):
+            self.assert_caught(resent_after_many_changes_and_restarts)
+
+    def test_empty_disk_that_votes(self) -> None:
+        with patch.object(SimulatedNodeDisk, "load_identity", identity_of_the_machine):
+            self.assert_caught(all_lose_power_and_one_its_disk)
