--- a/bitternpath/roles/configuration_member.py
+++ b/bitternpath/roles/configuration_member.py
@@ -92,10 +92,14 @@
         self.host, self.carrier, self.random = host, carrier, random
         self.state = ConfigurationState()
         self.orders = OrderProcessor(self.state, self)
-        self.feed = FeedServer(reactor, self.state, self.epoch)
+        self.feed = FeedServer(reactor, self.state, self.has_lease)
         platform = PlatformList(reactor, settings.platform)
         self.reader = ListReader(
-            reactor, platform, self.epoch, self.feed.publish_catalogue, settings.platform_rate_per_s
+            reactor,
+            platform,
+            lambda: self.feed.epoch,
+            self.feed.publish_catalogue,
+            settings.platform_rate_per_s,
         )
         assert settings.data_dir is not None
         self._file = FoundingFile(settings.data_dir, disk)
@@ -111,9 +115,13 @@
         self._timer: Any = None
 
     def start(self) -> None:
-        """Take part: as before, as a founder once there is a system, or when a leader adds this member."""
+        """Take part: as before, as a founder once there is a system, or when a leader adds this member.
+
+        A member that joined later has no founding file. It must not wait until somebody speaks: perhaps all
+        that are left have joined later.
+        """
         self._founding = self._file.load()
-        if self._founding is not None:
+        if self._founding is not None or self.host.holds(CONFIGURATION_GROUP):
             self._open_group()
         self._look()
 
@@ -133,6 +141,10 @@
         """The group's term."""
         return self.host.epoch(CONFIGURATION_GROUP) if self._open else 0
 
+    def has_lease(self) -> bool:
+        """Whether no other node can have become owner, as far as this one has heard a majority."""
+        return self._open and self.host.has_lease(CONFIGURATION_GROUP)
+
     def propose(self, command: bytes) -> Deferred[object]:
         """Commit a command."""
         return self.host.propose(CONFIGURATION_GROUP, command)
@@ -161,7 +173,8 @@
             self._file.store(founding)
             self._founding = founding
             log.info("event=founded system={} members={}", founding.system, len(founding.group.members))
-            self._open_group()
+            if not self._open:
+                self._open_group()
         if self._founding.system == founding.system:
             link.send(FoundingAnswer(me))
 
@@ -229,7 +242,7 @@
         self._storage_changed_at = self.reactor.seconds()
         self._presence = Presence(self.reactor.seconds())
         self._reports = GroupReports()
-        self.feed.begin()
+        self.feed.begin(epoch)
         self.reader.start()
 
     def lost_ownership(self) -> None:
