--- a/tests/system/test_simulation_broken.py
+++ b/tests/system/test_simulation_broken.py
@@ -91,7 +91,7 @@
 
 
 def resent_after_many_changes_and_restarts(seed: int) -> list[str]:
-    """An order whose acknowledgement was lost is sent again unchanged when its entry is long in a snapshot."""
+    """An order whose acknowledgement was lost is sent again unchanged when its entry is in a snapshot."""
     system = started(seed, Plan(logs=SMALL_LOGS))
     world = system.world
     ask_until_answered(system, lambda edge: system.put(2, 1, edge))
@@ -108,7 +108,7 @@
 
 
 def all_lose_power_and_one_its_disk(seed: int) -> list[str]:
-    """Right after an acknowledgement, while one disk stalls; the node that has the version comes back last."""
+    """Right after an acknowledgement, while one disk stalls; who has the version comes back last."""
     system = started(seed)
     world = system.world
     owner = world.edges()[owner_of_configuration(system)]
