--- a/bitternpath/cli/campaign.py
+++ b/bitternpath/cli/campaign.py
@@ -16,6 +16,8 @@
 from bitternpath.cli.lab import needs_lab
 
 EACH = ("days", "search")  # ways of which each outcome is told
+DEFAULT_FAULTS = 20
+FAULTS_OF_A_DAY = 5  # with real processes
 CORES_OF_A_DAY = 2  # that a run with real processes keeps busy
 
 
@@ -50,6 +52,15 @@
     return not found.broken, f"{SCOPES[number]}: {says} in {whole} {found.states} states, {found.moves} moves"
 
 
+def _system(seed: int, _: int) -> tuple[bool, str]:
+    """One run of the whole service; a failing one is shrunk and written down."""
+    from bitternpath.simulation.runs.once import describe, run_once, shrink_and_save
+
+    report = run_once(seed)
+    says = describe(report)
+    return report.kept, says if report.kept else f"{says}\n  shrunk: {shrink_and_save(report)}"
+
+
 def one_day(seed: int, faults: int) -> int:
     """Play one day with real processes and say in one line what came of it."""
     import structlog
@@ -71,7 +82,7 @@
 
 
 WAYS: dict[str, Callable[[int, int], tuple[bool, str]]] = {
-    "runs": _run, "walks": _walk, "days": _day, "search": _search,
+    "runs": _run, "walks": _walk, "days": _day, "search": _search, "system": _system,
 }  # fmt: skip
 
 
@@ -82,15 +93,17 @@
   bitternpath campaign --way walks --many 100000    # stewards under the worst scheduler
   bitternpath campaign --way days --many 100        # real processes, 5 faults each
   bitternpath campaign --way search --many 1000000  # each state within small scopes, so many of each at most
+  bitternpath campaign --way system --many 1000 --jobs 8  # the whole service in virtual time
 """
 )
 @click.option("--way", type=click.Choice(list(WAYS)), default="runs", show_default=True, help="how to play")
 @click.option("--many", default=1000, show_default=True, help="how many seeds, or states of a scope")
 @click.option("--first", default=0, show_default=True, help="the first of them")
 @click.option("--faults", type=int, help="in each run [default: 20, and 5 with real processes]")
+@click.option("--jobs", type=click.IntRange(min=1), help="how many processes [default: all cores]")
 @needs_lab
-def command(way: str, many: int, first: int, faults: int | None, **_: Any) -> None:
-    """Play the fleet with faults, seed after seed, on all cores, and say which seeds broke a rule.
+def command(way: str, many: int, first: int, faults: int | None, jobs: int | None, **_: Any) -> None:
+    """Play the fleet or the system with faults, seed after seed, and say which seeds broke a rule.
 
     Ends with 0 where the rules were kept in all, with 1 where one was broken.
     """
@@ -98,8 +111,8 @@
         from bitternpath.emulator.fleet.search.scopes import SCOPES
 
         faults, many = many, len(SCOPES)
-    faults = faults if faults is not None else (5 if way == "days" else 20)
-    cores = os.cpu_count() or 1
+    faults = faults if faults is not None else (FAULTS_OF_A_DAY if way == "days" else DEFAULT_FAULTS)
+    cores = jobs or os.cpu_count() or 1
     begun, done, bad, void = time.monotonic(), 0, 0, 0
     pool: Any = (
         ThreadPoolExecutor(max(cores // CORES_OF_A_DAY, 1)) if way == "days" else ProcessPoolExecutor(cores)
--- a/bitternpath/simulation/runs/events.py
+++ b/bitternpath/simulation/runs/events.py
@@ -36,7 +36,7 @@
     ALL_POWER = "all_power"
 
 
-class Fault(msgspec.Struct, frozen=True, kw_only=True, tag="fault"):
+class Fault(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="fault"):
     """Trouble for machines; `nodes` are names at the beginning of the run, a successor has its name there."""
 
     number: int
@@ -55,7 +55,7 @@
     INVALID = "invalid"
 
 
-class Order(msgspec.Struct, frozen=True, kw_only=True, tag="order"):
+class Order(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="order"):
     """A change of the configuration, on top of the newest version that operators know of."""
 
     number: int
@@ -68,7 +68,7 @@
     rivals: int = 0  # so many others send different changes under the same number at once
 
 
-class Retire(msgspec.Struct, frozen=True, kw_only=True, tag="retire"):
+class Retire(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="retire"):
     """A storage machine is emptied, and removed as soon as that is said to be done."""
 
     number: int
@@ -76,7 +76,7 @@
     node: str
 
 
-class Message(msgspec.Struct, frozen=True, kw_only=True, tag="message"):
+class Message(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="message"):
     """A client's message. `ask_after`: somebody asks for its state so much later; 0: nobody does."""
 
     number: int
@@ -89,14 +89,14 @@
     ask_after: float = 0.0
 
 
-class Probe(msgspec.Struct, frozen=True, kw_only=True, tag="probe"):
+class Probe(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="probe"):
     """A message sent directly to one node, on a route that may have come or gone, or never was."""
 
     number: int
     at: float
 
 
-class Look(msgspec.Struct, frozen=True, kw_only=True, tag="look"):
+class Look(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="look"):
     """An operator reads the configuration from one node."""
 
     number: int
@@ -116,7 +116,7 @@
     NO_STAMP = "no_stamp"  # a 2xx without a stamp
 
 
-class WorkerTrouble(msgspec.Struct, frozen=True, kw_only=True, tag="worker"):
+class WorkerTrouble(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="worker"):
     """Workers that are called behave badly. `worker`: its place; -1 is the endpoint."""
 
     number: int
@@ -126,7 +126,7 @@
     lasts: float
 
 
-class WorkerLeaves(msgspec.Struct, frozen=True, kw_only=True, tag="worker_leaves"):
+class WorkerLeaves(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="worker_leaves"):
     """A listed worker is shown as draining and ends; a new incarnation takes its place."""
 
     number: int
@@ -137,7 +137,7 @@
 Event = Fault | Order | Retire | Message | Probe | Look | WorkerTrouble | WorkerLeaves
 
 
-class Layout(msgspec.Struct, frozen=True, kw_only=True):
+class Layout(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """The machines at the beginning of a run."""
 
     core_edges: int = 3
@@ -146,7 +146,7 @@
     tolerated: int = 1  # machines that may be lost at one time
 
 
-class RunPlan(msgspec.Struct, frozen=True, kw_only=True):
+class RunPlan(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """One run. `checker`: the one that a shrunk plan is known to fail."""
 
     seed: int
--- a/bitternpath/simulation/runs/once.py
+++ b/bitternpath/simulation/runs/once.py
@@ -4,6 +4,8 @@
 
 from pathlib import Path
 
+import msgspec
+
 from bitternpath.simulation.runs.draw import SCENARIOS, draw
 from bitternpath.simulation.runs.events import RunPlan, save_plan
 from bitternpath.simulation.runs.play import RunReport, play
@@ -49,4 +51,4 @@
 
 def event_lines(plan: RunPlan) -> str:
     """The events of a plan, one a line."""
-    return "\n".join(f"    {event}" for event in plan.events)
+    return "\n".join(f"    {msgspec.json.encode(event).decode()}" for event in plan.events)
--- a/bitternpath/simulation/runs/shrink.py
+++ b/bitternpath/simulation/runs/shrink.py
@@ -43,6 +43,7 @@
         events, pieces = list(self._plan.events), FIRST_PIECES
         if self._fails([]):
             events = []
+        events = self._without_whole_kinds(events)
         while len(events) >= 2 and self._runs < self._most_runs:
             shorter = self._without_a_piece(events, pieces)
             if shorter is not None:
@@ -53,6 +54,14 @@
                 pieces = min(pieces * 2, len(events))
         return Shrunk(self._with(events), self._report, self._runs)
 
+    def _without_whole_kinds(self, events: list[Event]) -> list[Event]:
+        """First what saves most: all messages, all probes, and so on."""
+        for kind in dict.fromkeys(type(event) for event in events):
+            shorter = [event for event in events if type(event) is not kind]
+            if len(shorter) < len(events) and self._fails(shorter):
+                events = shorter
+        return events
+
     def _without_a_piece(self, events: list[Event], pieces: int) -> list[Event] | None:
         size = -(-len(events) // pieces)
         for first in range(0, len(events), size):
--- /dev/null
+++ b/tests/system/test_simulation_plans.py
@@ -0,0 +1,130 @@
+"""Plans of simulated runs: drawn by a seed, within what may be lost, written and read, and reduced."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from bitternpath.rehearsal.checker import Rule, Violation
+from bitternpath.simulation.checks.all import Found
+from bitternpath.simulation.runs.draw import CATCH_UP_S, MASS_KINDS, SCENARIOS, draw
+from bitternpath.simulation.runs.events import Fault, FaultKind, RunPlan, load_plan, save_plan
+from bitternpath.simulation.runs.once import run_once, scenario_of
+from bitternpath.simulation.runs.play import RunReport
+from bitternpath.simulation.runs.shrink import shrink
+
+SEEDS = range(40)
+TERM_S = 7.0  # a process that was asked to end is back after this, at the latest
+
+
+def lost_from_to(plan: RunPlan) -> list[tuple[float, float, str]]:
+    """When each machine that counts was lost, by the plan."""
+    core = [f"e{number}" for number in range(1, plan.layout.core_edges + 1)]
+    spans = []
+    for event in plan.events:
+        if not isinstance(event, Fault) or event.kind in MASS_KINDS:
+            continue
+        back = TERM_S if event.kind is FaultKind.TERM else event.lasts
+        for node in event.nodes:
+            if node in core or node.startswith("s"):
+                spans.append((event.at, event.at + back + CATCH_UP_S, node))
+    return spans
+
+
+class Drawing(unittest.TestCase):
+    """What a seed draws."""
+
+    def test_same_seed_same_plan(self) -> None:
+        for scenario in SCENARIOS.values():
+            self.assertEqual(draw(7, scenario), draw(7, scenario))
+            self.assertNotEqual(draw(7, scenario).events, draw(8, scenario).events)
+
+    def test_no_more_are_lost_than_is_tolerated(self) -> None:
+        for scenario in SCENARIOS.values():
+            for seed in SEEDS:
+                plan = draw(seed, scenario)
+                spans = lost_from_to(plan)
+                for begin, _, _ in spans:
+                    lost = {name for at, until, name in spans if at <= begin < until - 0.001}
+                    self.assertLessEqual(len(lost), plan.layout.tolerated, (scenario.name, seed))
+
+    def test_nothing_else_is_lost_while_all_are(self) -> None:
+        for scenario in SCENARIOS.values():
+            for seed in SEEDS:
+                plan = draw(seed, scenario)
+                for event in plan.events:
+                    if isinstance(event, Fault) and event.kind in MASS_KINDS:
+                        during = [span for span in lost_from_to(plan) if span[0] <= event.at < span[1] - 0.001]
+                        self.assertEqual(during, [], (scenario.name, seed, event.at))
+
+    def test_all_kinds_of_faults_are_drawn(self) -> None:
+        drawn = {
+            event.kind
+            for scenario in SCENARIOS.values()
+            for seed in SEEDS
+            for event in draw(seed, scenario).events
+            if isinstance(event, Fault)
+        }
+        self.assertEqual(drawn, set(FaultKind))
+
+    def test_numbers_are_distinct(self) -> None:
+        events = draw(3, SCENARIOS["mixed"]).events
+        self.assertEqual(len({event.number for event in events}), len(events))
+
+
+class Files(unittest.TestCase):
+    """Plans as files."""
+
+    def test_written_and_read(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            for scenario in SCENARIOS.values():
+                plan, path = draw(5, scenario), Path(folder) / "plan.json"
+                save_plan(plan, path)
+                self.assertEqual(load_plan(path), plan)
+
+
+class Shrinking(unittest.TestCase):
+    """Delta debugging, with a stand-in for the run."""
+
+    def played(self, plan: RunPlan) -> RunReport:
+        """Fails where both of two events are there."""
+        self.runs += 1
+        numbers = {event.number for event in plan.events}
+        broken = Found("check", Violation(Rule.LOST, "", "both are there"))
+        return RunReport(plan, [broken] if {11, 73} <= numbers else [])
+
+    def test_two_events_are_left(self) -> None:
+        self.runs = 0
+        plan = draw(1, SCENARIOS["mixed"])
+        self.assertGreater(len(plan.events), 80)
+        shrunk = shrink(plan, "check", played=self.played)
+        self.assertEqual([event.number for event in shrunk.plan.events], [11, 73])
+        self.assertEqual(shrunk.plan.checker, "check")
+        self.assertEqual(shrunk.report.checkers, ["check"])
+        self.assertLess(self.runs, 100)
+
+    def test_runs_are_bounded(self) -> None:
+        self.runs = 0
+        shrink(draw(1, SCENARIOS["mixed"]), "check", most_runs=9, played=self.played)
+        self.assertLessEqual(self.runs, 10)
+
+
+class Runs(unittest.TestCase):
+    """Whole runs: one seed of each scenario keeps the rules, and a seed gives one run."""
+
+    def test_one_seed_of_each_scenario(self) -> None:
+        for seed in range(len(SCENARIOS)):
+            with self.subTest(seed=seed, scenario=scenario_of(seed)):
+                report = run_once(seed)
+                self.assertEqual([str(found) for found in report.found], [])
+                self.assertEqual(report.errors, [])
+                self.assertGreater(report.accepted, 0)
+                self.assertGreater(report.acknowledged, 1)
+
+    def test_same_seed_same_run(self) -> None:
+        self.assertEqual(run_once(2).digest, run_once(2).digest)
+
+
+if __name__ == "__main__":
+    unittest.main()
