--- a/bitternpath/simulation/runs/events.py
+++ b/bitternpath/simulation/runs/events.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import json
 from enum import Enum
 from pathlib import Path
 from random import Random
@@ -163,10 +164,9 @@
 
 def save_plan(plan: RunPlan, path: Path) -> None:
     """Write a plan as JSON, one event a line."""
-    events = [msgspec.json.encode(event).decode() for event in plan.events]
-    head = msgspec.json.encode(msgspec.structs.replace(plan, events=())).decode()
-    lines = ",\n  ".join(events)
-    path.write_text(head.replace('"events":[]', f'"events":[\n  {lines}\n]') + "\n")
+    events = ",\n  ".join(msgspec.json.encode(event).decode() for event in plan.events)
+    head = msgspec.to_builtins(msgspec.structs.replace(plan, events=()))
+    path.write_text(f'{json.dumps(head)[:-1]}, "events": [\n  {events}\n]}}\n')
 
 
 def load_plan(path: Path) -> RunPlan:
--- a/tests/system/test_simulation_plans.py
+++ b/tests/system/test_simulation_plans.py
@@ -55,7 +55,9 @@
                 plan = draw(seed, scenario)
                 for event in plan.events:
                     if isinstance(event, Fault) and event.kind in MASS_KINDS:
-                        during = [span for span in lost_from_to(plan) if span[0] <= event.at < span[1] - 0.001]
+                        during = [
+                            span for span in lost_from_to(plan) if span[0] <= event.at < span[1] - 0.001
+                        ]
                         self.assertEqual(during, [], (scenario.name, seed, event.at))
 
     def test_all_kinds_of_faults_are_drawn(self) -> None:
