--- a/bitternpath/simulation/runs/once.py
+++ b/bitternpath/simulation/runs/once.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
+from bitternpath.simulation.events import RunPlan, save_plan
 from bitternpath.simulation.runs.draw import SCENARIOS, draw
-from bitternpath.simulation.runs.events import RunPlan, save_plan
 from bitternpath.simulation.runs.play import RunReport, play
 from bitternpath.simulation.runs.shrink import shrink
 
--- a/tests/system/test_simulation_plans.py
+++ b/tests/system/test_simulation_plans.py
@@ -8,8 +8,8 @@
 
 from bitternpath.rehearsal.checker import Rule, Violation
 from bitternpath.simulation.checks.all import Found
+from bitternpath.simulation.events import Fault, FaultKind, RunPlan, load_plan, save_plan
 from bitternpath.simulation.runs.draw import CATCH_UP_S, MASS_KINDS, SCENARIOS, draw
-from bitternpath.simulation.runs.events import Fault, FaultKind, RunPlan, load_plan, save_plan
 from bitternpath.simulation.runs.once import run_once, scenario_of
 from bitternpath.simulation.runs.play import RunReport
 from bitternpath.simulation.runs.shrink import shrink
