Owner: the return of a lease that reached nobody is proposed again when a hand-over refused it

Cause (by reading, with the refused proposals before): such an EndAttempt was dropped, and the message waited out its lease, timeout + 2 s. Test: test_a_lease_that_reached_nobody_is_returned_after_all, seen to fail before.

--- a/bitternpath/queue/owner.py
+++ b/bitternpath/queue/owner.py
@@ -247,7 +247,12 @@
                     entry = self._state.find(request_id)
                     if entry is not None:
                         self._tombstones.retry(now, entry)
-            case AppendMessage() | EndAttempt():
+            case EndAttempt():
+                tracked = self._tracked.get(command.request_id)
+                lease = None if tracked is None else tracked.lease
+                if lease is not None and lease.lease_id == command.lease_id:
+                    self._actions.append(ProposeCommand(command))
+            case AppendMessage():
                 pass
         return self._finish(now)
 
--- a/tests/system/test_shard_runtime.py
+++ b/tests/system/test_shard_runtime.py
@@ -11,7 +11,7 @@
 from twisted.internet.task import Clock
 
 from bitternpath.configuration.placement import shard_group
-from bitternpath.queue.commands import GrantLease
+from bitternpath.queue.commands import COMMANDS, EndAttempt, GrantLease
 from bitternpath.queue.owner import OwnerBounds
 from bitternpath.replication.interfaces import FateOpen, NotOwner
 from bitternpath.roles.edge_links import EdgeLinks
@@ -178,6 +178,30 @@
         entry = self.runtime.state.find("m")
         self.assertFalse(entry is None or entry.callback_pending)
 
+    def test_a_lease_that_reached_nobody_is_returned_after_all(self) -> None:
+        self.edges.closed(self.link)  # type: ignore[arg-type]
+        refuse = self.refusing_from_the_second_on()
+        self.append("m")  # the grant is taken, its return is refused
+        self.assertEqual(refuse(), 1)
+        self.log.handing_over = False
+        self.edges.opened(self.link.peer, self.link)  # type: ignore[arg-type]
+        self.clock.pump([0.05] * 12)
+        (delivery,) = self.link.take(Delivery)
+        self.assertFalse(delivery.body_omitted)
+
+    def refusing_from_the_second_on(self) -> Callable[[], int]:
+        """Let one grant through, and refuse what is proposed next; tells how many were refused."""
+        propose, refused = self.log.propose, []
+
+        def choose(group: str, data: bytes) -> Deferred[object]:
+            if isinstance(COMMANDS.decode(data), EndAttempt) and not refused:
+                refused.append(data)
+                return fail(NotOwner())
+            return propose(group, data)
+
+        self.log.propose = choose  # type: ignore[method-assign]
+        return lambda: len(refused)
+
     def test_an_open_fate_is_the_next_owners(self) -> None:
         self.log.propose = lambda group, data: fail(FateOpen())  # type: ignore[method-assign]
         self.runtime._propose(GrantLease("m", "0-1-1", "edge-1", 1_000, False))
