Whole service in virtual time: states from every node, ends of jobs, while owners are stopped, cut off, killed

Messages are asked for by name and by bare request id at every edge node while a shard's owner is stopped for 3 s and wakes, is cut off from the storage nodes, is cut off together with an edge node, or all are killed: never 404, an answer in time (200 or 503). Ends of jobs go to one edge node after the other, five times, over a kill of the owner: the same answer; of two leases over a stopped owner one is taken.

--- /dev/null
+++ b/tests/system/test_simulation_answers.py
@@ -0,0 +1,222 @@
+"""Answers of the whole service in virtual time while owners of shards are stopped, cut off and killed."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tests.system.small_actors import HOST, Answer, SmallSystem, configuration
+from tests.system.test_simulation_faults import FaultCase
+
+TOLD_AFTER_S = 2.0  # RULES, LOST: from then on no node says that there is no such message
+ASKERS_WAIT_S = 2.0
+SEEDS = (1, 2, 3)
+UNKNOWN = (404, 410)
+SHARDS = ("queue-0", "queue-1", "queue-2")
+
+
+def steps(system: SmallSystem, seconds: float, each: Callable[[], None], pause: float = 0.25) -> None:
+    """Let time pass, and do something at each step."""
+    for _ in range(round(seconds / pause)):
+        each()
+        system.world.run_for(pause)
+
+
+class StatesCase(FaultCase):
+    """Messages are sent all the time, and every edge node is asked for all of them."""
+
+    def play(self, seed: int, fault: Callable[[], None]) -> None:
+        self.system = SmallSystem(f"answers-{seed}")
+        self.world = self.system.world
+        self.system.found()
+        self.world.run_for(2.0)
+        self.sent: list[tuple[str, Answer]] = []
+        self.asked: list[tuple[str, Answer]] = []
+        steps(self.system, 3.0, self.step)
+        fault()
+        steps(self.system, 8.0, self.step)
+        self.world.run_for(ASKERS_WAIT_S)
+
+    def step(self) -> None:
+        self.sent.append(self.system.send())
+        ripe = self.world.now - TOLD_AFTER_S
+        for name, accepted in self.sent[-16:]:
+            if accepted.status == 202 and accepted.ended < ripe:
+                for edge in range(len(self.world.edges())):
+                    named = self.system.state(accepted, name, edge)
+                    bare = self.system.state(Answer(0.0), name, edge)
+                    self.asked += [(name, named), (name, bare)]
+
+    def check(self) -> None:
+        accepted = [name for name, answer in self.sent if answer.status == 202]
+        self.assertGreater(len(accepted), 20)
+        self.assertGreater(sum(answer.status == 200 for _, answer in self.asked), 100)
+        unknown = [(name, answer) for name, answer in self.asked if answer.status in UNKNOWN]
+        self.assertEqual(unknown, [])
+        late = [(name, answer) for name, answer in self.asked if answer.status == 0]
+        self.assertEqual(late, [], "each asker has an answer in time: 200, or 503")
+        self.assertEqual(self.world.failures, [])
+
+
+class States(StatesCase):
+    """LOST: never 404 for a message that was accepted over 2 s ago."""
+
+    def owned(self) -> str:
+        return self.owner(SHARDS[0])
+
+    def test_an_owner_that_is_stopped_and_wakes(self) -> None:
+        def stop() -> None:
+            name = self.owned()
+            self.world.freeze(name)
+            steps(self.system, 3.0, self.step)
+            self.world.thaw(name)
+
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.play(seed, stop)
+                self.check()
+
+    def test_an_owner_that_is_cut_off_from_the_others(self) -> None:
+        def cut() -> None:
+            name = self.owned()
+            others = [other for other in self.world.nodes if other != name and other.startswith("storage")]
+            for other in others:
+                self.world.cut(name, other)
+            steps(self.system, 3.0, self.step)
+            for other in others:
+                self.world.join(name, other)
+
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.play(seed, cut)
+                self.check()
+
+    def cut_off_with_an_edge(self) -> None:
+        """An owner and an edge node reach each other, and no other storage node reaches them."""
+        names = {self.owned(), self.world.edges()[2].name}
+        others = [other for other in self.world.nodes if other.startswith("storage") and other not in names]
+        for name in names:
+            for other in others:
+                self.world.cut(name, other)
+        steps(self.system, 3.0, self.step)
+        for name in names:
+            for other in others:
+                self.world.join(name, other)
+
+    def test_an_owner_that_is_cut_off_with_an_edge_node(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.play(seed, self.cut_off_with_an_edge)
+                self.check()
+
+    def test_owners_that_are_killed_all_at_once(self) -> None:
+        def kill() -> None:
+            for name in [name for name in self.world.nodes if name.startswith("storage")]:
+                self.world.kill(name)
+
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.play(seed, kill)
+                self.check()
+
+
+@dataclass(slots=True)
+class Job:
+    """A job as a worker was given it, and the answers to its ends."""
+
+    request_id: str
+    lease_id: str
+    given: float
+    ends: list[Answer] = field(default_factory=list)
+
+
+class PullCase(FaultCase):
+    """A service whose workers pull, each call through another edge node."""
+
+    def begin(self, seed: int) -> None:
+        self.system = SmallSystem(f"jobs-{seed}")
+        self.world = self.system.world
+        self.system.found()
+        document = configuration(2)
+        document["services"][0]["pull_mode"] = True
+        address = self.world.edges()[0].control
+        put = self.system.caller.call(
+            "PUT", address, "/config", document, If_Match="1", Content_Type="application/json"
+        )
+        self.world.run_for(3.0)
+        self.assertEqual(put.status, 200)
+        self.calls = 0
+
+    def call(self, path: str, **headers: str) -> Answer:
+        """To one edge node after the other."""
+        self.calls += 1
+        edges = self.world.edges()
+        front = edges[self.calls % len(edges)].front
+        return self.system.caller.call("POST", front, path, b"", Host=HOST, **headers)
+
+    def pull(self) -> Job:
+        for _ in range(40):
+            answer = self.call("/pull/s-1", X_Instance_Id="i-9", X_Wait_Ms="500")
+            self.world.run_for(0.7)
+            if answer.status == 200:
+                request_id, lease_id = answer.headers["X-Request-Id"], answer.headers["X-Lease-Id"]
+                return Job(request_id, lease_id, self.world.now)
+        raise AssertionError("no job came")
+
+    def end(self, job: Job, status: int = 200) -> Answer:
+        """As a worker does: again until there is a clear answer."""
+        for _ in range(20):
+            stamp = f"stamp-{job.lease_id}"
+            answer = self.call(
+                f"/job-end/{job.request_id}",
+                X_Lease_Id=job.lease_id,
+                X_Job_Status=str(status),
+                X_Server_Stamp=stamp,
+            )
+            self.world.run_for(0.6)
+            if answer.status in (200, 409):
+                job.ends.append(answer)
+                return answer
+        raise AssertionError("no clear answer")
+
+
+class Jobs(PullCase):
+    """MIXED and TWICE for workers that pull."""
+
+    def test_an_end_is_taken_again_by_each_node_and_each_owner(self) -> None:
+        for seed in SEEDS:
+            for status in (200, 500, 503):
+                with self.subTest(seed=seed, status=status):
+                    self.begin(seed)
+                    name, accepted = self.system.send()
+                    job = self.pull()
+                    self.assertEqual(job.request_id, name)
+                    self.end(job, status)
+                    self.end(job, status)
+                    shard = accepted.headers["X-Message-Id"].partition(".")[0].removeprefix("s")
+                    self.world.kill(self.owner(f"queue-{shard}"))
+                    for _ in range(3):
+                        self.end(job, status)
+                    self.assertEqual([answer.status for answer in job.ends], [200] * 5)
+
+    def test_two_leases_of_one_message_are_never_both_taken(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.begin(seed)
+                _, accepted = self.system.send()
+                first = self.pull()
+                shard = accepted.headers["X-Message-Id"].partition(".")[0].removeprefix("s")
+                owner = self.owner(f"queue-{shard}")
+                self.world.freeze(owner)
+                second = self.pull()  # once visible_ms are over at the successor
+                self.world.thaw(owner)
+                self.assertEqual(second.request_id, first.request_id)
+                self.assertNotEqual(second.lease_id, first.lease_id)
+                self.assertGreaterEqual(second.given - first.given, 3.0)
+                taken = [self.end(job).status for job in (first, second, first, second)]
+                self.assertEqual(taken, [409, 200, 409, 200])
+
+
+if __name__ == "__main__":
+    unittest.main()
