An edge node that stood still counts leases from the beginning of the stop

Cause (by reading): a lease counted from the moment in which it was read. A node that was stopped for longer than the margin of 2 s sent messages under leases that were over at the owner, which had given them to another node: two runs of one message at once. For services with a rate such leases were handed back already. Change: leases that are read right after a stop of over 0.75 s count from its beginning.

--- a/bitternpath/dispatch/deliveries.py
+++ b/bitternpath/dispatch/deliveries.py
@@ -113,7 +113,9 @@
         self.selection = WorkerSelection(random)
         self.open = 0
         self.stopping = False
+        self._watched = False
         self._beat_at = reactor.seconds()
+        self._stall_began = 0.0
         self._stalled_until = 0.0
 
     def list_changed(self, entries: list[CatalogueEntry], left: list[str]) -> None:
@@ -132,8 +134,9 @@
             message = replace(message, body=body)
         else:
             self.bodies.take(message.request_id)
-        ends_at = now + delivery.duration_ms / 1000
-        self._begin(_Task(delivery, message, ends_at, now))
+        arrived_at = self._arrival(now)
+        ends_at = arrived_at + delivery.duration_ms / 1000
+        self._begin(_Task(delivery, message, ends_at, arrived_at))
 
     # ---- sends
 
@@ -160,11 +163,25 @@
     def start(self) -> None:
         """Begin to watch whether this process stands still."""
         now = self.reactor.seconds()
-        if now - self._beat_at > STALL_S:
+        if self._watched and now - self._beat_at > STALL_S:
+            self._stall_began = self._beat_at
             self._stalled_until = now + AFTER_STALL_S
+        self._watched = True
         self._beat_at = now
         self.reactor.callLater(BEAT_S, self.start)
 
+    def _arrival(self, now: float) -> float:
+        """When a lease that is read now came, at the earliest.
+
+        It may have waited here as long as this process stood still: the owner has counted its time meanwhile,
+        and may have given the message to another node.
+        """
+        if now < self._stalled_until:
+            return self._stall_began
+        if self._watched and now - self._beat_at > STALL_S:
+            return float(self._beat_at)
+        return now
+
     def _stalled(self, now: float) -> bool:
         """Whether leases that arrive now may have waited while this process stood still."""
         return now - self._beat_at > STALL_S or now < self._stalled_until
--- /dev/null
+++ b/tests/system/test_stalled_edge.py
@@ -0,0 +1,59 @@
+"""Leases that waited while their edge node stood still: nothing is sent that may be another node's by now."""
+
+from __future__ import annotations
+
+import unittest
+
+from bitternpath.transport.records import AttemptOutcome
+from tests.system import test_dispatch
+
+DURATION_MS = 3_000  # of a lease on a route with a time-out of 1 s
+MARGIN_S = 2.0 - 0.2  # for which a send may wait
+
+
+class Stalled(unittest.TestCase):
+    """A process that was stopped reads what came meanwhile, its timers first."""
+
+    def setUp(self) -> None:
+        self.rig = test_dispatch.DeliveryTest()
+        self.rig.setUp()
+        self.clock, self.node = self.rig.clock, self.rig.node
+
+    def stop(self, seconds: float) -> None:
+        self.rig.deliveries.start()
+        self.clock.pump([0.1] * 5)
+        self.clock.rightNow += seconds  # the time passes and no timer fires
+
+    def test_a_lease_that_may_be_over_is_handed_back(self) -> None:
+        for timers_first in (False, True):
+            with self.subTest(timers_first=timers_first):
+                self.setUp()
+                self.stop(MARGIN_S + 0.1)
+                if timers_first:
+                    self.clock.advance(0.0)
+                self.rig.lease(duration_ms=DURATION_MS)
+                self.assertEqual(self.node.calls, [])
+                self.assertEqual(self.rig.outcome(), AttemptOutcome.NOT_RUN)
+
+    def test_a_short_stall_costs_its_own_time_alone(self) -> None:
+        self.stop(1.0)
+        self.clock.advance(0.0)
+        self.rig.lease(duration_ms=DURATION_MS)
+        self.assertEqual(len(self.node.calls), 1)
+
+    def test_leases_that_come_later_are_whole(self) -> None:
+        self.stop(5.0)
+        self.clock.advance(0.0)
+        self.clock.pump([0.1] * 5)
+        self.rig.lease(duration_ms=DURATION_MS)
+        self.assertEqual(len(self.node.calls), 1)
+
+    def test_without_a_stall_nothing_changes(self) -> None:
+        self.rig.deliveries.start()
+        self.clock.pump([0.1] * 50)
+        self.rig.lease(duration_ms=1_200)
+        self.assertEqual(len(self.node.calls), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
