Founding: the right to decide is on disk, and an owner tells all members who founded

(2) A founder that was killed before it was told came back with bootstrap = false; the leader of the others spoke first, it opened the group as an empty member, and the founding that came later ended in 'group configuration is open'. (3) Founders stopped telling once a version was in force, so one that was cut off then and whose decider was gone never took part. (4) A counted node that is no founder, in its first life, ignored its leader: with 8 core nodes a lost founder's place stayed empty (6 voters of 7 after 30 s).

Change: roles/founding.py. The decider keeps its right, and then its decision, in the document 'decider' before anybody is told; a start goes on from there. A member opens the group once it knows whether it is a founder; the owner tells all members until they answer (who isn't named begins empty), and founders tell each other while there is no leader. Links for telling are hung up afterwards.

Not mended: a decider whose disk is lost before it has told anybody. Nothing is founded then, and never two systems.

--- a/bitternpath/membership/founding.py
+++ b/bitternpath/membership/founding.py
@@ -1,9 +1,10 @@
 """The founding of a system: who first keeps its configuration. Pure but for `FoundingFile`.
 
 At the first start all nodes have the same seeds, empty disks and `bootstrap = true`. The process at the first
-seed decides once, in its first life, who the founders are: the counted edge nodes that its view holds once
-the view has been at rest. A founder that has the decision on its disk tells it to the others. A process that
-isn't in its first life decides nothing, so there is one decision at most.
+seed takes down on its disk that it is the one to decide, and decides once who the founders are: the counted
+edge nodes that its view holds once the view has been at rest. No other process ever decides, and that one
+only as long as its disk is the same, so there is one decision at most. `roles.founding` tells it to the
+founders.
 """
 
 from __future__ import annotations
@@ -21,7 +22,8 @@
 PATIENCE_S = 6.0  # after that the founders may be fewer than the fault tolerance asks for
 MOST_FOUNDERS = 7  # replicas of the configuration: more make each change dearer
 CONFIGURATION_GROUP = "configuration"
-FOUNDING_NAME = "founding"  # of the file
+FOUNDING_NAME = "founding"  # of a founder's file
+DECIDER_NAME = "decider"  # of the file of the process that decides: no system in it before the decision
 
 _CODEC = RecordCodec(Founding)
 
@@ -53,16 +55,16 @@
 
 
 class FoundingFile:
-    """The decision on a founder's disk."""
+    """The decision on a disk: a founder's, or the decider's."""
 
-    def __init__(self, data_dir: Path, disk: NodeDisk | None = None) -> None:
-        self._disk = disk or LocalDisk(data_dir)
+    def __init__(self, data_dir: Path, disk: NodeDisk | None = None, name: str = FOUNDING_NAME) -> None:
+        self._disk, self._name = disk or LocalDisk(data_dir), name
 
     def load(self) -> Founding | None:
         """What was written; None before."""
-        data = self._disk.read_document(FOUNDING_NAME)
+        data = self._disk.read_document(self._name)
         return None if data is None else _CODEC.decode(data)
 
     def store(self, founding: Founding) -> None:
         """Written aside, synced, renamed, folder synced: a few milliseconds, once in a disk's life."""
-        self._disk.write_document(FOUNDING_NAME, _CODEC.encode(founding))
+        self._disk.write_document(self._name, _CODEC.encode(founding))
--- a/bitternpath/roles/configuration_member.py
+++ b/bitternpath/roles/configuration_member.py
@@ -44,7 +44,6 @@
 from bitternpath.membership.founding import (
     CONFIGURATION_GROUP,
     FoundingFile,
-    decide,
     member_address,
     member_id,
 )
@@ -52,6 +51,7 @@
 from bitternpath.replication.host import ReplicaHost
 from bitternpath.replication.reconfiguration import next_members
 from bitternpath.replication.records import Members
+from bitternpath.roles.founding import MEMBER_USER, NO_DECISION, FoundingKnowledge, FoundingTeller
 from bitternpath.roles.group_carrier import GroupCarrier
 from bitternpath.roles.settings import Settings
 from bitternpath.storage.node_disk import NodeDisk
@@ -71,7 +71,6 @@
 
 LOOK_S = 0.25  # how often the owner looks at members and placement, and founders at the founding
 STORAGE_AT_REST_S = 0.8  # the first placement waits until the storage nodes have been the same for so long
-FOUNDING_USER = "founding"
 
 
 class ConfigurationMember:
@@ -102,9 +101,8 @@
             settings.platform_rate_per_s,
         )
         assert settings.data_dir is not None
-        self._file = FoundingFile(settings.data_dir, disk)
-        self._founding: Founding | None = None
-        self._told: set[str] = set()
+        self._knowledge = FoundingKnowledge(host.member_id, FoundingFile(settings.data_dir, disk))
+        self._teller = FoundingTeller(hub, MEMBER_USER, host.member_id)
         self._open = False
         self._started_at = reactor.seconds()
         self._storage: dict[str, str] = {}
@@ -116,8 +114,8 @@
 
     def start(self) -> None:
         """Take part: as before, as a founder once there is a system, or when a leader adds this member."""
-        self._founding = self._file.load()
-        if self._founding is not None:
+        self._knowledge.load()
+        if self._knowledge.founding is not None:
             self._open_group()
         self._look()
 
@@ -157,25 +155,18 @@
 
     def group_message(self, group: str) -> None:
         """A leader speaks to this member, perhaps before it was told of anything else."""
-        if group == CONFIGURATION_GROUP and not self._open and not self.settings.bootstrap:
+        if group == CONFIGURATION_GROUP and not self._open and self._knowledge.may_take_part:
             self._open_group()
 
     def founded(self, link: Link, founding: Founding) -> None:
-        """The decision who founds the system has come."""
-        me = self.host.member_id
-        if all(member.member != me for member in founding.group.members):
-            return
-        if self._founding is None:
-            self._file.store(founding)
-            self._founding = founding
-            log.info("event=founded system={} members={}", founding.system, len(founding.group.members))
+        """Who founded the system has come."""
+        self._knowledge.heard(link, founding)
+        if self._knowledge.founding is not None and not self._open:
             self._open_group()
-        if self._founding.system == founding.system:
-            link.send(FoundingAnswer(me))
 
     def founding_answered(self, answer: FoundingAnswer) -> None:
-        """A founder has it on disk."""
-        self._told.add(answer.member)
+        """A member knows of the founding."""
+        self._teller.answered(answer)
 
     def subscribe(self, link: Link, wanted: FeedSubscribe) -> None:
         """A node wants the feed."""
@@ -255,8 +246,8 @@
 
     def _open_group(self) -> None:
         founders = None
-        if self._founding is not None:
-            members = self._founding.group.members
+        if self._knowledge.founding is not None:
+            members = self._knowledge.founding.group.members
             self.carrier.learn(members)
             founders = Members(tuple(member.member for member in members))
         self._open = True
@@ -264,19 +255,21 @@
 
     def _look(self) -> None:
         self._timer = self.reactor.callLater(LOOK_S, self._look)
-        if self._founding is not None:
-            self._spread_founding(self._founding)
+        self._tell_founding()
         if self.is_owner():
             now = self.reactor.seconds()
             self._presence.update(now, [node.name for node in self.feed.followers() if not node.leaving])
             self._look_after_members()
             self._look_after_placement()
 
-    def _spread_founding(self, founding: Founding) -> None:
-        """Until a leader is heard, founders tell each other: whoever decided may be gone."""
-        if self.host.leader(CONFIGURATION_GROUP) and self.state.version:
-            return
-        tell_founding(self.hub, founding, self._told | {self.host.member_id})
+    def _tell_founding(self) -> None:
+        """An owner tells all members, as one that isn't told doesn't take part; without a leader founders
+        tell each other: whoever decided may be gone."""
+        founding = self._knowledge.founding
+        if self.is_owner():
+            self._teller.tell(founding or NO_DECISION, self._addresses(self._members().all))
+        elif founding is not None and not self.host.leader(CONFIGURATION_GROUP):
+            self._teller.tell(founding, founding.group.members)
 
     def _look_after_members(self) -> None:
         current = self.host.members(CONFIGURATION_GROUP)
@@ -322,62 +315,17 @@
     def _placed(self, _: object) -> None:
         self._placing = False
 
+    def _members(self) -> Members:
+        return self.host.members(CONFIGURATION_GROUP)
+
     def _member_addresses(self) -> tuple[MemberAddress, ...]:
-        """Members whose address is known."""
+        """Voters whose address is known."""
+        return self._addresses(self._members().voters)
+
+    def _addresses(self, members: tuple[str, ...]) -> tuple[MemberAddress, ...]:
         found: dict[str, MemberAddress] = {}
-        if self._founding is not None:
-            found = {member.member: member for member in self._founding.group.members}
+        if self._knowledge.founding is not None:
+            found = {member.member: member for member in self._knowledge.founding.group.members}
         for node in self.view.counted_edges():
             found[member_id(node)] = member_address(node)
-        voters = self.host.members(CONFIGURATION_GROUP).voters
-        return tuple(found[voter] for voter in voters if voter in found)
-
-
-def tell_founding(hub: NodeHub, founding: Founding, told: set[str]) -> None:
-    """Send the decision to founders that haven't answered yet."""
-    for member in founding.group.members:
-        if member.member in told:
-            continue
-        hub.dial(member.address, FOUNDING_USER)
-        link = hub.link_to(member.address)
-        if link is not None:
-            link.send(founding)
-
-
-class FoundingDecider:
-    """Decides who founds the system, at the first seed in its first life, and tells the founders."""
-
-    def __init__(
-        self, reactor: Any, settings: Settings, hub: NodeHub, view: MembershipView, random: Random
-    ) -> None:
-        self.reactor, self.settings, self.hub, self.view, self.random = reactor, settings, hub, view, random
-        self._started_at = reactor.seconds()
-        self._founding: Founding | None = None
-        self._told: set[str] = set()
-        self._timer: Any = None
-
-    def start(self) -> None:
-        """Begin to look, where this node is the one to decide."""
-        seeds = self.settings.seed_addresses
-        if self.settings.bootstrap and seeds and seeds[0] == self.settings.internal_address:
-            self._look()
-
-    def stop(self) -> None:
-        """Decide nothing more."""
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-
-    def answered(self, answer: FoundingAnswer) -> None:
-        """A founder has the decision on disk."""
-        self._told.add(answer.member)
-
-    def _look(self) -> None:
-        now = self.reactor.seconds()
-        if self._founding is None:
-            tolerated = self.settings.tolerated_machines
-            self._founding = decide(self.view, tolerated, self._started_at, now, self.random)
-        if self._founding is not None:
-            tell_founding(self.hub, self._founding, self._told)
-            if len(self._told) == len(self._founding.group.members):
-                return
-        self._timer = self.reactor.callLater(LOOK_S, self._look)
+        return tuple(found[member] for member in members if member in found)
--- a/bitternpath/roles/edge.py
+++ b/bitternpath/roles/edge.py
@@ -25,7 +25,8 @@
     PullTicket,
 )
 from bitternpath.membership.founding import CONFIGURATION_GROUP
-from bitternpath.roles.configuration_member import ConfigurationMember, FoundingDecider
+from bitternpath.roles.configuration_member import ConfigurationMember
+from bitternpath.roles.founding import FoundingDecider
 from bitternpath.roles.machine import LocalMachine, Machine
 from bitternpath.roles.node_base import NodeBase
 from bitternpath.roles.operator_calls import OperatorCalls
@@ -88,7 +89,9 @@
         self.callbacks = Callbacks(reactor, CallbackClient(reactor), self.owners)
         self.catalogue = Catalogue(self._list_changed)
         self.platform = PlatformList(reactor, settings.platform)
-        self.founder = FoundingDecider(reactor, settings, self.base.hub, self.base.view, random)
+        self.founder = FoundingDecider(
+            reactor, settings, self.base.hub, self.base.view, random, self.base.disk
+        )
         self.member = self._configuration_member()
         self.operator = OperatorCalls(reactor, self.base.feed, self.member)
         self.stopping = False
--- /dev/null
+++ b/tests/system/test_founding_faults.py
@@ -0,0 +1,170 @@
+"""The founding under faults, in the simulated world: one system at most, and one that works.
+
+Whoever is killed or loses power while the system is being founded, also the process that decides, comes back
+with `bootstrap = false`; a part that is cut off founds nothing; a founder that was away when the others were
+told still becomes a voter, and so does a member that is no founder in its first life.
+"""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from bitternpath.simulation.processes import SimulatedNode
+from bitternpath.simulation.world import Plan
+from tests.system.small_actors import SmallSystem
+
+GROUP = "configuration"
+MOMENTS_S = (0.32, 0.35, 0.8, 1.4, 1.6, 1.7, 1.8, 1.85, 1.9, 2.0, 2.2)  # of the fault
+FOUNDED_BY_S = 14.0  # patience of the decider, an election and an order, from its second start on
+SETTLED_S = 12.0
+
+
+def member_of(node: SimulatedNode) -> Any:
+    """A node's replica of the configuration group, None where it has none."""
+    return node.process.node.member if node.process is not None else None
+
+
+def members(system: SmallSystem) -> list[Any]:
+    """All replicas."""
+    found = [member_of(edge) for edge in system.world.edges()]
+    return [member for member in found if member is not None]
+
+
+def founded_systems(system: SmallSystem) -> set[str]:
+    """As the founders have them on disk."""
+    foundings = [member._knowledge.founding for member in members(system)]
+    return {founding.system for founding in foundings if founding is not None}
+
+
+def decider(system: SmallSystem) -> SimulatedNode:
+    """The node at the first seed."""
+    first = system.world.edges()[0].document["seeds"][0]
+    return next(edge for edge in system.world.edges() if edge.control == first)
+
+
+def voters(system: SmallSystem) -> set[str]:
+    """As the owner has them; empty without an owner."""
+    for member in members(system):
+        if member.is_owner():
+            return set(member.host.members(GROUP).voters)
+    return set()
+
+
+def has_members(member: Any) -> bool:
+    """Whether a replica takes part and knows the voters: only then it votes."""
+    return bool(member._open and member.host.members(GROUP).voters)
+
+
+class FoundingTest(unittest.TestCase):
+    """Faults during the founding."""
+
+    def take_first(self, system: SmallSystem, since: float) -> None:
+        """The first configuration is accepted."""
+        world = system.world
+        while world.now - since < FOUNDED_BY_S:
+            answer = system.put(1, 0, int(world.now * 3) % len(world.edges()))
+            world.run_for(0.5)
+            if answer.status == 200:
+                return
+        self.fail(f"no first configuration {FOUNDED_BY_S} s after the fault")
+
+    def check(self, system: SmallSystem) -> None:
+        """One system; all its members take part."""
+        world = system.world
+        world.run_for(SETTLED_S)
+        self.assertEqual(len(founded_systems(system)), 1)
+        self.assertEqual([has_members(member) for member in members(system)], [True] * len(members(system)))
+        self.assertEqual(voters(system), {member.host.member_id for member in members(system)})
+        self.assertEqual((world.violations, world.failures), ([], []))
+
+    def test_whoever_is_killed_or_loses_power(self) -> None:
+        for fault in ("kill", "lose_power"):
+            for place in range(3):
+                for number, moment in enumerate(MOMENTS_S):
+                    with self.subTest(fault=fault, place=place, moment=moment):
+                        system = SmallSystem(number)
+                        others = [edge for edge in system.world.edges() if edge is not decider(system)]
+                        node = [decider(system), *others][place]
+                        system.world.at(moment, getattr(system.world, fault), node.name)
+                        system.world.run_until(moment + 0.5)
+                        self.take_first(system, system.world.now)
+                        self.check(system)
+
+    def test_the_decider_is_killed_twice(self) -> None:
+        for first, second in ((0.4, 1.5), (1.6, 3.5), (1.8, 2.6)):
+            with self.subTest(first=first, second=second):
+                system = SmallSystem(3)
+                name = decider(system).name
+                system.world.at(first, system.world.kill, name)
+                system.world.at(second, system.world.kill, name)
+                system.world.run_until(second + 0.5)
+                self.take_first(system, system.world.now)
+                self.check(system)
+
+    def test_a_decider_that_lost_its_disk_never_decides_again(self) -> None:
+        for moment in MOMENTS_S:
+            with self.subTest(moment=moment):
+                system = SmallSystem(5)
+                system.world.at(moment, system.world.wipe, decider(system).name)
+                system.world.run_until(20.0)
+                self.assertLessEqual(len(founded_systems(system)), 1)
+                self.assertEqual(system.world.violations, [])
+
+    def test_a_part_that_is_cut_off_founds_nothing(self) -> None:
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                system = SmallSystem(seed, Plan(core_edges=5, other_edges=2, tolerated_machines=2))
+                world = system.world
+                near = {decider(system).name, *list(world.nodes)[::2]}
+                far = [name for name in world.nodes if name not in near]
+                for name in far:
+                    for other in near:
+                        world.cut(name, other)
+                world.run_until(1.0)
+                for name in far:  # later the file may name its own side only
+                    seeds = [world.nodes[each].control for each in far if world.nodes[each].control]
+                    world.change_settings(name, seeds=seeds[:3])
+                    world.at(6.0, world.kill, name)
+                world.run_until(25.0)
+                cores = [world.nodes[name] for name in far if world.nodes[name].role == "edge"]
+                opened = [member_of(core)._open for core in cores if core.counted]
+                self.assertEqual(opened, [False] * len(opened))
+                for name in far:
+                    world.rejoin(name)
+                self.take_first(system, world.now)
+                self.check(system)
+
+    def test_a_founder_that_was_away_becomes_a_voter_though_the_decider_is_gone(self) -> None:
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                system = SmallSystem(seed)
+                world = system.world
+                away = next(edge for edge in world.edges() if edge is not decider(system) and edge.counted)
+                world.at(1.5, world.cut_off, away.name)
+                world.run_until(3.5)
+                self.take_first(system, world.now)
+                world.kill(away.name)
+                world.kill(decider(system).name, 8.0)
+                world.at(world.now + 1.0, world.rejoin, away.name)
+                world.run_for(8.0)
+                self.check(system)
+
+    def test_one_that_is_no_founder_becomes_a_voter_in_its_first_life(self) -> None:
+        system = SmallSystem(2, Plan(core_edges=8, other_edges=0))
+        world = system.world
+        system.found()
+        world.run_for(2.0)
+        before = voters(system)
+        outside = next(member for member in members(system) if member.host.member_id not in before)
+        name = sorted(before)[0].partition("/")[0]
+        world.remove(name)
+        world.run_for(30.0)
+        after = voters(system)
+        self.assertEqual((len(before), len(after)), (7, 7))
+        self.assertIn(outside.host.member_id, after)
+        self.assertTrue(has_members(outside))
+
+
+if __name__ == "__main__":
+    unittest.main()
