--- a/bitternpath/roles/configuration_member.py
+++ b/bitternpath/roles/configuration_member.py
@@ -113,9 +113,13 @@
         self._timer: Any = None
 
     def start(self) -> None:
-        """Take part: as before, as a founder once there is a system, or when a leader adds this member."""
+        """Take part: as before, as a founder once there is a system, or when a leader adds this member.
+
+        A member that joined later has no founding file. It must not wait until somebody speaks: perhaps all
+        that are left have joined later.
+        """
         self._knowledge.load()
-        if self._knowledge.founding is not None:
+        if self._knowledge.founding is not None or self.host.holds(CONFIGURATION_GROUP):
             self._open_group()
         self._look()
 
--- a/bitternpath/simulation/processes.py
+++ b/bitternpath/simulation/processes.py
@@ -110,6 +110,8 @@
         self.lives += 1
         self.state = NodeState.UP
         self._network.recorder.event("start", f"{self.name} life={self.lives}")
+        if self.lives > 1:
+            self.document["bootstrap"] = False  # true only at the first start of the whole system (DEPLOY)
         reactor = self._reactor = VirtualReactor(self.host, self.name)
         self._machine = SimulatedMachine(self, reactor, Random(self._random.getrandbits(64)))
         reactor.stopped = self._stopped
