--- /dev/null
+++ b/bitternpath/cli/fleet_asking.py
@@ -0,0 +1,74 @@
+"""What commands of `bitternpath fleet` share: whom they ask, and who asks."""
+
+from __future__ import annotations
+
+import getpass
+import os
+from collections.abc import Callable
+from functools import wraps
+from typing import Any
+
+import click
+import msgspec
+
+from bitternpath.cli.options import given, operator_options
+from bitternpath.cli.run import fault
+from bitternpath.config.operator import read
+from bitternpath.config.platform import Address, ConfigError, address
+
+
+class Fleet:
+    """The stewards that a command may ask, and who asks."""
+
+    def __init__(self, stewards: dict[str, Address], author: str, within: float) -> None:
+        self.stewards, self.author, self.within = stewards, author, within
+
+    def ask(self, command: Any) -> Any:
+        """The answer's data; ends with 1 and one line where it is no, or nobody answers."""
+        from bitternpath.fleet.client import NoAnswerError, ask
+
+        try:
+            answer = ask(self.stewards, command, self.author, self.within)
+        except NoAnswerError as error:
+            raise click.ClickException(f"no steward that can decide answers: {error}") from error
+        if not answer.ok:
+            raise click.ClickException(answer.text)
+        return msgspec.msgpack.decode(answer.data)
+
+    def look(self, what: str = "status") -> tuple[dict[str, Any], str]:
+        from bitternpath.fleet.client import NoAnswerError, look
+        from bitternpath.fleet.messages import Look
+
+        try:
+            return look(self.stewards, Look(what), self.author, self.within)
+        except NoAnswerError as error:
+            raise click.ClickException(f"no steward answers: {error}") from error
+
+
+def asks(function: Callable[..., Any]) -> Callable[..., Any]:
+    """Hands over a `Fleet` made from the operator file and the flags."""
+
+    @wraps(function)
+    def made(operator_file: str | None, within: float, author: str | None, **more: Any) -> Any:
+        flags = {name: more.pop(name) for name in list(more) if "__" in name}
+        context = click.get_current_context()
+        try:
+            told = read(operator_file, os.environ, given(flags)).settings.fleet
+            if not told.stewards:
+                raise ConfigError(
+                    "fleet.stewards: no steward is named; give --fleet-stewards or --operator-file"
+                )
+            pairs = [each.partition("=") for each in told.stewards]
+            stewards = {name: address(at) for name, _, at in pairs}
+        except (ConfigError, ValueError) as error:
+            context.exit(fault(error))
+        return function(Fleet(stewards, author or getpass.getuser(), within), **more)
+
+    made = click.option("--author", metavar="NAME", help="who asks; else your user name")(made)
+    made = click.option(
+        "--within", default=5.0, show_default=True, metavar="S", help="for how long an answer is waited for"
+    )(made)
+    return operator_options(made)
+
+
+as_json = click.option("--json", "json", is_flag=True, help="all that is known, for machines")
--- /dev/null
+++ b/bitternpath/cli/fleet_changes.py
@@ -0,0 +1,129 @@
+"""`bitternpath fleet change`, `ban`, `back` and `withdraw`."""
+
+from __future__ import annotations
+
+import secrets
+import time
+from collections.abc import Callable
+from typing import Any
+
+import click
+
+from bitternpath.cli.fleet_asking import Fleet, asks
+from bitternpath.cli.fleet_words import lag
+
+LOOK_EVERY = 0.2  # s between looks whether a change is in effect
+
+
+def parsed(words: tuple[str, ...]) -> Any:
+    """The change that `KEY=VALUE` words mean; click.UsageError where they mean none."""
+    from bitternpath.fleet import plan as p
+
+    pairs = [word.partition("=") for word in words]
+    if not pairs or any(not equals for _, equals, _ in pairs):
+        raise click.UsageError(
+            "give KEY=VALUE: CLASS.FIELD=..., rules.KEY=..., allowed.KEY=..., least-release=1.4.0"
+        )
+    key, _, text = pairs[0]
+    try:
+        if key == "least-release" and len(pairs) == 1:
+            return p.LeastRelease(tuple(int(part) for part in text.split(".")))
+        section, dot, name = key.rpartition(".")
+        if not dot:
+            raise click.UsageError(
+                f"{key}: unknown; allowed are CLASS.FIELD, rules.KEY, allowed.KEY, least-release"
+            )
+        if section in ("rules", "allowed") and len(pairs) == 1:
+            value = {"true": True, "false": False}.get(text)
+            return p.SetRule(section, name, float(text) if value is None else value)
+        if any(other.rpartition(".")[0] != section for other, _, _ in pairs) or section in (
+            "rules",
+            "allowed",
+        ):
+            raise click.UsageError("one change at a time: fields of one class, or one other key")
+        return p.SetClass(section, {other.rpartition(".")[2]: float(value) for other, _, value in pairs})
+    except ValueError as error:
+        raise click.UsageError(f"{key}={text}: {error}") from error
+
+
+def propose(fleet: Fleet, change: Any, reason: str, id: str | None, required: bool) -> None:
+    from bitternpath.fleet.messages import Propose
+
+    id = id or secrets.token_hex(8)
+    told = fleet.ask(Propose(id, fleet.author, reason, change))
+    version = told["version"]
+    click.echo(f"agreed as version {version} (id {id})")
+    if required:
+        _await_effect(fleet, version)
+
+
+def _await_effect(fleet: Fleet, version: int) -> None:
+    """Until all who hold a lease act on it. Who does not answer or lags loses its lease, so that this ends;
+    where half of the fleet refuses the change it ends by saying so."""
+    said = ""
+    while True:
+        found, why = fleet.look()
+        held = [h for h in found["holders"] if h.get("acting", -1) < version]
+        if not why and found["released"] >= version and not held:
+            click.echo(f"version {version} is in effect at {len(found['holders'])} processes")
+            return
+        refuse = [h for h in found["holders"] if h.get("refuses")]
+        if refuse and 2 * len(refuse) >= len(found["holders"]):
+            raise click.ClickException(
+                f"version {version} is refused by {len(refuse)} of {len(found['holders'])}, first by "
+                f"{refuse[0]['node']}: {refuse[0]['refuses']}; `bitternpath fleet withdraw {version}` ends it"
+            )
+        waits = ", ".join(f"{h['node']} ({lag(found, h)})" for h in held) or "the release"
+        line = f"no majority: {why}" if why else f"waits for {waits}"
+        if line != said:
+            click.echo(line)
+            said = line
+        time.sleep(LOOK_EVERY)
+
+
+def _changing(function: Callable[..., Any]) -> Callable[..., Any]:
+    function = click.option("--required", is_flag=True, help="wait until all who hold a lease act on it")(
+        function
+    )
+    function = click.option("--id", help="asked again with the same one, it is the same change")(function)
+    return asks(click.option("--reason", required=True, help="why; it stands in the record")(function))
+
+
+@click.command()
+@_changing
+@click.argument("words", nargs=-1, metavar="KEY=VALUE...")
+def change(fleet: Fleet, words: tuple[str, ...], reason: str, id: str | None, required: bool) -> None:
+    """Change a class, a rule, or the least release that may hold a lease, for all nodes."""
+    propose(fleet, parsed(words), reason, id, required)
+
+
+@click.command()
+@_changing
+@click.argument("worker")
+def ban(fleet: Fleet, worker: str, reason: str, id: str | None, required: bool) -> None:
+    """Nothing new to that calendar worker, from any node."""
+    from bitternpath.fleet.plan import Ban
+
+    propose(fleet, Ban(worker), reason, id, required)
+
+
+@click.command()
+@_changing
+@click.argument("worker")
+def back(fleet: Fleet, worker: str, reason: str, id: str | None, required: bool) -> None:
+    """The fleet's ban of that calendar worker ends; one at a node's own console stays."""
+    from bitternpath.fleet.plan import Unban
+
+    propose(fleet, Unban(worker), reason, id, required)
+
+
+@click.command()
+@asks
+@click.option("--reason", required=True, help="why; it stands in the record")
+@click.argument("version", type=int)
+def withdraw(fleet: Fleet, version: int, reason: str) -> None:
+    """A version that is agreed and not released shall change nothing."""
+    from bitternpath.fleet.messages import Withdraw
+
+    fleet.ask(Withdraw(version, fleet.author, reason))
+    click.echo(f"version {version} is withdrawn")
--- /dev/null
+++ b/bitternpath/cli/fleet_reports.py
@@ -0,0 +1,147 @@
+"""`bitternpath fleet status`, `versions`, `audit` and `explain`."""
+
+from __future__ import annotations
+
+import time
+
+import click
+
+from bitternpath.cli.fleet_asking import Fleet, as_json, asks
+from bitternpath.cli.fleet_words import (
+    acted,
+    describe,
+    explained,
+    lag,
+    local_time,
+    moment,
+    print_json,
+    print_table,
+    say_no_majority,
+)
+
+
+@click.command()
+@asks
+@as_json
+def status(fleet: Fleet, json: bool) -> None:
+    """Who leads, which version is in effect, and who holds a lease on which."""
+    found, why = fleet.look()
+    if json:
+        print_json(found | {"no_majority": why})
+    else:
+        say_no_majority(found, why)
+        click.echo(
+            f"leader {found['leader'] or '-'}, term {found['term']}; version {found['released']} released, "
+            f"{found['latest']} agreed, {found['in_effect']} acted on by all"
+        )
+        for id in found["voters"]:
+            click.echo(f"steward {id}" + (" (leads)" if id == found["leader"] else ""))
+        for id in found["learners"]:
+            click.echo(f"steward {id} (learns, does not vote yet)")
+        rows = [
+            (
+                h["node"], h["boot"], h["site"], ".".join(map(str, h["release"])), h["fence"],
+                h.get("acting", "-"), h.get("have", "-"),
+                f"{h['heard']:.1f} s" if h.get("heard") is not None else "-",
+                f"{max(h['until'], 0.0):.1f} s" if "until" in h else "-", lag(found, h),
+            )
+            for h in sorted(found["holders"], key=lambda h: (h["node"], h["boot"]))
+        ]  # fmt: skip
+        print_table(
+            ("node", "process", "site", "release", "fence", "acts on", "has", "heard", "lease", "state"), rows
+        )
+    click.get_current_context().exit(1 if why else 0)
+
+
+@click.command()
+@asks
+@as_json
+def versions(fleet: Fleet, json: bool) -> None:
+    """What was agreed, by whom, why, and since when it is acted on."""
+    found, why = fleet.look()
+    if json:
+        print_json(
+            {"versions": found["changes"], "release_times": found["release_times"], "no_majority": why}
+        )
+    else:
+        say_no_majority(found, why)
+        rows = []
+        for agreed in found["changes"]:
+            since = found["release_times"].get(agreed["version"])
+            state = "released " + local_time(since) if since is not None else "agreed"
+            what = describe(agreed["change"]) + (f" ({agreed['withdrawn']})" if agreed["withdrawn"] else "")
+            rows.append(
+                (
+                    agreed["version"],
+                    local_time(agreed["time"]),
+                    agreed["author"],
+                    state,
+                    what,
+                    agreed["reason"],
+                )
+            )
+        print_table(("version", "agreed", "by", "state", "change", "reason"), rows)
+    click.get_current_context().exit(1 if why else 0)
+
+
+@click.command()
+@asks
+@as_json
+@click.option("--node", help="of this node alone")
+@click.option("--version", type=int, help="what was done under this version alone")
+@click.option("--at", metavar="TIME", help="on what each acted at that time")
+def audit(fleet: Fleet, node: str | None, version: int | None, at: str | None, json: bool) -> None:
+    """Who acted on which version, from when to when, and what is missing."""
+    when = moment(at) if at is not None else None
+    found, why = fleet.look("audit")
+    accounts = [a for a in found["accounts"] if node in (None, a["node"])]
+    accounts.sort(key=lambda a: (a["node"], a["lines"][0][1] if a["lines"] else 0.0))
+    if json:
+        print_json({"accounts": accounts, "no_majority": why})
+        click.get_current_context().exit(1 if why else 0)
+    say_no_majority(found, why)
+    if when is not None:
+        print_table(
+            ("node", "process", f"at {local_time(when)}"),
+            [
+                (a["node"], a["boot"], acted(a, when))
+                for a in accounts
+                if a["lines"] and a["lines"][0][1] <= when
+            ],
+        )
+    else:
+        rows = [
+            (a["node"], a["boot"], number, local_time(since), what, of, fence, detail)
+            for a in accounts
+            for number, since, what, of, fence, detail, _ in a["lines"]
+            if version in (None, of)
+        ]
+        print_table(("node", "process", "act", "time", "what", "version", "fence", ""), rows)
+    for account in accounts:
+        for wrong in [*account["faults"], *account["unheard"]]:
+            click.echo(f"{account['node']}#{account['boot']}: {wrong}")
+    click.get_current_context().exit(1 if why else 0)
+
+
+@click.command()
+@asks
+@click.argument("node")
+def explain(fleet: Fleet, node: str) -> None:
+    """Why a node is where it is: what was last heard, what it acts on, what stops it, what to do."""
+    found, why = fleet.look("audit")
+    say_no_majority(found, why)
+    holders = [h for h in found["holders"] if h["node"] == node]
+    accounts = [a for a in found["accounts"] if a["node"] == node]
+    if not holders and not accounts:
+        raise click.ClickException(f"nobody has heard of {node}")
+    for holder in holders:
+        click.echo(f"{node}#{holder['boot']}: {explained(found, holder)}")
+    held = {h["boot"] for h in holders}
+    gone = [a for a in accounts if a["boot"] not in held]
+    if gone:
+        last = max(gone, key=lambda a: a["lines"][-1][1] if a["lines"] else 0.0)
+        click.echo(f"{node}#{last['boot']}: no lease; {acted(last, time.time())}")
+        if not holders:
+            click.echo("It gets a lease by itself once it reaches a steward and can take what is released:")
+            click.echo("look whether it runs, whether its log says `alone` or `withheld`, and at its links.")
+    click.get_current_context().exit(1 if why else 0)
