--- a/tests/system/test_member_changes.py
+++ b/tests/system/test_member_changes.py
@@ -175,7 +175,7 @@
         return host
 
     def votes(self, host: Host) -> list[Any]:
-        """For a candidate that still takes it for a voter, after a transfer, so that no leader is in its way."""
+        """For a candidate that still takes it for a voter, after a transfer: no leader is in its way."""
         return host.hear("a/a", AskVote(9, 2, 3, False, leadership_transfer=True))
 
     def test_it_votes_for_nobody_until_it_is_named_again(self) -> None:
