--- a/bitternpath/configuration/placement.py
+++ b/bitternpath/configuration/placement.py
@@ -23,6 +23,9 @@
 AWAY_WITH_SPARE_S = 1.5
 AWAY_WITH_IDLE_SPARE_S = 5.0
 AWAY_WITHOUT_SPARE_S = 30.0
+# A member of the configuration group that answers no heartbeat for so long doesn't count where enough others
+# are there: its state is small, so that it comes in again within milliseconds.
+CORE_SILENT_S = 1.0
 SPARE_IS_IDLE_AFTER_S = 10.0
 LEAST_SHARDS = 3
 MOST_SHARDS = 256
@@ -82,12 +85,13 @@
 
 
 def desired_members(
-    current: Members, present: Sequence[NodeDescriptor], away_for: Callable[[str], float], wanted: int
+    current: Members, present: Sequence[NodeDescriptor], silent_for: Callable[[str], float], wanted: int
 ) -> list[str]:
     """Members that the configuration group should have, with these counted nodes present.
 
     A node that has come back with another disk takes its own place. New nodes join, up to `MOST_FOUNDERS`.
-    Members that are away go only while `wanted` others are present: they don't take the place of a new one.
+    Members that neither are present nor answer the owner go only while `wanted` others stay: they don't take
+    the place of a new one. `silent_for` gives the seconds since a node's member answered.
     """
     members = {node.name: member_id(node) for node in present}
     kept = list(dict.fromkeys(members.get(node_of(voter), voter) for voter in current.voters))
@@ -95,12 +99,11 @@
     gone = [
         member
         for member in kept
-        if member not in members.values() and away_for(node_of(member)) > AWAY_WITH_SPARE_S
+        if member not in members.values() and silent_for(node_of(member)) > CORE_SILENT_S
     ]
     stay = [member for member in kept if member not in gone]
     stay += joining[: max(max(MOST_FOUNDERS, wanted) - len(stay), 0)]
-    here = [member for member in stay if member in members.values()]
-    return stay if len(here) >= wanted else stay + gone
+    return stay if len(stay) >= wanted else stay + gone
 
 
 def _repaired(
--- a/bitternpath/membership/view.py
+++ b/bitternpath/membership/view.py
@@ -19,6 +19,7 @@
 ROUND_S = 1.0
 FIRST_ROUNDS_S = 0.15  # while the system starts, so that it is founded soon
 FIRST_ROUNDS_FOR_S = 5.0
+LIVELY_S = 2.5  # without a newer heartbeat: two rounds
 FORGET_AFTER_S = 20.0  # without a newer heartbeat
 REMEMBER_FORGOTTEN_S = 300.0  # what is still told of a forgotten node doesn't bring it back
 MOST_FORGOTTEN = 512
@@ -64,6 +65,14 @@
         nodes = [node for node in [*self.nodes(), self.me] if node.counted and node.kind is NodeKind.EDGE]
         return sorted(nodes, key=lambda node: node.name)
 
+    def lively_edges(self, now: float) -> list[NodeDescriptor]:
+        """Other nodes that may keep the configuration and of which there was news lately."""
+        return [
+            known.node
+            for known in self._known.values()
+            if known.node.counted and known.node.kind is NodeKind.EDGE and now - known.renewed_at <= LIVELY_S
+        ]
+
     def find(self, name: str) -> NodeDescriptor | None:
         """What is known of a node."""
         known = self._known.get(name)
--- a/bitternpath/roles/configuration_member.py
+++ b/bitternpath/roles/configuration_member.py
@@ -87,7 +87,7 @@
         self._started_at = reactor.seconds()
         tolerated = settings.tolerated_machines
         self.nodes = NodesHere(reactor, self.feed)
-        self.core = CoreMembers(host, self.nodes, lambda: view.me, tolerated)
+        self.core = CoreMembers(reactor, host, self.nodes, view, tolerated)
         self.placement = ShardPlacement(reactor, self, self.state, self.nodes, tolerated)
         self.retirements = Retirements(self, self.state, self.nodes, tolerated)
         self._look_planned = False
--- /dev/null
+++ b/tests/system/test_simulation_repairs.py
@@ -0,0 +1,214 @@
+"""Repairs in the whole service, in virtual time: members of all groups, retirements, replicas that go."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+
+from bitternpath.membership.founding import CONFIGURATION_GROUP
+from bitternpath.replication.host import ReplicaHost
+from bitternpath.replication.records import Members
+from bitternpath.simulation.recorder import Ownership
+from bitternpath.simulation.world import Plan
+from tests.system.small_actors import Answer, Caller, SmallSystem
+
+CATCH_UP_S = 4.2
+REPAIRED_S = CATCH_UP_S / 2  # from the return of a machine until all its groups have all their members
+DOWN_S = 0.5
+
+
+class RepairCase(unittest.TestCase):
+    """A system at work."""
+
+    def make(self, seed: int, **plan: int) -> None:
+        self.system = SmallSystem(seed, Plan(**plan))  # type: ignore[arg-type]
+        self.world = self.system.world
+        self.system.found()
+        self.world.run_for(2.0)
+        self.accepted: list[tuple[str, Answer]] = []
+        self.versions = 1
+
+    def host(self, name: str) -> ReplicaHost | None:
+        process = self.world.nodes[name].process
+        return process.node.base.host if process is not None else None
+
+    def owner(self, group: str) -> str:
+        """The node that owns a group, by what replicas said last."""
+        last: dict[str, Ownership] = {}
+        for told in self.world.ownerships:
+            if told.group == group and told.gained:
+                last[group] = told
+        return last[group].node
+
+    def members(self, group: str) -> Members | None:
+        """As committed, by the present owner."""
+        for name in self.world.nodes:
+            host = self.host(name)
+            if host is not None and host.is_owner(group):
+                return host.committed_members(group)
+        return None
+
+    def whole(self, group: str, here: list[str], copies: int) -> bool:
+        """Whether a group has that many voters, all of them present disks."""
+        found = self.members(group)
+        present = {host.member_id for host in map(self.host, here) if host is not None}
+        return (
+            found is not None
+            and len(found.voters) == copies
+            and not found.learners
+            and set(found.voters) <= present
+        )
+
+    def all_whole(self) -> bool:
+        core = [node.name for node in self.world.edges() if node.counted]
+        stores = [node.name for node in self.world.storages()]
+        groups = {told.group for told in self.world.ownerships} - {CONFIGURATION_GROUP}
+        return self.whole(CONFIGURATION_GROUP, core, len(core)) and all(
+            self.whole(group, stores, 3) for group in groups
+        )
+
+    def seconds_until(self, holds: Callable[[], bool], longest: float) -> float:
+        began = self.world.now
+        while not holds():
+            self.world.run_for(0.02)
+            self.assertLess(self.world.now - began, longest)
+        return self.world.now - began
+
+    def send(self) -> None:
+        for edge in range(len(self.world.edges())):
+            self.accepted.append(self.system.send(edge))
+
+    def check_well(self) -> None:
+        """All that was accepted is done, and the newest configuration is there."""
+        self.world.run_for(4.0)
+        accepted = [(name, answer) for name, answer in self.accepted if answer.status == 202]
+        states = [(self.system.state(answer, name), name) for name, answer in accepted]
+        self.world.run_for(2.5)
+        for answer, name in states:
+            self.assertEqual((answer.status, answer.body[:15]), (200, b'{"state":"done"'), (name, answer))
+        self.assertGreater(len(states), 0)
+        self.assertEqual(self.world.failures, [])
+        self.assertEqual(self.world.violations, [])
+
+
+class RepairTimeTest(RepairCase):
+    """From a machine's return until every group is whole again."""
+
+    def test_disks_lost_one_after_the_other(self) -> None:
+        """Core and storage in turn, owners too; each as soon as the one before counts as back."""
+        self.make(21)
+        for name in ("owner", "e3", "s1", "owner", "s3", "e1", "s2"):
+            lost = self.owner(CONFIGURATION_GROUP) if name == "owner" else self.named(name)
+            self.send()
+            self.world.wipe(lost, DOWN_S)
+            self.world.run_for(DOWN_S)
+            taken = self.seconds_until(self.all_whole, REPAIRED_S)
+            self.world.run_for(CATCH_UP_S - taken)
+        self.check_well()
+
+    def named(self, short: str) -> str:
+        nodes = self.world.edges() if short[0] == "e" else self.world.storages()
+        return nodes[int(short[1:]) - 1].name
+
+    def test_machines_replaced_one_after_the_other(self) -> None:
+        self.make(22)
+        for name in ("e1", "s1", "e1", "s1", "e1", "s1"):
+            self.send()
+            self.world.replace(self.named(name))
+            taken = self.seconds_until(self.all_whole, CATCH_UP_S - 1.0)
+            self.world.run_for(CATCH_UP_S - taken)
+        self.check_well()
+
+
+class RetirementTest(RepairCase):
+    """An order to empty a machine, on its way."""
+
+    def retire(self, name: str) -> Answer:
+        caller = Caller(self.world, "10.99.0.7")
+        control = next(node.control for node in self.world.edges())
+        return caller.call("POST", control, f"/retire/{name}", {"duration_s": 10})
+
+    def state(self, name: str) -> Answer:
+        caller = Caller(self.world, "10.99.0.7")
+        control = next(node.control for node in self.world.edges())
+        return caller.call("GET", control, f"/retire/{name}")
+
+    def call(self, make: Callable[[str], Answer], name: str) -> Answer:
+        """Until there is a clear answer."""
+        for _ in range(8):
+            answer = make(name)
+            self.world.run_for(0.6)
+            if answer.status not in (0, 503):
+                return answer
+        self.fail(f"no clear answer: {answer}")
+
+    def done(self, name: str) -> bool:
+        answer = self.state(name)
+        self.world.run_for(0.1)
+        return answer.status == 200 and answer.json() == {"state": "done"}
+
+    def test_in_the_second_after_a_take_over(self) -> None:
+        """The new owner's followers are none at first (found by simactors, seeds 12, 68, 84 and others)."""
+        for delay in (0.6, 0.8, 1.0, 1.2, 1.5):
+            self.make(23, storages=5)
+            self.world.kill(self.owner(CONFIGURATION_GROUP), 3.0)
+            self.world.run_for(delay)
+            name = self.world.storages()[4].name
+            self.assertEqual(self.call(self.retire, name).status, 200)
+            self.assertEqual(self.call(self.retire, name).status, 200)
+            self.seconds_until(lambda: self.done(name), 6.0)  # noqa: B023
+
+    def test_it_outlives_its_owner_and_stays_done(self) -> None:
+        """It said `running` again after `done` (found by simactors, seed 228)."""
+        self.make(24, storages=5)
+        name = self.world.storages()[0].name
+        self.send()
+        self.assertEqual(self.call(self.retire, name).status, 200)
+        self.world.wipe(self.owner(CONFIGURATION_GROUP), DOWN_S)
+        self.seconds_until(lambda: self.done(name), 8.0)
+        self.world.run_for(CATCH_UP_S)
+        self.world.kill(self.owner(CONFIGURATION_GROUP), 1.0)
+        answers = []
+        for _ in range(20):
+            answers.append(self.state(name))
+            self.world.run_for(0.2)
+        self.assertEqual({answer.body for answer in answers if answer.status == 200}, {b'{"state": "done"}'})
+        self.world.remove(name)
+        self.send()
+        self.check_well()
+
+    def test_the_emptied_machine_gives_its_room_back(self) -> None:
+        self.make(25, storages=4)
+        name = self.world.storages()[1].name
+        self.send()
+        host = self.host(name)
+        assert host is not None
+        self.assertGreater(len(host.groups), 0)
+        self.assertEqual(self.call(self.retire, name).status, 200)
+        self.seconds_until(lambda: self.done(name), 6.0)
+        self.seconds_until(lambda: not host.groups, 3.0)
+        self.check_well()
+
+    def test_a_replaced_machine_that_wakes_later_does_no_harm(self) -> None:
+        """It was frozen while another took its place; it gives up what it keeps, and comes in again."""
+        self.make(26, storages=4)
+        name = self.owner("queue-0")
+        self.send()
+        self.world.freeze(name)
+        self.world.add_node("storage")
+        self.world.run_for(4.0)
+        self.assertFalse(any(name in member for member in (self.members("queue-0") or Members()).all))
+        self.send()
+        self.world.thaw(name)
+        host = self.host(name)
+        assert host is not None
+        self.seconds_until(lambda: not host.groups, 4.0)
+        other = next(node.name for node in self.world.storages() if node.name != name)
+        self.world.replace(other)
+        self.world.run_for(CATCH_UP_S)
+        self.assertTrue(self.all_whole())
+        self.check_well()
+
+
+if __name__ == "__main__":
+    unittest.main()
