--- a/bitternpath/ingress/interface.py
+++ b/bitternpath/ingress/interface.py
@@ -21,9 +21,9 @@
     PullTicket,
 )
 from bitternpath.ingress.site import RETRY_SOON_S, answered, reply
-from bitternpath.transport.records import MessageState
+from bitternpath.transport.records import Message, MessageState
 
-STATUS_ANSWER_S = 1.7  # askers wait two seconds
+STATUS_ANSWER_S = 1.6  # askers wait two seconds, with the way there and back
 LEASE_ANSWER_S = 4.0  # ends without an answer are sent again, and the answer has to stay the same
 PULL_LATE_S = 0.5  # the node's answer may be so much later than a worker waits
 MAX_WAIT_MS = 30_000  # no worker is kept waiting longer
@@ -31,8 +31,8 @@
 RETURN_JOB_STATUS = 503  # this end hands a job back unrun
 
 CALLS = re.compile(
-    rb"GET /(?:message|message-body)/[A-Za-z0-9._~:-]{1,128}"
-    rb"|POST /(?:pull|job-end|job-extend)/[A-Za-z0-9._~:-]{1,128}"
+    rb"GET /(?:message|message-body)/[!-.0-~]{1,384}"  # any request id, with its characters escaped or not
+    rb"|POST /(?:pull|job-end|job-extend)/[!-.0-~]{1,384}"
 )
 
 _STATE_NAMES = {
@@ -60,7 +60,7 @@
     def __init__(self, node: NodeService, reactor: Any) -> None:
         self._node = node
         self._reactor = reactor
-        self._pulls: set[_WaitingPull] = set()
+        self._pulls: dict[_WaitingPull, None] = {}  # in the order in which they came
         self._closing = False
 
     @app.route("/message/<message_id>", methods=["GET"])
@@ -172,11 +172,18 @@
     reply(request, answer.value, retry_after_s=RETRY_SOON_S if answer is LeaseAnswer.UNAVAILABLE else None)
 
 
+def _order_key(message: Message) -> str:
+    """The client's key, also where its route was not ordered when the message was accepted."""
+    if message.order_key:
+        return message.order_key
+    return next((header.value for header in message.headers if header.name.lower() == "x-order-key"), "")
+
+
 class _WaitingPull:
     """One worker that waits for a job."""
 
     def __init__(
-        self, request: Any, ticket: PullTicket, node: NodeService, waiting: set[_WaitingPull]
+        self, request: Any, ticket: PullTicket, node: NodeService, waiting: dict[_WaitingPull, None]
     ) -> None:
         self._request = request
         self._ticket = ticket
@@ -187,7 +194,7 @@
     def wait(self, reactor: Any, wait_ms: int) -> None:
         """Answer with the job or without one, whichever comes first."""
         self._request.needs_open_peer = True
-        self._waiting.add(self)
+        self._waiting[self] = None
         self._timer = reactor.callLater(wait_ms / 1000 + PULL_LATE_S, self.release)
         self._request.notifyFinish().addErrback(lambda _: self._gone())
         self._ticket.result.addCallbacks(self._come, self._failed)
@@ -219,7 +226,7 @@
         """Whether it was still waiting; it no longer is."""
         if self not in self._waiting:
             return False
-        self._waiting.discard(self)
+        del self._waiting[self]
         if self._timer.active():
             self._timer.cancel()
         return True
@@ -235,7 +242,7 @@
             (b"X-Job-Method", message.method),
             (b"X-Job-Target", message.target),
             (b"X-Lease-Id", job.lease_id),
-            (b"X-Order-Key", message.order_key),
+            (b"X-Order-Key", _order_key(message)),
         )
         for name, value in headers:
             if value:
--- a/bitternpath/rehearsal/workers.py
+++ b/bitternpath/rehearsal/workers.py
@@ -12,7 +12,7 @@
 
 from bitternpath.net.http1 import Request
 from bitternpath.rehearsal.entry import Entry
-from bitternpath.rehearsal.plan import BOUNDS, Port
+from bitternpath.rehearsal.plan import BOUNDS, LOOPBACK, Port
 from bitternpath.rehearsal.plumbing import Call, Reply, ServerConnection, send_call, serve
 from bitternpath.rehearsal.records import Answer, Arrival, Clock, History, LeaseEnd, LeaseWord, Run
 
@@ -51,7 +51,7 @@
 
 
 @dataclass(slots=True)
-class _Job:
+class Job:
     """A request that waits for a slot or is being worked on."""
 
     request_id: str
@@ -74,12 +74,15 @@
         service: str,
         instance: str,
         slots: int,
+        host: str = LOOPBACK,
+        port: int = 0,
     ) -> None:
         self._reactor, self._clock, self._history, self._work = reactor, clock, history, work
         self.service, self.instance, self._slots = service, instance, slots
         self._running: set[str] = set()
-        self._waiting: list[_Job] = []
-        self.port, self.address = serve(reactor, "127.0.0.1", self.handle)
+        self._waiting: list[Job] = []
+        self._connections: list[ServerConnection] = []
+        self.port, self.address = serve(reactor, host, self.handle, port)
 
     def listed(self) -> dict[str, Any]:
         """Its entry in the platform's list."""
@@ -96,6 +99,8 @@
 
     def handle(self, request: Request, connection: ServerConnection) -> Deferred[Reply]:
         """A delivery, or a question after its health."""
+        if connection not in self._connections:
+            self._connections = [known for known in self._connections if not known.closed] + [connection]
         if request.method == b"GET" and request.path == b"/healthz":
             return succeed(Reply(200 if len(self._running) < self._slots else 503, self._named("")))
         request_id = _header(request, b"x-request-id")
@@ -104,6 +109,13 @@
             return succeed(Reply(refusal, {**self._named(request_id), **NOT_EXECUTED}))
         return self._take(request, request_id, connection)
 
+    def close(self) -> None:
+        """End: listen no more, and reset what is open."""
+        self.port.stopListening()
+        for connection in self._connections:
+            if not connection.closed:
+                connection.transport.abortConnection()
+
     def _refusal(self, request: Request, request_id: str) -> int:
         expected = _header(request, b"x-expect-instance")
         if expected and expected != self.instance:
@@ -118,13 +130,13 @@
     def _take(self, request: Request, request_id: str, connection: ServerConnection) -> Deferred[Reply]:
         deadline = _header(request, b"x-deadline-ms")
         deadline_ms = int(deadline) if deadline.isdigit() else DEFAULT_DEADLINE_MS
-        job = _Job(request_id, request, connection, self._clock() + deadline_ms / 1000)
+        job = Job(request_id, request, connection, self._clock() + deadline_ms / 1000)
         job.answer = Deferred(lambda _: self._dropped(job))
         self._waiting.append(job)
         self._next()
         return job.answer
 
-    def _dropped(self, job: _Job) -> None:
+    def _dropped(self, job: Job) -> None:
         """Its connection has closed: it is worked on no longer."""
         if job in self._waiting:
             self._waiting.remove(job)
@@ -145,14 +157,21 @@
                 request.method.decode("latin-1"),
                 request.target.decode("latin-1"),
                 request.body,
+                instance=self.instance,
+                order_key=_header(request, b"x-order-key"),
             )
             self._history.runs.append(run)
             seconds = min(self._work.seconds(), max(job.ends_at - self._clock(), 0.0))
             job.timer = self._reactor.callLater(seconds, self._finish, job)
 
-    def _finish(self, job: _Job) -> None:
+    def _finish(self, job: Job) -> None:
         self._running.discard(job.request_id)
         status = self._work.status(job.request_id) if self._clock() < job.ends_at else 504
+        self._answer(job, status)
+        self._next()
+
+    def _answer(self, job: Job, status: int) -> None:
+        """Answer a run that is over."""
         stamp = self._work.stamp(self.instance) if status == 200 else ""
         headers = self._named(job.request_id)
         if stamp:
@@ -160,7 +179,6 @@
         if status != 504:
             self._note(Answer(job.request_id, self._clock(), status, stamp), job.connection)
         job.answer.callback(Reply(status, headers, b"ok" if stamp else b""))
-        self._next()
 
     def _note(self, answer: Answer, connection: ServerConnection) -> None:
         def lost() -> None:
@@ -181,9 +199,17 @@
     """One endpoint, on no list: it counts arrivals, and refuses those over the rate of a second."""
 
     def __init__(
-        self, reactor: Any, clock: Clock, history: History, work: Work, service: str, slots: int, rate: float
+        self,
+        reactor: Any,
+        clock: Clock,
+        history: History,
+        work: Work,
+        service: str,
+        slots: int,
+        rate: float,
+        host: str = LOOPBACK,
     ) -> None:
-        super().__init__(reactor, clock, history, work, service, f"{service}-endpoint", slots)
+        super().__init__(reactor, clock, history, work, service, f"{service}-endpoint", slots, host)
         self._rate = rate
         self._recent: list[float] = []
         self.over_rate = 0
@@ -253,7 +279,9 @@
     async def _do(self, job: Reply) -> None:
         request_id, lease_id = job.headers.get("x-request-id", ""), job.headers.get("x-lease-id", "")
         method, target = job.headers.get("x-job-method", ""), job.headers.get("x-job-target", "")
-        run = Run(request_id, self._clock(), self._service, method, target, job.body, lease_id)
+        run = Run(
+            request_id, self._clock(), self._service, method, target, job.body, lease_id, self._instance
+        )
         self._history.runs.append(run)
         if await self._hold(request_id, lease_id):
             status = self._work.status(request_id)
--- a/bitternpath/roles/configuration_member.py
+++ b/bitternpath/roles/configuration_member.py
@@ -11,11 +11,19 @@
 from typing import Any
 
 import logbook
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 
 from bitternpath.configuration.feed import FeedServer
 from bitternpath.configuration.machine import COMMANDS, ConfigurationState, RetireNode, SetPlacement
-from bitternpath.configuration.orders import Order, OrderCode, OrderDesk, OrderResult, result
+from bitternpath.configuration.orders import (
+    Order,
+    OrderCode,
+    OrderProcessor,
+    OrderResult,
+    confirmed,
+    not_owner,
+    result,
+)
 from bitternpath.configuration.placement import (
     desired_members,
     first_placement,
@@ -83,11 +91,15 @@
         self.reactor, self.settings, self.hub, self.view = reactor, settings, hub, view
         self.host, self.carrier, self.random = host, carrier, random
         self.state = ConfigurationState()
-        self.desk = OrderDesk(self.state, self)
-        self.feed = FeedServer(reactor, self.state, self.epoch)
+        self.orders = OrderProcessor(self.state, self)
+        self.feed = FeedServer(reactor, self.state, self.has_lease)
         platform = PlatformList(reactor, settings.platform)
         self.reader = ListReader(
-            reactor, platform, self.epoch, self.feed.publish_catalogue, settings.platform_rate_per_s
+            reactor,
+            platform,
+            lambda: self.feed.epoch,
+            self.feed.publish_catalogue,
+            settings.platform_rate_per_s,
         )
         assert settings.data_dir is not None
         self._file = FoundingFile(settings.data_dir, disk)
@@ -103,9 +115,13 @@
         self._timer: Any = None
 
     def start(self) -> None:
-        """Take part: as before, as a founder once there is a system, or when a leader adds this member."""
+        """Take part: as before, as a founder once there is a system, or when a leader adds this member.
+
+        A member that joined later has no founding file. It must not wait until somebody speaks: perhaps all
+        that are left have joined later.
+        """
         self._founding = self._file.load()
-        if self._founding is not None:
+        if self._founding is not None or self.host.holds(CONFIGURATION_GROUP):
             self._open_group()
         self._look()
 
@@ -125,6 +141,10 @@
         """The group's term."""
         return self.host.epoch(CONFIGURATION_GROUP) if self._open else 0
 
+    def has_lease(self) -> bool:
+        """Whether no other node can have become owner, as far as this one has heard a majority."""
+        return self._open and self.host.has_lease(CONFIGURATION_GROUP)
+
     def propose(self, command: bytes) -> Deferred[object]:
         """Commit a command."""
         return self.host.propose(CONFIGURATION_GROUP, command)
@@ -135,7 +155,7 @@
 
     def order(self, order: Order) -> Deferred[OrderResult]:
         """Decide an operator's change."""
-        return self.desk.submit(order)
+        return self.orders.submit(order)
 
     # ---- what comes over links
 
@@ -153,7 +173,8 @@
             self._file.store(founding)
             self._founding = founding
             log.info("event=founded system={} members={}", founding.system, len(founding.group.members))
-            self._open_group()
+            if not self._open:
+                self._open_group()
         if self._founding.system == founding.system:
             link.send(FoundingAnswer(me))
 
@@ -184,34 +205,34 @@
 
     def retire(self, node: str) -> Deferred[OrderResult]:
         """The operator wants a storage node emptied."""
+        if not self.is_owner():
+            return succeed(not_owner())
+        return self.barrier().addCallbacks(
+            lambda _: self._retire(node),
+            lambda failure: not_owner(str(failure.value)),
+        )
+
+    def _retire(self, node: str) -> OrderResult | Deferred[OrderResult]:
+        """As `retire`, once ownership is confirmed."""
         checked = check(self.state, node, self._storage_nodes(), self.settings.tolerated_machines)
         if checked is RetireCheck.UNKNOWN_NODE:
-            return self._confirmed(result(OrderCode.UNKNOWN_NODE, checked.value))
+            return result(OrderCode.UNKNOWN_NODE, checked.value)
         if checked is RetireCheck.TOO_FEW_LEFT:
-            return self._confirmed(result(OrderCode.TOO_FEW_NODES, checked.value))
-        accepted = OrderResult(OrderCode.RETIRING, state_body(RetireState.RUNNING))
-        decided: Deferred[OrderResult] = Deferred()
-        self.propose(COMMANDS.encode(RetireNode(node, True))).addCallbacks(
-            lambda _: decided.callback(accepted),
-            lambda failure: decided.callback(result(OrderCode.FATE_OPEN, str(failure.value))),
+            return result(OrderCode.TOO_FEW_NODES, checked.value)
+        return self.propose(COMMANDS.encode(RetireNode(node, True))).addCallbacks(
+            lambda _: OrderResult(OrderCode.RETIRING, state_body(RetireState.RUNNING)),
+            lambda failure: result(OrderCode.FATE_OPEN, str(failure.value)),
         )
-        return decided
 
     def retirement(self, node: str) -> Deferred[OrderResult]:
         """How far the emptying of a node is."""
+        return confirmed(self, lambda: self._retirement(node))
+
+    def _retirement(self, node: str) -> OrderResult:
         state = progress(self.state, self._reports, node)
         if state is RetireState.UNKNOWN:
-            return self._confirmed(result(OrderCode.UNKNOWN_NODE, f"{node} isn't being emptied"))
-        return self._confirmed(OrderResult(OrderCode.RETIRING, state_body(state)))
-
-    def _confirmed(self, answer: OrderResult) -> Deferred[OrderResult]:
-        """An answer from the state, once ownership is confirmed."""
-        decided: Deferred[OrderResult] = Deferred()
-        self.barrier().addCallbacks(
-            lambda _: decided.callback(answer),
-            lambda failure: decided.callback(result(OrderCode.NOT_OWNER, str(failure.value))),
-        )
-        return decided
+            return result(OrderCode.UNKNOWN_NODE, f"{node} isn't being emptied")
+        return OrderResult(OrderCode.RETIRING, state_body(state))
 
     # ---- GroupListener
 
@@ -221,7 +242,7 @@
         self._storage_changed_at = self.reactor.seconds()
         self._presence = Presence(self.reactor.seconds())
         self._reports = GroupReports()
-        self.feed.begin()
+        self.feed.begin(epoch)
         self.reader.start()
 
     def lost_ownership(self) -> None:
