Views ask forgotten nodes and seeds outside them: parts that were cut off meet again

Ruled out: the founding (they were not told as they were not known) and the feed (they did follow nobody: no candidate was known). Change: each round one datagram goes to an address outside the view: a seed or a node that was forgotten and said no good-bye. One datagram a second more at most.

--- a/bitternpath/membership/view.py
+++ b/bitternpath/membership/view.py
@@ -19,6 +19,7 @@
 ROUND_S = 1.0
 FIRST_ROUNDS_S = 0.15  # while the system starts, so that it is founded soon
 FIRST_ROUNDS_FOR_S = 5.0
+FEW_NODES = 3  # a view with fewer asks all seeds in each round
 LIVELY_S = 2.5  # without a newer heartbeat: two rounds
 FORGET_AFTER_S = 20.0  # without a newer heartbeat
 REMEMBER_FORGOTTEN_S = 300.0  # what is still told of a forgotten node doesn't bring it back
@@ -33,6 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Forgotten:
+    address: str  # "" where the node has said good-bye
     life: int
     beat: int
     at: float
@@ -116,16 +118,27 @@
         return [Datagram(address, request) for address in self._targets(True)]
 
     def _targets(self, starting: bool) -> list[str]:
-        """Whom to shuffle with: one peer of the view; seeds while the system starts or nobody is known."""
+        """Whom to shuffle with: one peer of the view, and one address outside it, where there is any; all
+        seeds while the system starts or nobody is known."""
         nodes = self.nodes()
         targets = {self._random.choice(nodes).address} if nodes else set()
-        if starting or len(nodes) < 3:
+        if starting or len(nodes) < FEW_NODES:
             targets.update(self.seeds)
-        elif self.seeds and self._random.random() < 0.1:
-            targets.add(self._random.choice(self.seeds))
+        outside = self._addresses_outside({node.address for node in nodes})
+        if outside:
+            targets.add(self._random.choice(outside))
         targets.discard(self.me.address)
         return sorted(targets)
 
+    def _addresses_outside(self, known: set[str]) -> list[str]:
+        """Seeds and forgotten nodes that aren't in the view.
+
+        Two parts of the system that were cut off from each other forget each other, and the settings may name
+        nobody of the other part: without these addresses they would not meet again after the cut.
+        """
+        forgotten = {gone.address for gone in self._forgotten.values()}
+        return sorted((forgotten | set(self.seeds)) - known - {"", self.me.address})
+
     def _sample(self) -> tuple[NodeDescriptor, ...]:
         """Half of nodes with state, the rest of any."""
         nodes = self.nodes()
@@ -174,6 +187,7 @@
         self._forgotten = {name: gone for name, gone in self._forgotten.items() if gone.at > past}
 
     def _remember_forgotten(self, now: float, node: NodeDescriptor) -> None:
-        self._forgotten[node.name] = _Forgotten(node.life, node.beat, now)
+        address = "" if node.leaving else node.address
+        self._forgotten[node.name] = _Forgotten(address, node.life, node.beat, now)
         while len(self._forgotten) > MOST_FORGOTTEN:
             del self._forgotten[next(iter(self._forgotten))]
