--- a/bitternpath/emulator/fleet/search/consensus.py
+++ b/bitternpath/emulator/fleet/search/consensus.py
@@ -46,7 +46,7 @@
                 peer.next_index,
                 peer.match_index,
                 peer.answered_round,
-                peer.offset,
+                peer.transfer.offset if peer.transfer is not None else None,
                 raft.now - peer.last_contact < raft.times.election,
             )
             for name, peer in raft.peers.items()
--- a/bitternpath/replication/consensus.py
+++ b/bitternpath/replication/consensus.py
@@ -67,6 +67,8 @@
         """Time has passed; to be called at `alarm` at the latest."""
         self.now = now
         if self.role is Role.LEADER:
+            if now >= self._piece_at:
+                self._send_due_pieces()
             if now >= self._heartbeat_at:
                 self._heartbeat()
         elif now >= self._election_at:
@@ -75,7 +77,9 @@
     @property
     def alarm(self) -> float:
         """When `tick` is wanted next."""
-        return self._heartbeat_at if self.role is Role.LEADER else self._election_at
+        if self.role is Role.LEADER:
+            return min(self._heartbeat_at, self._piece_at)
+        return self._election_at
 
     def stored(self, now: float, number: int) -> None:
         """The disk has done the writes up to that number."""
--- a/bitternpath/replication/group.py
+++ b/bitternpath/replication/group.py
@@ -10,10 +10,11 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
+from bitternpath.replication.bandwidth import TransferBudget
 from bitternpath.replication.consensus import Out, Raft
 from bitternpath.replication.interfaces import FateOpen, GroupListener, NotOwner, StateMachine
 from bitternpath.replication.messages import Appended, AskVote, Message
-from bitternpath.replication.records import CHANGE, MEMBERS, Entry, Kept, Members, Times, Write
+from bitternpath.replication.records import CHANGE, MEMBERS, Entry, Kept, Members, Role, Times, Write
 
 COMPACTION_BYTES = 8 << 20  # of entries applied since the last snapshot
 HOST_COMPACTION_BYTES = 32 << 20  # likewise, of all groups together: entries are also kept in memory
@@ -21,6 +22,7 @@
 KEPT_ENTRIES = 256  # left before a snapshot, for followers that are a little behind
 COMPACTION_SPREAD = 0.25  # the bounds grow by up to this share, so that replicas don't compact together
 ENTRY_OVERHEAD_BYTES = 64  # of an entry besides its data, roughly
+GROWTH = 2  # entries between snapshots may exceed their bound by this where the state is large
 CAUGHT_UP_ENTRIES = 64  # a learner that lacks no more than these is close to the leader
 
 
@@ -69,8 +71,9 @@
         now: float,
         times: Times,
         bounds: CompactionBounds,
+        budget: TransferBudget | None = None,
     ) -> None:
-        self.raft = Raft(me, kept, random, now, times)
+        self.raft = Raft(me, kept, random, now, times, budget)
         self._machine, self._listener, self._bounds = machine, listener, bounds
         self._times = times
         self._proposals: list[_Proposal] = []
@@ -141,7 +144,7 @@
     def caught_up(self, member: str) -> bool:
         """Whether a member lacks little of what is committed; only a leader knows."""
         peer = self.raft.peers.get(member) if self.raft.ready else None
-        if peer is None or not peer.match_index or peer.offset is not None:
+        if peer is None or not peer.match_index or peer.transfer is not None:
             return False
         least = max(self.raft.commit_index - CAUGHT_UP_ENTRIES, self.raft.first_own_index)
         return peer.match_index >= least
@@ -234,12 +237,9 @@
             self._barriers.popleft().result.callback(None)
 
     def _compact(self) -> bool:
-        """Replace old entries by a snapshot where there are many; whether it did.
-
-        The bound on bytes grows with the state, so that writing snapshots costs no more than writing entries.
-        """
+        """Replace old entries by a snapshot where there are many; whether it did."""
         entries = self._applied - self.raft.snapshot.index
-        size = max(self.size_bound, self._snapshot_size) * self._stretch
+        size = self._entries_bound * self._stretch
         if entries <= self._bounds.entries * self._stretch and self._size <= size:
             return False
         data = self._machine.snapshot()
@@ -248,13 +248,29 @@
         self._stretch = 1.0 + self._random.random() * COMPACTION_SPREAD
         return True
 
+    @property
+    def _entries_bound(self) -> int:
+        """Bytes of entries between snapshots. It grows with the state, so that writing snapshots costs little
+        more than writing entries, up to a bound: the disk holds them all until there is a checkpoint."""
+        return max(self.size_bound, min(self._snapshot_size, GROWTH * self.size_bound))
+
     def _kept_entries(self) -> int:
-        """How many entries stay: few, and not more than a quarter of the bound on bytes."""
+        """How many entries stay: few, and not more than a quarter of the bound on bytes; or as many as peers
+        still need that answer, within the bound or the state's size: a transfer ends if entries are written
+        no faster than snapshots are sent."""
+        few = self._last_entries(self._bounds.kept, self.size_bound // 4)
+        if self.raft.role is not Role.LEADER:
+            return few
+        needed = self._applied + 1 - self.raft.needed_index
+        return max(few, self._last_entries(needed, max(self.size_bound, self._snapshot_size)))
+
+    def _last_entries(self, most: int, most_bytes: int) -> int:
+        """How many of the applied entries, from the last one back, stay within both bounds."""
         log, kept, size = self.raft.log.entries, 0, 0
         applied = self._applied - self.raft.log.before[0]  # number of applied ones in the log
-        while kept < min(self._bounds.kept, applied):
+        while kept < min(most, applied):
             size += len(log[applied - kept - 1].data)
-            if size > self.size_bound // 4:
+            if size > most_bytes:
                 break
             kept += 1
         return kept
--- a/bitternpath/replication/host.py
+++ b/bitternpath/replication/host.py
@@ -11,6 +11,7 @@
 import logbook
 from twisted.internet.defer import Deferred, fail
 
+from bitternpath.replication.bandwidth import TransferBudget
 from bitternpath.replication.group import CompactionBounds, ReplicaGroup
 from bitternpath.replication.interfaces import GroupListener, NotOwner, StateMachine
 from bitternpath.replication.records import Kept, Members, Snapshot, Times
@@ -45,6 +46,7 @@
         self._reactor, self._journal, self._send = reactor, journal, send
         self._random, self._times = random, times
         self._bounds = bounds or CompactionBounds()
+        self._budget = TransferBudget()  # of snapshot transfers of all groups
         self.groups: dict[str, ReplicaGroup] = {}
         self._dirty: dict[str, ReplicaGroup] = {}
         self._flush_call: Any = None
@@ -69,7 +71,15 @@
                 self._journal.found(group, kept)
         now = self._reactor.seconds()
         self.groups[group] = ReplicaGroup(
-            self.member_id, kept, machine, listener, self._random, now, self._times, self._bounds
+            self.member_id,
+            kept,
+            machine,
+            listener,
+            self._random,
+            now,
+            self._times,
+            self._bounds,
+            self._budget,
         )
         self._share_bounds()
         self._set_timer()
--- a/bitternpath/replication/leadership.py
+++ b/bitternpath/replication/leadership.py
@@ -24,6 +24,7 @@
         self.role, self.leader, self.elected_at = Role.LEADER, self.me, self.now
         self.round = self.confirmed_round = 0
         self.votes.clear()
+        self._piece_at = float("inf")
         self.peers = {}
         self._update_peers()
         self.log.append(Entry(self.last_index + 1, self.term, NOTHING, b""))
@@ -106,6 +107,20 @@
         append = Append(self.term, previous, previous_term, tuple(entries), self.commit_index, self.round)
         self._send.append((name, append))
 
+    @property
+    def needed_index(self) -> int:
+        """The first entry that some peer still needs that answers; the one after the last where none does.
+        What a snapshot on its way lacks is needed, too: else the next one would follow it, for ever."""
+        needed = self.last_index + 1
+        for peer in self.peers.values():
+            if not peer.answered_round or self.now >= peer.last_contact + self.times.election:
+                continue
+            if peer.transfer is not None:
+                needed = min(needed, peer.transfer.snapshot.index + 1)
+            elif self.log.has_entry_after(peer.match_index):
+                needed = min(needed, peer.match_index + 1)
+        return needed
+
     # ---- answers
 
     def _take_answer(self, name: str, answer: Appended | Installed) -> None:
@@ -125,7 +140,11 @@
     def _take_match(self, name: str, peer: Progress, index: int) -> None:
         peer.match_index = max(peer.match_index, index)
         peer.next_index = max(peer.next_index, peer.match_index + 1)
-        peer.offset = None
+        transfer = peer.transfer
+        if transfer is not None and (
+            transfer.snapshot.index <= peer.match_index or self.log.has_entry_after(peer.match_index)
+        ):
+            peer.transfer = None  # it has that snapshot, or entries will do
         if peer.next_index <= self.last_index:
             self._send_entries(name)
         if name == self.transfer_target:
--- a/bitternpath/replication/member.py
+++ b/bitternpath/replication/member.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from random import Random
 
+from bitternpath.replication.bandwidth import TransferBudget, Unbounded
 from bitternpath.replication.log import ReplicatedLog
 from bitternpath.replication.messages import Message
 from bitternpath.replication.progress import Progress
@@ -22,7 +23,15 @@
 class MemberState(ABC):
     """State of one member, and its outputs until they are taken."""
 
-    def __init__(self, me: str, kept: Kept, random: Random, now: float, times: Times = USUAL) -> None:
+    def __init__(
+        self,
+        me: str,
+        kept: Kept,
+        random: Random,
+        now: float,
+        times: Times = USUAL,
+        budget: TransferBudget | None = None,
+    ) -> None:
         self.me, self.random, self.times, self.now = me, random, times, now
         self.term, self.vote = kept.term, kept.vote
         self.log = ReplicatedLog(kept)
@@ -38,6 +47,8 @@
         self.elected_at = 0.0
         self.transfer_target = ""  # to whom leadership is being passed on
         self._heartbeat_at = self._transfer_until = 0.0
+        self._piece_at = float("inf")  # when a piece of a snapshot goes out that waits for bandwidth
+        self._budget = budget or Unbounded()
         self._partial: PartialSnapshot | None = None
         self._restore: Snapshot | None = None  # the state machine's next state
         self._send: list[tuple[str, Message]] = []
--- a/bitternpath/replication/messages.py
+++ b/bitternpath/replication/messages.py
@@ -51,7 +51,7 @@
 
 
 class Install(Struct, frozen=True, tag=5, array_like=True):
-    """A piece of a snapshot (T 5.3), from `offset` on."""
+    """A piece of a snapshot (T 5.3), from `offset` on. `checksum`: CRC-32 of the piece."""
 
     term: int
     index: int
@@ -60,15 +60,17 @@
     size: int
     offset: int
     piece: bytes
+    checksum: int
     round: int
 
 
 class Installed(Struct, frozen=True, tag=6, array_like=True):
-    """How much of the snapshot up to `index` is there; all of it where `offset` is its size."""
+    """How much of the snapshot up to `index` is there; `stored`: all of it, on disk."""
 
     term: int
     index: int
     offset: int
+    stored: bool
     round: int
 
 
--- a/tests/system/test_replication.py
+++ b/tests/system/test_replication.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from random import Random
 from unittest.mock import patch
+from zlib import crc32
 
 import logbook
 import msgspec
@@ -62,8 +63,8 @@
         Append(3, 9, 2, (Entry(10, 3, CHANGE, b"x" * 300), Entry(11, 3, MEMBERS, b"")), 8, 77),
         Append(1, 0, 0, (), 0, 0),
         Appended(3, False, 1 << 40, 5),
-        Install(3, 9, 2, Members(("a", "b"), ("c",)), 1000, 128, b"\0\xff", 6),
-        Installed(3, 9, 130, 6),
+        Install(3, 9, 2, Members(("a", "b"), ("c",)), 1000, 128, b"\0\xff", 0xFFFF_FFFF, 6),
+        Installed(3, 9, 130, False, 6),
         TakeOver(9),
     )
 
@@ -171,7 +172,8 @@
                     self.hear(peer, Appended(message.term, True, agrees, message.round))
                 case Install():
                     there = message.offset + len(message.piece)
-                    self.hear(peer, Installed(message.term, message.index, there, message.round))
+                    stored = there >= message.size
+                    self.hear(peer, Installed(message.term, message.index, there, stored, message.round))
 
 
 TRIO = Members(("a", "b", "c"))
@@ -275,12 +277,12 @@
         host.run(0.01)
         host.runner.sync_seconds = 0.3
         state = msgspec.msgpack.encode([b"x"])
-        host.hear("c", Install(2, 5, 2, TRIO, len(state), 0, state, 1))
+        host.hear("c", Install(2, 5, 2, TRIO, len(state), 0, state, crc32(state), 1))
         host.run(0.01)
         host.hear("c", Append(2, 5, 2, (), 5, 2))
         self.assertEqual(host.run(0.01), [("c", Appended(2, True, 0, 2))])
         self.assertEqual(
-            host.run(0.35), [("c", Installed(2, 5, len(state), 1)), ("c", Appended(2, True, 5, 2))]
+            host.run(0.35), [("c", Installed(2, 5, len(state), True, 1)), ("c", Appended(2, True, 5, 2))]
         )
 
     def test_while_the_disk_refuses_nothing_is_promised(self) -> None:
@@ -559,6 +561,12 @@
         follower.open(TRIO)
         return follower
 
+    @property
+    def offset(self) -> int:
+        """Of the piece that was sent last."""
+        transfer = self.host.host.groups["g"].raft.peers["c"].transfer
+        return transfer.offset if transfer is not None else 0
+
     @property
     def size(self) -> int:
         return len(self.host.host.groups["g"].raft.snapshot.data)
@@ -578,7 +586,7 @@
     def test_a_follower_that_is_started_again_in_between_gets_all_of_it(self) -> None:
         """It answers that it has nothing; the leader once went on where it had been, for ever."""
         first = self.follower()
-        while (self.host.host.groups["g"].raft.peers["c"].offset or 0) < 300:
+        while self.offset < 300:
             self.play(first, 0.002)
         again = self.follower()
         self.play(again, 3)
--- /dev/null
+++ b/tests/system/test_snapshot_transfer.py
@@ -0,0 +1,276 @@
+"""Tests of snapshot transfers in virtual time: they end while changes go on, go on where they were, are
+checked, and are bounded in bandwidth."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from random import Random
+from unittest.mock import patch
+from zlib import crc32
+
+import logbook
+
+from bitternpath.replication import simulation, snapshots
+from bitternpath.replication.bandwidth import TransferBudget, Unbounded
+from bitternpath.replication.consensus import Raft
+from bitternpath.replication.group import CompactionBounds
+from bitternpath.replication.messages import Append, Appended, Install, Installed
+from bitternpath.replication.records import CHANGE, Entry, Kept, Members, Snapshot
+from bitternpath.replication.simulation import GROUP, Node, Plan, Process, World
+from bitternpath.replication.wire import decode_message
+
+TRIO = Members(("a", "b", "c"))
+SMALL_PIECE = 150  # bytes
+BEFORE = 300  # changes that the returning node lacks
+EVERY = 0.005  # s between changes while it is brought up: a snapshot every 12 of them
+LINK_BYTES_PER_SECOND = 50 << 20
+STATE_BYTES = 8 << 20
+
+
+class Quiet(unittest.TestCase):
+    """Expected errors of state machines are not printed."""
+
+    def setUp(self) -> None:
+        handler = logbook.NullHandler()
+        handler.push_application()
+        self.addCleanup(handler.pop_application)
+
+
+class Loaded(World):
+    """Changes at an even rate, without faults but those that a test makes."""
+
+    def __init__(self, seed: int = 1) -> None:
+        super().__init__(seed, Plan())
+        self.loss, self.calm = 0.0, True
+        self.serial = 0
+        self.every = 0.0
+
+    def owner(self) -> Process:
+        """The one that leads."""
+
+        def found() -> list[Process]:
+            processes = [node.process for node in self.nodes.values() if node.process]
+            return [process for process in processes if process.host.is_owner(GROUP)]
+
+        assert found() or self.run_until(lambda: bool(found()), 5)
+        return found()[0]
+
+    def change(self, size: int = 20) -> None:
+        """Propose one change."""
+        self.serial += 1
+        self.propose(self.owner(), b"%08d" % self.serial + bytes(size))
+
+    def changes(self, every: float) -> None:
+        """Go on proposing, until `every` is 0."""
+        self.every = every
+        if every:
+            self.change()
+            self.clock.callLater(every, lambda: self.changes(self.every))
+
+    def follower(self) -> Node:
+        """A node that doesn't lead."""
+        owner = self.owner()
+        return next(node for node in self.nodes.values() if node.process is not owner)
+
+    def is_current(self, node: Node) -> bool:
+        """Whether a node has all but the last changes, those of some round trips."""
+        process = node.process
+        return process is not None and len(process.register.commands) >= len(self.checker.committed) - 12
+
+
+class Superseded(Quiet):
+    """A follower comes back while changes go on, and snapshots are made faster than they can be sent."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        small = patch.object(snapshots, "PIECE_BYTES", SMALL_PIECE)
+        small.start()
+        self.addCleanup(small.stop)
+
+    def come_back(self, wiped: bool, seconds: float) -> tuple[bool, int]:
+        """Whether it caught up while changes went on, and how many snapshots the leader made meanwhile."""
+        world = Loaded()
+        node = world.follower()
+        world._end(node)
+        for _ in range(BEFORE):
+            world.change()
+            world.run_until(lambda: False, 0.01)
+        raft = world.owner().host.groups[GROUP].raft
+        made: list[int] = []
+        real = raft.log.compact
+
+        def compact(index: int, data: bytes, keep: int) -> None:
+            made.append(index)
+            real(index, data, keep)
+
+        with patch.object(raft.log, "compact", compact):
+            world.changes(EVERY)
+            if wiped:
+                node.disk.wipe()
+                node.wipes += 1
+                world._repeat(0.1, world._look_at_members)
+            world._start(node, None)
+            caught_up = world.run_until(lambda: world.is_current(node), seconds)
+        return caught_up, len(made)
+
+    def test_a_transfer_ends_though_newer_snapshots_are_made(self) -> None:
+        for wiped in (False, True):
+            with self.subTest(wiped=wiped):
+                caught_up, made = self.come_back(wiped, 5.0)
+                self.assertTrue(caught_up)
+                self.assertGreater(made, 3, "the transfer was not superseded")
+
+    def test_a_build_that_begins_anew_at_each_snapshot_is_caught(self) -> None:
+        """As it was: the transfer went on with the newest snapshot, whose first piece the follower lacked."""
+        real = Raft.compact
+
+        def compact(self: Raft, index: int, data: bytes, keep: int) -> None:
+            real(self, index, data, keep)
+            for peer in self.peers.values():
+                if peer.transfer is not None:
+                    peer.transfer.snapshot = self.snapshot
+
+        with patch.object(Raft, "compact", compact):
+            caught_up, made = self.come_back(False, 20.0)
+        self.assertFalse(caught_up)
+        self.assertGreater(made, 50)
+
+    def test_a_build_that_keeps_no_entries_behind_the_snapshot_is_caught(self) -> None:
+        with patch.object(Raft, "needed_index", property(lambda self: self.last_index + 1)):
+            caught_up, _ = self.come_back(False, 20.0)
+        self.assertFalse(caught_up)
+
+
+class Follower(Quiet):
+    """One member, fed by hand."""
+
+    def raft(self, entries: list[Entry] | None = None, term: int = 1) -> Raft:
+        kept = Kept(term, "", Snapshot(members=TRIO), (0, 0), entries or [])
+        return Raft("b", kept, Random(1), 0.0)
+
+    def test_a_damaged_piece_is_not_taken(self) -> None:
+        raft = self.raft()
+        raft.hear(1.0, "a", Install(2, 9, 2, TRIO, 6, 0, b"abc", crc32(b"abd"), 1))
+        self.assertEqual(raft.take(1.0).send, [("a", Installed(2, 9, 0, False, 1))])
+        raft.hear(1.0, "a", Install(2, 9, 2, TRIO, 6, 0, b"abc", crc32(b"abc"), 2))
+        self.assertEqual(raft.take(1.0).send, [("a", Installed(2, 9, 3, False, 2))])
+
+    def test_a_snapshot_takes_the_place_of_a_longer_wrong_log(self) -> None:
+        wrong = [Entry(index, 1, CHANGE, b"wrong") for index in range(1, 40)]
+        raft = self.raft(wrong)
+        data = b"state"
+        raft.hear(1.0, "a", Install(3, 9, 2, TRIO, len(data), 0, data, crc32(data), 1))
+        out = raft.take(1.0)
+        self.assertEqual((raft.log.entries, raft.last_index, raft.log.stable_index), ([], 9, 0))
+        self.assertEqual(out.restore, Snapshot(9, 2, TRIO, data))
+        self.assertEqual(out.send, [], "nothing is confirmed before it is on disk")
+        write = out.writes[-1]
+        self.assertEqual((write.cut, write.before), (1, (9, 2)))
+        raft.stored(1.1, write.number)
+        self.assertEqual(raft.take(1.1).send, [("a", Installed(3, 9, len(data), True, 1))])
+        raft.hear(1.2, "a", Append(3, 9, 2, (Entry(10, 3, CHANGE, b"x"),), 9, 2))
+        self.assertEqual(raft.log.entries, [Entry(10, 3, CHANGE, b"x")])
+
+    def test_entries_behind_a_snapshot_stay_only_where_the_log_agrees_with_it(self) -> None:
+        entries = [Entry(index, 2, CHANGE, b"x") for index in range(1, 20)]
+        for term, left in ((2, 10), (3, 0)):
+            raft = self.raft(list(entries), term=2)
+            raft.hear(1.0, "a", Install(4, 9, term, TRIO, 1, 0, b"s", crc32(b"s"), 1))
+            self.assertEqual(len(raft.log.entries), left)
+
+    def test_a_follower_that_writes_a_snapshot_is_not_silent(self) -> None:
+        """Its answers waited for the disk; the leader took it for gone, and led no more without it."""
+        raft = self.raft()
+        install = Install(2, 9, 2, TRIO, 1, 0, b"s", crc32(b"s"), 1)
+        raft.hear(1.0, "a", install)
+        (write,) = raft.take(1.0).writes
+        raft.hear(1.5, "a", Install(2, 9, 2, TRIO, 1, 0, b"", 0, 2))
+        self.assertEqual(raft.take(1.5).send, [("a", Installed(2, 9, 1, False, 2))])
+        raft.stored(2.0, write.number)
+        raft.take(2.0)
+        raft.hear(2.1, "a", Install(2, 9, 2, TRIO, 1, 0, b"", 0, 3))
+        self.assertEqual(raft.take(2.1).send, [("a", Appended(2, True, 9, 3))])
+
+
+class Budget(unittest.TestCase):
+    def test_the_rate_holds_after_a_burst(self) -> None:
+        budget = TransferBudget(bytes_per_second=1000.0, burst_bytes=200.0)
+        due = [budget.reserve(50.0, 100) for _ in range(6)]
+        self.assertEqual([round(at - 50.0, 6) for at in due], [0.0, 0.0, 0.0, 0.1, 0.2, 0.3])
+
+    def test_a_pause_gives_a_burst_and_no_more(self) -> None:
+        budget = TransferBudget(bytes_per_second=1000.0, burst_bytes=200.0)
+        for _ in range(3):
+            budget.reserve(0.0, 100)
+        due = [round(budget.reserve(100.0, 100), 6) for _ in range(4)]
+        self.assertEqual(due, [100.0, 100.0, 100.0, 100.1])
+
+
+class Shared(Loaded):
+    """Each node sends over one link of a bounded bandwidth. A large state, and how long commits take."""
+
+    def __init__(self) -> None:
+        self.free: dict[str, float] = {}  # when a node's link has sent what it was given
+        self.sent: list[tuple[float, int]] = []  # when, and how many bytes of snapshots
+        self.took: list[float] = []
+        super().__init__()
+
+    def _send(self, sender_node: str, sender: str, receiver: str, group: str, body: bytes) -> None:
+        now = self.clock.seconds()
+        message = decode_message(body)
+        if isinstance(message, Install):
+            self.sent.append((now, len(message.piece)))
+        free = max(self.free.get(sender_node, 0.0), now) + len(body) / LINK_BYTES_PER_SECOND
+        self.free[sender_node] = free
+        name = receiver.partition(".")[0]
+        self.clock.callLater(free - now + self.latency, self._deliver, name, sender, receiver, group, body)
+
+    def timed_change(self) -> None:
+        """A change, and how long it takes to be committed."""
+        self.serial += 1
+        began = self.clock.seconds()
+        result = self.owner().host.propose(GROUP, b"%08d" % self.serial)
+        result.addCallback(lambda _: self.took.append(self.clock.seconds() - began))
+
+
+class Bandwidth(Quiet):
+    """One node returns empty under traffic; its snapshot shares the leader's link with the traffic."""
+
+    def bring_up(self, budget: Callable[[], TransferBudget]) -> tuple[float, float, float]:
+        """Seconds to the end of the transfer, highest bytes in any 0.25 s, the longest time of a commit."""
+        bounds = CompactionBounds(size=1 << 20, entries=1 << 20)
+        with (
+            patch("bitternpath.replication.host.TransferBudget", budget),
+            patch.object(simulation, "BOUNDS", bounds),
+        ):
+            world = Shared()
+            node = world.follower()
+            world._end(node)
+            for part in range(STATE_BYTES >> 18):
+                world.propose(world.owner(), b"%08d" % (10**7 + part) + bytes(1 << 18))
+                world.run_until(lambda: False, 0.05)
+            world.run_until(lambda: False, 1.0)
+            node.disk.wipe()
+            node.wipes += 1
+            world._repeat(0.1, world._look_at_members)
+            world._start(node, None)
+            began = world.clock.seconds()
+            for _ in range(150):
+                world.timed_change()
+                world.run_until(lambda: False, 0.01)
+        sent = [(at, size) for at, size in world.sent if size and at >= began]
+        most = max(sum(size for at, size in sent if start <= at < start + 0.25) for start, _ in sent)
+        return max(at for at, _ in sent) - began, most, max(world.took)
+
+    def test_a_transfer_keeps_to_its_rate_and_commits_stay_as_fast(self) -> None:
+        seconds, most, slowest = self.bring_up(TransferBudget)
+        free_seconds, free_most, free_slowest = self.bring_up(Unbounded)
+        print(
+            f"\nsnapshot of 8 MiB on a link of 50 MiB/s: bounded {seconds:.2f} s, {most / 2**18:.1f} MiB/s "
+            f"at most, slowest commit {slowest * 1000:.1f} ms; unbounded {free_seconds:.2f} s, "
+            f"{free_most / 2**18:.1f} MiB/s, {free_slowest * 1000:.1f} ms"
+        )
+        self.assertLess(seconds, 1.5)
+        self.assertLess(most, (16 << 20) * 0.25 + (768 << 10))
+        self.assertLess(slowest, 0.03)
