--- a/bitternpath/replication/host.py
+++ b/bitternpath/replication/host.py
@@ -13,10 +13,9 @@
 
 from bitternpath.replication.bandwidth import TransferBudget
 from bitternpath.replication.group import CompactionBounds, ReplicaGroup
-from bitternpath.replication.interfaces import GroupListener, NotOwner, StateMachine
+from bitternpath.replication.interfaces import GroupJournal, GroupListener, NotOwner, StateMachine
 from bitternpath.replication.records import Kept, Members, Snapshot, Times
 from bitternpath.replication.wire import decode_message, encode_message
-from bitternpath.storage.journal import Journal
 from bitternpath.transport.codec import CodecError
 
 log = logbook.Logger("replication")
@@ -35,7 +34,7 @@
         self,
         reactor: Any,
         member_id: str,
-        journal: Journal,
+        journal: GroupJournal,
         send: Send,
         random: Random,
         times: Times = SYSTEM_TIMES,
@@ -49,6 +48,7 @@
         self._budget = TransferBudget()  # of snapshot transfers of all groups
         self.groups: dict[str, ReplicaGroup] = {}
         self._dirty: dict[str, ReplicaGroup] = {}
+        self._watchers: dict[str, Callable[[], None]] = {}
         self._flush_call: Any = None
         self._timer: Any = None
         self._stopped = False
@@ -63,10 +63,11 @@
         if group in self.groups:
             raise ValueError(f"group {group} is open")
         kept = self._journal.take_kept(group)
+        forgotten_at = self._journal.forgotten_at(group)
         if kept is None:
             kept = Kept()
             names_me = founders is not None and self.member_id in founders.voters
-            if founders is not None and names_me and not self._journal.was_forgotten(group):
+            if founders is not None and names_me and forgotten_at is None:
                 kept = Kept(snapshot=Snapshot(members=founders))
                 self._journal.found(group, kept)
         now = self._reactor.seconds()
@@ -81,17 +82,24 @@
             self._bounds,
             self._budget,
         )
+        self.groups[group].forgotten_at = forgotten_at
         self._share_bounds()
         self._set_timer()
 
-    def close_group(self, group: str) -> None:
-        """Stop taking part, and forget the group's state on disk."""
+    def holds(self, group: str) -> bool:
+        """Whether the disk held something of a group at the start that nobody has opened yet."""
+        return group in self._journal.groups()
+
+    def close_group(self, group: str, generation: int) -> None:
+        """Stop taking part, and forget the group's state on disk. Only once members of this generation that
+        don't name this replica are committed."""
         closed = self.groups.pop(group, None)
+        self._watchers.pop(group, None)
         self._dirty.pop(group, None)
         if closed is not None:
             closed.close()
         self._share_bounds()
-        self._journal.forget(group)
+        self._journal.forget(group, generation)
 
     def _share_bounds(self) -> None:
         share = self._bounds.host_size // max(len(self.groups), 1)
@@ -169,6 +177,11 @@
         found = self.groups.get(group)
         return found is not None and found.is_owner
 
+    def has_lease(self, group: str) -> bool:
+        """Whether this replica owns the group and has heard a majority within an election's time."""
+        found = self.groups.get(group)
+        return found is not None and found.has_lease(self._reactor.seconds())
+
     def epoch(self, group: str) -> int:
         """The highest term that this replica knows; 0 for a group not open here."""
         found = self.groups.get(group)
@@ -179,6 +192,11 @@
         found = self.groups.get(group)
         return found.raft.leader if found is not None else ""
 
+    def watch_members(self, group: str, progressed: Callable[[], None]) -> None:
+        """`progressed` is called, in a turn of its own, when this replica became the group's owner, or owns
+        it and a change of members was committed or a learner has caught up."""
+        self._watchers[group] = progressed
+
     def members(self, group: str) -> Members:
         """The last members in the log, committed or not."""
         found = self.groups.get(group)
@@ -228,6 +246,12 @@
             self._journal.write(name, write, done)
         for receiver, message in effects.messages:
             self._send(name, receiver, encode_message(message))
+        if name in self._watchers and group.members_progressed():
+            self._reactor.callLater(0, self._tell_watcher, name, group)
+
+    def _tell_watcher(self, name: str, group: ReplicaGroup) -> None:
+        if self.groups.get(name) is group and name in self._watchers:
+            self._watchers[name]()
 
     def _stop_group(self, name: str, group: ReplicaGroup) -> None:
         """In an `except`: consensus or the state machine may have done half of something."""
