--- a/bitternpath/replication/host.py
+++ b/bitternpath/replication/host.py
@@ -11,6 +11,7 @@
 import logbook
 from twisted.internet.defer import Deferred, fail
 
+from bitternpath.replication.bandwidth import TransferBudget
 from bitternpath.replication.group import CompactionBounds, ReplicaGroup
 from bitternpath.replication.interfaces import GroupJournal, GroupListener, NotOwner, StateMachine
 from bitternpath.replication.records import Kept, Members, Snapshot, Times
@@ -44,6 +45,7 @@
         self._reactor, self._journal, self._send = reactor, journal, send
         self._random, self._times = random, times
         self._bounds = bounds or CompactionBounds()
+        self._budget = TransferBudget()  # of snapshot transfers of all groups
         self.groups: dict[str, ReplicaGroup] = {}
         self._dirty: dict[str, ReplicaGroup] = {}
         self._watchers: dict[str, Callable[[], None]] = {}
@@ -70,7 +72,15 @@
                 self._journal.found(group, kept)
         now = self._reactor.seconds()
         self.groups[group] = ReplicaGroup(
-            self.member_id, kept, machine, listener, self._random, now, self._times, self._bounds
+            self.member_id,
+            kept,
+            machine,
+            listener,
+            self._random,
+            now,
+            self._times,
+            self._bounds,
+            self._budget,
         )
         self.groups[group].forgotten_at = forgotten_at
         self._share_bounds()
