A wiped member is complete within catch_up_s while large configurations are accepted over narrow links

85 KB a version, a new one as soon as the last is acknowledged, 1 MB/s between nodes, small logs (transfers are superseded while they are sent) and usual ones.

--- a/tests/system/test_simulation_changes.py
+++ b/tests/system/test_simulation_changes.py
@@ -8,9 +8,12 @@
 
 import unittest
 from dataclasses import dataclass, field
+from itertools import combinations
+from typing import Any
 
+from bitternpath.simulation.settings import LogSizes
 from bitternpath.simulation.world import SMALL_LOGS, Plan
-from tests.system.small_actors import Answer, SmallSystem
+from tests.system.small_actors import Answer, SmallSystem, configuration
 
 CHANGES = 150
 LOSS_EVERY_S = 11.0  # a loss lasts 6 s at most, and `catch_up_s` after it
@@ -99,3 +102,77 @@
                 self.assertEqual((world.failures, world.violations), ([], []))
                 snapshots = [p for node in world.edges() for p in node.disk.paths() if p.endswith(".snap")]
                 self.assertTrue(snapshots)
+
+
+CATCH_UP_S = 4.4  # of the settings
+ROUTES = 300  # about 85 KB a configuration
+LINK_BYTES_PER_S = 1_000_000.0
+ORDERS_S = 8.0
+
+
+def large_configuration(version: int) -> dict[str, Any]:
+    """A configuration whose every version is about 85 KB."""
+    document = configuration(version, 1000 + version)
+    route = document["routes"][0]
+    document["routes"] += [{**route, "name": f"r-x{n}", "path_prefix": f"/x{n}/"} for n in range(ROUTES)]
+    return document
+
+
+class Transfers(unittest.TestCase):
+    """A state of some size, over narrow links, while it changes faster than it is sent once."""
+
+    def complete_after(self, logs: LogSizes, seed: int) -> float:
+        """Seconds from a wiped member's start until it votes and its former self doesn't."""
+        system = SmallSystem(f"transfer-{seed}", Plan(logs=logs))
+        world = system.world
+        system.found()
+        nodes = world.edges() + world.storages()
+        for first, second in combinations(nodes, 2):
+            world.squeeze(first.name, second.name, LINK_BYTES_PER_S)
+        stop = world.now + ORDERS_S
+        self._order(system, 2, stop)
+        world.run_for(3.0)
+        owner = [told.node for told in world.ownerships if told.group == "configuration" and told.gained][-1]
+        wiped = next(node for node in world.edges() if node.counted and node.name != owner)
+        world.wipe(wiped.name, down_s=0.5)
+        world.run_for(0.5)
+        began = world.now
+        while not self._complete(system, owner):
+            world.run_for(0.1)
+            self.assertLess(world.now, stop, "not complete while orders went on")
+        took = world.now - began
+        world.run_until(stop + 5.0)
+        self.assertEqual(len({node.process.node.base.feed.version for node in nodes}), 1)
+        self.assertEqual((world.failures, world.violations), ([], []))
+        return took
+
+    def _order(self, system: SmallSystem, version: int, stop: float) -> None:
+        world = system.world
+        edge = world.random("operator").randrange(3)
+        address, base = world.edges()[edge].control, str(version - 1)
+        answer = system.caller.call("PUT", address, "/config", large_configuration(version), If_Match=base)
+        world.at(world.now + LOOK_S, self._look, system, version, stop, answer)
+
+    def _look(self, system: SmallSystem, version: int, stop: float, answer: Answer) -> None:
+        world = system.world
+        self.assertFalse(400 <= answer.status < 500, answer)
+        if answer.ended < 0:
+            world.at(world.now + LOOK_S, self._look, system, version, stop, answer)
+        elif answer.status != 200:
+            self._order(system, version, stop)
+        elif world.now < stop:
+            world.at(world.now + 0.1, self._order, system, version + 1, stop)
+
+    def _complete(self, system: SmallSystem, owner: str) -> bool:
+        """Whether the members are exactly the edge nodes' present disks."""
+        world = system.world
+        members = world.nodes[owner].process.node.base.host.members("configuration")
+        present = {
+            node.process.node.base.carrier.me for node in world.edges() if node.counted and node.process
+        }
+        return set(members.voters) == present and not members.learners
+
+    def test_a_wiped_member_is_complete_in_time(self) -> None:
+        for name, logs in (("small logs", SMALL_LOGS), ("usual logs", LogSizes())):
+            with self.subTest(name):
+                self.assertLess(self.complete_after(logs, seed=0), CATCH_UP_S)
