--- a/bitternpath/configuration/feed.py
+++ b/bitternpath/configuration/feed.py
@@ -111,6 +111,10 @@
         peers = [link.peer for link in self._subscribers if link.peer is not None]
         return list({peer.name: peer for peer in peers}.values())
 
+    def heard_at(self) -> list[tuple[NodeDescriptor, float]]:
+        """The nodes that follow now, and when each was last heard."""
+        return [(link.peer, link.heard_at) for link in self._subscribers if link.peer is not None]
+
     def _beat(self) -> None:
         self.publish()
         self._timer = self.reactor.callLater(HEARTBEAT_S, self._beat)
--- a/bitternpath/simulation/events.py
+++ b/bitternpath/simulation/events.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import json
 from enum import Enum
 from pathlib import Path
 from random import Random
@@ -36,7 +37,7 @@
     ALL_POWER = "all_power"
 
 
-class Fault(msgspec.Struct, frozen=True, kw_only=True, tag="fault"):
+class Fault(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="fault"):
     """Trouble for machines; `nodes` are names at the beginning of the run, a successor has its name there."""
 
     number: int
@@ -55,7 +56,7 @@
     INVALID = "invalid"
 
 
-class Order(msgspec.Struct, frozen=True, kw_only=True, tag="order"):
+class Order(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="order"):
     """A change of the configuration, on top of the newest version that operators know of."""
 
     number: int
@@ -68,7 +69,7 @@
     rivals: int = 0  # so many others send different changes under the same number at once
 
 
-class Retire(msgspec.Struct, frozen=True, kw_only=True, tag="retire"):
+class Retire(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="retire"):
     """A storage machine is emptied, and removed as soon as that is said to be done."""
 
     number: int
@@ -76,7 +77,7 @@
     node: str
 
 
-class Message(msgspec.Struct, frozen=True, kw_only=True, tag="message"):
+class Message(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="message"):
     """A client's message. `ask_after`: somebody asks for its state so much later; 0: nobody does."""
 
     number: int
@@ -89,14 +90,14 @@
     ask_after: float = 0.0
 
 
-class Probe(msgspec.Struct, frozen=True, kw_only=True, tag="probe"):
+class Probe(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="probe"):
     """A message sent directly to one node, on a route that may have come or gone, or never was."""
 
     number: int
     at: float
 
 
-class Look(msgspec.Struct, frozen=True, kw_only=True, tag="look"):
+class Look(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="look"):
     """An operator reads the configuration from one node."""
 
     number: int
@@ -116,7 +117,7 @@
     NO_STAMP = "no_stamp"  # a 2xx without a stamp
 
 
-class WorkerTrouble(msgspec.Struct, frozen=True, kw_only=True, tag="worker"):
+class WorkerTrouble(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="worker"):
     """Workers that are called behave badly. `worker`: its place; -1 is the endpoint."""
 
     number: int
@@ -126,7 +127,7 @@
     lasts: float
 
 
-class WorkerLeaves(msgspec.Struct, frozen=True, kw_only=True, tag="worker_leaves"):
+class WorkerLeaves(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="worker_leaves"):
     """A listed worker is shown as draining and ends; a new incarnation takes its place."""
 
     number: int
@@ -137,7 +138,7 @@
 Event = Fault | Order | Retire | Message | Probe | Look | WorkerTrouble | WorkerLeaves
 
 
-class Layout(msgspec.Struct, frozen=True, kw_only=True):
+class Layout(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """The machines at the beginning of a run."""
 
     core_edges: int = 3
@@ -146,7 +147,7 @@
     tolerated: int = 1  # machines that may be lost at one time
 
 
-class RunPlan(msgspec.Struct, frozen=True, kw_only=True):
+class RunPlan(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """One run. `checker`: the one that a shrunk plan is known to fail."""
 
     seed: int
@@ -163,10 +164,9 @@
 
 def save_plan(plan: RunPlan, path: Path) -> None:
     """Write a plan as JSON, one event a line."""
-    events = [msgspec.json.encode(event).decode() for event in plan.events]
-    head = msgspec.json.encode(msgspec.structs.replace(plan, events=())).decode()
-    lines = ",\n  ".join(events)
-    path.write_text(head.replace('"events":[]', f'"events":[\n  {lines}\n]') + "\n")
+    events = ",\n  ".join(msgspec.json.encode(event).decode() for event in plan.events)
+    head = msgspec.to_builtins(msgspec.structs.replace(plan, events=()))
+    path.write_text(f'{json.dumps(head)[:-1]}, "events": [\n  {events}\n]}}\n')
 
 
 def load_plan(path: Path) -> RunPlan:
