--- a/tests/system/test_snapshot_transfer.py
+++ b/tests/system/test_snapshot_transfer.py
@@ -10,6 +10,7 @@
 from zlib import crc32
 
 import logbook
+from bitternpath.replication.simulation import GROUP, Node, Plan, Process, World
 
 from bitternpath.replication import simulation, snapshots
 from bitternpath.replication.bandwidth import TransferBudget, Unbounded
@@ -17,7 +18,6 @@
 from bitternpath.replication.group import CompactionBounds
 from bitternpath.replication.messages import Append, Appended, Install, Installed
 from bitternpath.replication.records import CHANGE, Entry, Kept, Members, Snapshot
-from bitternpath.replication.simulation import GROUP, Node, Plan, Process, World
 from bitternpath.replication.wire import decode_message
 
 TRIO = Members(("a", "b", "c"))
