--- a/tests/system/test_snapshot_transfer.py
+++ b/tests/system/test_snapshot_transfer.py
@@ -10,7 +10,6 @@
 from zlib import crc32
 
 import logbook
-from bitternpath.replication.simulation import GROUP, Node, Plan, Process, World
 
 from bitternpath.replication import simulation, snapshots
 from bitternpath.replication.bandwidth import TransferBudget, Unbounded
@@ -19,6 +18,7 @@
 from bitternpath.replication.messages import Append, Appended, Install, Installed
 from bitternpath.replication.records import CHANGE, Entry, Kept, Members, Snapshot
 from bitternpath.replication.wire import decode_message
+from bitternpath.simulation.replica_group import GROUP, Node, Plan, Process, World
 
 TRIO = Members(("a", "b", "c"))
 SMALL_PIECE = 150  # bytes
