Runs of 1,000 changes; a learner votes though traffic never rests

Cause (by reading, then brought about): caught_up wanted a learner within 64 entries of the commit index. At 2,000 changes a second over 100 ms there and back 200 are always on the way, so it never became a voter. Change: caught up is also who has what was committed at the last heartbeat but one (T 4.2.1 measures rounds in time for the same reason).

The checker now also holds an owner against what was acknowledged.

--- a/bitternpath/replication/checking.py
+++ b/bitternpath/replication/checking.py
@@ -53,10 +53,12 @@
             self.fail(f"{command!r} was applied, and refused as not proposed")
         self.refused.add(command)
 
-    def owns(self, epoch: int, node: str) -> None:
-        """A node became owner."""
+    def owns(self, epoch: int, node: str, applied: int) -> None:
+        """A node became owner, with so many commands applied."""
         if self._owners.setdefault(epoch, node) != node:
             self.fail(f"{node} and {self._owners[epoch]} own epoch {epoch}")
+        if epoch == max(self._owners) and applied < self.acknowledged:
+            self.fail(f"{node} owns epoch {epoch} with {applied} of {self.acknowledged} acknowledged")
 
 
 class Register:
@@ -86,12 +88,12 @@
 class Listener:
     """Tells the checker who owns."""
 
-    def __init__(self, node: str, checker: Checker) -> None:
-        self.node, self.checker = node, checker
+    def __init__(self, node: str, checker: Checker, register: Register) -> None:
+        self.node, self.checker, self.register = node, checker, register
 
     def became_owner(self, epoch: int) -> None:
-        """Only one may, in an epoch."""
-        self.checker.owns(epoch, self.node)
+        """Only one may, in an epoch, and with all that was acknowledged before."""
+        self.checker.owns(epoch, self.node, len(self.register.commands))
 
     def lost_ownership(self) -> None:
         """No matter."""
--- a/bitternpath/replication/group.py
+++ b/bitternpath/replication/group.py
@@ -152,12 +152,13 @@
         return self.raft.ready and self.raft.term == self.owned_epoch
 
     def caught_up(self, member: str) -> bool:
-        """Whether a member lacks little of what is committed; only a leader knows."""
+        """Whether a member lacks little of what is committed; only a leader knows. Little is a few entries,
+        or what was committed in the last heartbeats: under traffic some are always on the way (T 4.2.1)."""
         peer = self.raft.peers.get(member) if self.raft.ready else None
         if peer is None or not peer.match_index or peer.transfer is not None:
             return False
-        least = max(self.raft.commit_index - CAUGHT_UP_ENTRIES, self.raft.first_own_index)
-        return peer.match_index >= least
+        least = min(self.raft.commit_index - CAUGHT_UP_ENTRIES, self.raft.committed_before)
+        return peer.match_index >= max(least, self.raft.first_own_index)
 
     def silent_for(self, now: float, member: str) -> float:
         """Seconds since a member was heard; infinite where this replica doesn't lead or doesn't know it."""
--- a/bitternpath/replication/leadership.py
+++ b/bitternpath/replication/leadership.py
@@ -25,6 +25,7 @@
         self.round = self.confirmed_round = 0
         self.votes.clear()
         self._piece_at = float("inf")
+        self.committed_before = self._committed_at_heartbeat = self.commit_index
         self.peers = {}
         self._update_peers()
         self.log.append(Entry(self.last_index + 1, self.term, NOTHING, b""))
@@ -49,6 +50,8 @@
             self._become_follower(self.term)
             return
         self.last_contact = self.now
+        self.committed_before = self._committed_at_heartbeat
+        self._committed_at_heartbeat = self.commit_index
         self._begin_round()
 
     @property
--- a/bitternpath/replication/member.py
+++ b/bitternpath/replication/member.py
@@ -45,6 +45,8 @@
         self.round = self.confirmed_round = 0  # the last one begun, and the last one that a majority answered
         self.first_own_index = 0  # of the first entry that it wrote in its term
         self.elected_at = 0.0
+        self.committed_before = 0  # commit index at the last heartbeat but one
+        self._committed_at_heartbeat = 0  # and at the last one
         self.transfer_target = ""  # to whom leadership is being passed on
         self._heartbeat_at = self._transfer_until = 0.0
         self._piece_at = float("inf")  # when a piece of a snapshot goes out that waits for bandwidth
