Full disks: a batch frees the room that old segments hold; a refused segment is no damage

Now SegmentLog.write does a whole checkpoint on ENOSPC and tries once more (_free_room); drafts go first. - A checkpoint that a full disk refused left the next segment with a part of its header, while batches went on in the one before. A torn end there then read as damage ('not a whole record'): the process gave its disk up. Now an eighth of the disk (bounds_for_disk).

--- a/bitternpath/replication/group.py
+++ b/bitternpath/replication/group.py
@@ -18,6 +18,7 @@
 
 COMPACTION_BYTES = 8 << 20  # of entries applied since the last snapshot
 HOST_COMPACTION_BYTES = 32 << 20  # likewise, of all groups together: entries are also kept in memory
+DISK_PARTS = 8  # entries of all groups between snapshots take one part of a disk, or twice that (`GROWTH`)
 COMPACTION_ENTRIES = 20_000  # likewise
 KEPT_ENTRIES = 256  # left before a snapshot, for followers that are a little behind
 COMPACTION_SPREAD = 0.25  # the bounds grow by up to this share, so that replicas don't compact together
@@ -36,6 +37,13 @@
     kept: int = KEPT_ENTRIES
 
 
+def bounds_for_disk(size: int) -> CompactionBounds:
+    """Bounds for a disk of that many bytes, which also holds the entries: twice over in a checkpoint, and
+    beside each group's old and new snapshot. 0: of no known size."""
+    host_size = min(HOST_COMPACTION_BYTES, size // DISK_PARTS) if size else HOST_COMPACTION_BYTES
+    return CompactionBounds(size=min(COMPACTION_BYTES, host_size), host_size=host_size)
+
+
 @dataclass(slots=True)
 class _Proposal:
     command: bytes
--- a/bitternpath/roles/machine.py
+++ b/bitternpath/roles/machine.py
@@ -10,7 +10,7 @@
 from random import Random
 from typing import Protocol
 
-from bitternpath.replication.group import CompactionBounds
+from bitternpath.replication.group import CompactionBounds, bounds_for_disk
 from bitternpath.roles.settings import Settings, load_settings, settings_path
 from bitternpath.storage.node_disk import LocalDisk, NodeDisk
 
@@ -22,9 +22,8 @@
     def random(self) -> Random:
         """The one source of chance of this process."""
 
-    @property
-    def compaction(self) -> CompactionBounds:
-        """When replica groups replace entries by a snapshot."""
+    def compaction(self, disk_bytes: int) -> CompactionBounds:
+        """When replica groups on a disk of that size replace entries by a snapshot."""
 
     def wall_ms(self) -> int:
         """The time of day in milliseconds since 1970. It may step."""
@@ -46,9 +45,8 @@
     def random(self) -> Random:
         return self._random
 
-    @property
-    def compaction(self) -> CompactionBounds:
-        return CompactionBounds()
+    def compaction(self, disk_bytes: int) -> CompactionBounds:
+        return bounds_for_disk(disk_bytes)
 
     def wall_ms(self) -> int:
         return int(time.time() * 1000)
--- a/bitternpath/roles/node_base.py
+++ b/bitternpath/roles/node_base.py
@@ -114,7 +114,8 @@
         return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
 
     def _open_host(self, disk: NodeDisk) -> ReplicaHost:
-        bound = int(self.settings.disk_mb * (1 << 20) * DISK_SHARE_OF_LOG) or (64 << 20)
+        disk_bytes = self.settings.disk_mb << 20
+        bound = int(disk_bytes * DISK_SHARE_OF_LOG) or (64 << 20)
         self.journal = disk.open_journal(self.reactor, bound)
         host = ReplicaHost(
             self.reactor,
@@ -122,7 +123,7 @@
             self.journal,
             self.carrier.send,
             self.random,
-            bounds=self.machine.compaction,
+            bounds=self.machine.compaction(disk_bytes),
         )
         self.carrier.connect(host.hear)
         return host
--- a/bitternpath/roles/storage.py
+++ b/bitternpath/roles/storage.py
@@ -52,6 +52,7 @@
 HEARD_LATELY_S = 0.3
 PREFER_AFTER_S = 6.0  # of being fit without a break, before ownership goes back to the preferred member
 PREFER_MOST_S = 300.0  # doubled up to that by each hand-over of a shard: one that comes back was no gain
+SNAPSHOT_SHARE = 0.7  # of the disk: likewise, of all snapshots and the next of the largest one
 FULL_SHARE = 0.75  # of the disk: from there on no message is taken
 CACHE_NAME = "feed"  # what the feed brought last, so that shards open without the configuration group
 
@@ -296,9 +297,10 @@
         journal = self.base.journal
         if journal is None or journal.failing:
             return False
-        return (
-            not self.settings.disk_mb or journal.bytes_used < self.settings.disk_mb * (1 << 20) * FULL_SHARE
-        )
+        disk = self.settings.disk_mb << 20
+        if not disk:
+            return True
+        return journal.bytes_used < disk * FULL_SHARE and journal.bytes_of_snapshots < disk * SNAPSHOT_SHARE
 
     # ---- the feed's cache
 
--- a/bitternpath/simulation/processes.py
+++ b/bitternpath/simulation/processes.py
@@ -46,8 +46,7 @@
     def random(self) -> Random:
         return self._random
 
-    @property
-    def compaction(self) -> CompactionBounds:
+    def compaction(self, disk_bytes: int) -> CompactionBounds:
         return self._node.logs.compaction
 
     def wall_ms(self) -> int:
--- a/bitternpath/storage/journal.py
+++ b/bitternpath/storage/journal.py
@@ -42,6 +42,11 @@
         """Bytes of segments and snapshots on the disk."""
         return self._log.bytes_used
 
+    @property
+    def bytes_of_snapshots(self) -> int:
+        """Bytes of all snapshots and of the largest one again: it is replaced by one beside it."""
+        return self._log.bytes_of_snapshots
+
     def groups(self) -> tuple[str, ...]:
         """The groups that the disk held at the start and that nobody has taken or forgotten yet."""
         return tuple(self._loaded)
--- a/bitternpath/storage/segments.py
+++ b/bitternpath/storage/segments.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import errno
 import re
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -72,7 +73,9 @@
         self._segment_bytes, self._checkpoint_bytes = segment_bytes, checkpoint_bytes
         self._checkpoint_above = checkpoint_bytes  # bytes of all segments
         self._pending: list[str] | None = None  # groups that a checkpoint has still to write
+        self._bytes_left = 0  # of all segments after the last checkpoint
         self._first_needed = 0  # segments before it go when the checkpoint is complete
+        self._unfinished = ""  # path of a next segment that the disk refused
         self._is_torn = False  # there may be bytes behind the current segment's `end`
         self._closed: dict[int, int] = {}  # sizes of the segments before the current one
         self._batch = 0  # number of the last one
@@ -109,6 +112,11 @@
         """Bytes of all files; another thread may ask."""
         return self._segments_bytes + self._snapshots.bytes_used
 
+    @property
+    def bytes_of_snapshots(self) -> int:
+        """Bytes of all snapshots and of the largest one again: it is replaced by one beside it."""
+        return self._snapshots.bytes_used + self._snapshots.largest
+
     def _count(self) -> None:
         self._segments_bytes = sum(self._closed.values()) + self._segment.end
 
@@ -173,7 +181,19 @@
     # ---- writing
 
     def write(self, batch: Batch) -> None:
-        """The batch is on disk when this returns. May be called again with it after an `OSError`."""
+        """The batch is on disk when this returns. May be called again with it after an `OSError`.
+
+        On a full disk the journal is written anew at once, whatever its size: old segments may hold the room
+        that the batch wants, and no checkpoint comes between the attempts at a batch.
+        """
+        try:
+            self._write(batch)
+        except OSError as error:
+            if error.errno != errno.ENOSPC or not self._free_room():
+                raise
+            self._write(batch)
+
+    def _write(self, batch: Batch) -> None:
         while batch.snapshots:
             new = batch.snapshots[0]
             self._snapshots.write(new.group, new.snapshot)
@@ -185,6 +205,7 @@
     def _append(self, records: Sequence[Record]) -> None:
         if not self._segment.end or self._segment.end > self._segment_bytes:
             self._roll()
+        self._remove_unfinished()
         segment = self._segment
         if self._is_torn:
             self._files.truncate(segment.path, segment.end)
@@ -209,10 +230,20 @@
             self._files.truncate(before.path, before.end)
             self._files.sync(before.path)
             self._is_torn = False
+        self._unfinished = _path(before.number + 1)
         self._segment = self._begin_segment(before.number + 1)
+        self._unfinished = ""
         self._closed[before.number] = before.end
         self._count()
 
+    def _remove_unfinished(self) -> None:
+        """Remove a segment that the disk refused: while it is there, the current one would be taken for one
+        that was synced whole, and the torn end of a batch in it for damage."""
+        if self._unfinished:
+            self._files.remove(self._unfinished)
+            self._files.sync_folder(FOLDER)
+            self._unfinished = ""
+
     def _begin_segment(self, number: int) -> _Segment:
         path, salt = _path(number), self._draw_salt()
         self._files.truncate(path, 0)
@@ -229,6 +260,15 @@
         }
         self._snapshots.keep_only(named)
 
+    def _free_room(self) -> bool:
+        """Remove drafts and do a whole checkpoint; whether there is less on the disk after it."""
+        before = self.bytes_used
+        self._snapshots.remove_drafts()
+        if self._pending is not None or self._segments_bytes != self._bytes_left:
+            while self.checkpoint_step():
+                pass
+        return self.bytes_used < before
+
     # ---- checkpoints
 
     @property
@@ -236,8 +276,9 @@
         """Whether `checkpoint_step` has something to do."""
         return self._pending is not None or self._segments_bytes > self._checkpoint_above
 
-    def checkpoint_step(self) -> None:
-        """One group's state, or the removal of one segment. May be called again after an `OSError`."""
+    def checkpoint_step(self) -> bool:
+        """One group's state, or the removal of one segment; whether there is more to do. May be called again
+        after an `OSError`."""
         if self._pending is None:
             self._roll()
             self._pending = sorted(self._states.by_group | self._states.forgotten)
@@ -249,7 +290,9 @@
             self._remove_segment(min(self._closed))
         else:
             self._pending = None
+            self._bytes_left = self._segments_bytes
             self._checkpoint_above = max(self._checkpoint_bytes, 2 * self._segments_bytes)
+        return self._pending is not None
 
     def _write_state(self, group: str) -> None:
         state = self._states.by_group.get(group)
--- a/bitternpath/storage/snapshots.py
+++ b/bitternpath/storage/snapshots.py
@@ -24,6 +24,7 @@
         self._files = files
         self._sizes: dict[str, int] = {}
         self.bytes_used = 0  # of all snapshot files; another thread may read it
+        self.largest = 0  # bytes of the largest one
         files.make_folder(FOLDER)
         for name in files.list_names(FOLDER):
             self._sizes[name] = files.size(f"{FOLDER}/{name}")
@@ -61,6 +62,13 @@
             raise JournalDamaged(path, 0, "the checksum or the version doesn't match")
         return Snapshot(reference.index, reference.term, reference.members, data)
 
+    def remove_drafts(self) -> None:
+        """Remove what is left of files that the disk refused."""
+        for name in [name for name in self._sizes if name.endswith(_DRAFT_SUFFIX)]:
+            self._files.remove(f"{FOLDER}/{name}")
+            del self._sizes[name]
+        self._count()
+
     def keep_only(self, names: set[str]) -> None:
         """Remove all files but these. A file that can't be removed stays for the next time."""
         for name in [name for name in self._sizes if name not in names]:
@@ -70,6 +78,7 @@
 
     def _count(self) -> None:
         self.bytes_used = sum(self._sizes.values())
+        self.largest = max(self._sizes.values(), default=0)
 
 
 def file_name(group: str, index: int, term: int) -> str:
