Documents on the simulated disk are written by the real writer; what was read of one stays

Found: - a document (founding, feed) that was read after its writer was killed between rename and folder sync could be lost at the next loss of power; a founder then had no founding. load_document syncs the folder first, as the identity's loader did. - a dropped feed cache could come back (harmless: dropped again); drop_document syncs. - a data folder that the process makes itself had no sync of the folder above.

store/load/drop_document work on a FileSystem, so the simulated node writes documents by the same code. The replica group's campaign now runs on disks whose new names don't persist through the file's own sync.

--- a/bitternpath/simulation/disk.py
+++ b/bitternpath/simulation/disk.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from bitternpath.simulation.settings import LogSizes
-from bitternpath.storage.documents import DRAFT_SUFFIX, decode_document, encode_document
+from bitternpath.storage.documents import drop_document, load_document, store_document
 from bitternpath.storage.identity import load_identity
 from bitternpath.storage.journal import Journal
 from bitternpath.storage.segments import SegmentLog
@@ -50,22 +50,13 @@
         return Journal(log, self._runner)
 
     def read_document(self, name: str) -> bytes | None:
-        try:
-            data = self._disk.read(name)
-        except FileNotFoundError:
-            return None
-        return decode_document(Path(name), data)
+        return load_document(self._disk, name)
 
     def write_document(self, name: str, content: bytes) -> None:
-        draft = name + DRAFT_SUFFIX
-        self._disk.truncate(draft, 0)
-        self._disk.write_at(draft, 0, encode_document(content))
-        self._disk.sync(draft)
-        self._disk.rename(draft, name)
-        self._disk.sync_folder("")
+        store_document(self._disk, name, content)
 
     def remove_document(self, name: str) -> None:
-        self._disk.remove(name)
+        drop_document(self._disk, name)
 
     def was_set_aside(self) -> bool:
         return any(path.startswith(SET_ASIDE) for path in self._disk.paths())
--- a/bitternpath/simulation/replica_group.py
+++ b/bitternpath/simulation/replica_group.py
@@ -53,7 +53,7 @@
     """A machine with its disk."""
 
     name: str
-    disk: SimulatedDisk = field(default_factory=SimulatedDisk)
+    disk: SimulatedDisk = field(default_factory=partial(SimulatedDisk, own_sync_keeps_name=False))
     wipes: int = 0
     process: Process | None = None
 
--- a/bitternpath/storage/documents.py
+++ b/bitternpath/storage/documents.py
@@ -7,6 +7,8 @@
 import zlib
 from pathlib import Path
 
+from bitternpath.storage.files import FileSystem
+
 FORMAT_VERSION = 1
 DRAFT_SUFFIX = ".draft"
 _HEADER = struct.Struct("!4sIII")  # magic, format, length, CRC32 of the content
@@ -49,17 +51,31 @@
     return _HEADER.pack(_MAGIC, FORMAT_VERSION, len(content), zlib.crc32(content)) + content
 
 
-def write_document(path: Path, content: bytes) -> None:
-    """Replace the file; it is on disk when this returns. Raises `OSError`."""
-    draft = path.with_name(path.name + DRAFT_SUFFIX)
-    descriptor = os.open(draft, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+def load_document(files: FileSystem, name: str) -> bytes | None:
+    """As `read_document`, of a node that will act on it: what was read stays, also after a loss of power.
+    The process that wrote it may have died before it synced the folder."""
     try:
-        _write_all(descriptor, encode_document(content))
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
-    os.rename(draft, path)
-    sync_folder(path.parent)
+        data = files.read(name)
+    except FileNotFoundError:
+        return None
+    files.sync_folder("")
+    return decode_document(Path(name), data)
+
+
+def store_document(files: FileSystem, name: str, content: bytes) -> None:
+    """Replace a document; it is on disk when this returns. Raises `OSError`."""
+    draft = name + DRAFT_SUFFIX
+    files.truncate(draft, 0)
+    files.write_at(draft, 0, encode_document(content))
+    files.sync(draft)
+    files.rename(draft, name)
+    files.sync_folder("")
+
+
+def drop_document(files: FileSystem, name: str) -> None:
+    """Remove a document for good; no error where it is missing. Raises `OSError`."""
+    files.remove(name)
+    files.sync_folder("")
 
 
 def sync_folder(folder: Path) -> None:
@@ -69,9 +85,3 @@
         os.fsync(descriptor)
     finally:
         os.close(descriptor)
-
-
-def _write_all(descriptor: int, data: bytes) -> None:
-    view = memoryview(data)
-    while view:
-        view = view[os.write(descriptor, view) :]
--- a/bitternpath/storage/identity.py
+++ b/bitternpath/storage/identity.py
@@ -35,8 +35,9 @@
 
     Raises `JournalDamaged` where the file holds anything else, and `OSError`.
     """
-    if files is None:
+    if files is None and not data_dir.is_dir():
         data_dir.mkdir(parents=True, exist_ok=True)
+        sync_folder(data_dir.parent)
     disk = files or LocalFiles(data_dir)
     try:
         return _load(disk, draw)
--- a/bitternpath/storage/node_disk.py
+++ b/bitternpath/storage/node_disk.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from contextlib import closing
 from pathlib import Path
 from typing import Any, Protocol
 
-from bitternpath.storage.documents import read_document, write_document
+from bitternpath.storage.documents import DamagedDocument, drop_document, load_document, store_document
+from bitternpath.storage.files import LocalFiles
 from bitternpath.storage.identity import finish_setting_aside, folders_set_aside, load_identity, set_aside
 from bitternpath.storage.journal import Journal, open_journal
 
@@ -49,13 +51,20 @@
         return open_journal(self._data_dir, reactor, checkpoint_bytes)
 
     def read_document(self, name: str) -> bytes | None:
-        return read_document(self._data_dir / name)
+        with closing(LocalFiles(self._data_dir)) as files:
+            try:
+                return load_document(files, name)
+            except DamagedDocument as damage:
+                path = self._data_dir / name
+                raise DamagedDocument(path, damage.offset, damage.reason) from damage
 
     def write_document(self, name: str, content: bytes) -> None:
-        write_document(self._data_dir / name, content)
+        with closing(LocalFiles(self._data_dir)) as files:
+            store_document(files, name, content)
 
     def remove_document(self, name: str) -> None:
-        (self._data_dir / name).unlink(missing_ok=True)
+        with closing(LocalFiles(self._data_dir)) as files:
+            drop_document(files, name)
 
     def was_set_aside(self) -> bool:
         return bool(folders_set_aside(self._data_dir))
--- a/tests/system/test_command_line.py
+++ b/tests/system/test_command_line.py
@@ -23,10 +23,10 @@
 from bitternpath.membership.founding import FoundingFile
 from bitternpath.replication.records import CHANGE, Entry, Kept, Members, Snapshot, Write
 from bitternpath.storage.commands import Batch, NewSnapshot
-from bitternpath.storage.documents import write_document
 from bitternpath.storage.files import LocalFiles
 from bitternpath.storage.groups import founding_record, write_record
 from bitternpath.storage.identity import load_identity, set_aside
+from bitternpath.storage.node_disk import LocalDisk
 from bitternpath.storage.records import SEGMENT_HEADER_BYTES
 from bitternpath.storage.segments import SegmentLog
 from bitternpath.storage.snapshots import file_name
@@ -240,16 +240,16 @@
         self.assertIn("  founding system=5ec0 members=1\n", self.check(0))
         flip(self.folder / "founding", -1)
         self.assertRegex(self.check(1), r"^damaged: \S+founding at offset 16: the checksum")
-        write_document(self.folder / "founding", b"\xff no record")
+        LocalDisk(self.folder).write_document("founding", b"\xff no record")
         self.assertRegex(self.check(1), r"^damaged: \S+founding: ")
 
     def test_feed(self) -> None:
         update = FeedUpdate(0, 7, None, 3, None, 1)
-        write_document(self.folder / "feed", RecordCodec(FeedUpdate).encode(update))
+        LocalDisk(self.folder).write_document("feed", RecordCodec(FeedUpdate).encode(update))
         self.assertIn("  feed version=7 generation=3\n", self.check(0))
         flip(self.folder / "feed", -1)
         self.assertRegex(self.check(0), r"  feed is damaged, a start drops it: \S+feed at offset 16")
-        write_document(self.folder / "feed", b"\xff no record")
+        LocalDisk(self.folder).write_document("feed", b"\xff no record")
         self.assertIn("  feed is damaged, a start drops it: ", self.check(0))
 
     def test_what_was_set_aside(self) -> None:
--- a/tests/system/test_process.py
+++ b/tests/system/test_process.py
@@ -32,7 +32,7 @@
 from bitternpath.roles.storage_process import StorageProcess
 from bitternpath.storage.commands import Batch
 from bitternpath.storage.document_writer import RETRY_S, DocumentWriter
-from bitternpath.storage.documents import read_document, write_document
+from bitternpath.storage.documents import read_document
 from bitternpath.storage.files import LocalFiles
 from bitternpath.storage.groups import founding_record
 from bitternpath.storage.identity import (
@@ -42,6 +42,7 @@
     read_identity,
     set_aside,
 )
+from bitternpath.storage.node_disk import LocalDisk
 from bitternpath.storage.segments import SegmentLog
 from bitternpath.transport.messages import (
     Founding,
@@ -209,7 +210,7 @@
         """A founder's disk, with one group."""
         load_identity(self.data, draw=lambda: OLD)
         FoundingFile(self.data).store(FOUNDING)
-        write_document(self.data / CACHE_NAME, b"any")
+        LocalDisk(self.data).write_document(CACHE_NAME, b"any")
         log = SegmentLog(LocalFiles(self.data), lambda: 7, 1 << 30)
         for group in ("g", "h"):
             founded = founding_record(group, Kept(snapshot=Snapshot(members=Members((ME.member,)))))
@@ -379,7 +380,7 @@
                 self.setUp()
                 self.data.mkdir()
                 if content is None:
-                    write_document(self.data / CACHE_NAME, b"\xff\xff no record")
+                    LocalDisk(self.data).write_document(CACHE_NAME, b"\xff\xff no record")
                 else:
                     (self.data / CACHE_NAME).write_bytes(content)
                 reactor = FakeReactor()
