Tests of members that must not count: removed, frozen, slow

A member that was removed while cut off is back: no other owner, no higher term, also when owners end. Votes of non-members don't count, pre-votes raise no term. An owner that wakes with answers from before its freeze answers no read from them. Broken builds caught: rounds counted from before, nothing kept for slow followers.

--- /dev/null
+++ b/tests/system/test_old_members.py
@@ -0,0 +1,189 @@
+"""Members that should not count: removed ones that wake later, owners that were frozen, slow ones."""
+
+from __future__ import annotations
+
+from functools import partial
+from unittest.mock import patch
+
+from bitternpath.replication.consensus import Raft
+from bitternpath.replication.messages import AskVote, Install, Vote
+from bitternpath.replication.records import Kept, Members, Snapshot
+from bitternpath.replication.wire import decode_message
+from bitternpath.simulation.replica_group import GROUP, Node, Process
+from tests.system.loaded_group import Loaded, Quiet
+from tests.system.test_replication import TRIO, Host, result_of
+
+FROZEN_SECONDS = 2.0
+FREEZES = 12
+
+
+class Shrinking(Loaded):
+    """The desired members are given by name."""
+
+    def __init__(self, seed: int = 1) -> None:
+        super().__init__(seed)
+        self.desired = list(self.nodes)
+
+    def _look_at_members(self) -> None:
+        members = [self.nodes[name].member for name in self.desired]
+        for node in self.nodes.values():
+            if node.process is not None:
+                node.process.clock.run(partial(self._step_members, node.process, members))
+
+
+class Removed(Quiet):
+    """A member is removed while it is cut off, and so doesn't hear of it. Then it is back."""
+
+    def removed(self) -> tuple[Shrinking, Node]:
+        world = Shrinking()
+        world.owner()
+        gone = world.follower()
+        world.nodes["n3"] = Node("n3")
+        world._start(world.nodes["n3"], None)
+        for other in world.nodes:
+            world.blocked |= {(gone.name, other), (other, gone.name)}
+        world.desired = [name for name in world.nodes if name != gone.name]
+        world._repeat(0.1, world._look_at_members)
+        world.changes(0.01)
+        wanted = {world.nodes[name].member for name in world.desired}
+        self.assertTrue(world.run_until(lambda: set(world.owner().host.members(GROUP).voters) == wanted, 10))
+        world.run_until(lambda: False, 1.0)
+        assert gone.process is not None
+        self.assertIn(gone.member, gone.process.host.members(GROUP).voters, "it doesn't know")
+        return world, gone
+
+    def test_it_disturbs_nobody_when_it_is_back(self) -> None:
+        world, gone = self.removed()
+        owner, epoch, made = world.owner(), world.owner().host.epoch(GROUP), len(world.checker.committed)
+        world.blocked.clear()
+        world.run_until(lambda: False, 10.0)
+        self.assertIs(world.owner(), owner)
+        self.assertEqual(owner.host.epoch(GROUP), epoch)
+        self.assertGreater(len(world.checker.committed), made + 500)
+        assert gone.process is not None
+        self.assertEqual(gone.process.host.epoch(GROUP), epoch if gone.process.host.leader(GROUP) else 1)
+
+    def test_it_is_not_elected_when_the_owner_ends(self) -> None:
+        world, gone = self.removed()
+        world.blocked.clear()
+        for _ in range(3):
+            owner = world.owner()
+            epoch = owner.host.epoch(GROUP)
+            node = next(node for node in world.nodes.values() if node.process is owner)
+            world._end(node)
+            node.disk.restart()
+            self.assertTrue(world.run_until(lambda owner=owner: world.owner() is not owner, 10))  # type: ignore[misc]
+            self.assertIsNot(world.owner(), gone.process)
+            self.assertLess(world.owner().host.epoch(GROUP), epoch + 4)
+            world._start(node, None)
+            world.run_until(lambda: False, 1.0)
+
+    def test_a_vote_of_one_that_is_no_member_does_not_count(self) -> None:
+        raft = Raft("a", Kept(snapshot=Snapshot(members=Members(("a", "b", "c")))), _Fixed(), 0.0)  # type: ignore[arg-type]
+        raft.tick(5.0)
+        raft.take(5.0)
+        raft.hear(5.0, "gone", Vote(1, True, True))
+        raft.take(5.0)
+        self.assertEqual(raft.term, 0)
+        raft.hear(5.0, "b", Vote(1, True, True))
+        self.assertEqual(raft.term, 1)
+
+    def test_asking_for_votes_beforehand_raises_no_term(self) -> None:
+        raft = Raft("a", Kept(term=3, snapshot=Snapshot(members=Members(("a", "b")))), _Fixed(), 0.0)  # type: ignore[arg-type]
+        raft.hear(5.0, "gone", AskVote(90, 0, 0, True))
+        raft.take(5.0)
+        self.assertEqual(raft.term, 3)
+
+
+class _Fixed:
+    """A source of chance that always says the same."""
+
+    @staticmethod
+    def random() -> float:
+        return 0.0
+
+
+class FrozenOwner(Quiet):
+    """An owner is frozen while answers are under way. As it wakes it finds them, and is asked for a read;
+    another member may have led since."""
+
+    def read_on_waking(self) -> object:
+        """What became of the read before any answer that was sent after the thaw."""
+        host = Host("a")
+        host.open(TRIO)
+        host.lead()
+        beat = host.run(0.15)  # a heartbeat, whose answers come late
+        self.assertTrue(beat)
+        host.clock.rightNow += FROZEN_SECONDS  # no timer has run meanwhile
+        host.answer("b", beat)
+        barrier = host.host.barrier("g")
+        host.turn()
+        found = result_of(barrier)  # type: ignore[arg-type]
+        barrier.addErrback(lambda _: None)
+        return (barrier.called, found)
+
+    def test_a_read_is_not_answered_from_rounds_before_the_freeze(self) -> None:
+        self.assertEqual(self.read_on_waking(), (False, None))
+
+    def test_a_build_that_counts_rounds_from_before_is_caught(self) -> None:
+        with patch.object(Raft, "want_round", lambda self: self.confirmed_round):
+            self.assertEqual(self.read_on_waking(), (True, None))
+
+    def test_a_frozen_owner_in_a_group_reads_nothing_old(self) -> None:
+        """The checker holds what a read gives against what was acknowledged before it was asked."""
+        for seed in range(FREEZES):
+            world = Loaded(seed)
+            owner = world.owner()
+            world.change()
+            world.run_until(lambda: False, 0.1)
+            world._barrier(owner)
+            owner.clock.freeze()
+            self.assertTrue(world.run_until(lambda w=world, o=owner: bool(self.others(w, o)), 10))  # type: ignore[misc]
+            for number in range(10):
+                world.propose(self.others(world, owner)[0], b"new %d" % number)
+                world.run_until(lambda: False, 0.05)
+            world.run_until(lambda: False, FROZEN_SECONDS)
+            self.assertGreater(world.checker.acknowledged, 9)
+            world._barrier(owner)
+            owner.clock.thaw()
+            world._barrier(owner)
+            world.run_until(lambda: False, 2.0)
+
+    @staticmethod
+    def others(world: Loaded, owner: Process) -> list[Process]:
+        """Owners besides the frozen one."""
+        processes = [node.process for node in world.nodes.values() if node.process]
+        return [each for each in processes if each is not owner and each.host.is_owner(GROUP)]
+
+
+class Counting(Loaded):
+    """Counts the snapshots that are begun."""
+
+    begun = 0
+
+    def _send(self, sender_node: str, sender: str, receiver: str, group: str, body: bytes) -> None:
+        message = decode_message(body)
+        self.begun += isinstance(message, Install) and message.offset == 0 and bool(message.piece)
+        super()._send(sender_node, sender, receiver, group, body)
+
+
+class SlowFollower(Quiet):
+    def play(self) -> int:
+        """How many snapshots a follower was sent whose disk takes 50 ms for a sync, under 200 changes a
+        second, of which every 12th makes the owner replace its entries."""
+        world = Counting()
+        node = world.follower()
+        assert node.process is not None
+        node.process.runner.sync_seconds = 0.05
+        world.changes(0.005)
+        world.run_until(lambda: False, 5.0)
+        world.every = 0.0
+        self.assertTrue(world.run_until(world._agrees, 2.0))
+        return world.begun
+
+    def test_compaction_does_not_outrun_it(self) -> None:
+        self.assertEqual(self.play(), 0)
+
+    def test_a_build_that_keeps_nothing_for_it_is_caught(self) -> None:
+        with patch.object(Raft, "needed_index", property(lambda self: self.last_index + 1)):
+            self.assertGreater(self.play(), 3)
