--- a/bitternpath/replication/interfaces.py
+++ b/bitternpath/replication/interfaces.py
@@ -38,8 +38,8 @@
     def take_kept(self, group: str) -> Kept | None:
         """What the disk held of a group at the start; given once."""
 
-    def was_forgotten(self, group: str) -> bool:
-        """Whether this disk held the group once and gave it up."""
+    def forgotten_at(self, group: str) -> int | None:
+        """The generation of the members at which this disk gave the group up; None where it never did."""
 
     def found(self, group: str, kept: Kept) -> None:
         """Write the state with which a group begins here."""
@@ -47,8 +47,8 @@
     def write(self, group: str, write: Write, done: Callable[[], None]) -> None:
         """Write a batch after those before it; `done` is called once it is synced."""
 
-    def forget(self, group: str) -> None:
-        """Remove all that is kept of a group."""
+    def forget(self, group: str, generation: int) -> None:
+        """Remove all that is kept of a group, given up at that generation of its members."""
 
 
 class GroupListener(Protocol):
