Membership: nodes that were forgotten are tried still, so that a part cut off for long is found again

Cause, brought about in the simulated world: edge nodes without a disk, cut off from all others, restarted meanwhile with a settings file that names machines of their side only. After 20 s (FORGET_AFTER_S) the others forget them and speak to them no more; they know of nobody else.

Change: in half of its rounds a node also shuffles with one of those that it has forgotten (300 s, 512 at most).

--- a/bitternpath/membership/view.py
+++ b/bitternpath/membership/view.py
@@ -3,7 +3,8 @@
 After Voulgaris, Gavidia and van Steen, "CYCLON: Inexpensive Membership Management" (2005): each round a node
 sends a random part of its view to one peer and gets a part of that peer's. Unlike there, entries carry the
 subject's own heartbeat, the newest word on a node wins, and nodes that hold state are kept in preference,
-because every node must find some of them. The view is bounded: no node holds all others.
+because every node must find some of them. The view is bounded: no node holds all others. Nodes that were
+forgotten are tried still: they may have been cut off, and their settings may name nobody else.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
 FORGET_AFTER_S = 20.0  # without a newer heartbeat
 REMEMBER_FORGOTTEN_S = 300.0  # what is still told of a forgotten node doesn't bring it back
 MOST_FORGOTTEN = 512
+TRY_FORGOTTEN = 0.5  # share of rounds in which one of these is tried: it may know nobody else
 
 
 @dataclass(slots=True)
@@ -32,6 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Forgotten:
+    address: str
     life: int
     beat: int
     at: float
@@ -107,13 +110,16 @@
         return [Datagram(address, request) for address in self._targets(True)]
 
     def _targets(self, starting: bool) -> list[str]:
-        """Whom to shuffle with: one peer of the view; seeds while the system starts or nobody is known."""
+        """Whom to shuffle with: one peer of the view; seeds while the system starts or nobody is known; now
+        and then one that was forgotten."""
         nodes = self.nodes()
         targets = {self._random.choice(nodes).address} if nodes else set()
         if starting or len(nodes) < 3:
             targets.update(self.seeds)
         elif self.seeds and self._random.random() < 0.1:
             targets.add(self._random.choice(self.seeds))
+        if self._forgotten and self._random.random() < TRY_FORGOTTEN:
+            targets.add(self._random.choice(list(self._forgotten.values())).address)
         targets.discard(self.me.address)
         return sorted(targets)
 
@@ -165,6 +171,6 @@
         self._forgotten = {name: gone for name, gone in self._forgotten.items() if gone.at > past}
 
     def _remember_forgotten(self, now: float, node: NodeDescriptor) -> None:
-        self._forgotten[node.name] = _Forgotten(node.life, node.beat, now)
+        self._forgotten[node.name] = _Forgotten(node.address, node.life, node.beat, now)
         while len(self._forgotten) > MOST_FORGOTTEN:
             del self._forgotten[next(iter(self._forgotten))]
--- a/tests/system/test_cut_off.py
+++ b/tests/system/test_cut_off.py
@@ -16,6 +16,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from bitternpath.configuration.orders import OrderProcessor, OrderResult, not_owner
+from bitternpath.membership.view import FORGET_AFTER_S
 from bitternpath.roles import operator_calls
 from bitternpath.simulation.processes import NodeState, SimulatedNode
 from bitternpath.simulation.world import Plan
@@ -25,6 +26,7 @@
 CUT_S = 20.0
 ANSWER_S = 1.0  # operators move on after it
 APPLY_S = 3.0  # config_apply_ms
+CONTACT_S = 4.0  # contact_ms: only then the bound begins for machines that were cut off
 ELECTION_S = 4.0  # by then the larger side takes orders; measured: see docs/design/control-safety/point-1.md
 POLL_S = 0.3
 
@@ -253,6 +255,31 @@
                 self.assertEqual(len(systems(system)), 1)
                 self.assertEqual((watch.wrong, watch.late, world.violations), ([], [], []))
 
+    def test_a_part_without_members_that_was_forgotten_is_found_again(self) -> None:
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                system, watch, index = self.begin(seed)
+                world = system.world
+                outer = [edge for edge in world.edges() if not edge.counted]
+                near = [CALLER_IP, *(edge.ip for edge in outer)]
+                for edge in outer:  # restarted, they know of nobody but each other
+                    world.cut_off(edge.name, [ip for ip in node_ips(system, edge) if ip not in near])
+                    world.change_settings(edge.name, seeds=[each.control for each in outer])
+                    world.kill(edge.name)
+                watch.leave_alone(*(edge.name for edge in outer))
+                world.run_for(FORGET_AFTER_S + 5.0)
+                accepted = watch.order(3, 1, index)
+                world.run_for(2.0)
+                self.assertEqual(accepted.status, 200)
+                watch.leave_alone()
+                for edge in outer:
+                    world.rejoin(edge.name)
+                joined = world.now
+                while any(version_at(edge) != 3 for edge in world.edges()) and world.now < joined + 20:
+                    world.run_for(0.1)
+                self.assertLess(world.now - joined, CONTACT_S + APPLY_S)
+                self.assertEqual((watch.wrong, watch.late, world.violations), ([], [], []))
+
 
 def systems(system: SmallSystem) -> set[str]:
     """The systems that nodes take themselves for founders of."""
--- a/tests/system/test_membership.py
+++ b/tests/system/test_membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 from random import Random
 
 from bitternpath.configuration.placement import (
@@ -100,6 +101,32 @@
         for view in world.views.values():
             self.assertEqual({each.name for each in view.nodes()} & {silent.name, leaving.name}, set())
 
+    def test_parts_that_were_cut_off_for_long_find_each_other_though_seeds_name_their_own_part(self) -> None:
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                world = World([node(n) for n in range(8)], seeds=2, loss=0.0, seed=seed)
+                world.run(6.0)
+                addresses = list(world.views)
+                parts = addresses[:5], addresses[5:]
+                views = dict(world.views)
+                for part in parts:  # each runs alone; the smaller one's nodes start again, knowing nobody
+                    world.views = {address: views[address] for address in part}
+                    began = world.now
+                    for view in world.views.values():
+                        view.seeds = part[:2]
+                    world.run(40.0)
+                    world.now = began
+                world.now += 40.0
+                for address in parts[1]:
+                    me = replace(views[address].me, life=2)
+                    views[address] = MembershipView(me, parts[1][:2], Random(seed), world.now)
+                world.views = views
+                world.run(3.0)
+                for view in views.values():
+                    known = {each.address for each in view.nodes()}
+                    self.assertGreaterEqual(len(known & set(parts[0])), 4)
+                    self.assertGreaterEqual(len(known & set(parts[1])), 2)
+
     def test_after_a_clock_that_stepped_back_a_node_outbids_its_earlier_life(self) -> None:
         view = MembershipView(node(0, life=100), (), Random(1), 0.0)
         view.received(1.0, "10.0.0.9:1", ShuffleRequest(node(9), (node(0, life=900),)))
