--- a/bitternpath/roles/configuration_member.py
+++ b/bitternpath/roles/configuration_member.py
@@ -85,7 +85,7 @@
         self._started_at = reactor.seconds()
         tolerated = settings.tolerated_machines
         self.nodes = NodesHere(reactor, self.feed)
-        self.core = CoreMembers(host, self.nodes, lambda: view.me, tolerated)
+        self.core = CoreMembers(reactor, host, self.nodes, view, tolerated)
         self.placement = ShardPlacement(reactor, self, self.state, self.nodes, tolerated)
         self.retirements = Retirements(self, self.state, self.nodes, tolerated)
         self._look_planned = False
@@ -218,7 +218,6 @@
 
     def _look(self) -> None:
         self._timer = self.reactor.callLater(LOOK_S, self._look)
-        self._tell_founding()
         self._look_after()
 
     def _look_soon(self) -> None:
@@ -234,6 +233,7 @@
             self.core.look()
             self.placement.look()
             self.retirements.look()
+        self._tell_founding()
 
     def _tell_founding(self) -> None:
         """An owner tells all members, as one that isn't told doesn't take part; without a leader founders
