Scrub: damage on disk is found while the process runs, and mended from memory

The disk's thread reads all files again while it has nothing to write, 256 KiB every 0.25 s. Before, damage was found at the next start only, when the disk counted as lost: with all replicas restarted at once it could be the last copy.

--- a/bitternpath/replication/host.py
+++ b/bitternpath/replication/host.py
@@ -46,6 +46,7 @@
         self._random, self._times = random, times
         self._bounds = bounds or CompactionBounds()
         self._budget = TransferBudget()  # of snapshot transfers of all groups
+        journal.watch_snapshots(self._rewrite_snapshot)
         self.groups: dict[str, ReplicaGroup] = {}
         self._dirty: dict[str, ReplicaGroup] = {}
         self._watchers: dict[str, Callable[[], None]] = {}
@@ -265,6 +266,12 @@
             group.raft.stored(self._reactor.seconds(), number)
             self._mark(name, group)
 
+    def _rewrite_snapshot(self, name: str) -> None:
+        group = self.groups.get(name)
+        if group is not None:
+            group.raft.log.rewrite_snapshot()
+            self._mark(name, group)
+
     def _set_timer(self) -> None:
         if self._stopped or not self.groups:
             return
--- a/bitternpath/replication/interfaces.py
+++ b/bitternpath/replication/interfaces.py
@@ -35,6 +35,9 @@
     def groups(self) -> tuple[str, ...]:
         """The groups that the disk held at the start and that nobody has taken yet."""
 
+    def watch_snapshots(self, damaged: Callable[[str], None]) -> None:
+        """`damaged` is told a group whose snapshot was found damaged on disk."""
+
     def take_kept(self, group: str) -> Kept | None:
         """What the disk held of a group at the start; given once."""
 
--- a/bitternpath/replication/log.py
+++ b/bitternpath/replication/log.py
@@ -103,6 +103,11 @@
         self.changed = True
         self._find_members()
 
+    def rewrite_snapshot(self) -> None:
+        """Write the snapshot again as it is: its file is damaged."""
+        self._new_snapshot = self.snapshot
+        self.changed = True
+
     def _find_members(self) -> None:
         self.members, self.members_index = self.members_upto(self.last_index)
 
--- a/bitternpath/storage/disk.py
+++ b/bitternpath/storage/disk.py
@@ -17,7 +17,10 @@
 RETRY_SECONDS = 0.25  # between attempts at a write that the disk refused
 STOP_SECONDS = 2.0  # for what waits to be written when the process ends
 
+SCRUB_SECONDS = 0.25  # between pieces of files that are read again: 1 MiB/s, so 64 MB in about a minute
+
 Completed = Callable[[Sequence[JournalCommand]], None]
+SnapshotDamaged = Callable[[str], None]  # told the group
 
 
 class DiskRunner(Protocol):
@@ -27,8 +30,9 @@
     def failing(self) -> bool:
         """Whether the last write, or the last step of a checkpoint, failed; it is being repeated."""
 
-    def start(self, log: SegmentLog, completed: Completed) -> None:
-        """Begin; `completed` is called in the reactor's thread with commands that are on disk."""
+    def start(self, log: SegmentLog, completed: Completed, damaged: SnapshotDamaged) -> None:
+        """Begin; `completed` is called in the reactor's thread with commands that are on disk, `damaged` with
+        a group whose snapshot's file is damaged."""
 
     def submit(self, command: JournalCommand) -> None:
         """Add a command to the queue."""
@@ -53,9 +57,10 @@
         """Whether the last write, or the last step of a checkpoint, failed; it is being repeated."""
         return self._write_failing or self._checkpoint_failing
 
-    def start(self, log: SegmentLog, completed: Completed) -> None:
+    def start(self, log: SegmentLog, completed: Completed, damaged: SnapshotDamaged) -> None:
         """Begin to work on the log."""
-        self._log, self._completed = log, completed
+        self._log, self._completed, self._damaged = log, completed, damaged
+        self._scrub_from = time.monotonic() + SCRUB_SECONDS
         self._thread = threading.Thread(target=self._run, name="disk", daemon=True)
         self._thread.start()
 
@@ -88,6 +93,8 @@
                 return
             if self._checkpoint_wait() == 0.0:
                 self._checkpoint()
+            elif not commands:
+                self._scrub()
 
     def _write(self, commands: list[JournalCommand]) -> bool:
         batch = batch_of(commands)
@@ -113,6 +120,18 @@
         else:
             self._checkpoint_failing = False
 
+    def _scrub(self) -> None:
+        """Read a piece; only while nothing waits."""
+        self._scrub_from = time.monotonic() + SCRUB_SECONDS
+        if group := self._log.scrub_step():
+            self._reactor.callFromThread(self._damaged, group)
+
+    def _wait(self) -> float:
+        """Seconds until there is something to do besides commands."""
+        scrub = max(self._scrub_from - time.monotonic(), 0.0)
+        checkpoint = self._checkpoint_wait()
+        return scrub if checkpoint is None else min(scrub, checkpoint)
+
     def _checkpoint_wait(self) -> float | None:
         """Seconds until a step of a checkpoint may be tried; None where none is due."""
         if not self._log.wants_checkpoint:
@@ -120,12 +139,12 @@
         return max(self._checkpoint_from - time.monotonic(), 0.0)
 
     def _next(self) -> list[JournalCommand] | None:
-        """The commands that wait; an empty list: only a checkpoint goes on; None: the end."""
+        """The commands that wait; an empty list: a checkpoint or the scrub goes on; None: the end."""
         with self._changed:
             while not self._waiting:
                 if self._stopping.is_set():
                     return None
-                wait = self._checkpoint_wait()
+                wait = self._wait()
                 if wait == 0.0:
                     return []
                 self._changed.wait(wait)
--- a/bitternpath/storage/files.py
+++ b/bitternpath/storage/files.py
@@ -22,6 +22,9 @@
     def read(self, path: str) -> bytes:
         """The whole file."""
 
+    def read_range(self, path: str, offset: int, size: int) -> bytes:
+        """That many bytes from the offset on, or up to the end of the file."""
+
     def size(self, path: str) -> int:
         """Length in bytes."""
 
@@ -65,6 +68,11 @@
     def read(self, path: str) -> bytes:
         return (self._root / path).read_bytes()
 
+    def read_range(self, path: str, offset: int, size: int) -> bytes:
+        with (self._root / path).open("rb") as file:
+            file.seek(offset)
+            return file.read(size)
+
     def size(self, path: str) -> int:
         return os.stat(self._root / path).st_size
 
--- a/bitternpath/storage/journal.py
+++ b/bitternpath/storage/journal.py
@@ -14,7 +14,7 @@
 
 from bitternpath.replication.records import Kept, Write
 from bitternpath.storage.commands import Done, JournalCommand, NewSnapshot
-from bitternpath.storage.disk import DiskRunner, DiskThread
+from bitternpath.storage.disk import DiskRunner, DiskThread, SnapshotDamaged
 from bitternpath.storage.files import LocalFiles
 from bitternpath.storage.groups import founding_record, write_record
 from bitternpath.storage.records import ForgetRecord
@@ -30,7 +30,8 @@
         self._log, self._runner = log, runner
         self._loaded: dict[str, Kept] = {group: log.kept(group) for group in log.groups}
         self._forgotten = log.forgotten
-        runner.start(log, self._completed)
+        self._damaged: SnapshotDamaged = lambda group: None
+        runner.start(log, self._completed, lambda group: self._damaged(group))
 
     @property
     def failing(self) -> bool:
@@ -47,6 +48,10 @@
         """Bytes of all snapshots and of the largest one again: it is replaced by one beside it."""
         return self._log.bytes_of_snapshots
 
+    def watch_snapshots(self, damaged: SnapshotDamaged) -> None:
+        """`damaged` is told a group whose snapshot's file was found damaged: it is to be written again."""
+        self._damaged = damaged
+
     def groups(self) -> tuple[str, ...]:
         """The groups that the disk held at the start and that nobody has taken or forgotten yet."""
         return tuple(self._loaded)
--- a/bitternpath/storage/segments.py
+++ b/bitternpath/storage/segments.py
@@ -19,6 +19,8 @@
 from dataclasses import dataclass
 from itertools import pairwise
 
+import logbook
+
 from bitternpath.replication.records import Kept
 from bitternpath.storage.commands import Batch
 from bitternpath.storage.files import FileSystem
@@ -34,8 +36,12 @@
     has_batch_from,
     read_frame,
 )
+from bitternpath.storage.scrub import Scrubber, Target
+from bitternpath.storage.snapshots import FOLDER as SNAPSHOT_FOLDER
 from bitternpath.storage.snapshots import SnapshotFiles, file_name
 
+log = logbook.Logger("disk")
+
 FOLDER = "journal"
 SEGMENT_BYTES = 8 << 20  # a segment is closed above this; small against the smallest disk (64 MB)
 _NAME = re.compile(r"segment-(\d{8,})\.log")
@@ -82,6 +88,7 @@
         self._states = GroupStates()
         files.make_folder(FOLDER)
         self._snapshots = SnapshotFiles(files)
+        self._scrubber = Scrubber(files)
         self._segment = self._load()
         self._segments_bytes = 0
         self._count()
@@ -269,6 +276,32 @@
                 pass
         return self.bytes_used < before
 
+    # ---- scrubbing
+
+    def scrub_step(self) -> str:
+        """Read a piece of what is on disk and check it. The group whose snapshot was found damaged, which is
+        to be written again; else empty. Damage in a segment is mended by a checkpoint, from memory."""
+        found = self._scrubber.step(self._scrub_targets())
+        if found is None:
+            return ""
+        log.error("event=damage_found file={}", found.path)
+        if found.is_segment:
+            self._checkpoint_above = -1
+            return ""
+        for group, state in self._states.by_group.items():
+            reference = state.snapshot
+            name = file_name(group, reference.index, reference.term)
+            if reference.size and found.path == f"{SNAPSHOT_FOLDER}/{name}":
+                return group
+        return ""
+
+    def _scrub_targets(self) -> list[Target]:
+        segments = {_path(number): size for number, size in self._closed.items()}
+        if self._segment.end:
+            segments[self._segment.path] = self._segment.end
+        targets = [Target(path, size, True) for path, size in segments.items()]
+        return targets + [Target(path, size, False) for path, size in self._snapshots.sizes.items()]
+
     # ---- checkpoints
 
     @property
--- a/bitternpath/storage/simulated.py
+++ b/bitternpath/storage/simulated.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 from bitternpath.storage.commands import JournalCommand, batch_of
-from bitternpath.storage.disk import RETRY_SECONDS, Completed
+from bitternpath.storage.disk import RETRY_SECONDS, Completed, SnapshotDamaged
 from bitternpath.storage.segments import SegmentLog
 
 ALL_GONE_SHARE = 0.3  # of power losses: nothing unsynced is left
@@ -151,6 +151,9 @@
     def read(self, path: str) -> bytes:
         return bytes(self._known(path).current)
 
+    def read_range(self, path: str, offset: int, size: int) -> bytes:
+        return bytes(self._known(path).current[offset : offset + size])
+
     def size(self, path: str) -> int:
         return len(self._known(path).current)
 
@@ -231,9 +234,17 @@
         self.failing = False
         self.batches = 0
 
-    def start(self, log: SegmentLog, completed: Completed) -> None:
+    def start(self, log: SegmentLog, completed: Completed, damaged: SnapshotDamaged) -> None:
         """Begin to work on the log."""
-        self._log, self._completed = log, completed
+        self._log, self._completed, self._damaged = log, completed, damaged
+
+    def scrub(self, steps: int) -> None:
+        """Read that many pieces, as the thread does while it has nothing to write."""
+        for _ in range(steps):
+            if group := self._log.scrub_step():
+                self._damaged(group)
+            if self._log.wants_checkpoint:
+                self._log.checkpoint_step()
 
     def submit(self, command: JournalCommand) -> None:
         """Add a command to the queue."""
--- a/bitternpath/storage/snapshots.py
+++ b/bitternpath/storage/snapshots.py
@@ -11,10 +11,12 @@
 from bitternpath.storage.records import JournalDamaged, SnapshotReference
 
 FOLDER = "snapshots"
+_SUFFIX = ".snap"
 _DRAFT_SUFFIX = ".new"
 _MAGIC = b"BTSN"
 _VERSION = 1
 _HEADER = struct.Struct("<4sIIQ")  # magic, format version, CRC-32 of the data, its length
+HEADER_BYTES = _HEADER.size
 
 
 class SnapshotFiles:
@@ -34,7 +36,7 @@
         """The file is on disk when this returns; may be repeated after an `OSError`."""
         name = file_name(group, snapshot.index, snapshot.term)
         draft = f"{FOLDER}/{name}{_DRAFT_SUFFIX}"
-        header = _HEADER.pack(_MAGIC, _VERSION, zlib.crc32(snapshot.data), len(snapshot.data))
+        header = header_of(zlib.crc32(snapshot.data), len(snapshot.data))
         self._sizes[name + _DRAFT_SUFFIX] = len(header) + len(snapshot.data)
         self._count()
         self._files.truncate(draft, 0)
@@ -58,7 +60,7 @@
         data = content[_HEADER.size :]
         if len(data) != reference.size:
             raise JournalDamaged(path, 0, f"{len(data)} bytes of data where {reference.size} were written")
-        if content[: _HEADER.size] != _HEADER.pack(_MAGIC, _VERSION, zlib.crc32(data), len(data)):
+        if content[: _HEADER.size] != header_of(zlib.crc32(data), len(data)):
             raise JournalDamaged(path, 0, "the checksum or the version doesn't match")
         return Snapshot(reference.index, reference.term, reference.members, data)
 
@@ -69,6 +71,11 @@
             del self._sizes[name]
         self._count()
 
+    @property
+    def sizes(self) -> dict[str, int]:
+        """Lengths of the files that are whole, by path."""
+        return {f"{FOLDER}/{name}": size for name, size in self._sizes.items() if name.endswith(_SUFFIX)}
+
     def keep_only(self, names: set[str]) -> None:
         """Remove all files but these. A file that can't be removed stays for the next time."""
         for name in [name for name in self._sizes if name not in names]:
@@ -81,6 +88,11 @@
         self.largest = max(self._sizes.values(), default=0)
 
 
+def header_of(checksum: int, size: int) -> bytes:
+    """The first bytes of a file with that many bytes of data behind them."""
+    return _HEADER.pack(_MAGIC, _VERSION, checksum, size)
+
+
 def file_name(group: str, index: int, term: int) -> str:
     """Name of a snapshot's file; characters that a file name may not have are percent-encoded."""
-    return f"{quote(group, safe='')}-{index}-{term}.snap"
+    return f"{quote(group, safe='')}-{index}-{term}{_SUFFIX}"
