--- a/tests/system/test_snapshot_transfer.py
+++ b/tests/system/test_snapshot_transfer.py
@@ -17,8 +17,9 @@
 from bitternpath.replication.records import CHANGE, Entry, Kept, Members, Snapshot
 from bitternpath.replication.wire import decode_message
 from bitternpath.simulation import replica_group
-from bitternpath.simulation.replica_group import GROUP
+from bitternpath.simulation.replica_group import GROUP, Process
 from tests.system.loaded_group import Loaded, Quiet
+from tests.system.test_full_disks import Last, Nobody
 
 TRIO = Members(("a", "b", "c"))
 SMALL_PIECE = 150  # bytes
@@ -26,6 +27,8 @@
 EVERY = 0.005  # s between changes while it is brought up: a snapshot every 12 of them
 LINK_BYTES_PER_SECOND = 50 << 20
 STATE_BYTES = 8 << 20
+GROUPS = 6
+GROUP_BYTES = 3 << 20  # state of each
 
 
 class Superseded(Quiet):
@@ -223,3 +226,62 @@
         self.assertLess(seconds, 1.5)
         self.assertLess(most, (16 << 20) * 0.25 + (768 << 10))
         self.assertLess(slowest, 0.03)
+
+
+class ManyGroups(Quiet):
+    """A machine was away while the entries of many groups were replaced by snapshots. All of them are owned
+    by one process, over whose link the traffic of another group goes, too."""
+
+    def bring_up(self, budget: Callable[[], TransferBudget]) -> tuple[float, float, float]:
+        """As `Bandwidth.bring_up`."""
+        bounds = CompactionBounds(size=1 << 20, entries=1 << 20)
+        with (
+            patch("bitternpath.replication.host.TransferBudget", budget),
+            patch.object(replica_group, "BOUNDS", bounds),
+        ):
+            world = Shared()
+            node, owner = world.follower(), world.owner()
+            extra = [f"extra-{number}" for number in range(GROUPS)]
+            for process in [each.process for each in world.nodes.values() if each.process]:
+                self.open(world, process, extra)
+            while not all(owner.host.is_owner(group) for group in extra):
+                for each in world.nodes.values():
+                    if each.process is not None and each.process is not owner:
+                        for group in extra:
+                            each.process.host.hand_over(group, owner.member)
+                world.run_until(lambda: False, 0.2)
+            world._end(node)
+            for _ in range(GROUP_BYTES >> 17):
+                for group in extra:
+                    owner.host.propose(group, bytes(1 << 17)).addErrback(lambda _: None)
+                world.run_until(lambda: False, 0.1)
+            world.run_until(lambda: False, 1.0)
+            world.sent.clear()
+            world._start(node, None)
+            assert node.process is not None
+            self.open(world, node.process, extra)
+            began = world.clock.seconds()
+            for _ in range(250):
+                world.timed_change()
+                world.run_until(lambda: False, 0.01)
+        sent = [(at, size) for at, size in world.sent if size]
+        self.assertGreater(sum(size for _, size in sent), GROUPS * GROUP_BYTES // 2)
+        most = max(sum(size for at, size in sent if start <= at < start + 0.25) for start, _ in sent)
+        return max(at for at, _ in sent) - began, most, max(world.took)
+
+    @staticmethod
+    def open(world: Loaded, process: Process, groups: list[str]) -> None:
+        for group in groups:
+            process.host.open_group(group, Last(GROUP_BYTES >> 17), world.founders, Nobody())
+
+    def test_many_transfers_share_one_bound(self) -> None:
+        seconds, most, slowest = self.bring_up(TransferBudget)
+        free_seconds, free_most, free_slowest = self.bring_up(Unbounded)
+        print(
+            f"\n{GROUPS} snapshots of {GROUP_BYTES >> 20} MiB on a link of 50 MiB/s: "
+            f"bounded {seconds:.2f} s, {most / 2**18:.1f} MiB/s at most, "
+            f"slowest commit {slowest * 1000:.1f} ms; unbounded "
+            f"{free_seconds:.2f} s, {free_most / 2**18:.1f} MiB/s, {free_slowest * 1000:.1f} ms"
+        )
+        self.assertLess(most, (16 << 20) * 0.25 + (768 << 10))
+        self.assertLess(slowest, free_slowest)
