--- a/benchmarks/repairs.py
+++ b/benchmarks/repairs.py
@@ -3,10 +3,12 @@
     .venv/bin/python -m benchmarks.repairs [--groups 1,2,10,50] [--tolerated 1,2] [--state 0,1,8] [--seeds 3]
 
 Prints a Markdown table and, with `--chart FILE`, writes a chart (SVG) of the time to full redundancy by size
-of state. All times are in ms after the return (the start of the process that has the empty disk, or the
-order): `learner`, `voter` and `complete` of the slowest group; `exposed` is the time, of the group for which
-it is longest, with no voter to spare, from the return on. `moved` is all that members sent one another until
-the end of the repair.
+of state; `--before FILE` adds the rows of a table that was printed earlier, as rings.
+
+All times are in ms after the return (the start of the process that has the empty disk, or the order):
+`learner`, `voter` and `complete` of the slowest group; `exposed` is the time, of the group for which it is
+longest, with no voter to spare, from the return on. `moved` is all that members sent one another until the
+end of the repair.
 """
 
 from __future__ import annotations
@@ -21,6 +23,7 @@
 AWAY_S = 1.0  # between a machine's end and the start of what comes after it
 LONGEST_S = 60.0
 MB = 1 << 20
+BYTES_PER_S_IN_MBIT = 125_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,26 +138,43 @@
     )
 
 
-def chart(rows: list[Row]) -> str:
-    """Time to full redundancy against the state of all groups together, as an SVG of dots."""
-    width, height, margin = 640, 360, 50
-    most_x = max(row.state_mb * row.groups for row in rows) or 1.0
-    most_y = max(row.complete for row in rows)
-    colours = dict(zip(REPAIRS, ("#1f5fa8", "#b8442c", "#3c8246", "#7a4a9c"), strict=True))
+def read_table(path: Path) -> list[Row]:
+    """The rows of a table that was printed before."""
+    rows = []
+    for line in path.read_text().splitlines():
+        cells = [cell.strip() for cell in line.strip("| ").split("|")]
+        if len(cells) == len(Row.__dataclass_fields__) and cells[0] in REPAIRS:
+            repair, tolerated, groups, *numbers = cells
+            rows.append(Row(repair, int(groups), int(tolerated), *map(float, numbers)))
+    return rows
+
+
+WIDTH, HEIGHT, MARGIN = 640, 360, 50
+COLOURS = dict(zip(REPAIRS, ("#1f5fa8", "#b8442c", "#3c8246", "#7a4a9c"), strict=True))
+
+
+def chart(before: list[Row], after: list[Row]) -> str:
+    """Time to full redundancy against the state of all groups together: rings before, dots after."""
+    most_x = max((row.state_mb * row.groups for row in after), default=0.0) or 1.0
+    most_y = max(row.complete for row in [*before, *after])
     parts = [
-        f'<svg xmlns="http://www.w3.org/2000/svg" width="{width}" height="{height}" font-family="sans-serif" '
+        f'<svg xmlns="http://www.w3.org/2000/svg" width="{WIDTH}" height="{HEIGHT}" font-family="sans-serif" '
         'font-size="11">',
-        f'<rect width="{width}" height="{height}" fill="white"/>',
-        f'<path d="M{margin} 20V{height - margin}H{width - 20}" fill="none" stroke="black"/>',
-        f'<text x="{width / 2:.0f}" y="{height - 12}" text-anchor="middle">state of all groups, MB</text>',
-        f'<text x="8" y="14">ms to full redundancy (longest: {most_y:.0f}); x up to {most_x:g} MB</text>',
+        f'<rect width="{WIDTH}" height="{HEIGHT}" fill="white"/>',
+        f'<path d="M{MARGIN} 20V{HEIGHT - MARGIN}H{WIDTH - 20}" fill="none" stroke="black"/>',
+        f'<text x="{WIDTH / 2:.0f}" y="{HEIGHT - 12}" text-anchor="middle">'
+        f"state of all groups, 0 to {most_x:g} MB</text>",
+        f'<text x="8" y="14">ms to full redundancy, 0 to {most_y:.0f}; rings: before, dots: after</text>',
     ]
-    for row in rows:
-        x = margin + (width - 20 - margin) * row.state_mb * row.groups / most_x
-        y = height - margin - (height - margin - 20) * row.complete / most_y
-        parts.append(f'<circle cx="{x:.1f}" cy="{y:.1f}" r="4" fill="{colours[row.repair]}"/>')
-    for place, (repair, colour) in enumerate(colours.items()):
-        parts.append(f'<text x="{width - 170}" y="{40 + 14 * place}" fill="{colour}">{repair}</text>')
+    for rows, filled in ((before, False), (after, True)):
+        for row in rows:
+            x = MARGIN + (WIDTH - 20 - MARGIN) * row.state_mb * row.groups / most_x
+            y = HEIGHT - MARGIN - (HEIGHT - MARGIN - 20) * row.complete / most_y
+            colour = COLOURS[row.repair]
+            fill = colour if filled else "none"
+            parts.append(f'<circle cx="{x:.1f}" cy="{y:.1f}" r="4" fill="{fill}" stroke="{colour}"/>')
+    for place, (repair, colour) in enumerate(COLOURS.items()):
+        parts.append(f'<text x="{WIDTH - 170}" y="{40 + 14 * place}" fill="{colour}">{repair}</text>')
     return "\n".join([*parts, "</svg>", ""])
 
 
@@ -167,7 +187,9 @@
     parser.add_argument("--repairs", default=",".join(REPAIRS))
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--rate", type=float, default=20.0, help="commands a second of each group")
+    parser.add_argument("--link", type=float, default=1000.0, help="Mbit/s of each machine, each way")
     parser.add_argument("--chart", type=Path)
+    parser.add_argument("--before", type=Path, help="a table of an earlier run, for the chart")
     options = parser.parse_args()
     print("| repair | f | groups | state, MB a group | learner | voter | complete | exposed | moved, MB |")
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
@@ -175,13 +197,20 @@
     for tolerated in map(int, options.tolerated.split(",")):
         for groups in map(int, options.groups.split(",")):
             for state in map(float, options.state.split(",")):
-                plan = RepairPlan(groups, tolerated, 0, int(state * MB), options.rate)
+                plan = RepairPlan(
+                    groups,
+                    tolerated,
+                    state_bytes=int(state * MB),
+                    commands_per_s=options.rate,
+                    link_bytes_per_s=options.link * BYTES_PER_S_IN_MBIT,
+                )
                 for repair in options.repairs.split(","):
                     row = worst([measure(repair, seed, plan) for seed in range(options.seeds)])
                     rows.append(row)
                     print_row(row)
     if options.chart is not None:
-        options.chart.write_text(chart(rows))
+        before = read_table(options.before) if options.before is not None else []
+        options.chart.write_text(chart(before, rows))
 
 
 if __name__ == "__main__":
--- a/bitternpath/simulation/repairs.py
+++ b/bitternpath/simulation/repairs.py
@@ -64,6 +64,7 @@
     lives: int = 0
     process: Process | None = None
     busy_until: float = 0.0  # of its link, outwards
+    receives_until: float = 0.0  # inwards
 
     def descriptor(self) -> NodeDescriptor:
         """What its present process tells of itself."""
@@ -83,6 +84,7 @@
     state_bytes: int = 0
     commands_per_s: float = 20.0  # of each group, while it is measured
     command_bytes: int = 200
+    link_bytes_per_s: float = LINK_BYTES_PER_S  # of each machine, each way
 
 
 @dataclass(slots=True)
@@ -231,9 +233,13 @@
 
     def _send(self, sender: Machine, member: str, group: str, receiver: str, body: bytes) -> None:
         self.bytes_sent += len(body)
-        sender.busy_until = max(sender.busy_until, self.clock.seconds()) + len(body) / LINK_BYTES_PER_S
-        delay = sender.busy_until - self.clock.seconds() + LATENCY_S
-        self.clock.callLater(delay, self._deliver, member, group, receiver, body)
+        now, takes = self.clock.seconds(), len(body) / self.plan.link_bytes_per_s
+        sender.busy_until = max(sender.busy_until, now) + takes
+        arrives = sender.busy_until + LATENCY_S
+        receiving = self.machines.get(node_of(receiver))
+        if receiving is not None:
+            arrives = receiving.receives_until = max(receiving.receives_until + takes, arrives)
+        self.clock.callLater(arrives - now, self._deliver, member, group, receiver, body)
 
     def _deliver(self, sender: str, group: str, receiver: str, body: bytes) -> None:
         if {node_of(sender), node_of(receiver)} & self.isolated:
