A thousand subscriptions in a moment don't make a thousand looks at placement

Only nodes that keep something are looked at, and what happens within 10 ms together. By reading: each subscription of 2,100 edge nodes would have gone through all of them.

--- a/bitternpath/roles/configuration_member.py
+++ b/bitternpath/roles/configuration_member.py
@@ -49,6 +49,7 @@
 log = logbook.Logger("configuration")
 
 LOOK_S = 0.25  # how often the owner looks at what no event tells, and founders at the founding
+SOON_S = 0.01  # after something has happened: all nodes may come at once, and a look goes through them all
 FOUNDING_USER = "founding"
 
 
@@ -165,7 +166,8 @@
         """A node wants the feed."""
         if self.is_owner():
             self.feed.subscribe(link, wanted)
-            self._look_soon()
+            if link.peer is not None and link.peer.disk:  # others keep nothing, and there may be thousands
+                self._look_soon()
         else:
             link.send(self.refusal())
 
@@ -233,10 +235,10 @@
         self._look_after()
 
     def _look_soon(self) -> None:
-        """Something has happened; what comes of it is looked at once, after all of this turn."""
+        """Something has happened; looked at once for all that happens together."""
         if not self._look_planned:
             self._look_planned = True
-            self.reactor.callLater(0, self._look_after)
+            self.reactor.callLater(SOON_S, self._look_after)
 
     def _look_after(self) -> None:
         self._look_planned = False
--- a/bitternpath/roles/nodes_here.py
+++ b/bitternpath/roles/nodes_here.py
@@ -27,7 +27,7 @@
         """Take note of who was heard when; four times a second or more often."""
         heard: dict[str, float] = {}
         for node, at in self._feed.heard_at():
-            if not node.leaving:
+            if node.disk and not node.leaving:
                 heard[node.name] = max(at, heard.get(node.name, at))
         self._presence.update(self._reactor.seconds(), heard)
 
@@ -52,8 +52,9 @@
         return [node for node in self._here() if node.kind is NodeKind.EDGE and node.counted]
 
     def _here(self) -> list[NodeDescriptor]:
-        """One of a name: the newest process, where the link of an earlier one hasn't ended yet."""
+        """Nodes with a disk; of a name the newest process: the link of an earlier one may not have ended."""
         newest: dict[str, NodeDescriptor] = {}
-        for node in sorted(self._feed.followers(), key=lambda node: node.life):
+        with_disk = (node for node in self._feed.followers() if node.disk)
+        for node in sorted(with_disk, key=lambda node: node.life):
             newest[node.name] = node
         return [node for node in newest.values() if not node.leaving and not self.away_for(node.name)]
