--- a/tests/system/test_simulation_repairs.py
+++ b/tests/system/test_simulation_repairs.py
@@ -41,12 +41,11 @@
         return last[group].node
 
     def members(self, group: str) -> Members | None:
-        """As committed, by the present owner."""
-        for name in self.world.nodes:
-            host = self.host(name)
-            if host is not None and host.is_owner(group):
-                return host.committed_members(group)
-        return None
+        """As committed, by the owner of the highest epoch: a frozen one takes itself for owner still."""
+        hosts = [host for host in map(self.host, self.world.nodes) if host is not None]
+        owners = [host for host in hosts if host.is_owner(group)]
+        owner = max(owners, key=lambda host: host.epoch(group), default=None)
+        return owner.committed_members(group) if owner is not None else None
 
     def whole(self, group: str, here: list[str], copies: int) -> bool:
         """Whether a group has that many voters, all of them present disks."""
