--- a/tests/system/test_feed.py
+++ b/tests/system/test_feed.py
@@ -175,6 +175,23 @@
         self.update(12, epoch=9, link=FakeLink("elsewhere"))  # of a link that isn't followed any more
         self.assertEqual((self.listener.versions, self.listener.generations), ([5, 9], [4]))
 
+    def test_what_a_cache_gave_is_not_taken_back_by_an_older_offset(self) -> None:
+        self.follower.stop()
+        self.hub = FakeHub()
+        self.follower = FeedFollower(self.clock, self.hub, self.listener, lambda: self.addresses, True)  # type: ignore[arg-type]
+        self.hub.follower = self.follower
+        self.follower.restore(FeedUpdate(0, 9, document(9), 4, GROUPS, 3))
+        self.follower.start()
+        link = self.asked()
+        assert link is not None
+        self.assertEqual(link.sent[0], FeedSubscribe(9, 4, True))
+        self.update(7, epoch=5, generation=3, link=link)
+        self.follower.closed(link)  # type: ignore[arg-type]
+        self.hub.links.clear()
+        self.update(5, epoch=6, generation=2, link=self.asked())
+        self.update(11, epoch=6, generation=5, link=self.asked())
+        self.assertEqual((self.listener.versions, self.listener.generations), ([9, 11], [4, 5]))
+
 
 class ServerTest(unittest.TestCase):
     """The owner's side."""
