Tests of the operator's calls on one node, and of what makes two orders one

Time-outs of the owner, of a node that forwards, of large bodies; lost links; nothing is forwarded twice.

--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -217,6 +217,37 @@
         self.assertEqual((first.status, self.put(3, "0").status, self.put(5, "3").status), (200, 200, 200))
         self.assertEqual(self.state.version, 6)
 
+    def test_spellings_of_the_version_it_builds_on_dont_make_another_order(self) -> None:
+        self.put(3, "0")
+        self.assertEqual(self.put(5, "3").status, 200)
+        for spelling in ('"3"', " 3 ", "03", ' "3"'):
+            with self.subTest(spelling):
+                self.assertEqual(self.put(5, spelling).status, 200)
+        for other, status in (("3x", 400), ("+3", 400), ("3.0", 400), ("\u0663", 400), ("4", 412)):
+            with self.subTest(other):
+                self.assertEqual(self.put(5, other).status, status)
+        self.assertEqual(self.state.version, 5)
+
+    def test_methods_and_bodies_make_another_order(self) -> None:
+        body = json.dumps(document(3)).encode()
+        digests = {
+            Order(method, base, content).digest()
+            for method in ("PUT", "PATCH")
+            for base in ("0", "1", "x")
+            for content in (body, body + b" ", b"")
+        }
+        self.assertEqual(len(digests), 18)
+
+    def test_byte_identical_orders_of_two_operators_are_one_order(self) -> None:
+        self.put(3, "0")
+        self.group.hold = True
+        body = json.dumps(document(5)).encode()
+        waiting = [self.orders.submit(Order("PUT", "3", body)) for _ in range(2)]
+        command, proposed = self.group.held.pop()
+        proposed.callback(self.state.apply(2, command))
+        self.assertEqual([self.answer(each).status for each in waiting], [200, 200])
+        self.assertEqual(self.group.held, [])
+
     def test_it_is_remembered_by_a_snapshot_too(self) -> None:
         self.put(3, "0")
         self.put(5, "3")
--- /dev/null
+++ b/tests/system/test_operator_calls.py
@@ -0,0 +1,126 @@
+"""How long a call of the operator may take on any node, and what becomes of it. Virtual time."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from bitternpath.configuration.orders import OrderCode, OrderResult, result
+from bitternpath.ingress.service import OperatorReply
+from bitternpath.roles.operator_calls import OperatorCalls
+from bitternpath.transport.connections import LinkLost
+from bitternpath.transport.messages import OperatorAnswer, OperatorOrder, Pong
+
+SILENCE_S = 1.0  # of a node, after which the operator moves on
+MIB = 1 << 20
+
+
+class Orders:
+    """A processor that decides when the test says so."""
+
+    def __init__(self) -> None:
+        self.open: list[Deferred[OrderResult]] = []
+
+    def read(self) -> Deferred[OrderResult]:
+        self.open.append(Deferred())
+        return self.open[-1]
+
+
+class Member:
+    """A member of the configuration group."""
+
+    def __init__(self, owner: bool) -> None:
+        self.owner, self.orders = owner, Orders()
+
+    def is_owner(self) -> bool:
+        return self.owner
+
+    def order(self, order: Any) -> Deferred[OrderResult]:
+        return self.orders.read()
+
+
+class Link:
+    """The link to the owner."""
+
+    def __init__(self) -> None:
+        self.sent: list[OperatorOrder] = []
+        self.open: list[Deferred[Any]] = []
+
+    def request(self, make: Any) -> Deferred[Any]:
+        self.sent.append(make(len(self.sent) + 1))
+        self.open.append(Deferred())
+        return self.open[-1]
+
+
+class Feed:
+    """A follower of the feed."""
+
+    def __init__(self, link: Link | None) -> None:
+        self.link = link
+
+    def owner_link(self) -> Link | None:
+        return self.link
+
+
+class CallTest(unittest.TestCase):
+    """Calls on an owner, on a node that forwards, and on one that knows no owner."""
+
+    def setUp(self) -> None:
+        self.clock, self.link = Clock(), Link()
+        self.owner, self.follower = Member(True), Member(False)
+
+    def calls(self, member: Member | None, link: Link | None) -> OperatorCalls:
+        return OperatorCalls(self.clock, Feed(link), member)  # type: ignore[arg-type]
+
+    def put(self, calls: OperatorCalls, body: bytes = b"{}") -> list[OperatorReply]:
+        replies: list[OperatorReply] = []
+        calls.call("PUT", "/config", "3", body).addCallback(replies.append)
+        return replies
+
+    def test_without_a_result_each_node_says_503_before_the_operator_moves_on(self) -> None:
+        for label, calls in (
+            ("owner", self.calls(self.owner, None)),
+            ("forwards", self.calls(None, self.link)),
+            ("a member that forwards", self.calls(self.follower, self.link)),
+        ):
+            with self.subTest(label):
+                replies = self.put(calls)
+                self.clock.advance(0.7)
+                self.assertEqual(replies, [])
+                self.clock.advance(SILENCE_S - 0.7)
+                self.assertEqual([reply.status for reply in replies], [503])
+        self.owner.orders.open[0].callback(result(OrderCode.ACCEPTED, version=5))  # nobody waits for it
+        self.link.open[0].callback(OperatorAnswer(1, True, 200, b"{}"))
+
+    def test_a_large_body_has_longer(self) -> None:
+        replies = self.put(self.calls(None, self.link), b"x" * (2 * MIB))
+        self.clock.advance(2.5)
+        self.assertEqual(replies, [])
+        self.link.open[0].callback(OperatorAnswer(1, True, 200, b"{}"))
+        self.assertEqual([reply.status for reply in replies], [200])
+
+    def test_without_an_owner_it_says_503_at_once(self) -> None:
+        for member in (None, self.follower):
+            self.assertEqual([reply.status for reply in self.put(self.calls(member, None))], [503])
+
+    def test_a_lost_link_and_an_answer_of_another_kind_leave_the_fate_open(self) -> None:
+        calls = self.calls(None, self.link)
+        first, second = self.put(calls), self.put(calls)
+        self.link.open[-2].errback(LinkLost())
+        self.link.open[-1].callback(Pong(1))
+        self.assertEqual([reply.status for reply in first + second], [503, 503])
+
+    def test_what_was_forwarded_is_not_forwarded_again(self) -> None:
+        decided: list[OrderResult] = []
+        for member in (None, self.follower):
+            order = OperatorOrder(1, "PUT", "/config", "3", b"{}")
+            self.calls(member, self.link).forwarded(order).addCallback(decided.append)
+        self.assertEqual([each.code for each in decided], [OrderCode.NOT_OWNER] * 2)
+        self.assertEqual(self.link.sent, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
