Founding under losses, in virtual time

Kill, loss of power and SIGTERM of the process at the first seed at six moments, and one to three losses of any process in the first 4 s: one system is founded and takes its first configuration.

--- /dev/null
+++ b/tests/system/test_simulation_founding.py
@@ -0,0 +1,69 @@
+"""Losses while the system is founded: it is founded once, whichever process ends or is held up, and when."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from bitternpath.simulation.world import Plan, World
+from tests.system.small_actors import SmallSystem
+
+LATEST_S = 12.0  # for the first configuration
+FOUNDED = "event=founded system="
+
+
+def one_loss(world: World, random: Random, name: str) -> None:
+    """A process ends and comes back, or is held up for a while."""
+    back = world.now + random.uniform(0.1, 2.0)
+    match random.randrange(5):
+        case 0:
+            world.kill(name, random.uniform(0.1, 1.0))
+        case 1:
+            world.lose_power(name, random.uniform(0.1, 1.0))
+        case 2:
+            world.terminate(name)
+        case 3:
+            world.freeze(name)
+            world.at(back, world.thaw, name)
+        case 4:
+            world.cut_off(name, both=random.random() < 0.5)
+            world.at(back, world.rejoin, name)
+
+
+class Losses(unittest.TestCase):
+    def check_founded(self, system: SmallSystem) -> None:
+        """One system, one first configuration, in force everywhere, by a time."""
+        world = system.world
+        world.run_until(8.0)
+        order = system.put(1, 0)
+        while order.status != 200:
+            world.run_for(0.5)
+            self.assertLess(world.now, LATEST_S, "not founded")
+            if order.ended >= 0 and order.status != 200:
+                order = system.put(1, 0, world.random("operator").randrange(3))
+        world.run_for(4.0)
+        systems = {line.partition(FOUNDED)[2].split()[0] for line in world.log if FOUNDED in line}
+        self.assertEqual(len(systems), 1)
+        versions = {node.process.node.base.feed.version for node in world.nodes.values()}
+        self.assertEqual(versions, {1})
+        self.assertEqual((world.failures, world.violations), ([], []))
+
+    def test_the_first_seed_ends_at_any_moment(self) -> None:
+        """Only it decides; it once did so only in its first life."""
+        for moment in (0.4, 0.9, 1.3, 1.6, 1.9, 2.3):
+            for fault in ("kill", "lose_power", "terminate"):
+                with self.subTest(fault, moment=moment):
+                    system = SmallSystem(f"first-seed-{moment}", Plan(keep_log=True))
+                    first = system.world.edges()[0].name
+                    system.world.at(moment, getattr(system.world, fault), first)
+                    self.check_founded(system)
+
+    def test_any_process_at_any_moment(self) -> None:
+        for seed in range(12):
+            with self.subTest(seed=seed):
+                system = SmallSystem(f"founding-{seed}", Plan(keep_log=True))
+                random = system.world.random("losses")
+                for _ in range(1 + seed % 3):
+                    name = random.choice(list(system.world.nodes))
+                    system.world.at(random.uniform(0.3, 4.0), one_loss, system.world, random, name)
+                self.check_founded(system)
