Seeds that name only the cut-off part found no second system

A node starts again, wiped or not, while it is cut off and all its seeds are on its side; after the join all nodes are at the newest version within config_apply_ms.

--- a/tests/system/test_simulation_founding.py
+++ b/tests/system/test_simulation_founding.py
@@ -67,3 +67,43 @@
                     name = random.choice(list(system.world.nodes))
                     system.world.at(random.uniform(0.3, 4.0), one_loss, system.world, random, name)
                 self.check_founded(system)
+
+
+APPLY_S = 3.0  # `config_apply_ms` of the settings
+
+
+class SeedsOfTheSmallerSide(unittest.TestCase):
+    """A node starts again while it is cut off, with settings whose seeds are all on its side."""
+
+    def play(self, seed: int) -> None:
+        system = SmallSystem(f"seeds-{seed}", Plan(keep_log=True))
+        world = system.world
+        random = world.random("losses")
+        system.found()
+        world.run_for(1.0)
+        node = random.choice([node for node in world.nodes.values() if node.has_disk])
+        spare = next(edge for edge in world.edges() if not edge.counted)
+        side = [node.name] if node.role == "edge" and random.random() < 0.5 else [node.name, spare.name]
+        rest = [name for name in world.nodes if name not in side]
+        for name in side:
+            world.cut_off(name, others=rest)
+            world.change_settings(name, seeds=[world.nodes[name].control or spare.control])
+        random.choice([world.kill, world.wipe, world.lose_power])(node.name, 0.5)
+        if random.random() < 0.5:
+            world.kill(side[-1])
+        world.run_for(random.uniform(2.0, 20.0))
+        order = system.put(2, 1, next(place for place, edge in enumerate(world.edges()) if edge.name in rest))
+        world.run_for(2.0)
+        self.assertEqual(order.status, 200, order)
+        for name in side:
+            world.rejoin(name)
+        world.run_for(APPLY_S)
+        versions = {node.process.node.base.feed.version for node in world.nodes.values()}
+        systems = {line.partition(FOUNDED)[2].split()[0] for line in world.log if FOUNDED in line}
+        self.assertEqual((versions, len(systems)), ({2}, 1))
+        self.assertEqual((world.failures, world.violations), ([], []))
+
+    def test_they_found_no_second_system_and_come_back(self) -> None:
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                self.play(seed)
