A control machine that is cut off or was frozen: what it answers, in virtual time

Owner, member and a node without a disk; cut off in both directions or one, calls of every kind from 0, 0.4 and 2 s after the cut: only 503, each within a second. Calls that wait for a frozen owner are answered from the state of after. A build that confirms nothing answers 2xx or 4xx within the lease and is caught.

--- /dev/null
+++ b/tests/system/test_simulation_cut_off.py
@@ -0,0 +1,122 @@
+"""What a control machine answers that is cut off from all others, or has been frozen (issue 37, point 1).
+
+No answer that decides anything (2xx, 4xx) without contact with a majority after the call came, and 503 soon
+enough for the operator's next try.
+"""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from unittest.mock import patch
+
+from twisted.internet.defer import Deferred, fail, succeed
+
+from bitternpath.replication.host import ReplicaHost
+from bitternpath.replication.interfaces import NotOwner
+from bitternpath.simulation.processes import SimulatedNode
+from bitternpath.simulation.world import Plan
+from tests.system.small_actors import Answer, SmallSystem, configuration
+
+PATIENCE_S = 1.0  # of an operator, before it moves on to another node
+CALLS_S = 3.0
+CALL_EVERY_S = 0.15
+
+
+def calls_of(system: SmallSystem, node: SimulatedNode) -> list[Callable[[], Answer]]:
+    """Every kind of order and question, proper ones and others."""
+    call, control = system.caller.call, node.control
+    patched = {"version": 3, "remove": {"routes": ["r-1"]}}
+    retire = f"/retire/{system.world.storages()[0].name}"
+    return [
+        lambda: call("PUT", control, "/config", configuration(2, 1500), If_Match="1"),
+        lambda: call("PUT", control, "/config", configuration(1), If_Match="0"),  # accepted before
+        lambda: call("PUT", control, "/config", configuration(9), If_Match="7"),  # on a version that isn't
+        lambda: call("PUT", control, "/config", b"{", If_Match="1"),
+        lambda: call("PATCH", control, "/config", patched, If_Match="1"),
+        lambda: call("GET", control, "/config"),
+        lambda: call("POST", control, retire, {"duration_s": 10}),
+        lambda: call("POST", control, "/retire/nobody", {"duration_s": 10}),
+        lambda: call("GET", control, retire),
+    ]
+
+
+def owner_of_configuration(system: SmallSystem) -> SimulatedNode:
+    """The edge node that owns the configuration."""
+    told = [told for told in system.world.ownerships if told.group == "configuration" and told.gained]
+    return system.world.nodes[told[-1].node]
+
+
+class CutOff(unittest.TestCase):
+    def play(self, kind: str, way: str, after_s: float) -> list[Answer]:
+        """The answers of one node that is cut off, in one direction or both."""
+        system = SmallSystem(f"cut-off-{kind}-{way}-{after_s}", Plan(storages=4))
+        world = system.world
+        system.found()
+        world.run_for(2.0)
+        owner = owner_of_configuration(system)
+        chosen = {
+            "owner": owner,
+            "member": next(edge for edge in world.edges() if edge.counted and edge is not owner),
+            "other": next(edge for edge in world.edges() if not edge.counted),
+        }[kind]
+        for name in world.nodes:
+            if name != chosen.name and way != "in":
+                world.cut(chosen.name, name, both=False)
+            if name != chosen.name and way != "out":
+                world.cut(name, chosen.name, both=False)
+        world.run_for(after_s)
+        random, answers = world.random("calls"), list[Answer]()
+        end = world.now + CALLS_S
+        while world.now < end:
+            answers.append(random.choice(calls_of(system, chosen))())
+            world.run_for(CALL_EVERY_S)
+        world.run_for(3.0)
+        return answers
+
+    def test_only_503_and_soon(self) -> None:
+        for kind in ("owner", "member", "other"):
+            for way in ("both", "out", "in"):
+                for after_s in (0.0, 0.4, 2.0):
+                    with self.subTest(kind, way=way, after_s=after_s):
+                        answers = self.play(kind, way, after_s)
+                        self.assertEqual({answer.status for answer in answers}, {503})
+                        self.assertLess(max(each.ended - each.began for each in answers), PATIENCE_S)
+
+    def test_a_build_that_asks_nobody_is_caught(self) -> None:
+        def hasty(self: ReplicaHost, group: str) -> Deferred[None]:
+            return succeed(None) if self.is_owner(group) else fail(NotOwner())
+
+        with patch.object(ReplicaHost, "barrier", hasty):
+            statuses = {answer.status for answer in self.play("owner", "both", 0.0)}
+        self.assertTrue(statuses & {200, 400, 404, 409, 412}, statuses)
+
+
+class Frozen(unittest.TestCase):
+    def test_what_waited_is_not_answered_from_before(self) -> None:
+        """Calls come while the owner is frozen and others go on; it answers after it has gone on."""
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                system = SmallSystem(f"frozen-{seed}", Plan(storages=4))
+                world = system.world
+                system.found()
+                world.run_for(2.0)
+                owner = owner_of_configuration(system)
+                others = [place for place, edge in enumerate(world.edges()) if edge is not owner]
+                world.freeze(owner.name)
+                world.run_for(2.5)
+                order = system.put(2, 1, others[0])
+                world.run_for(0.5)
+                self.assertEqual(order.status, 200, order)
+                read = system.caller.call("GET", owner.control, "/config")
+                on_old = system.caller.call("PUT", owner.control, "/config", configuration(5), If_Match="1")
+                on_new = system.caller.call("PUT", owner.control, "/config", configuration(7), If_Match="2")
+                world.run_for(0.1 + 0.3 * seed)
+                world.thaw(owner.name)
+                world.run_for(3.0)
+                if read.status == 200:
+                    self.assertIn(read.json()["version"], (2, 7))
+                self.assertIn(read.status, (200, 503, 0))
+                self.assertIn(on_old.status, (412, 503, 0))
+                self.assertIn(on_new.status, (200, 503, 0))
+                self.assertEqual(world.violations, [])
