--- a/bitternpath/rehearsal/changes.py
+++ b/bitternpath/rehearsal/changes.py
@@ -11,16 +11,19 @@
 from bitternpath.rehearsal.records import Kind
 
 TIMEOUTS_MS = (TIMEOUT_MS, TIMEOUT_MS + 200, TIMEOUT_MS + 400)
+START_TARGET_MS, START_TARGETS = 1_200, 300
 EXTRA_ROUTE = "route-extra"
 JSON = "application/json"
 
 
 def changed_document(document: dict[str, Any], number: int, version: int) -> dict[str, Any]:
-    """Another time-out for a route, and a route that comes or goes."""
+    """Another time-out and aim for a route, and a route that comes or goes."""
     wanted = copy.deepcopy(document)
     wanted["version"] = version
     routes = [route for route in wanted["routes"] if not route["name"].startswith(EXTRA_ROUTE)]
-    routes[0] = {**routes[0], "timeout_ms": TIMEOUTS_MS[number % len(TIMEOUTS_MS)]}
+    timeout_ms = TIMEOUTS_MS[number % len(TIMEOUTS_MS)]
+    start_target_ms = START_TARGET_MS + number % START_TARGETS  # so that no two changes are the same
+    routes[0] = {**routes[0], "timeout_ms": timeout_ms, "start_target_ms": start_target_ms}
     if number % 2:
         routes.append(
             route_document(Kind.LISTED, TIMEOUT_MS, f"{EXTRA_ROUTE}-{number}", extra_prefix(number))
--- a/bitternpath/replication/host.py
+++ b/bitternpath/replication/host.py
@@ -52,6 +52,10 @@
 
     # ---- groups
 
+    def set_bounds(self, bounds: CompactionBounds) -> None:
+        """When entries are replaced by a snapshot, in groups that are opened after this."""
+        self._bounds = bounds
+
     def open_group(
         self, group: str, machine: StateMachine, founders: Members | None, listener: GroupListener
     ) -> None:
--- a/bitternpath/simulation/events.py
+++ b/bitternpath/simulation/events.py
@@ -145,6 +145,7 @@
     other_edges: int = 1
     storages: int = 3
     tolerated: int = 1  # machines that may be lost at one time
+    snapshot_every: int = 0  # entries of a replica group; 0: as in service, which short runs never reach
 
 
 class RunPlan(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/bitternpath/simulation/processes.py
+++ b/bitternpath/simulation/processes.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import Any
 
+from bitternpath.replication.group import CompactionBounds
 from bitternpath.roles.process import RoleLife, build_role
 from bitternpath.roles.settings import Settings, SettingsError, read_settings
 from bitternpath.simulation.disk import SimulatedNodeDisk
@@ -85,6 +86,7 @@
         self.disk = SimulatedDisk(own_sync_keeps_name=False)
         self.sync_seconds = random.uniform(SYNC_LEAST_S, SYNC_MOST_S)
         self.host: Host = network.add_host(place.ip, place.zone)
+        self.compaction: CompactionBounds | None = None  # of its replica groups, for lives to come
         self.lives = 0
         self.exit_codes: list[int] = []
         self._network, self._inside, self._random = network, inside, random
@@ -133,6 +135,8 @@
         base = role.node.base  # type: ignore[attr-defined]
         if base.host is not None:
             self._inside.observe(self.name, base.host)
+            if self.compaction is not None:
+                base.host.set_bounds(self.compaction)
         self._life = RoleLife(reactor, role)
         self._life.begin()
 
--- a/bitternpath/simulation/runs/draw.py
+++ b/bitternpath/simulation/runs/draw.py
@@ -84,6 +84,7 @@
 _ALL |= {FaultKind.ADD: 0.3, FaultKind.ALL_KILLED: 0.4, FaultKind.ALL_POWER: 0.4}
 _CUTS = (FaultKind.CUT, FaultKind.CUT_IN, FaultKind.CUT_OUT, FaultKind.CUT_SEEDS, FaultKind.FREEZE)
 _LOSSES = (FaultKind.WIPE, FaultKind.REPLACE, FaultKind.POWER, FaultKind.ALL_POWER)
+_SNAPSHOTS = {**dict.fromkeys(_LOSSES, 1.0), FaultKind.KILL: 1.0, FaultKind.CUT: 2.0, FaultKind.SLOW: 1.0}
 _WIDE = Layout(core_edges=5, other_edges=1, storages=5, tolerated=2)
 
 SCENARIOS = {
@@ -97,6 +98,7 @@
         Scenario("orders", _ALL, core_share=1.0, messages=1.0, orders=4.0, looks=3.0),
         Scenario("workers", {FaultKind.RESET: 1.0, FaultKind.TERM: 1.0}, worker_troubles=1.2, messages=8.0),
         Scenario("wide", _ALL, layout=_WIDE, messages=3.0, seconds=12.0),
+        Scenario("snapshots", _SNAPSHOTS, layout=Layout(snapshot_every=12), orders=3.0, messages=6.0),
     )
 }
 
--- a/bitternpath/simulation/runs/play.py
+++ b/bitternpath/simulation/runs/play.py
@@ -23,6 +23,7 @@
 )
 from bitternpath.rehearsal.platform import CallbackReceiver
 from bitternpath.rehearsal.records import Kind
+from bitternpath.replication.group import CompactionBounds
 from bitternpath.simulation.actors.machines import Machines
 from bitternpath.simulation.actors.nodes import Directory
 from bitternpath.simulation.actors.operators import Operators
@@ -92,6 +93,7 @@
                 storages=layout.storages,
                 tolerated_machines=layout.tolerated,
                 keep_log=keep_log,
+                compaction=_compaction(layout.snapshot_every),
             ),
         )
         self.history = SystemHistory()
@@ -247,6 +249,11 @@
     return Run(plan).play()
 
 
+def _compaction(entries: int) -> CompactionBounds | None:
+    """Snapshots after so many entries, of which a quarter stays."""
+    return CompactionBounds(entries=entries, kept=entries // 4) if entries else None
+
+
 def first_document(endpoint: str) -> dict[str, Any]:
     """The document of the first order."""
     return {
--- a/bitternpath/simulation/settings.py
+++ b/bitternpath/simulation/settings.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from bitternpath.replication.group import CompactionBounds
+
 FRONT_PORT, READINESS_PORT, CONTROL_PORT = 8069, 8063, 8064
 INTERNAL_PORTS = [7780, 7795]
 PLATFORM_IP, PLATFORM_PORT = "10.200.0.70", 8065
@@ -45,6 +47,7 @@
     platform_rate_per_s: float = 44.0
     skew_ms: int = 50  # at most, between a machine's time of day and the true one
     keep_log: bool = False
+    compaction: CompactionBounds | None = None  # None: the usual bounds, which short runs never reach
     bounds: dict[str, float] = field(default_factory=lambda: dict(BOUNDS))
 
 
--- a/bitternpath/simulation/world.py
+++ b/bitternpath/simulation/world.py
@@ -173,6 +173,7 @@
         document = settings_document(self.plan, place, self.current_seeds(), bootstrap)
         skew_ms = random.randint(-self.plan.skew_ms, self.plan.skew_ms)
         node = SimulatedNode(self.network, self.inside, place, document, random, skew_ms)
+        node.compaction = self.plan.compaction
         self.nodes[place.name] = node
         return node
 
