--- a/bitternpath/simulation/processes.py
+++ b/bitternpath/simulation/processes.py
@@ -16,7 +16,7 @@
 from bitternpath.simulation.inside import InsideChecker
 from bitternpath.simulation.network import Host, Network
 from bitternpath.simulation.reactor import VirtualReactor
-from bitternpath.simulation.settings import Place
+from bitternpath.simulation.settings import LogSizes, Place
 from bitternpath.storage.documents import DamagedDocument
 from bitternpath.storage.records import JournalDamaged
 from bitternpath.storage.simulated import SimulatedDisk
@@ -46,6 +46,10 @@
     def random(self) -> Random:
         return self._random
 
+    @property
+    def compaction(self) -> CompactionBounds:
+        return self._node.logs.compaction
+
     def wall_ms(self) -> int:
         return BEGAN_WALL_MS + int(self._reactor.seconds() * 1000) + self._node.skew_ms
 
@@ -53,7 +57,9 @@
         if self.node_disk is None:
             chance = Random(self._random.getrandbits(64))
             seconds = self._node.sync_seconds * self._node.factor
-            self.node_disk = SimulatedNodeDisk(self._node.disk, self._reactor, chance, seconds)
+            self.node_disk = SimulatedNodeDisk(
+                self._node.disk, self._reactor, chance, seconds, self._node.logs
+            )
             self._reactor.thread_work = self.node_disk.work
         return self.node_disk
 
@@ -72,6 +78,7 @@
         document: dict[str, Any],
         random: Random,
         skew_ms: int,
+        logs: LogSizes,
     ) -> None:
         self.place, self.document = place, document
         self.name, self.role, self.ip, self.zone = place.name, place.role, place.ip, place.zone
@@ -81,12 +88,11 @@
         self.readiness: str = listen.get("readiness", "")
         self.control: str = listen.get("control", "")
         self.state = NodeState.DOWN
-        self.skew_ms = skew_ms
+        self.skew_ms, self.logs = skew_ms, logs
         self.factor = 1.0  # of its links' delays and its disk's times
         self.disk = SimulatedDisk(own_sync_keeps_name=False)
         self.sync_seconds = random.uniform(SYNC_LEAST_S, SYNC_MOST_S)
         self.host: Host = network.add_host(place.ip, place.zone)
-        self.compaction: CompactionBounds | None = None  # of its replica groups, for lives to come
         self.lives = 0
         self.exit_codes: list[int] = []
         self._network, self._inside, self._random = network, inside, random
@@ -135,8 +141,6 @@
         base = role.node.base  # type: ignore[attr-defined]
         if base.host is not None:
             self._inside.observe(self.name, base.host)
-            if self.compaction is not None:
-                base.host.set_bounds(self.compaction)
         self._life = RoleLife(reactor, role)
         self._life.begin()
 
--- a/bitternpath/simulation/runs/draw.py
+++ b/bitternpath/simulation/runs/draw.py
@@ -98,7 +98,7 @@
         Scenario("orders", _ALL, core_share=1.0, messages=1.0, orders=4.0, looks=3.0),
         Scenario("workers", {FaultKind.RESET: 1.0, FaultKind.TERM: 1.0}, worker_troubles=1.2, messages=8.0),
         Scenario("wide", _ALL, layout=_WIDE, messages=3.0, seconds=12.0),
-        Scenario("snapshots", _SNAPSHOTS, layout=Layout(snapshot_every=12), orders=3.0, messages=6.0),
+        Scenario("snapshots", _SNAPSHOTS, layout=Layout(small_logs=True), orders=3.0, messages=6.0),
     )
 }
 
--- a/bitternpath/simulation/runs/play.py
+++ b/bitternpath/simulation/runs/play.py
@@ -23,7 +23,6 @@
 )
 from bitternpath.rehearsal.platform import CallbackReceiver
 from bitternpath.rehearsal.records import Kind
-from bitternpath.replication.group import CompactionBounds
 from bitternpath.simulation.actors.machines import Machines
 from bitternpath.simulation.actors.nodes import Directory
 from bitternpath.simulation.actors.operators import Operators
@@ -43,7 +42,7 @@
     WorkerLeaves,
     WorkerTrouble,
 )
-from bitternpath.simulation.settings import BOUNDS, Plan
+from bitternpath.simulation.settings import BOUNDS, SMALL_LOGS, LogSizes, Plan
 from bitternpath.simulation.world import World
 
 ENTRY_IP, CALLBACK_IP = "10.94.0.1", "10.93.0.1"
@@ -93,7 +92,7 @@
                 storages=layout.storages,
                 tolerated_machines=layout.tolerated,
                 keep_log=keep_log,
-                compaction=_compaction(layout.snapshot_every),
+                logs=SMALL_LOGS if layout.small_logs else LogSizes(),
             ),
         )
         self.history = SystemHistory()
@@ -249,11 +248,6 @@
     return Run(plan).play()
 
 
-def _compaction(entries: int) -> CompactionBounds | None:
-    """Snapshots after so many entries, of which a quarter stays."""
-    return CompactionBounds(entries=entries, kept=entries // 4) if entries else None
-
-
 def first_document(endpoint: str) -> dict[str, Any]:
     """The document of the first order."""
     return {
--- a/tests/system/broken_builds.py
+++ b/tests/system/broken_builds.py
@@ -1,4 +1,7 @@
-"""Deliberate faults, each switched on by patching the program while a run is played."""
+"""Deliberate faults, each switched on by patching the program while a run is played.
+
+Four more, with runs of their own, are in `test_simulation_broken`.
+"""
 
 from __future__ import annotations
 
@@ -10,29 +13,20 @@
 import msgspec
 from twisted.internet.defer import Deferred, succeed
 
-from bitternpath.configuration import machine as configuration_machine
 from bitternpath.configuration import orders
 from bitternpath.configuration.feed import FeedFollower
-from bitternpath.configuration.machine import ConfigurationState
-from bitternpath.configuration.orders import OrderCode, OrderProcessor, OrderResult, result
+from bitternpath.configuration.orders import OrderProcessor, OrderResult
 from bitternpath.configuration.retirement import GroupReports
 from bitternpath.replication.consensus import Raft
 from bitternpath.replication.group import ReplicaGroup
 from bitternpath.replication.records import MEMBERS, Members
 from bitternpath.roles import configuration_member, storage
 from bitternpath.shards import appends
-from bitternpath.simulation.disk import SimulatedNodeDisk
 from bitternpath.transport.connections import Link
 
 Patches = Iterator[Any]
 
 
-def no_confirmation() -> Patches:
-    """Answers as owner without asking a majority whether it still is."""
-    yield patch.object(ReplicaGroup, "barrier", lambda group: succeed(None))
-    yield patch.object(OrderProcessor, "read", lambda processor: succeed(processor._current()))
-
-
 def reckoned_before_confirmation() -> Patches:
     """Confirms ownership, and then gives the answer that it had reckoned before."""
     submit = OrderProcessor.submit
@@ -56,29 +50,6 @@
             yield patch.object(module, "confirmed", confirmed_reckoned)
 
 
-def acknowledged_before_commit() -> Patches:
-    """Acknowledges an order as soon as it is proposed."""
-
-    def propose(processor: Any, submission: Any, acceptable: Any) -> None:
-        processor.group.propose(acceptable.command).addErrback(lambda _: None)
-        submission.answer.callback(result(OrderCode.ACCEPTED, version=acceptable.version))
-
-    yield patch.object(OrderProcessor, "_propose", propose)
-
-
-def digests_not_in_snapshot() -> Patches:
-    """Snapshots of the configuration don't have the digests of accepted orders."""
-    snapshot = ConfigurationState.snapshot
-
-    def without_orders(state: Any) -> bytes:
-        codec = configuration_machine._SNAPSHOT
-        whole = codec.decode(snapshot(state))
-        fields = {name: getattr(whole, name) for name in whole.__dataclass_fields__}
-        return codec.encode(type(whole)(**{**fields, "orders": ()}))
-
-    yield patch.object(ConfigurationState, "snapshot", without_orders)
-
-
 def two_member_changes_at_once() -> Patches:
     """Changes any number of members in one step, and before the step before is committed."""
 
@@ -99,14 +70,6 @@
     yield patch.object(ReplicaGroup, "caught_up", lambda group, name: True)
 
 
-def empty_disk_votes() -> Patches:
-    """A machine whose disk was lost is the same member as before, and votes."""
-    yield patch.object(SimulatedNodeDisk, "load_identity", lambda disk: "disk")
-    yield patch.object(
-        ReplicaGroup, "hear", lambda group, now, sender, message: group.raft.hear(now, sender, message)
-    )
-
-
 def removal_before_successor() -> Patches:
     """Removes members that aren't wanted before those that take their place have anything."""
 
@@ -182,13 +145,9 @@
 BUILDS: dict[str, Callable[[], Patches]] = {
     build.__name__: build
     for build in (
-        no_confirmation,
         reckoned_before_confirmation,
-        acknowledged_before_commit,
-        digests_not_in_snapshot,
         two_member_changes_at_once,
         voter_before_caught_up,
-        empty_disk_votes,
         removal_before_successor,
         retirement_from_old_epoch,
         feed_takes_older,
