--- a/bitternpath/rehearsal/records.py
+++ b/bitternpath/rehearsal/records.py
@@ -144,6 +144,7 @@
     valid: bool
     document: Any
     status: int = 0
+    lost_answers: int = 0  # that were given and never reached the operator
 
 
 @dataclass(frozen=True, slots=True)
--- a/bitternpath/simulation/checks/control.py
+++ b/bitternpath/simulation/checks/control.py
@@ -40,7 +40,7 @@
     """A proper order is answered within `ack_ms` of a stretch without any trouble."""
     contact = Contact(history, terms)
     for order in history.orders:
-        if not order.valid or order.outcome is OrderOutcome.REFUSED:
+        if not order.valid or order.lost_answers or order.outcome is OrderOutcome.REFUSED:
             continue
         calm = contact.longest_calm(order.sent_at, order.ended_at)
         if calm > terms.ack_s:
--- a/tests/system/test_simulation_checks.py
+++ b/tests/system/test_simulation_checks.py
@@ -210,6 +210,13 @@
         history(orders=[order(3, 1, UNCLEAR, ended_at=11.0)]),
         history(orders=[order(3, 1, UNCLEAR, ended_at=11.0)], disruptions=[replace(FROZEN_EDGE, at=7.0)]),
     ),
+    (
+        control.check_acknowledged_in_time,
+        SystemRule.ACKS,
+        "no acknowledgement, though none was lost on its way",
+        history(orders=[order(3, 1, UNCLEAR, ended_at=11.0)]),
+        history(orders=[order(3, 1, UNCLEAR, ended_at=11.0, lost_answers=2)]),
+    ),
     (
         messages.check_route,
         SystemRule.ROUTE,
