--- a/bitternpath/simulation/events.py
+++ b/bitternpath/simulation/events.py
@@ -145,6 +145,7 @@
     other_edges: int = 1
     storages: int = 3
     tolerated: int = 1  # machines that may be lost at one time
+    small_logs: bool = False  # shortened every few entries; the usual sizes are never reached in a short run
 
 
 class RunPlan(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/bitternpath/simulation/runs/play.py
+++ b/bitternpath/simulation/runs/play.py
@@ -42,7 +42,7 @@
     WorkerLeaves,
     WorkerTrouble,
 )
-from bitternpath.simulation.settings import BOUNDS, Plan
+from bitternpath.simulation.settings import BOUNDS, SMALL_LOGS, LogSizes, Plan
 from bitternpath.simulation.world import World
 
 ENTRY_IP, CALLBACK_IP = "10.94.0.1", "10.93.0.1"
@@ -92,6 +92,7 @@
                 storages=layout.storages,
                 tolerated_machines=layout.tolerated,
                 keep_log=keep_log,
+                logs=SMALL_LOGS if layout.small_logs else LogSizes(),
             ),
         )
         self.history = SystemHistory()
