--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 system-demo: build
 	$(PYTHON) -m bitternpath system demo
 
-# many runs of the fleet with faults: make campaign WAY=runs|walks|days|search MANY=10000
+# many runs with faults, of the whole service (system) or of the fleet: make campaign WAY=system|runs|walks|days|search MANY=10000
 WAY = runs
 MANY = 10000
 campaign: build
