--- a/tests/system/test_folder_syncs.py
+++ b/tests/system/test_folder_syncs.py
@@ -87,7 +87,7 @@
                 real(files, name)
 
         with (
-            patch("tests.system.test_folder_syncs.drop_document", unsynced),
+            patch(f"{__name__}.drop_document", unsynced),  # whatever name the module was found by
             self.assertRaises(AssertionError),
         ):
             self.test_one_that_was_dropped_does_not_come_back()
