--- a/bitternpath/roles/machine.py
+++ b/bitternpath/roles/machine.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import Protocol
 
+from bitternpath.replication.group import CompactionBounds, bounds_for_disk
 from bitternpath.roles.settings import Settings, load_settings, settings_path
 from bitternpath.storage.node_disk import LocalDisk, NodeDisk
 
@@ -21,6 +22,9 @@
     def random(self) -> Random:
         """The one source of chance of this process."""
 
+    def compaction(self, disk_bytes: int) -> CompactionBounds:
+        """When replica groups on a disk of that size replace entries by a snapshot."""
+
     def wall_ms(self) -> int:
         """The time of day in milliseconds since 1970. It may step."""
 
@@ -41,6 +45,9 @@
     def random(self) -> Random:
         return self._random
 
+    def compaction(self, disk_bytes: int) -> CompactionBounds:
+        return bounds_for_disk(disk_bytes)
+
     def wall_ms(self) -> int:
         return int(time.time() * 1000)
 
