--- a/bitternpath/ingress/channel.py
+++ b/bitternpath/ingress/channel.py
@@ -38,7 +38,7 @@
 class ChannelSite(Protocol):
     """What a connection needs of its server; `HttpSite` is one."""
 
-    channels: set[StrictChannel]  # the open ones
+    channels: dict[StrictChannel, None]  # the open ones, in the order in which they were made
     closing: bool  # whether the server is shutting down
 
     def limits(self) -> RequestLimits:
@@ -66,7 +66,7 @@
 
     def connectionMade(self) -> None:
         super().connectionMade()  # type: ignore[no-untyped-call]
-        self.site.channels.add(self)
+        self.site.channels[self] = None
         self._enter(Phase.IDLE)
 
     # ---- reading
@@ -188,6 +188,15 @@
         elif self.phase in (Phase.IDLE, Phase.HEAD, Phase.BODY):
             self.setTimeout(DRAINING_READ_S)  # type: ignore[no-untyped-call]
 
+    def answer_open(self) -> None:
+        """Answer the request that waits, and those that were read behind it; then close."""
+        answered = None
+        while self.phase is Phase.ANSWERING and self.requests[0] is not answered:
+            answered = self.requests[0]
+            answered.end_without_answer()
+        if self.phase not in (Phase.ANSWERING, Phase.CLOSING):
+            self.loseConnection()
+
     def loseConnection(self) -> None:
         self._enter(Phase.CLOSING, FLUSH_S)
         super().loseConnection()  # type: ignore[no-untyped-call]
@@ -212,7 +221,7 @@
         """Our own half-close after an error answer; the linger time runs."""
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self.site.channels.discard(self)
+        self.site.channels.pop(self, None)
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
         self.site.channel_lost()
 
--- a/bitternpath/roles/edge.py
+++ b/bitternpath/roles/edge.py
@@ -186,9 +186,9 @@
         """Shards have other members: keep links to all storage nodes that are any."""
         self.appender.shards = self.lookup.shards = len(groups)
         addresses = {member.address for group in groups for member in group.members}
-        for address in self._storage_addresses - addresses:
+        for address in sorted(self._storage_addresses - addresses):
             self.base.hub.hang_up(address, SHARD_USER)
-        for address in addresses - self._storage_addresses:
+        for address in sorted(addresses - self._storage_addresses):
             self.base.hub.dial(address, SHARD_USER)
         self._storage_addresses = addresses
 
@@ -305,5 +305,6 @@
         self._reading = False
 
     def _owner_changed(self, group: str) -> None:
+        self.pulls.owner_changed(group)
         owner = self.owners.owner(group)
         log.debug("event=shard_owner group={} owner={}", group, owner.link.peer_name if owner else "")
