--- a/bitternpath/queue/owner.py
+++ b/bitternpath/queue/owner.py
@@ -247,7 +247,12 @@
                     entry = self._state.find(request_id)
                     if entry is not None:
                         self._tombstones.retry(now, entry)
-            case AppendMessage() | EndAttempt():
+            case EndAttempt():
+                tracked = self._tracked.get(command.request_id)
+                lease = None if tracked is None else tracked.lease
+                if lease is not None and lease.lease_id == command.lease_id:
+                    self._actions.append(ProposeCommand(command))
+            case AppendMessage():
                 pass
         return self._finish(now)
 
@@ -364,6 +369,7 @@
     def _message_added(self, now: float, result: Added) -> None:
         entry = self._state.find(result.command.message.request_id)
         if entry is not None and not entry.ended:
+            self._state.count_delay_from_now(entry)
             tracked = self._tracked[entry.message.request_id] = Tracked(entry, accepted_here=True)
             self._place(now, tracked)
 
