ACKS counts from contact_ms after the start of all machines

By RULES, "Stable", a core whose machines were started counts as stable `contact_ms` later, and the stretch begins there.

--- a/bitternpath/simulation/checks/control.py
+++ b/bitternpath/simulation/checks/control.py
@@ -42,7 +42,8 @@
     for order in history.orders:
         if not order.valid or order.lost_answers or order.outcome is OrderOutcome.REFUSED:
             continue
-        calm = contact.longest_calm(order.sent_at, order.ended_at)
+        began = max(order.sent_at, terms.contact_s)  # all machines were started at 0: not stable before
+        calm = contact.longest_calm(began, order.ended_at)
         if calm > terms.ack_s:
             text = f"version {order.version}, sent at {order.sent_at:.3f}, is {order.outcome.value}"
             yield Violation(SystemRule.ACKS, "", f"{text} after {calm:.1f} s without trouble")
