Campaign frees what its runs leave behind

Cause: a campaign of 4,000 runs of the whole service was ended by the kernel after 1,200 (four processes of 8 GB each): the program starts with the garbage collector off (__main__), and only a node that is up turns it on. Ruled out: a leak of the simulation (36 runs in one process with the collector on stay at 108 MB). Test: test_campaign_command, fails without it (seen).

--- a/bitternpath/cli/campaign.py
+++ b/bitternpath/cli/campaign.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import subprocess
 import sys
@@ -107,6 +108,7 @@
 
     Ends with 0 where the rules were kept in all, with 1 where one was broken.
     """
+    gc.enable()  # the program starts without, and each run leaves a whole world behind
     if way == "search":
         from bitternpath.emulator.fleet.search.scopes import SCOPES
 
