Feed counts edge nodes once a publish; a delivery copies no list of idle connections

Found on reading the change again: each heartbeat walked all followers once for each follower, and each delivery copied the queue of idle connections. Behaviour is as before. test_feed, test_worker_client, test_second_answers, test_sent_once: pass.

--- a/bitternpath/configuration/feed.py
+++ b/bitternpath/configuration/feed.py
@@ -87,7 +87,7 @@
         )
         self._subscribers[link] = subscriber
         if self._has_lease():
-            self._send(link, subscriber)
+            self._send(link, subscriber, self._edge_nodes())
 
     def dropped(self, link: Link) -> None:
         """A link has ended."""
@@ -96,8 +96,9 @@
     def publish(self) -> None:
         """The state has changed."""
         if self.serving and self._has_lease():
+            edge_nodes = self._edge_nodes()
             for link, subscriber in self._subscribers.items():
-                self._send(link, subscriber)
+                self._send(link, subscriber, edge_nodes)
 
     def publish_catalogue(self, update: CatalogueUpdate) -> None:
         """The platform's list was read."""
@@ -120,13 +121,15 @@
         self.publish()
         self._timer = self.reactor.callLater(HEARTBEAT_S, self._beat)
 
-    def _send(self, link: Link, subscriber: _Subscriber) -> None:
+    def _edge_nodes(self) -> int:
+        return max(sum(node.kind is NodeKind.EDGE for node in self.followers()), 1)
+
+    def _send(self, link: Link, subscriber: _Subscriber, edge_nodes: int) -> None:
         state = self.state
         document = state.document if state.version > subscriber.version else None
         placed = state.groups if state.placement_generation > subscriber.generation else None
-        edges = sum(node.kind is NodeKind.EDGE for node in self.followers())
         link.send(
-            FeedUpdate(self.epoch, state.version, document, state.placement_generation, placed, max(edges, 1))
+            FeedUpdate(self.epoch, state.version, document, state.placement_generation, placed, edge_nodes)
         )
         subscriber.version, subscriber.generation = state.version, state.placement_generation
         if self.catalogue is not None and subscriber.catalogue_serial < 0:
--- a/bitternpath/delivery/pool.py
+++ b/bitternpath/delivery/pool.py
@@ -116,13 +116,18 @@
     def _take_idle(self, request_id: str) -> WorkerConnection | None:
         """The oldest idle connection that is whole and may carry that message."""
         now = self.now()
-        for connection in list(self._idle):
+        passed_over: list[WorkerConnection] = []
+        found = None
+        while self._idle and found is None:
+            connection = self._idle.popleft()
             if connection.usable_until <= now or peek(connection.transport) is not None:
                 connection.close()
             elif connection.may_carry(request_id):
-                self._idle.remove(connection)
-                return connection
-        return None
+                found = connection
+            else:
+                passed_over.append(connection)
+        self._idle.extendleft(reversed(passed_over))
+        return found
 
     def _connect(self, exchange: Exchange) -> None:
         self._open += 1
