--- a/bitternpath/rehearsal/plan.py
+++ b/bitternpath/rehearsal/plan.py
@@ -6,11 +6,13 @@
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 from bitternpath.rehearsal.bounds import BOUNDS
 from bitternpath.rehearsal.records import Kind, Terms
 
+TermsKind = TypeVar("TermsKind", bound=Terms)
+
 REGION = "loopback"
 LOOPBACK = "127.0.0.1"  # of what isn't a machine of the system
 FIRST_PORT, LAST_PORT = 20_000, 32_000  # below the ports that the kernel gives to clients
@@ -102,18 +104,24 @@
 
     def terms(self) -> Terms:
         """By which the history is judged."""
-        return Terms(
-            max_attempts=MAX_ATTEMPTS,
-            timeout_s=TIMEOUT_MS / 1000,
-            retention_s=RETENTION_S,
-            visible_s=BOUNDS["visible_ms"] / 1000,
-            contact_s=BOUNDS["contact_ms"] / 1000,
-            loss_slack_s=BOUNDS["loss_slack_ms"] / 1000,
-            ceiling_window_s=BOUNDS["ceiling_window_s"],
-            origin_rate_over=BOUNDS["origin_rate_over"],
-            early_s=BOUNDS["early_ms"] / 1000,
-            rates={SERVICES[Kind.ENDPOINT]: self.endpoint_rate},
-        )
+        return terms_of(Terms, self.endpoint_rate)
+
+
+def terms_of(kind: type[TermsKind], endpoint_rate: float, **more: Any) -> TermsKind:
+    """Terms by the bounds and the routes; `more` are fields that only this kind of terms has."""
+    return kind(
+        max_attempts=MAX_ATTEMPTS,
+        timeout_s=TIMEOUT_MS / 1000,
+        retention_s=RETENTION_S,
+        visible_s=BOUNDS["visible_ms"] / 1000,
+        contact_s=BOUNDS["contact_ms"] / 1000,
+        loss_slack_s=BOUNDS["loss_slack_ms"] / 1000,
+        ceiling_window_s=BOUNDS["ceiling_window_s"],
+        origin_rate_over=BOUNDS["origin_rate_over"],
+        early_s=BOUNDS["early_ms"] / 1000,
+        rates={SERVICES[Kind.ENDPOINT]: endpoint_rate},
+        **more,
+    )
 
 
 def make_plan(rate: float, seconds: float, edges: int, storage: int, seed: int) -> Plan:
--- a/bitternpath/simulation/actors/operators.py
+++ b/bitternpath/simulation/actors/operators.py
@@ -22,6 +22,7 @@
 from bitternpath.rehearsal.plumbing import Call, Reply
 from bitternpath.rehearsal.records import OrderOutcome, OrderSent
 from bitternpath.simulation.actors.nodes import Directory, NodeAddress
+from bitternpath.simulation.actors.under_way import UnderWay
 from bitternpath.simulation.checks.history import ConfigRead, RetireCall, Retirement, SystemHistory
 from bitternpath.simulation.events import Look, Order, OrderStyle, Retire, RunPlan
 
@@ -49,32 +50,38 @@
     ) -> None:
         self._world, self._plan, self._history, self._directory = world, plan, history, directory
         self._reactor: Any = world.host(OPERATOR_IP)
-        self._failed = failed
         self.known: dict[str, Any] = {"version": 0, "routes": []}
         self.documents: list[dict[str, Any]] = []  # that were sent, in their order
-        self.open = 0  # calls under way
+        self._under_way = UnderWay(failed)
         self.on_retired: Callable[[str], object] = lambda planned: None
 
+    @property
+    def open(self) -> int:
+        """How many calls are under way."""
+        return self._under_way.count
+
     def found(self, document: dict[str, Any]) -> None:
         """Send the first configuration until it is accepted."""
         calls = self._calls(Random(f"{self._plan.seed}/founding"))
-        self._begin(self._send(calls, put_call(0, document), 0, document, seconds=FIRST_ORDER_FOR_S))
+        self._under_way.begin(
+            self._send(calls, put_call(0, document), 0, document, seconds=FIRST_ORDER_FOR_S)
+        )
 
     def order(self, event: Order) -> None:
         """Send a change."""
-        self._begin(self._order(event))
+        self._under_way.begin(self._order(event))
 
     def look(self, event: Look) -> None:
         """Read the configuration once."""
-        self._begin(self._look(self._calls(self._plan.random(event)), tries=1))
+        self._under_way.begin(self._look(self._calls(self._plan.random(event)), tries=1))
 
     def retire(self, event: Retire) -> None:
         """Have a machine emptied, and remove it then."""
-        self._begin(self._retire(event))
+        self._under_way.begin(self._retire(event))
 
     def read_back(self, seconds: float) -> None:
         """Read the configuration again and again for so long; the last answer counts."""
-        self._begin(self._read_back(seconds))
+        self._under_way.begin(self._read_back(seconds))
 
     # ---- changes
 
@@ -216,12 +223,3 @@
 
     def _nodes(self) -> list[NodeAddress]:
         return list(self._directory.lagging())
-
-    def _begin(self, work: Any) -> None:
-        self.open += 1
-
-        def ended(result: Any) -> Any:
-            self.open -= 1
-            return result
-
-        Deferred.fromCoroutine(work).addBoth(ended).addErrback(self._failed)
--- a/bitternpath/simulation/actors/senders.py
+++ b/bitternpath/simulation/actors/senders.py
@@ -7,7 +7,6 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
 from bitternpath.rehearsal.clients import ASK_WITHIN_S, DEADLINE_MS, Clients, Wanted
@@ -17,6 +16,7 @@
 from bitternpath.rehearsal.records import Kind, Send, SendOutcome
 from bitternpath.simulation.actors.nodes import Directory
 from bitternpath.simulation.actors.operators import Operators
+from bitternpath.simulation.actors.under_way import UnderWay
 from bitternpath.simulation.checks.history import RouteProbe, StateRead, SystemHistory
 from bitternpath.simulation.events import Message, Probe, RunPlan
 
@@ -46,18 +46,23 @@
         failed: Failed,
     ) -> None:
         self._world, self._plan, self._history, self._directory = world, plan, history, directory
-        self._entry, self._operators, self._failed = entry, operators, failed
+        self._entry, self._operators = entry, operators
         self._reactor: Any = world.host(CLIENT_IP)
         self._clients = Clients(self._reactor, lambda: world.now, history, entry, callback_url)
-        self.open = 0  # messages, questions and probes under way
+        self._under_way = UnderWay(failed)
+
+    @property
+    def open(self) -> int:
+        """How many messages, questions and probes are under way."""
+        return self._under_way.count
 
     def message(self, event: Message) -> None:
         """Send a message, and ask for its state later."""
-        self._begin(self._message(event))
+        self._under_way.begin(self._message(event))
 
     def probe(self, event: Probe) -> None:
         """Send a message directly to one node."""
-        self._begin(self._probe(event))
+        self._under_way.begin(self._probe(event))
 
     async def _message(self, event: Message) -> None:
         random = self._plan.random(event)
@@ -114,15 +119,6 @@
             prefixes += [route["path_prefix"] for route in document["routes"][len(Kind) :]]
         return prefixes
 
-    def _begin(self, work: Any) -> None:
-        self.open += 1
-
-        def ended(result: Any) -> Any:
-            self.open -= 1
-            return result
-
-        Deferred.fromCoroutine(work).addBoth(ended).addErrback(self._failed)
-
 
 def seeded(plan: RunPlan, purpose: str) -> Random:
     """A generator of the run's seed for one actor."""
--- a/bitternpath/simulation/runs/play.py
+++ b/bitternpath/simulation/runs/play.py
@@ -13,14 +13,12 @@
 from bitternpath.rehearsal.clients import Askers
 from bitternpath.rehearsal.entry import Entry
 from bitternpath.rehearsal.plan import (
-    MAX_ATTEMPTS,
     RATE_PER_S,
-    RETENTION_S,
-    SERVICES,
     TIMEOUT_MS,
     limits_document,
     route_document,
     service_document,
+    terms_of,
 )
 from bitternpath.rehearsal.platform import CallbackReceiver
 from bitternpath.rehearsal.records import Kind
@@ -261,17 +259,9 @@
 
 def system_terms(world: World) -> SystemTerms:
     """By which the history of a world is judged."""
-    return SystemTerms(
-        max_attempts=MAX_ATTEMPTS,
-        timeout_s=TIMEOUT_MS / 1000,
-        retention_s=RETENTION_S,
-        visible_s=BOUNDS["visible_ms"] / 1000,
-        contact_s=BOUNDS["contact_ms"] / 1000,
-        loss_slack_s=BOUNDS["loss_slack_ms"] / 1000,
-        ceiling_window_s=BOUNDS["ceiling_window_s"],
-        origin_rate_over=BOUNDS["origin_rate_over"],
-        early_s=BOUNDS["early_ms"] / 1000,
-        rates={SERVICES[Kind.ENDPOINT]: RATE_PER_S},
+    return terms_of(
+        SystemTerms,
+        RATE_PER_S,
         core=frozenset(node.name for node in world.edges() if node.counted),
         stores=frozenset(node.name for node in world.storages()),
         edges=frozenset(node.name for node in world.edges()),
