--- /dev/null
+++ b/bitternpath/simulation/actors/workers.py
@@ -0,0 +1,209 @@
+"""Workers of a simulated run: listed ones with incarnations, one endpoint, and those that pull.
+
+Those that are called have moods: they fail, refuse, fall silent, drop what they run, or hand out bytes that
+are no answer. A run that was answered so hasn't ended.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from bitternpath.net.http1 import Request
+from bitternpath.rehearsal.plan import RATE_PER_S, SERVICES
+from bitternpath.rehearsal.platform import PlatformList
+from bitternpath.rehearsal.plumbing import Reply, ServerConnection
+from bitternpath.rehearsal.records import Answer, Kind
+from bitternpath.rehearsal.workers import READ_WITHIN_S, Endpoint, HttpWorker, Job, PullingWorker, Work
+from bitternpath.simulation.checks.history import Drain, SystemHistory
+from bitternpath.simulation.runs.events import Mood, RunPlan, WorkerLeaves, WorkerTrouble
+from bitternpath.simulation.settings import PLATFORM_IP, PLATFORM_PORT
+
+if TYPE_CHECKING:
+    from bitternpath.rehearsal.entry import Entry
+    from bitternpath.simulation.world import SimulatedNode, World
+
+LISTED_WORKERS, LISTED_SLOTS, LISTED_WORK_S = 3, 4, (0.02, 0.12)
+ENDPOINT_SLOTS, ENDPOINT_WORK_S = 8, (0.02, 0.1)
+PULLERS, PULLED_WORK_S = 4, (0.05, 0.3)
+LONG_PULLED_WORK_S = (1.2, 2.4)  # of one puller: it must extend its leases
+WORKER_PORT = 8080
+LISTED_NETWORK, ENDPOINT_IP, PULLER_NETWORK = "10.98.0", "10.97.0.1", "10.96.0"
+MOST_LAG_S = 0.8  # of the platform's list
+SERVES_ON_S = 4.5  # after it was shown as draining: `drain_ms` and somewhat longer
+LISTED_AFTER_S = 1.0  # after its end a worker still stands on the list for so long
+REUSED_AFTER_S = 2.5  # over `reuse_after_s`: then another incarnation has the address
+OTHER_ID = "f" * 16
+JUNK = b"\x00\x7fHTPT/1.1 2oo \r\n\x01\x02\r\n"
+ENDLESS_HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 4096\r\nX-Request-Id: %s\r\nX-Server-Stamp: %s\r\n\r\nhalf"
+)
+
+
+class MoodyWorker(HttpWorker):
+    """A worker that is called, with moods."""
+
+    mood: Mood | None = None
+    watch: Callable[[Answer, str], object]  # hears each answer, and the address to which it goes
+
+    def set_mood(self, world: World, mood: Mood, lasts: float) -> None:
+        """Behave so for a while."""
+        self.mood = mood
+        world.at(world.now + lasts, self._well_again, mood)
+
+    def _well_again(self, mood: Mood) -> None:
+        if self.mood is mood:
+            self.mood = None
+
+    def _refusal(self, request: Request, request_id: str) -> int:
+        return super()._refusal(request, request_id) or (503 if self.mood is Mood.REFUSING else 0)
+
+    def _answer(self, job: Job, status: int) -> None:
+        if self.mood is Mood.FAILING:
+            status = 500
+        elif self.mood is not None and status != 504 and self._answer_badly(self.mood, job):
+            return
+        super()._answer(job, status)
+
+    def _note(self, answer: Answer, connection: ServerConnection) -> None:
+        super()._note(answer, connection)
+        self.watch(answer, connection.transport.getPeer().host)
+
+    def _answer_badly(self, mood: Mood, job: Job) -> bool:
+        """Answer as the mood has it; False where it has no say."""
+        transport, stamp = job.connection.transport, self._work.stamp(self.instance)
+        if mood is Mood.SILENT:
+            return True
+        if mood is Mood.DROPPING:
+            transport.abortConnection()
+        elif mood is Mood.JUNK:
+            transport.write(JUNK)
+            transport.loseConnection()
+        elif mood is Mood.SHORT:
+            transport.write(ENDLESS_HEAD % (job.request_id.encode(), stamp.encode()))
+            transport.loseConnection()
+        elif mood is Mood.OTHER_ID:
+            job.answer.callback(Reply(200, {**self._named(OTHER_ID), "X-Server-Stamp": stamp}, b"ok"))
+        elif mood is Mood.NO_STAMP:
+            job.answer.callback(Reply(200, self._named(job.request_id), b"ok"))
+        else:
+            return False
+        return True
+
+
+class MoodyEndpoint(Endpoint, MoodyWorker):
+    """The endpoint, with moods."""
+
+
+class Workers:
+    """All workers, and the platform's list of them."""
+
+    def __init__(self, world: World, plan: RunPlan, history: SystemHistory, entry: Entry) -> None:
+        self._world, self._history, self._seed = world, history, plan.seed
+        self.platform = PlatformList(world.host(PLATFORM_IP), lambda: world.now, PLATFORM_IP, PLATFORM_PORT)
+        self._incarnations = [0] * LISTED_WORKERS
+        self._entries: dict[str, dict[str, Any]] = {}
+        self._lag = Random(f"{plan.seed}/list")
+        self.listed = [self._start(place) for place in range(LISTED_WORKERS)]
+        self.platform.publish(list(self._entries.values()))
+        self.endpoint = MoodyEndpoint(
+            world.host(ENDPOINT_IP),
+            lambda: world.now,
+            history,
+            self._work("endpoint", ENDPOINT_WORK_S),
+            SERVICES[Kind.ENDPOINT],
+            ENDPOINT_SLOTS,
+            RATE_PER_S,
+            ENDPOINT_IP,
+        )
+        self.endpoint.watch = self._watch
+        self.pullers = [self._puller(number, entry) for number in range(PULLERS)]
+
+    def trouble(self, event: WorkerTrouble) -> None:
+        """A worker behaves badly for a while."""
+        worker = self.endpoint if event.worker < 0 else self.listed[event.worker]
+        worker.set_mood(self._world, event.mood, event.lasts)
+
+    def leave(self, event: WorkerLeaves) -> None:
+        """Show a worker as draining, end it, and let a new incarnation have its address."""
+        worker = self.listed[event.worker]
+        entry = self._entries.get(worker.instance)
+        if entry is None or entry["state"] == "draining":
+            return
+        self._entries[worker.instance] = {**entry, "state": "draining"}
+        self._publish(worker.instance)
+        self._world.at(self._world.now + SERVES_ON_S, self._end, event.worker, worker)
+
+    def _end(self, place: int, worker: MoodyWorker) -> None:
+        worker.close()
+        self._world.at(self._world.now + LISTED_AFTER_S, self._unlist, worker.instance)
+        self._world.at(self._world.now + REUSED_AFTER_S, self._start_again, place)
+
+    def _unlist(self, instance: str) -> None:
+        del self._entries[instance]
+        self._publish()
+
+    def _start_again(self, place: int) -> None:
+        self.listed[place] = self._start(place)
+        self._publish()
+
+    def _start(self, place: int) -> MoodyWorker:
+        self._incarnations[place] += 1
+        instance = f"i-{place}-{self._incarnations[place]}"
+        ip = f"{LISTED_NETWORK}.{place + 1}"
+        worker = MoodyWorker(
+            self._world.host(ip),
+            lambda: self._world.now,
+            self._history,
+            self._work(instance, LISTED_WORK_S),
+            SERVICES[Kind.LISTED],
+            instance,
+            LISTED_SLOTS,
+            ip,
+            WORKER_PORT,
+        )
+        worker.watch = self._watch
+        self._entries[instance] = worker.listed()
+        return worker
+
+    def _watch(self, answer: Answer, sender: str) -> None:
+        """An answer counts as read only if its sender runs all the time that it takes to come."""
+        node = next(node for node in self._world.nodes.values() if node.ip == sender)
+        life = node.lives
+        answer.read = _runs(node)
+
+        def look() -> None:
+            answer.read = answer.read and _runs(node) and node.lives == life
+
+        self._world.at(self._world.now + READ_WITHIN_S, look)
+
+    def _publish(self, draining: str = "") -> None:
+        """The list shows its entries as they are now, a while later."""
+        entries = list(self._entries.values())
+        self._world.at(self._world.now + self._lag.uniform(0.0, MOST_LAG_S), self._show, entries, draining)
+
+    def _show(self, entries: list[dict[str, Any]], draining: str) -> None:
+        self.platform.publish(entries)
+        if draining:
+            self._history.drains.append(Drain(draining, self._world.now))
+
+    def _work(self, purpose: str, seconds: tuple[float, float]) -> Work:
+        return Work(Random(f"{self._seed}/work/{purpose}"), *seconds)
+
+    def _puller(self, number: int, entry: Entry) -> PullingWorker:
+        seconds = PULLED_WORK_S if number else LONG_PULLED_WORK_S
+        return PullingWorker(
+            self._world.host(f"{PULLER_NETWORK}.{number + 1}"),
+            lambda: self._world.now,
+            self._history,
+            entry,
+            self._work(f"puller {number}", seconds),
+            SERVICES[Kind.PULLED],
+            f"p-{number}",
+            Random(f"{self._seed}/puller/{number}"),
+        )
+
+
+def _runs(node: SimulatedNode) -> bool:
+    return node.state.value == "up" and node.factor == 1.0
