Pulls: a shard with waiting jobs asks a few edge nodes, not all

Change: 4 to 8 edge nodes drawn anew each time, at pauses that double from 50 to 400 ms while jobs wait; a node without a worker to move sends the next one that comes within 250 ms.

--- a/bitternpath/queue/lanes.py
+++ b/bitternpath/queue/lanes.py
@@ -26,6 +26,7 @@
         self.out = 0  # deliveries out; jobs that workers pull are bounded by the workers
         self.wakeup: float | None = None
         self.polls_asked_at = float("-inf")  # workers that pull were last asked for
+        self.polls_asked_pause = 0.0  # until they may be asked for again; grows while jobs wait
 
     def next_grant(self, now: float) -> float | None:
         """When a lease may be granted (`now`: at once); None: only after a lease has ended."""
--- a/bitternpath/queue/owner.py
+++ b/bitternpath/queue/owner.py
@@ -57,7 +57,8 @@
 DEFAULT_RETENTION_S = 90.0  # for tombstones while there is no configuration
 UNLIMITED_ATTEMPTS = 2**31 - 1  # for ends of messages whose route is not known here (yet, or any more)
 
-POLLS_ASKED_EVERY_S = 0.05  # while jobs wait and no worker that pulls does
+# While jobs wait and no worker that pulls does: workers are asked for at this pause, doubled each time.
+POLLS_ASKED_FIRST_S, POLLS_ASKED_MOST_S = 0.05, 0.4
 
 HAND_BACKS_BEFORE_ANOTHER_EDGE = 2  # in a row, not run or without an answer
 
@@ -350,15 +351,19 @@
                 return
             tracked.enter(Phase.GRANTING)
             self._actions.append(ProposeCommand(command))
+        lane.polls_asked_pause = min(lane.polls_asked_pause, POLLS_ASKED_FIRST_S)
 
     def _ask_for_polls(self, now: float, lane: ServiceLane) -> None:
         """Jobs wait for workers that pull, and none waits here: edge nodes may know of some elsewhere."""
         if not lane.service.pull_mode:
             return
-        if now >= lane.polls_asked_at + POLLS_ASKED_EVERY_S:
+        if now >= lane.polls_asked_at + lane.polls_asked_pause:
             lane.polls_asked_at = now
+            lane.polls_asked_pause = min(
+                2 * lane.polls_asked_pause or POLLS_ASKED_FIRST_S, POLLS_ASKED_MOST_S
+            )
             self._actions.append(AskForPolls(lane.service.name, len(lane.ready)))
-        self._lanes.wake_at(lane.polls_asked_at + POLLS_ASKED_EVERY_S, lane)
+        self._lanes.wake_at(lane.polls_asked_at + lane.polls_asked_pause, lane)
 
     def _next_lease_id(self) -> str:
         self._leases_counted += 1
--- a/bitternpath/roles/shard_runtime.py
+++ b/bitternpath/roles/shard_runtime.py
@@ -57,6 +57,7 @@
 
 log = logbook.Logger("shard")
 
+LEAST_ASKED, MOST_ASKED = 4, 8  # edge nodes that are asked for workers at once; the next time, others
 PROPOSE_AGAIN_S = 0.1  # an owner that hands over proposes nothing for up to an election's time, and may stay
 
 
@@ -345,8 +346,9 @@
 
     def _ask_for_polls(self, service: str, waiting: int) -> None:
         links = self.edges.links()
-        for link in links:
-            link.send(JobsWaiting(self.group, service, waiting, len(links)))
+        asked = self.random.sample(links, min(max(2 * waiting, LEAST_ASKED), MOST_ASKED, len(links)))
+        for link in asked:
+            link.send(JobsWaiting(self.group, service, waiting, len(asked)))
 
     def _drop_poll(self, poll_id: int) -> None:
         found = self._polls.pop(poll_id, None)
--- a/bitternpath/shards/pulls.py
+++ b/bitternpath/shards/pulls.py
@@ -1,12 +1,13 @@
 """Workers that pull: each waits at one shard whose owner is in this node's zone, where there is one.
 
-So jobs rarely cross zones. A shard where jobs wait and no worker does tells the edge nodes, and each moves
-its share of the workers that wait elsewhere. A job that comes from a shard that the worker has left still
-goes to the worker; a second one is handed back.
+So jobs rarely cross zones. A shard where jobs wait and no worker does tells a few edge nodes. Each moves its
+share of the workers that wait elsewhere, or where it has too few, sends those there that come next. A job
+that comes from a shard that the worker has left still goes to the worker; a second one is handed back.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 
@@ -31,6 +32,7 @@
 ANSWER_MARGIN_S = 0.5  # beyond the worker's wait, for the owner's answer
 END_PATIENCE_S = 5.0  # an end or an extension waits so long for an owner
 EXTEND_RETRY_S = 0.1
+WANTED_S = 0.25  # workers that come so soon go to a shard that has asked; then it has asked others, or anew
 
 # What a pulling worker's status means (PROTOCOL, "Workers").
 SUCCESS_STATUSES = range(200, 300)
@@ -139,6 +141,14 @@
             self.result.callback(None)
 
 
+@dataclass(slots=True)
+class _Wanted:
+    """Workers that a shard has asked this node for and that it did not have."""
+
+    workers: int
+    until: float
+
+
 class Pulls:
     """Waiting workers, and the leases they hold."""
 
@@ -149,11 +159,11 @@
         self.zone, self.random = zone, random
         self._tickets: dict[int, Ticket] = {}  # by number: an order that a seed repeats
         self._tickets_counted = 0
+        self._wanted: dict[str, dict[str, _Wanted]] = {}  # by service and group
 
     def pull(self, service: str, instance: str, wait_ms: int) -> Ticket | EmptyTicket:
         """Wait for a job of a service."""
-        groups = self.owners.groups_near(self.zone) or self.owners.owned_groups()
-        group = self.random.choice(groups) if groups else ""
+        group = self._take_wanted(service) or self._any_group()
         owner = self.owners.owner(group)
         if owner is None:
             return EmptyTicket(self.reactor, wait_ms / 1000)
@@ -174,9 +184,30 @@
             if ticket.service == told.service and ticket.group != told.group
         ]
         share = max(1, round(told.waiting / max(told.nodes, 1)))
-        for ticket in self.random.sample(elsewhere, min(share, len(elsewhere))):
+        moved = min(share, len(elsewhere))
+        until = self.reactor.seconds() + WANTED_S
+        self._wanted.setdefault(told.service, {})[told.group] = _Wanted(share - moved, until)
+        for ticket in self.random.sample(elsewhere, moved):
             ticket.wait_at(told.group, owner)
 
+    def _any_group(self) -> str:
+        """A shard at random whose owner is near, or any."""
+        groups = self.owners.groups_near(self.zone) or self.owners.owned_groups()
+        return self.random.choice(groups) if groups else ""
+
+    def _take_wanted(self, service: str) -> str:
+        """A shard that has asked for a worker of this service lately; "" where none has."""
+        wanted = self._wanted.get(service, {})
+        now = self.reactor.seconds()
+        for group in list(wanted):
+            asked = wanted[group]
+            if asked.workers <= 0 or asked.until < now or self.owners.owner(group) is None:
+                del wanted[group]
+            else:
+                asked.workers -= 1
+                return group
+        return ""
+
     def owner_changed(self, group: str) -> None:
         """Workers that wait at a shard wait at its new owner: the earlier one may be stopped or cut off."""
         owner = self.owners.owner(group)
--- a/tests/system/test_shard_runtime.py
+++ b/tests/system/test_shard_runtime.py
@@ -15,7 +15,7 @@
 from bitternpath.queue.owner import OwnerBounds
 from bitternpath.replication.interfaces import FateOpen, NotOwner
 from bitternpath.roles.edge_links import EdgeLinks
-from bitternpath.roles.shard_runtime import ShardRuntime
+from bitternpath.roles.shard_runtime import LEAST_ASKED, MOST_ASKED, ShardRuntime
 from bitternpath.transport.messages import (
     Appended,
     AppendRequest,
@@ -25,6 +25,7 @@
     Ended,
     EndRequest,
     ExtendRequest,
+    JobsWaiting,
     NodeDescriptor,
     NodeKind,
     PullAnswer,
@@ -219,6 +220,27 @@
         self.assertEqual(self.log.proposals, proposals)
 
 
+class AskingForWorkers(RuntimeCase):
+    """A job that no worker waits for costs a few messages, however many edge nodes there are."""
+
+    def test_a_few_edge_nodes_are_asked_and_each_time_others(self) -> None:
+        links = [EdgeLink(f"edge-{number}") for number in range(2, 102)]
+        for link in links:
+            self.join(link)
+        self.append("m", "/jobs/x")
+        first = {link.peer.name for link in links if link.take(JobsWaiting)}
+        self.assertLessEqual(len(first), MOST_ASKED)
+        self.assertGreaterEqual(len(first), LEAST_ASKED - 1)  # edge-1 may be one of them
+        self.clock.advance(1.0)
+        later = {link.peer.name for link in links if link.take(JobsWaiting)}
+        self.assertTrue(later - first)
+
+    def test_where_there_are_few_all_are_asked(self) -> None:
+        self.append("m", "/jobs/x")
+        (asked,) = self.link.take(JobsWaiting)
+        self.assertEqual((asked.waiting, asked.nodes), (1, 1))
+
+
 class FromMemory(RuntimeCase):
     """An owner that was stopped or cut off says nothing before a majority has confirmed it."""
 
--- a/tests/system/test_shards.py
+++ b/tests/system/test_shards.py
@@ -16,7 +16,7 @@
 from bitternpath.shards.appends import Appender
 from bitternpath.shards.lookups import MessageLookup
 from bitternpath.shards.owners import ShardOwners
-from bitternpath.shards.pulls import Pulls, outcome_of
+from bitternpath.shards.pulls import WANTED_S, Pulls, outcome_of
 from bitternpath.shards.reports import AttemptReport, LeaseReports
 from bitternpath.transport.connections import LinkLost
 from bitternpath.transport.messages import (
@@ -294,6 +294,20 @@
         self.pulls.jobs_waiting(JobsWaiting(shard_group(2), "other", 20, 4))
         self.assertEqual(self.waiting_at(2), before + 5)
 
+    def test_a_worker_that_comes_later_goes_to_a_shard_that_has_asked_for_it(self) -> None:
+        self.pulls.jobs_waiting(JobsWaiting(shard_group(2), "s", 1, 4))
+        self.pulls.pull("other", "i", 1000)
+        self.pulls.pull("s", "i", 1000)
+        self.assertEqual(self.waiting_at(2), 1)
+        self.pulls.pull("s", "i", 1000)
+        self.assertEqual(self.waiting_at(2), 1)
+
+    def test_what_a_shard_has_asked_for_lapses(self) -> None:
+        self.pulls.jobs_waiting(JobsWaiting(shard_group(2), "s", 1, 4))
+        self.clock.advance(WANTED_S + 0.01)
+        self.pulls.pull("s", "i", 1000)
+        self.assertEqual(self.waiting_at(2), 0)
+
     def test_a_job_that_comes_after_the_move_still_goes_to_the_worker_and_a_second_one_back(self) -> None:
         ticket = self.pulls.pull("s", "i", 1000)
         left = self.asked()
