Transport: what a turn sends is written at its end, straight to the sockets

Change: the host writes its links at the end of its flush, and a link hands bytes to its socket at once; only what the socket doesn't take goes by the reactor.

--- a/bitternpath/replication/host.py
+++ b/bitternpath/replication/host.py
@@ -39,12 +39,15 @@
         random: Random,
         times: Times = SYSTEM_TIMES,
         bounds: CompactionBounds | None = None,
+        flushed: Callable[[], None] = lambda: None,
     ) -> None:
-        """`send(group, receiver, body)` is called with messages in their order; it may lose them."""
+        """`send(group, receiver, body)` is called with messages in their order; it may lose them. `flushed`
+        is called once all messages of a turn have been sent."""
         self.member_id = member_id
         self._reactor, self._journal, self._send = reactor, journal, send
         self._random, self._times = random, times
         self._bounds = bounds or CompactionBounds()
+        self._flushed = flushed
         self._budget = TransferBudget()  # of snapshot transfers of all groups
         journal.watch_snapshots(self._rewrite_snapshot)
         self.groups: dict[str, ReplicaGroup] = {}
@@ -233,6 +236,7 @@
             if self.groups.get(name) is group:
                 self._flush_group(now, name, group)
         self._set_timer()
+        self._flushed()
 
     def _flush_group(self, now: float, name: str, group: ReplicaGroup) -> None:
         try:
--- a/bitternpath/roles/node_base.py
+++ b/bitternpath/roles/node_base.py
@@ -126,6 +126,7 @@
             self.carrier.send,
             self.random,
             bounds=self.machine.compaction(disk_bytes),
+            flushed=self.hub.flush,
         )
         self.carrier.connect(host.hear)
         return host
--- a/bitternpath/transport/connections.py
+++ b/bitternpath/transport/connections.py
@@ -17,6 +17,7 @@
 from twisted.internet.protocol import Protocol as TwistedProtocol
 from twisted.python.failure import Failure
 
+from bitternpath.net.writing import write_now
 from bitternpath.transport.codec import CodecError
 from bitternpath.transport.frames import FrameBuffer, frame
 from bitternpath.transport.messages import ANSWER_RECORDS, RECORDS, Hello, NodeDescriptor, Ping, Pong
@@ -63,7 +64,6 @@
         self._heard_at = 0.0
         self._ping_timer: Any = None
         self._outgoing: list[bytes] = []
-        self._flush_planned = False
         self._gone = False
 
     # ---- sending
@@ -72,10 +72,9 @@
         """Queue a record; what one turn of the reactor sends goes out in one write."""
         if self._gone:
             return
+        if not self._outgoing:
+            self.hub.flush_soon(self)
         self._outgoing.append(frame(RECORDS.encode(record)))
-        if not self._flush_planned:
-            self._flush_planned = True
-            self.hub.reactor.callLater(0, self._flush)
 
     def request(self, make: Callable[[int], Any]) -> Deferred[Any]:
         """Send `make(number)`; fires with the record that answers that number, fails with `LinkLost`."""
@@ -96,7 +95,7 @@
     def close(self) -> None:
         """End the connection once all that was sent is written."""
         if self.transport is not None:
-            self._flush()
+            self.flush()
             self.transport.loseConnection()
 
     def abort(self) -> None:
@@ -104,11 +103,11 @@
         if self.transport is not None:
             self.transport.abortConnection()
 
-    def _flush(self) -> None:
-        self._flush_planned = False
+    def flush(self) -> None:
+        """Write what was queued."""
         if self._outgoing and self.transport is not None and not self._gone:
             data, self._outgoing = b"".join(self._outgoing), []
-            self.transport.write(data)
+            write_now(self.transport, data)
 
     # ---- the connection's life
 
@@ -117,7 +116,7 @@
         _tune(self.transport.getHandle())
         self.hub.links[self] = None
         self.send(Hello(self.hub.describe()))
-        self._flush()
+        self.flush()
         self._ping_timer = self.hub.reactor.callLater(PING_INTERVAL_S, self._ping)
 
     def dataReceived(self, data: bytes) -> None:
@@ -255,6 +254,26 @@
         self.links: dict[Link, None] = {}  # in the order in which they were made
         self._diallers: dict[str, Dialler] = {}
         self._port: Any = None
+        self._unflushed: list[Link] = []
+        self._flush_call: Any = None
+
+    def flush_soon(self, link: Link) -> None:
+        """Have a link written at the end of this turn of the reactor, with all others that have anything."""
+        self._unflushed.append(link)
+        if self._flush_call is None:
+            self._flush_call = self.reactor.callLater(0, self._flush_planned)
+
+    def flush(self) -> None:
+        """Write what all links have queued; whoever knows that nothing follows in this turn calls it."""
+        if self._flush_call is not None:
+            self._flush_call.cancel()
+            self._flush_planned()
+
+    def _flush_planned(self) -> None:
+        self._flush_call = None
+        links, self._unflushed = self._unflushed, []
+        for link in links:
+            link.flush()
 
     def listen(self, host: str, port: int) -> None:
         """Accept links; raises `CannotListenError`."""
