Call-backs are confirmed together, with the round of another command

Change: confirmations wait up to 0.5 s for another command and share its round; 64 don't wait. An owner lost meanwhile has its successor call back once more, as PROTOCOL allows (at least once).

--- a/bitternpath/queue/callbacks.py
+++ b/bitternpath/queue/callbacks.py
@@ -10,12 +10,13 @@
 import heapq
 from collections import deque
 from dataclasses import dataclass, field
+from math import inf
 from random import Random
 from urllib.parse import urlsplit
 
-from bitternpath.queue.actions import ProposeCommand, SendCallback
+from bitternpath.queue.actions import SendCallback
 from bitternpath.queue.backoff import CALLBACK_BACKOFF
-from bitternpath.queue.commands import ConfirmCallback
+from bitternpath.queue.commands import ConfirmCallbacks
 from bitternpath.queue.edges import EdgeTable
 from bitternpath.queue.entries import Entry
 
@@ -23,6 +24,10 @@
 MAX_CALLBACKS_PER_RECEIVER = 8  # out at once from one shard: receivers take few connections
 FAILING_AFTER = 4  # failures in a row, of whichever messages: from then on the receiver is only probed
 PROBE_PAUSE_S = 0.5  # from a failure to the next probe
+# Confirmations wait for another command, to share its round of replicas, but no longer than this; an owner
+# that is lost meanwhile has its successor call back once more.
+CONFIRM_WITHIN_S = 0.5
+MOST_CONFIRMED_TOGETHER = 64
 
 
 @dataclass(slots=True, eq=False)
@@ -74,6 +79,8 @@
         self._sendable: dict[str, None] = {}  # receivers for which something may go out
         self._timers: list[tuple[float, str, int]] = []
         self._probes: list[tuple[float, str]] = []  # receivers by the time of their next probe
+        self._unconfirmed: list[str] = []  # taken call-backs whose confirmation is to be proposed
+        self._confirm_by = inf
 
     def owe(self, entry: Entry) -> None:
         """A message with a call-back URL has ended."""
@@ -107,20 +114,29 @@
             owed.serial += 1
             self._enqueue(owed)
 
-    def report(self, now: float, request_id: str, taken: bool) -> list[ProposeCommand]:
+    def report(self, now: float, request_id: str, taken: bool) -> None:
         """An edge node tells how a call-back went. It is confirmed by each report that it was taken."""
         owed = self._owed.get(request_id)
         if owed is None:
-            return []
+            return
         if taken:
             self._recall(owed)
             owed.taken = True
             self._receivers[owed.receiver].took()
             self._mark(owed.receiver)
-            return [ProposeCommand(ConfirmCallback(request_id))]
-        if owed.out:
+            self._unconfirmed.append(request_id)
+            self._confirm_by = min(self._confirm_by, now + CONFIRM_WITHIN_S)
+        elif owed.out:
             self._retry_later(now, owed)
-        return []
+
+    def confirmation(self, now: float, others_go: bool) -> ConfirmCallbacks | None:
+        """The command that confirms what was taken: now, where other commands go, time is up or there are
+        many; else None."""
+        due = others_go or now >= self._confirm_by or len(self._unconfirmed) >= MOST_CONFIRMED_TOGETHER
+        if not self._unconfirmed or not due:
+            return None
+        taken, self._unconfirmed, self._confirm_by = tuple(self._unconfirmed), [], inf
+        return ConfirmCallbacks(taken)
 
     def advance(self, now: float) -> list[SendCallback]:
         """Let timers fire, and send what may go out."""
@@ -138,6 +154,8 @@
         while self._timers and self._lapsed(self._timers[0]):
             heapq.heappop(self._timers)
         times = [heap[0][0] for heap in (self._timers, self._probes) if heap]
+        if self._unconfirmed:
+            times.append(self._confirm_by)
         return min(times, default=None)
 
     def _send(self, now: float, name: str, actions: list[SendCallback]) -> None:
--- a/bitternpath/queue/commands.py
+++ b/bitternpath/queue/commands.py
@@ -51,10 +51,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ConfirmCallback:
-    """The receiver has taken the call-back."""
+class ConfirmCallbacks:
+    """The receivers have taken the call-backs of these messages."""
 
-    request_id: str
+    request_ids: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +64,6 @@
     request_ids: tuple[str, ...]
 
 
-Command = AppendMessage | GrantLease | EndAttempt | ExpireMessage | ConfirmCallback | ForgetMessages
+Command = AppendMessage | GrantLease | EndAttempt | ExpireMessage | ConfirmCallbacks | ForgetMessages
 
-COMMANDS = RecordSet(AppendMessage, GrantLease, EndAttempt, ExpireMessage, ConfirmCallback, ForgetMessages)
+COMMANDS = RecordSet(AppendMessage, GrantLease, EndAttempt, ExpireMessage, ConfirmCallbacks, ForgetMessages)
--- a/bitternpath/queue/owner.py
+++ b/bitternpath/queue/owner.py
@@ -19,7 +19,7 @@
 from bitternpath.queue.commands import (
     AppendMessage,
     Command,
-    ConfirmCallback,
+    ConfirmCallbacks,
     EndAttempt,
     ExpireMessage,
     ForgetMessages,
@@ -34,7 +34,7 @@
 from bitternpath.queue.results import (
     Added,
     AttemptTaken,
-    CallbackConfirmed,
+    CallbacksConfirmed,
     Expired,
     Forgotten,
     LeaseGranted,
@@ -208,7 +208,7 @@
 
     def callback_report(self, now: float, request_id: str, taken: bool) -> list[Action]:
         """How a call-back went."""
-        self._actions.extend(self._callbacks.report(now, request_id, taken))
+        self._callbacks.report(now, request_id, taken)
         return self._finish(now)
 
     # ---- inputs: the log, time
@@ -224,9 +224,7 @@
                 self._attempt_ended(now, result)
             case Expired():
                 self._expiry_applied(now, result)
-            case CallbackConfirmed():
-                self._callbacks.confirmed(result.command.request_id)
-            case Forgotten():
+            case CallbacksConfirmed() | Forgotten():
                 for request_id in result.command.request_ids:
                     self._callbacks.confirmed(request_id)
             case _:
@@ -236,13 +234,18 @@
     def proposal_failed(self, now: float, command: Command) -> list[Action]:
         """A proposal of this owner will surely never be in the log, though it still owns the shard."""
         match command:
-            case GrantLease() | ExpireMessage():
+            case GrantLease():
                 tracked = self._tracked.get(command.request_id)
-                if tracked is not None and tracked.phase in (Phase.GRANTING, Phase.ENDING):
-                    self._leases.release(tracked)
-                    self._place(now, tracked)
-            case ConfirmCallback():
-                self._callbacks.reopen(command.request_id)
+                lease = None if tracked is None else tracked.lease
+                if tracked is not None and lease is not None and lease.lease_id == command.lease_id:
+                    self._not_granted(now, tracked)
+            case ExpireMessage():
+                tracked = self._tracked.get(command.request_id)
+                if tracked is not None and tracked.phase is Phase.ENDING:
+                    self._not_granted(now, tracked)
+            case ConfirmCallbacks():
+                for request_id in command.request_ids:
+                    self._callbacks.reopen(request_id)
             case ForgetMessages():
                 for request_id in command.request_ids:
                     entry = self._state.find(request_id)
@@ -334,6 +337,9 @@
         for lane in self._lanes.take_marked():
             self._grant_ready(now, lane)
         self._actions.extend(self._callbacks.advance(now))
+        proposes = any(isinstance(action, ProposeCommand) for action in self._actions)
+        if (command := self._callbacks.confirmation(now, proposes)) is not None:
+            self._actions.append(ProposeCommand(command))
         actions, self._actions = self._actions, []
         return actions
 
--- a/bitternpath/queue/results.py
+++ b/bitternpath/queue/results.py
@@ -6,7 +6,7 @@
 
 from bitternpath.queue.commands import (
     AppendMessage,
-    ConfirmCallback,
+    ConfirmCallbacks,
     EndAttempt,
     ExpireMessage,
     ForgetMessages,
@@ -55,11 +55,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallbackConfirmed:
-    """Result of `ConfirmCallback`. `effective` False: nothing was owed."""
+class CallbacksConfirmed:
+    """Result of `ConfirmCallbacks`. `count`: how many of them were owed."""
 
-    command: ConfirmCallback
-    effective: bool
+    command: ConfirmCallbacks
+    count: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,4 +70,4 @@
     count: int
 
 
-Result = Added | LeaseGranted | AttemptTaken | Expired | CallbackConfirmed | Forgotten
+Result = Added | LeaseGranted | AttemptTaken | Expired | CallbacksConfirmed | Forgotten
--- a/bitternpath/queue/state.py
+++ b/bitternpath/queue/state.py
@@ -12,7 +12,7 @@
     COMMANDS,
     AppendMessage,
     Command,
-    ConfirmCallback,
+    ConfirmCallbacks,
     EndAttempt,
     ExpireMessage,
     ForgetMessages,
@@ -23,7 +23,7 @@
 from bitternpath.queue.results import (
     Added,
     AttemptTaken,
-    CallbackConfirmed,
+    CallbacksConfirmed,
     Expired,
     Forgotten,
     LeaseGranted,
@@ -88,7 +88,7 @@
                 return self._end_attempt(command)
             case ExpireMessage():
                 return self._expire(command)
-            case ConfirmCallback():
+            case ConfirmCallbacks():
                 return self._confirm(command)
             case ForgetMessages():
                 return self._forget(command)
@@ -182,12 +182,14 @@
         if entry.message.order_key:
             self._order.remove(entry.message.order_key, entry.message.request_id)
 
-    def _confirm(self, command: ConfirmCallback) -> CallbackConfirmed:
-        entry = self._entries.get(command.request_id)
-        if entry is None or not entry.callback_pending:
-            return CallbackConfirmed(command, False)
-        entry.callback_pending = False
-        return CallbackConfirmed(command, True)
+    def _confirm(self, command: ConfirmCallbacks) -> CallbacksConfirmed:
+        count = 0
+        for request_id in command.request_ids:
+            entry = self._entries.get(request_id)
+            if entry is not None and entry.callback_pending:
+                entry.callback_pending = False
+                count += 1
+        return CallbacksConfirmed(command, count)
 
     def _forget(self, command: ForgetMessages) -> Forgotten:
         count = 0
