A lease goes into the log right behind the append of its message

Change: where nothing holds a message back, its owner proposes the lease in the turn of the append; the log's order keeps the state machine as it is. A second of an order key gets a void lease and waits as before; a lease whose append failed is released by its own id.

--- a/bitternpath/queue/entries.py
+++ b/bitternpath/queue/entries.py
@@ -101,3 +101,8 @@
     delay = max(0.0, message.delay_ms / 1000)
     passed = elapsed_beyond(DELAY_CLOCK_MARGIN_S, message.accepted_wall_ms, wall_ms)
     return Entry(compact(message), index, accepted=now, due=now + max(0.0, delay - passed))
+
+
+def provisional_entry(message: Message, now: float) -> Entry:
+    """Stands for the entry of a message whose append has been proposed, until it is applied."""
+    return Entry(message, 0, accepted=now, due=now)
--- a/bitternpath/queue/owner.py
+++ b/bitternpath/queue/owner.py
@@ -26,7 +26,7 @@
     GrantLease,
 )
 from bitternpath.queue.edges import EdgeTable
-from bitternpath.queue.entries import Entry, Lease
+from bitternpath.queue.entries import Entry, Lease, provisional_entry
 from bitternpath.queue.lanes import LaneTable, ServiceLane
 from bitternpath.queue.leases import LeaseTable
 from bitternpath.queue.placement import Placement
@@ -46,7 +46,7 @@
 from bitternpath.queue.timers import Timer, TimerKind, TimerQueue
 from bitternpath.queue.tombstones import TombstoneQueue
 from bitternpath.queue.tracked import Phase, Tracked
-from bitternpath.transport.records import AttemptOutcome
+from bitternpath.transport.records import AttemptOutcome, Message
 
 PUSH_LEASE_MARGIN_MS = (
     2_000  # beyond the route's time-out: way to the edge node, choice of a worker, way back
@@ -213,6 +213,43 @@
 
     # ---- inputs: the log, time
 
+    def appending(self, now: float, message: Message) -> list[Action]:
+        """A message's append has just been proposed. Where it can be leased at once, its lease goes into the
+        log right behind it: one round of replicas and one sync for both. Empty where it can't; else
+        `append_failed` is to be called should the append surely never be in the log.
+        """
+        if message.request_id in self._tracked or self._state.find(message.request_id) is not None:
+            return []
+        tracked = Tracked(provisional_entry(message, now), accepted_here=True)
+        lane = self._lane_at_once(now, tracked)
+        command = None if lane is None else self._leases.grant(now, lane, tracked)
+        if command is None:
+            self._routes.remove(tracked)
+            return []
+        self._tracked[message.request_id] = tracked
+        tracked.enter(Phase.GRANTING)
+        self._actions.append(ProposeCommand(command))
+        return self._finish(now)
+
+    def append_failed(self, request_id: str) -> None:
+        """An append for which `appending` gave actions is surely not in the log, nor is its lease."""
+        tracked = self._tracked.pop(request_id, None)
+        if tracked is not None:
+            self._leases.release(tracked)
+            self._routes.remove(tracked)
+
+    def _lane_at_once(self, now: float, tracked: Tracked) -> ServiceLane | None:
+        """The lane of a message that nothing holds back, as far as is known before its append is applied. An
+        earlier one of its order key that is being appended too makes the lease void, as it is applied."""
+        message = tracked.entry.message
+        if message.delay_ms > 0 or (message.order_key and self._state.order_head(message.order_key)):
+            return None
+        self._routes.assign(tracked)
+        lane = None if tracked.route is None else self._lanes.find(tracked.route.service)
+        if lane is None or lane.ready.first(now) is not None or lane.next_grant(now) != now:
+            return None
+        return lane
+
     def applied(self, now: float, command: Command, result: Result) -> list[Action]:
         """A command has been applied to the state; to be called after each one, before the next."""
         match result:
@@ -260,6 +297,10 @@
                 pass
         return self._finish(now)
 
+    def _not_granted(self, now: float, tracked: Tracked) -> None:
+        self._leases.release(tracked)
+        self._place(now, tracked)
+
     def tick(self, now: float) -> list[Action]:
         """Let everything happen whose time has come."""
         while (timer := self._timers.pop_due(now)) is not None:
@@ -379,10 +420,15 @@
 
     def _message_added(self, now: float, result: Added) -> None:
         entry = self._state.find(result.command.message.request_id)
-        if entry is not None and not entry.ended:
-            self._state.count_delay_from_now(entry)
-            tracked = self._tracked[entry.message.request_id] = Tracked(entry, accepted_here=True)
-            self._place(now, tracked)
+        if entry is None or entry.ended:
+            return
+        self._state.count_delay_from_now(entry)
+        early = self._tracked.get(entry.message.request_id)
+        if early is not None:
+            early.entry = entry  # its lease is the next command
+            return
+        tracked = self._tracked[entry.message.request_id] = Tracked(entry, accepted_here=True)
+        self._place(now, tracked)
 
     def _lease_granted(self, now: float, result: LeaseGranted) -> None:
         command = result.command
@@ -390,8 +436,7 @@
         if tracked is None or tracked.lease is None or tracked.lease.lease_id != command.lease_id:
             return
         if not result.ok:
-            self._leases.release(tracked)
-            self._place(now, tracked)
+            self._not_granted(now, tracked)
             return
         self._enter_leased(now, tracked, command.duration_ms)
         action = self._leases.hand_out(now, tracked, command)
--- a/bitternpath/roles/shard_runtime.py
+++ b/bitternpath/roles/shard_runtime.py
@@ -177,9 +177,20 @@
         elif not self._has_room() and self.state.find(request.message.request_id) is None:
             link.send(Refused(request.number, RefusalReason.FULL))
         else:
-            self._propose_for(
-                link, request.number, AppendMessage(request.message), lambda _: Appended(request.number)
-            )
+            self._append(link, request, self.owner)
+
+    def _append(self, link: Link, request: AppendRequest, owner: ShardOwner) -> None:
+        early: list[Action] = []
+
+        def not_proposed() -> None:
+            if early and owner is self.owner:
+                owner.append_failed(request.message.request_id)
+
+        command = AppendMessage(request.message)
+        self._propose_for(link, request.number, command, lambda _: Appended(request.number), not_proposed)
+        if owner is self.owner:
+            early += owner.appending(self.reactor.seconds(), request.message)
+            self._do(early)
 
     def end(self, link: Link, request: EndRequest) -> None:
         """A delivery has ended."""
@@ -259,10 +270,16 @@
     # ---- the log
 
     def _propose_for(
-        self, link: Link, number: int, command: Command, answer: Callable[[object], Any]
+        self,
+        link: Link,
+        number: int,
+        command: Command,
+        answer: Callable[[object], Any],
+        not_proposed: Callable[[], None] = lambda: None,
     ) -> None:
         def failed(failure: Failure) -> None:
             if isinstance(failure.value, NotOwner):
+                not_proposed()
                 link.send(Refused(number, RefusalReason.NOT_OWNER))
             else:
                 link.send(Undecided(number))
--- /dev/null
+++ b/tests/system/test_early_leases.py
@@ -0,0 +1,124 @@
+"""Leases that are proposed right behind a message's append, before either is committed."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from bitternpath.queue.actions import SendDelivery
+from bitternpath.queue.commands import AppendMessage, GrantLease
+from bitternpath.transport.records import Message
+from tests.system.test_queue_rig import SUCCEEDED, WALL_MS, Rig, changed, request_ids
+
+
+def message(request_id: str, path: str = "/plain/x", **fields: Any) -> Message:
+    """A client's message."""
+    values: dict[str, Any] = {"order_key": "", "delay_ms": 0, "callback_url": "", "origin": "edge-1"}
+    values |= fields
+    return Message(
+        request_id,
+        "POST",
+        "a.example",
+        path,
+        (),
+        route="plain",
+        accepted_version=5,
+        accepted_wall_ms=WALL_MS,
+        body=b"body",
+        **values,
+    )
+
+
+class EarlyLeases(unittest.TestCase):
+    """The owner's side; the log holds what the test puts there."""
+
+    def setUp(self) -> None:
+        self.rig = Rig()
+        self.rig.automatic = False
+
+    def propose(self, request_id: str, path: str = "/plain/x", **fields: Any) -> list[Any]:
+        """An append and what the owner proposes right behind it."""
+        command = AppendMessage(message(request_id, path, **fields))
+        self.rig.do(self.rig.owner.appending(self.rig.now, command.message))
+        return [command, *self.rig.take_proposed()]
+
+    def commit(self, commands: list[Any]) -> None:
+        for command in commands:
+            self.rig.apply(command)
+
+    def test_the_message_goes_out_once_both_are_applied(self) -> None:
+        append, grant = self.propose("m")
+        self.assertIsInstance(grant, GrantLease)
+        self.rig.apply(append)
+        self.assertEqual(self.rig.take_sent(), [])
+        self.rig.apply(grant)
+        delivery = self.rig.delivery()
+        self.assertTrue(delivery.body_omitted)
+        self.assertTrue(self.rig.end(delivery, SUCCEEDED))
+        self.assertEqual(self.rig.take_proposed(), [])
+
+    def test_a_job_goes_to_a_worker_that_waits(self) -> None:
+        self.rig.poll(1)
+        self.commit(self.propose("m", "/jobs/x"))
+        self.assertEqual(self.rig.answer().poll_id, 1)
+
+    def test_without_a_worker_a_job_waits(self) -> None:
+        self.assertEqual(len(self.propose("m", "/jobs/x")), 1)
+
+    def test_a_delayed_message_waits(self) -> None:
+        self.assertEqual(len(self.propose("m", delay_ms=1)), 1)
+
+    def test_a_message_does_not_overtake_those_that_wait(self) -> None:
+        self.rig.append("first", "/jobs/x")
+        self.rig.take_proposed()
+        self.assertEqual(len(self.propose("m", "/jobs/x")), 1)
+
+    def test_the_second_of_an_order_key_waits_for_the_first_ones_end(self) -> None:
+        first, second = self.propose("m", order_key="k"), self.propose("n", order_key="k")
+        self.commit(first + second)
+        delivery = self.rig.delivery()
+        self.assertEqual(delivery.message.request_id, "m")
+        self.assertEqual(self.rig.take_proposed(), [])
+        self.rig.end(delivery, SUCCEEDED)
+        self.commit(self.rig.take_proposed())
+        self.assertEqual(self.rig.delivery().message.request_id, "n")
+
+    def test_one_whose_key_has_an_unended_message_is_not_leased_early(self) -> None:
+        self.commit(self.propose("m", order_key="k"))
+        self.assertEqual(len(self.propose("n", order_key="k")), 1)
+
+    def test_a_repetition_of_an_append_gets_no_second_lease(self) -> None:
+        first = self.propose("m")
+        self.assertEqual(len(self.propose("m")), 1)
+        self.commit(first)
+        self.assertEqual(len(self.propose("m")), 1)
+        self.assertEqual(request_ids(self.rig.take_sent(SendDelivery)), ["m"])
+
+    def test_an_append_that_failed_gives_its_room_and_its_worker_back(self) -> None:
+        self.rig.poll(1)
+        self.propose("m", "/jobs/x")
+        self.rig.owner.append_failed("m")
+        self.commit(self.propose("n", "/jobs/x"))
+        answer = self.rig.answer()
+        self.assertEqual((answer.poll_id, answer.message.request_id), (1, "n"))
+
+    def test_the_grant_of_a_failed_append_does_not_release_a_later_lease(self) -> None:
+        _, stale = self.propose("m")
+        self.rig.owner.append_failed("m")
+        again = self.propose("m")
+        self.rig.do(self.rig.owner.proposal_failed(self.rig.now, stale))
+        self.assertEqual(self.rig.take_proposed(), [])
+        self.commit(again)
+        self.assertEqual(self.rig.delivery().lease_id, again[1].lease_id)
+
+    def test_an_edge_node_lost_before_the_commit_gets_nothing(self) -> None:
+        proposed = self.propose("m")
+        self.rig.do(self.rig.owner.edge_lost(self.rig.now, "edge-1"))
+        self.commit(proposed)
+        self.assertEqual(self.rig.take_sent(SendDelivery), [])
+
+    def test_a_route_that_changes_meanwhile_keeps_the_lease(self) -> None:
+        proposed = self.propose("m")
+        self.rig.configure(changed("plain", timeout_ms=900))
+        self.commit(proposed)
+        self.assertTrue(self.rig.end(self.rig.delivery(), SUCCEEDED))
