Links: one end asks for a sign of life, once a second, all links in one turn

Cause: 74 edge nodes hold links to 19 storage nodes; both ends asked twice a second by a timer a link, 5,600 records a second and 2,800 timers, most of what an idle storage node does. Change: the end that dialled asks once a second where either end was silent; one timer a process; a link is given up after 2.4 s (was 1.6): ownership is learned from the next owner, within an election's time.

--- a/bitternpath/transport/connections.py
+++ b/bitternpath/transport/connections.py
@@ -24,8 +24,8 @@
 
 log = logbook.Logger("transport")
 
-PING_INTERVAL_S = 0.5
-SILENCE_LIMIT_S = 1.6  # without a byte for so long a link is given up
+PING_INTERVAL_S = 1.0  # one end asks, so that a pair of nodes costs two records in this time
+SILENCE_LIMIT_S = 2.4  # without a byte for so long a link is given up: two questions without an answer
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_FIRST_S, RECONNECT_MOST_S = 0.05, 1.0
 USER_TIMEOUT_MS = 2_000  # of the kernel, for bytes that nobody acknowledges
@@ -61,8 +61,7 @@
         self._frames = FrameBuffer()
         self._requests: dict[int, Deferred[Any]] = {}
         self._next_number = 0
-        self._heard_at = 0.0
-        self._ping_timer: Any = None
+        self._heard_at = self._sent_at = 0.0
         self._outgoing: list[bytes] = []
         self._gone = False
 
@@ -107,6 +106,7 @@
         """Write what was queued."""
         if self._outgoing and self.transport is not None and not self._gone:
             data, self._outgoing = b"".join(self._outgoing), []
+            self._sent_at = self.hub.reactor.seconds()
             write_now(self.transport, data)
 
     # ---- the connection's life
@@ -117,7 +117,7 @@
         self.hub.links[self] = None
         self.send(Hello(self.hub.describe()))
         self.flush()
-        self._ping_timer = self.hub.reactor.callLater(PING_INTERVAL_S, self._ping)
+        self.hub.watch()
 
     def dataReceived(self, data: bytes) -> None:
         self._heard_at = self.hub.reactor.seconds()
@@ -131,8 +131,6 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self._gone = True
         self.hub.links.pop(self, None)
-        if self._ping_timer is not None and self._ping_timer.active():
-            self._ping_timer.cancel()
         was_open, self.open = self.open, False
         requests, self._requests = self._requests, {}
         if was_open:
@@ -174,15 +172,16 @@
         self.open = True
         self.hub.handler.link_opened(self)
 
-    def _ping(self) -> None:
-        now = self.hub.reactor.seconds()
+    def look(self, now: float) -> None:
+        """Give the peer up, or ask it for a sign of life where either end has been silent.
+
+        The end that dialled asks; the other one hears the questions.
+        """
         if now - self._heard_at > SILENCE_LIMIT_S:
             log.info("event=link_silent peer={} seconds={:.2f}", self.peer_name, now - self._heard_at)
             self.abort()
-            return
-        if now - self._heard_at >= PING_INTERVAL_S / 2:
+        elif self.dialled and now - min(self._heard_at, self._sent_at) >= PING_INTERVAL_S / 2:
             self.send(Ping(0))
-        self._ping_timer = self.hub.reactor.callLater(PING_INTERVAL_S, self._ping)
 
 
 class Dialler:
@@ -254,9 +253,23 @@
         self.links: dict[Link, None] = {}  # in the order in which they were made
         self._diallers: dict[str, Dialler] = {}
         self._port: Any = None
+        self._watch_timer: Any = None
         self._unflushed: list[Link] = []
         self._flush_call: Any = None
 
+    def watch(self) -> None:
+        """Look at all links from now on, together: one timer and one turn for all questions."""
+        if self._watch_timer is None:
+            self._watch_timer = self.reactor.callLater(PING_INTERVAL_S, self._look)
+
+    def _look(self) -> None:
+        self._watch_timer = None
+        now = self.reactor.seconds()
+        for link in list(self.links):
+            link.look(now)
+        if self.links:
+            self.watch()
+
     def flush_soon(self, link: Link) -> None:
         """Have a link written at the end of this turn of the reactor, with all others that have anything."""
         self._unflushed.append(link)
@@ -322,6 +335,9 @@
         """Close all."""
         if self._port is not None:
             self._port.stopListening()
+        if self._watch_timer is not None:
+            self._watch_timer.cancel()
+            self._watch_timer = None
         diallers, self._diallers = self._diallers, {}
         for dialler in diallers.values():
             dialler.stop()
