--- a/bitternpath/configuration/feed.py
+++ b/bitternpath/configuration/feed.py
@@ -18,7 +18,7 @@
 
 from bitternpath.configuration.documents import RoutingTable, parse_configuration
 from bitternpath.configuration.machine import ConfigurationState
-from bitternpath.transport.connections import Link, NodeHub
+from bitternpath.transport.connections import ASK_SOON_AFTER_S, Link, NodeHub
 from bitternpath.transport.messages import (
     CatalogueUpdate,
     FeedRefused,
@@ -246,6 +246,7 @@
         if not address:
             return False
         self._link, self._address = link, address
+        link.ask_after_s = ASK_SOON_AFTER_S
         return True
 
     def _address_of(self, link: Link) -> str:
--- a/bitternpath/transport/connections.py
+++ b/bitternpath/transport/connections.py
@@ -24,7 +24,10 @@
 
 log = logbook.Logger("transport")
 
-PING_INTERVAL_S = 1.0  # one end asks, so that a pair of nodes costs two records in this time
+LOOK_S = 0.5  # all links are looked at together
+# The end that dialled asks for a sign of life after so long without a byte one way or the other; a pair of
+# nodes costs two records in `LOOK_S` beyond that. Sooner where the other end counts who is there.
+ASK_AFTER_S, ASK_SOON_AFTER_S = 0.75, 0.25
 SILENCE_LIMIT_S = 2.4  # without a byte for so long a link is given up: two questions without an answer
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_FIRST_S, RECONNECT_MOST_S = 0.05, 1.0
@@ -61,6 +64,7 @@
         self._frames = FrameBuffer()
         self._requests: dict[int, Deferred[Any]] = {}
         self._next_number = 0
+        self.ask_after_s = ASK_AFTER_S
         self._heard_at = self._sent_at = 0.0
         self._outgoing: list[bytes] = []
         self._gone = False
@@ -180,7 +184,7 @@
         if now - self._heard_at > SILENCE_LIMIT_S:
             log.info("event=link_silent peer={} seconds={:.2f}", self.peer_name, now - self._heard_at)
             self.abort()
-        elif self.dialled and now - min(self._heard_at, self._sent_at) >= PING_INTERVAL_S / 2:
+        elif self.dialled and now - min(self._heard_at, self._sent_at) >= self.ask_after_s:
             self.send(Ping(0))
 
 
@@ -260,7 +264,7 @@
     def watch(self) -> None:
         """Look at all links from now on, together: one timer and one turn for all questions."""
         if self._watch_timer is None:
-            self._watch_timer = self.reactor.callLater(PING_INTERVAL_S, self._look)
+            self._watch_timer = self.reactor.callLater(LOOK_S, self._look)
 
     def _look(self) -> None:
         self._watch_timer = None
