Replication: entries go at once to a majority, to the others with the heartbeat

Change: the followers that answer soonest get entries at once, as many as a majority needs; the choice is made anew at each heartbeat from measured delays, and each heartbeat brings all others what they lack. A voter that refuses a candidate for lacking entries stands itself, as its leader is silent too.

--- a/bitternpath/replication/consensus.py
+++ b/bitternpath/replication/consensus.py
@@ -131,15 +131,16 @@
         return self.last_index
 
     def propose_many(self, now: float, commands: Sequence[bytes]) -> int | None:
-        """As `propose` with CHANGE for each, but a peer gets them together; the index of the first."""
+        """As `propose` with CHANGE for each, but a peer gets them together, and some only with the next
+        heartbeat (see `replication.eager`); the index of the first."""
         self.now = now
         if self.role is not Role.LEADER or self.transfer_target:
             return None
         first = self.last_index + 1
         for index, command in enumerate(commands, first):
             self.log.append(Entry(index, self.term, CHANGE, command))
-        for name, peer in self.peers.items():
-            self._send_all_entries(name, peer)
+        for name in sorted(self.eager):
+            self._send_all_entries(name, self.peers[name])
         return first
 
     @property
@@ -179,7 +180,7 @@
         self.now = now
         if self.role is Role.LEADER:
             if self._round_wanted and (self.confirmed_round >= self.round or not self.peers):
-                self._begin_round()
+                self._begin_round(sorted(self.eager))
             self._update_commitment()
         writes = self._take_writes()
         out = Out(self._send, writes, self._restore, self._take_committed())
--- a/bitternpath/replication/elections.py
+++ b/bitternpath/replication/elections.py
@@ -63,6 +63,8 @@
         granted = asking.term > self.term and self._is_up_to_date(asking)
         vote = Vote(asking.term if granted else self.term, True, granted)
         self._after_writes.append((sender, vote))
+        if asking.term > self.term and not granted and self.role is Role.FOLLOWER:
+            self._election_timeout()  # the leader is silent, and the one that noticed first lacks entries
 
     @property
     def _knows_leader(self) -> bool:
--- a/bitternpath/replication/leadership.py
+++ b/bitternpath/replication/leadership.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from bitternpath.replication.eager import choose_eager
 from bitternpath.replication.messages import Append, Appended, Installed, TakeOver
 from bitternpath.replication.progress import Progress
 from bitternpath.replication.records import NOTHING, Entry, Role
@@ -26,7 +27,7 @@
         self.votes.clear()
         self._piece_at = float("inf")
         self.committed_before = self._committed_at_heartbeat = self.commit_index
-        self.peers = {}
+        self.peers, self.eager = {}, frozenset()
         self._update_peers()
         self.log.append(Entry(self.last_index + 1, self.term, NOTHING, b""))
         self.first_own_index = self.last_index
@@ -38,6 +39,10 @@
         for name in self.members.all:
             if name != self.me:
                 self.peers[name] = before.get(name) or Progress(self.last_index + 1, self.now)
+        self._choose_eager()
+
+    def _choose_eager(self) -> None:
+        self.eager = choose_eager(self.members.voters, self.peers, self.eager, self.now)
 
     # ---- rounds
 
@@ -52,7 +57,8 @@
         self.last_contact = self.now
         self.committed_before = self._committed_at_heartbeat
         self._committed_at_heartbeat = self.commit_index
-        self._begin_round()
+        self._choose_eager()
+        self._begin_round(self.peers)
 
     @property
     def _hears_majority(self) -> bool:
@@ -62,13 +68,18 @@
             heard += name in voters and self.now < peer.last_contact + self.times.election
         return 2 * heard > len(voters)
 
-    def _begin_round(self) -> None:
+    def _begin_round(self, asked: Iterable[str]) -> None:
+        """Ask a majority or more whether this member leads still. A round without an answer is made up for by
+        the next heartbeat, which asks all."""
         self.round += 1
         self._round_wanted = False
-        for name, peer in self.peers.items():
+        for name in asked:
+            peer = self.peers[name]
             # A peer that says nothing is only asked where it stands. If what was sent is lost, it says no.
             silent = peer.last_contact < self.now - self.times.heartbeat
-            if silent and not self._needs_snapshot(peer):
+            if silent and peer.transfer is None:
+                if self._needs_snapshot(peer):  # which snapshot is known when it answers, and where it stands
+                    peer.next_index = self.last_index + 1
                 self._send_append(name, peer, ())
             else:
                 self._send_entries(name, heartbeat=True)
@@ -84,6 +95,8 @@
         if entries or heartbeat:
             self._send_append(name, peer, entries)
             peer.next_index += len(entries)
+            if entries:
+                peer.sent(self.now, peer.next_index - 1)
 
     def _next_batch(self, peer: Progress) -> list[Entry]:
         if peer.next_index > peer.match_index + ENTRIES_IN_FLIGHT:
@@ -146,17 +159,24 @@
 
     def _take_match(self, name: str, peer: Progress, index: int) -> None:
         peer.match_index = max(peer.match_index, index)
+        peer.stored(self.now, index)
         peer.next_index = max(peer.next_index, peer.match_index + 1)
         transfer = peer.transfer
         if transfer is not None and (
             transfer.snapshot.index <= peer.match_index or self.log.has_entry_after(peer.match_index)
         ):
             peer.transfer = None  # it has that snapshot, or entries will do
-        if peer.next_index <= self.last_index:
+        if self._goes_on(name, peer):
             self._send_entries(name)
         if name == self.transfer_target:
             self._finish_transfer()
 
+    def _goes_on(self, name: str, peer: Progress) -> bool:
+        """Whether a peer gets entries before the next heartbeat: where it lacks many, too."""
+        lacks = self.last_index + 1 - peer.next_index
+        at_once = name in self.eager or name == self.transfer_target
+        return lacks >= BATCH_ENTRIES or (at_once and lacks > 0)
+
     # ---- commitment
 
     def _update_commitment(self) -> None:
--- a/bitternpath/replication/member.py
+++ b/bitternpath/replication/member.py
@@ -39,6 +39,7 @@
         self.role, self.leader = Role.FOLLOWER, ""
         self.last_contact = now - 2 * times.election  # with a leader
         self.peers: dict[str, Progress] = {}  # of a leader
+        self.eager: frozenset[str] = frozenset()  # of a leader: the peers that get entries at once
         self.votes: set[str] = set()  # of a candidate
         self._round_wanted = False
         # Of a leader; they mean nothing in another role.
--- a/bitternpath/replication/progress.py
+++ b/bitternpath/replication/progress.py
@@ -18,10 +18,20 @@
         self.due: float | None = None  # when that piece may go out, where it waits for bandwidth
 
 
+DELAY_WEIGHT = 0.2  # of a new measurement in the smoothed delay
+
+
 class Progress:
-    """`next_index` and `match_index` are those of fig. 2."""
+    """`next_index` and `match_index` are those of fig. 2.
+
+    Its delay is the time from a message with entries to the answer that they are on disk, smoothed; one entry
+    at a time is timed, and while it isn't answered the delay is at least the time that has passed.
+    """
 
     __slots__ = (
+        "_delay",
+        "_timed_at",
+        "_timed_index",
         "answered_round",
         "last_contact",
         "match_index",
@@ -39,6 +49,23 @@
             0  # of the last answer that set `next_index` back, and when
         )
         self.transfer: Transfer | None = None
+        self._delay = 0.0
+        self._timed_index, self._timed_at = 0, now  # index 0: no entry is being timed
+
+    def sent(self, now: float, index: int) -> None:
+        """Entries up to `index` go out."""
+        if not self._timed_index:
+            self._timed_index, self._timed_at = index, now
+
+    def stored(self, now: float, index: int) -> None:
+        """It has entries up to `index` on its disk."""
+        if self._timed_index and index >= self._timed_index:
+            self._delay += DELAY_WEIGHT * (now - self._timed_at - self._delay)
+            self._timed_index = 0
+
+    def expected_delay(self, now: float) -> float:
+        """Seconds until an answer to entries that go out now."""
+        return max(self._delay, now - self._timed_at) if self._timed_index else self._delay
 
     def is_known_rejection(self, index: int, round: int) -> bool:
         """Whether a negative answer is to what was sent before `next_index` was set back for the same reason:
