Consensus messages name their ends by the link that carries them

Cause: each carried both members' ids, 72 bytes of 100 and more, between zones mostly; a quiet second of eight shards is 640 of them. The two ends of a link have greeted each other with their disks: a member that isn't the one greeted gets nothing.

--- a/bitternpath/roles/edge.py
+++ b/bitternpath/roles/edge.py
@@ -239,9 +239,9 @@
         }
 
     def _group_message(self, link: Link, message: GroupMessage) -> None:
-        if self.member is not None and message.receiver == self.base.carrier.me:
+        if self.member is not None:
             self.member.group_message(message.group)
-            self.base.carrier.received(message)
+            self.base.carrier.received(link, message)
 
     def _founding(self, link: Link, founding: Founding) -> None:
         if self.member is not None:
--- a/bitternpath/roles/group_carrier.py
+++ b/bitternpath/roles/group_carrier.py
@@ -6,7 +6,7 @@
 
 from bitternpath.membership.founding import member_id
 from bitternpath.membership.view import MembershipView
-from bitternpath.transport.connections import NodeHub
+from bitternpath.transport.connections import Link, NodeHub
 from bitternpath.transport.messages import GroupMessage, MemberAddress
 
 CARRIER_USER = "replication"
@@ -47,13 +47,14 @@
             return
         self.hub.dial(address, CARRIER_USER)
         link = self.hub.link_to(address)
-        if link is not None:
-            link.send(GroupMessage(group, self.me, receiver, body))
-
-    def received(self, message: GroupMessage) -> None:
-        """A message has come for some member on this address."""
-        if message.receiver == self.me and self._hear is not None:
-            self._hear(message.group, message.sender, message.body)
+        if link is not None and link.peer is not None and member_id(link.peer) == receiver:
+            link.send(GroupMessage(group, body))
+
+    def received(self, link: Link, message: GroupMessage) -> None:
+        """A message of the member at the link's other end, which knows by this node's greeting that it talks
+        to this member."""
+        if link.peer is not None and self._hear is not None:
+            self._hear(message.group, member_id(link.peer), message.body)
 
     def _address(self, member: str) -> str:
         node = self.view.find(member.partition("/")[0])
--- a/bitternpath/roles/storage.py
+++ b/bitternpath/roles/storage.py
@@ -212,7 +212,7 @@
     def _link_handlers(self) -> dict[type, Callable[[Link, Any], None]]:
         feed = self.base.feed
         return {
-            GroupMessage: lambda link, record: self.base.carrier.received(record),
+            GroupMessage: self.base.carrier.received,
             FeedUpdate: feed.updated,
             FeedRefused: feed.refused,
             CatalogueUpdate: lambda link, record: self.catalogue_updated(record),
--- a/bitternpath/transport/messages.py
+++ b/bitternpath/transport/messages.py
@@ -79,11 +79,10 @@
 
 @dataclass(frozen=True, slots=True)
 class GroupMessage:
-    """A consensus message of one replica group, from one member to another (ids, not addresses)."""
+    """A consensus message of one replica group. Its sender and receiver are the members on the disks that the
+    link's two ends have named in their greetings."""
 
     group: str
-    sender: str
-    receiver: str
     body: bytes  # replication.wire
 
 
