--- a/bitternpath/transport/codec.py
+++ b/bitternpath/transport/codec.py
@@ -14,6 +14,7 @@
 import typing
 from collections.abc import Callable
 from enum import IntEnum
+from functools import cached_property
 from typing import Any
 
 import msgspec
@@ -42,15 +43,27 @@
 
 
 class RecordCodec:
-    """Encodes and decodes one record class."""
+    """Encodes and decodes one record class.
+
+    The schema and the conversions are made when they are first used: a process needs few of them, and none
+    while it starts.
+    """
 
     def __init__(self, record: type) -> None:
         self.record = record
-        self._fields = _fields_of(record)
-        named: dict[str, None] = {}
-        self.schema = parse_schema(_record_schema(record, named))
-        self._to_avro = _record_to_avro(record)
-        self._from_avro = _record_from_avro(record)
+
+    @cached_property
+    def schema(self) -> Any:
+        """The Avro schema, as fastavro wants it."""
+        return parse_schema(_record_schema(self.record, {}))
+
+    @cached_property
+    def _to_avro(self) -> Converter:
+        return _record_to_avro(self.record)
+
+    @cached_property
+    def _from_avro(self) -> Converter:
+        return _record_from_avro(self.record)
 
     def encode(self, value: Any) -> bytes:
         """The Avro bytes of a record."""
