--- a/bitternpath/configuration/feed.py
+++ b/bitternpath/configuration/feed.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import json
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -18,6 +19,7 @@
 
 from bitternpath.configuration.documents import RoutingTable, parse_configuration
 from bitternpath.configuration.machine import ConfigurationState
+from bitternpath.transport.codec import CodecError
 from bitternpath.transport.connections import ASK_SOON_AFTER_S, Link, NodeHub
 from bitternpath.transport.messages import (
     CatalogueUpdate,
@@ -32,6 +34,8 @@
 
 log = logbook.Logger("feed")
 
+MOST_DOCUMENT_BYTES = 64 << 20  # of a configuration, unpacked
+
 HEARTBEAT_S = 0.4
 SILENCE_S = 1.3  # three heartbeats
 LOOK_S = 0.15  # how often a follower without an owner looks on
@@ -42,6 +46,23 @@
 FEED_USER = "feed"
 
 
+def pack_document(document: bytes) -> bytes:
+    """A configuration as `FeedUpdate` carries it: its JSON repeats itself, and each node gets all of it."""
+    return zlib.compress(document)
+
+
+def unpack_document(packed: bytes) -> bytes:
+    """What `pack_document` was given; raises `CodecError`."""
+    unpacker = zlib.decompressobj()
+    try:
+        document = unpacker.decompress(packed, MOST_DOCUMENT_BYTES)
+    except zlib.error as error:
+        raise CodecError(f"a configuration that can't be unpacked: {error}") from error
+    if not unpacker.eof:
+        raise CodecError("a configuration that is cut or too long")
+    return document
+
+
 @dataclass(slots=True)
 class _Subscriber:
     version: int
@@ -63,6 +84,7 @@
         self._timer: Any = None
         self.catalogue: CatalogueUpdate | None = None
         self.serving = False
+        self._packed: tuple[int, bytes] = (0, b"")  # the version that was packed last
 
     def begin(self, epoch: int) -> None:
         """This node owns the group now."""
@@ -126,7 +148,7 @@
 
     def _send(self, link: Link, subscriber: _Subscriber, edge_nodes: int) -> None:
         state = self.state
-        document = state.document if state.version > subscriber.version else None
+        document = self._document() if state.version > subscriber.version else None
         placed = state.groups if state.placement_generation > subscriber.generation else None
         link.send(
             FeedUpdate(self.epoch, state.version, document, state.placement_generation, placed, edge_nodes)
@@ -135,6 +157,12 @@
         if self.catalogue is not None and subscriber.catalogue_serial < 0:
             self._send_catalogue(link, subscriber, self.catalogue)
 
+    def _document(self) -> bytes:
+        """The document in force, packed once for all."""
+        if self._packed[0] != self.state.version:
+            self._packed = self.state.version, pack_document(self.state.document)
+        return self._packed[1]
+
     def _send_catalogue(self, link: Link, subscriber: _Subscriber, update: CatalogueUpdate) -> None:
         if not subscriber.wants_catalogue:
             return
@@ -235,7 +263,7 @@
             self.placement_generation, self.groups = update.placement_generation, update.placement
             self.listener.placement_changed(self.placement_generation, self.groups)
         if update.configuration and update.configuration_version > self.version:
-            self.document = json.loads(update.configuration)
+            self.document = json.loads(unpack_document(update.configuration))
             self.table = RoutingTable(parse_configuration(self.document))
             log.info("event=configuration_in_force version={}", self.table.version)
             self.listener.configuration_changed(self.table)
--- a/bitternpath/roles/storage.py
+++ b/bitternpath/roles/storage.py
@@ -10,6 +10,7 @@
 import logbook
 
 from bitternpath.configuration.documents import RoutingTable
+from bitternpath.configuration.feed import pack_document
 from bitternpath.queue.owner import OwnerBounds
 from bitternpath.replication.member_changes import MemberChanges
 from bitternpath.replication.records import Members
@@ -326,7 +327,7 @@
 
     def _store_cache(self) -> None:
         feed = self.base.feed
-        document = json.dumps(feed.document).encode() if feed.document else None
+        document = pack_document(json.dumps(feed.document).encode()) if feed.document else None
         update = FeedUpdate(
             0, feed.version, document, feed.placement_generation, feed.groups, feed.edge_nodes
         )
--- a/bitternpath/transport/messages.py
+++ b/bitternpath/transport/messages.py
@@ -136,7 +136,8 @@
 class FeedUpdate:
     """What changed since the subscriber's offsets; also sent unchanged as a heartbeat.
 
-    `configuration` is the whole document (JSON) where it changed. `epoch` is the sender's term.
+    `configuration` is the whole document where it changed, packed (`configuration.feed`). `epoch` is the
+    sender's term.
     """
 
     epoch: int
--- a/tests/system/test_feed.py
+++ b/tests/system/test_feed.py
@@ -10,8 +10,16 @@
 from twisted.internet.task import Clock
 
 from bitternpath.configuration.documents import RoutingTable
-from bitternpath.configuration.feed import HEARTBEAT_S, SILENCE_S, FeedFollower, FeedServer
+from bitternpath.configuration.feed import (
+    HEARTBEAT_S,
+    SILENCE_S,
+    FeedFollower,
+    FeedServer,
+    pack_document,
+    unpack_document,
+)
 from bitternpath.configuration.machine import COMMANDS, AcceptOrder, ConfigurationState, SetPlacement
+from bitternpath.transport.codec import CodecError
 from bitternpath.transport.messages import (
     CatalogueUpdate,
     FeedRefused,
@@ -31,6 +39,22 @@
     return json.dumps({"version": version, "routes": [], "services": []}).encode()
 
 
+class Documents(unittest.TestCase):
+    """How the feed carries a configuration."""
+
+    def test_it_comes_back_and_is_small(self) -> None:
+        whole = json.dumps({"routes": [{"name": f"r{i}", "path_prefix": "/"} for i in range(200)]}).encode()
+        packed = pack_document(whole)
+        self.assertEqual(unpack_document(packed), whole)
+        self.assertLess(len(packed), len(whole) / 4)
+
+    def test_what_is_cut_or_changed_is_refused(self) -> None:
+        packed = pack_document(document(9))
+        for bad in (packed[:-1], packed[:3], b"", b"x" + packed):
+            with self.subTest(bad=bad), self.assertRaises(CodecError):
+                unpack_document(bad)
+
+
 class FakeLink:
     """One end of a link."""
 
@@ -115,7 +139,9 @@
         placement = GROUPS if generation else None
         self.follower.updated(
             found,  # type: ignore[arg-type]
-            FeedUpdate(epoch, version, document(version) if whole else None, generation, placement, 3),
+            FeedUpdate(
+                epoch, version, pack_document(document(version)) if whole else None, generation, placement, 3
+            ),
         )
 
     def test_it_goes_where_it_is_sent(self) -> None:
@@ -195,7 +221,7 @@
         self.hub = FakeHub()
         self.follower = FeedFollower(self.clock, self.hub, self.listener, lambda: self.addresses, True)  # type: ignore[arg-type]
         self.hub.follower = self.follower
-        self.follower.restore(FeedUpdate(0, 9, document(9), 4, GROUPS, 3))
+        self.follower.restore(FeedUpdate(0, 9, pack_document(document(9)), 4, GROUPS, 3))
         self.follower.start()
         link = self.asked()
         assert link is not None
--- a/tests/system/test_feed_behind.py
+++ b/tests/system/test_feed_behind.py
@@ -6,7 +6,7 @@
 
 from twisted.internet.task import Clock
 
-from bitternpath.configuration.feed import FeedFollower, FeedServer
+from bitternpath.configuration.feed import FeedFollower, FeedServer, pack_document, unpack_document
 from bitternpath.configuration.machine import COMMANDS, AcceptOrder, ConfigurationState, SetPlacement
 from bitternpath.transport.messages import FeedSubscribe, FeedUpdate, GroupPlacement
 from tests.system.test_feed import FakeHub, FakeLink, Listener, document
@@ -44,7 +44,7 @@
     def test_one_update_brings_it_to_the_newest(self) -> None:
         for version in (0, 1, VERSIONS // 2, VERSIONS - 1):
             update = self.answer(FeedSubscribe(version, version, False))
-            self.assertEqual(update.configuration, document(VERSIONS))
+            self.assertEqual(unpack_document(update.configuration or b""), document(VERSIONS))
             self.assertEqual(update.placement, self.state.groups)
             self.assertLess(len(update.configuration or b""), 200, "no history")
 
@@ -52,7 +52,7 @@
         """It is at the newest after one update, and what it began from doesn't come back."""
         follower, listener, hub = self.follower()
         old = (GroupPlacement("queue-5", 5, ()),)
-        cached = FeedUpdate(0, 5, document(5), 5, old, 3)
+        cached = FeedUpdate(0, 5, pack_document(document(5)), 5, old, 3)
         follower.restore(cached)
         self.assertEqual((follower.version, follower.placement_generation), (5, 5))
         follower.start()
--- a/tests/system/test_feed_search.py
+++ b/tests/system/test_feed_search.py
@@ -14,7 +14,7 @@
 
 from twisted.internet.task import Clock
 
-from bitternpath.configuration.feed import HEARTBEAT_S, SILENCE_S, FeedFollower, FeedServer
+from bitternpath.configuration.feed import HEARTBEAT_S, SILENCE_S, FeedFollower, FeedServer, pack_document
 from bitternpath.configuration.machine import COMMANDS, AcceptOrder, ConfigurationState
 from bitternpath.transport.messages import (
     CatalogueUpdate,
@@ -105,7 +105,7 @@
         if member.silent:
             self.clock.callLater(HEARTBEAT_S, self.answer, link)
         elif member.epoch:
-            content = document(member.version)
+            content = pack_document(document(member.version))
             self.follower.updated(link, FeedUpdate(member.epoch, member.version, content, 0, None, 3))
             self.clock.callLater(HEARTBEAT_S, self.answer, link)
         else:
