Records and commands are msgspec structures

Cause: 56 frozen dataclasses with slots took 50 of 520 ms of an edge process's start (importtime), and each made later sets its fields one by one; a loss of power of all waits for starts.

--- a/bitternpath/configuration/placement.py
+++ b/bitternpath/configuration/placement.py
@@ -9,7 +9,8 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Collection, Sequence
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from bitternpath.membership.founding import MOST_FOUNDERS, member_address, member_id
 from bitternpath.replication.reconfiguration import node_of
--- a/bitternpath/dispatch/deliveries.py
+++ b/bitternpath/dispatch/deliveries.py
@@ -9,12 +9,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from math import inf
 from random import Random
 from typing import Any, Protocol
 
 import logbook
+from msgspec.structs import replace
 from twisted.internet.defer import Deferred
 
 from bitternpath.configuration.documents import Route, RoutingTable, Service
--- a/bitternpath/membership/view.py
+++ b/bitternpath/membership/view.py
@@ -8,9 +8,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from random import Random
 
+from msgspec.structs import replace
+
 from bitternpath.transport.messages import NodeDescriptor, NodeKind, ShuffleReply, ShuffleRequest
 
 SHUFFLE_SIZE = 10  # entries in a datagram, which then stays below 1,400 bytes
--- a/bitternpath/queue/actions.py
+++ b/bitternpath/queue/actions.py
@@ -2,21 +2,19 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from bitternpath.queue.commands import Command
 from bitternpath.transport.records import Message, MessageState
 
 
-@dataclass(frozen=True, slots=True)
-class ProposeCommand:
+class ProposeCommand(Struct, frozen=True):
     """Append the command to the shard's log."""
 
     command: Command
 
 
-@dataclass(frozen=True, slots=True)
-class SendDelivery:
+class SendDelivery(Struct, frozen=True):
     """Hand a message to an edge node under a lease that is in the log."""
 
     edge: str
@@ -27,8 +25,7 @@
     body_omitted: bool  # the edge node took the message from the client and still has its body
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerPoll:
+class AnswerPoll(Struct, frozen=True):
     """Give a job to a waiting worker, under a lease that is in the log."""
 
     poll_id: int
@@ -37,24 +34,21 @@
     message: Message
 
 
-@dataclass(frozen=True, slots=True)
-class ExpirePoll:
+class ExpirePoll(Struct, frozen=True):
     """Nothing came for a waiting worker in time."""
 
     poll_id: int
     edge: str
 
 
-@dataclass(frozen=True, slots=True)
-class AskForPolls:
+class AskForPolls(Struct, frozen=True):
     """Tell edge nodes that so many jobs of a service wait here for workers that pull."""
 
     service: str
     waiting: int
 
 
-@dataclass(frozen=True, slots=True)
-class SendCallback:
+class SendCallback(Struct, frozen=True):
     """Have an edge node tell the client's URL that a message has ended."""
 
     edge: str
--- a/bitternpath/queue/commands.py
+++ b/bitternpath/queue/commands.py
@@ -2,21 +2,19 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from bitternpath.transport.codec import RecordSet
 from bitternpath.transport.records import AttemptOutcome, Message
 
 
-@dataclass(frozen=True, slots=True)
-class AppendMessage:
+class AppendMessage(Struct, frozen=True):
     """Accept a message; no effect where its request id is known already."""
 
     message: Message
 
 
-@dataclass(frozen=True, slots=True)
-class GrantLease:
+class GrantLease(Struct, frozen=True):
     """Give a message to a holder. `lease_id` is unique over all shards and owners."""
 
     request_id: str
@@ -26,8 +24,7 @@
     pulled: bool
 
 
-@dataclass(frozen=True, slots=True)
-class EndAttempt:
+class EndAttempt(Struct, frozen=True):
     """A holder's word on its delivery; no effect unless the lease is the current one."""
 
     request_id: str
@@ -38,8 +35,7 @@
     retry_after_ms: int  # the least pause before the message is handed out again
 
 
-@dataclass(frozen=True, slots=True)
-class ExpireMessage:
+class ExpireMessage(Struct, frozen=True):
     """Its retention is over, or its route is gone: it ends as a dead letter.
 
     No effect unless `lease_id` is the message's current lease ("": none), so that an order which was decided
@@ -50,15 +46,13 @@
     lease_id: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class ConfirmCallbacks:
+class ConfirmCallbacks(Struct, frozen=True):
     """The receivers have taken the call-backs of these messages."""
 
     request_ids: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ForgetMessages:
+class ForgetMessages(Struct, frozen=True):
     """Tombstones older than `status_s` go."""
 
     request_ids: tuple[str, ...]
--- a/bitternpath/queue/entries.py
+++ b/bitternpath/queue/entries.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from sys import intern
 
+from msgspec.structs import replace
+
 from bitternpath.transport.records import AttemptOutcome, Header, Message, MessageState
 
 # A time-of-day clock may step, and clocks of two machines differ; elapsed wall time counts only beyond this,
--- a/bitternpath/queue/results.py
+++ b/bitternpath/queue/results.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from bitternpath.queue.commands import (
     AppendMessage,
@@ -15,8 +15,7 @@
 from bitternpath.transport.records import MessageState
 
 
-@dataclass(frozen=True, slots=True)
-class Added:
+class Added(Struct, frozen=True):
     """Result of `AppendMessage`. `new` False: the request id was known, and is in `known_state`."""
 
     command: AppendMessage
@@ -24,16 +23,14 @@
     known_state: MessageState
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseGranted:
+class LeaseGranted(Struct, frozen=True):
     """Result of `GrantLease`. `ok` False: unknown, ended, or not the head of its order key."""
 
     command: GrantLease
     ok: bool
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptTaken:
+class AttemptTaken(Struct, frozen=True):
     """Result of `EndAttempt`.
 
     `taken`: the lease was the current one, or ended before with this very outcome. `effective`: this command
@@ -46,24 +43,21 @@
     ended_now: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Expired:
+class Expired(Struct, frozen=True):
     """Result of `ExpireMessage`. `ended_now` False: it had ended, was unknown, or is leased anew."""
 
     command: ExpireMessage
     ended_now: bool
 
 
-@dataclass(frozen=True, slots=True)
-class CallbacksConfirmed:
+class CallbacksConfirmed(Struct, frozen=True):
     """Result of `ConfirmCallbacks`. `count`: how many of them were owed."""
 
     command: ConfirmCallbacks
     count: int
 
 
-@dataclass(frozen=True, slots=True)
-class Forgotten:
+class Forgotten(Struct, frozen=True):
     """Result of `ForgetMessages`: how many tombstones went."""
 
     command: ForgetMessages
--- a/bitternpath/roles/node_base.py
+++ b/bitternpath/roles/node_base.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import resource
-from dataclasses import replace
 from typing import Any
 
 import logbook
+from msgspec.structs import replace
 from twisted.internet.error import CannotListenError
 
 from bitternpath.configuration.feed import FeedFollower, FeedListener
--- a/bitternpath/roles/shard_runtime.py
+++ b/bitternpath/roles/shard_runtime.py
@@ -6,11 +6,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import replace
 from random import Random
 from typing import Any
 
 import logbook
+from msgspec.structs import replace
 from twisted.python.failure import Failure
 
 from bitternpath.configuration.documents import RoutingTable
--- a/bitternpath/simulation/repairs.py
+++ b/bitternpath/simulation/repairs.py
@@ -9,12 +9,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from functools import partial
 from itertools import count
 from random import Random
 from typing import Any
 
+from msgspec.structs import replace
+
 from bitternpath.configuration.placement import (
     first_placement,
 )
--- a/bitternpath/transport/messages.py
+++ b/bitternpath/transport/messages.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import IntEnum
 
+from msgspec import Struct
+
 from bitternpath.transport.codec import RecordSet
 from bitternpath.transport.records import AttemptOutcome, Message, MessageState
 
@@ -22,8 +23,7 @@
     TOOL = 2  # an operator's command: asks, and takes no part
 
 
-@dataclass(frozen=True, slots=True)
-class NodeDescriptor:
+class NodeDescriptor(Struct, frozen=True):
     """What nodes tell one another of a node. (`life`, `beat`) orders what is told of one name."""
 
     name: str
@@ -37,37 +37,32 @@
     leaving: bool = False  # it is shutting down
 
 
-@dataclass(frozen=True, slots=True)
-class Hello:
+class Hello(Struct, frozen=True):
     """First on each connection, from both ends."""
 
     node: NodeDescriptor
 
 
-@dataclass(frozen=True, slots=True)
-class Ping:
+class Ping(Struct, frozen=True):
     """Keeps a connection's silence apart from its end."""
 
     number: int
 
 
-@dataclass(frozen=True, slots=True)
-class Pong:
+class Pong(Struct, frozen=True):
     """Answer to `Ping`."""
 
     number: int
 
 
-@dataclass(frozen=True, slots=True)
-class ShuffleRequest:
+class ShuffleRequest(Struct, frozen=True):
     """Part of the sender's view of the system; wants part of the receiver's."""
 
     sender: NodeDescriptor
     nodes: tuple[NodeDescriptor, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ShuffleReply:
+class ShuffleReply(Struct, frozen=True):
     """Part of the answering node's view."""
 
     sender: NodeDescriptor
@@ -77,8 +72,7 @@
 # ---- replica groups
 
 
-@dataclass(frozen=True, slots=True)
-class GroupMessage:
+class GroupMessage(Struct, frozen=True):
     """A consensus message of one replica group. Its sender and receiver are the members on the disks that the
     link's two ends have named in their greetings."""
 
@@ -86,8 +80,7 @@
     body: bytes  # replication.wire
 
 
-@dataclass(frozen=True, slots=True)
-class MemberAddress:
+class MemberAddress(Struct, frozen=True):
     """Where a member of a replica group is."""
 
     member: str
@@ -96,8 +89,7 @@
     zone: str
 
 
-@dataclass(frozen=True, slots=True)
-class GroupPlacement:
+class GroupPlacement(Struct, frozen=True):
     """A replica group with its desired members; `generation` rises with each change."""
 
     group: str
@@ -105,16 +97,14 @@
     members: tuple[MemberAddress, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Founding:
+class Founding(Struct, frozen=True):
     """The first members of the configuration's replica group, decided once in the life of a system."""
 
     system: str  # identity of the system, drawn when it was founded
     group: GroupPlacement
 
 
-@dataclass(frozen=True, slots=True)
-class FoundingAnswer:
+class FoundingAnswer(Struct, frozen=True):
     """A founder has it on its disk."""
 
     member: str
@@ -123,8 +113,7 @@
 # ---- configuration feed and catalogue
 
 
-@dataclass(frozen=True, slots=True)
-class FeedSubscribe:
+class FeedSubscribe(Struct, frozen=True):
     """Wants the feed from these offsets on; -1: from a snapshot."""
 
     configuration_version: int
@@ -132,8 +121,7 @@
     wants_catalogue: bool
 
 
-@dataclass(frozen=True, slots=True)
-class FeedUpdate:
+class FeedUpdate(Struct, frozen=True):
     """What changed since the subscriber's offsets; also sent unchanged as a heartbeat.
 
     `configuration` is the whole document where it changed, packed (`configuration.feed`). `epoch` is the
@@ -148,16 +136,14 @@
     edge_nodes: int  # how many edge nodes there are, as far as known; for shares of common limits
 
 
-@dataclass(frozen=True, slots=True)
-class FeedRefused:
+class FeedRefused(Struct, frozen=True):
     """The asked node does not lead the configuration group."""
 
     leader_address: str  # "" where it isn't known
     members: tuple[MemberAddress, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class CatalogueEntry:
+class CatalogueEntry(Struct, frozen=True):
     """A worker of the platform's list."""
 
     instance: str
@@ -169,8 +155,7 @@
     cold: bool  # started a moment ago, slow still
 
 
-@dataclass(frozen=True, slots=True)
-class CatalogueUpdate:
+class CatalogueUpdate(Struct, frozen=True):
     """The platform's list as last read. `age_ms`: since that reading began. `entries` None: as before."""
 
     epoch: int
@@ -179,8 +164,7 @@
     entries: tuple[CatalogueEntry, ...] | None
 
 
-@dataclass(frozen=True, slots=True)
-class GroupReport:
+class GroupReport(Struct, frozen=True):
     """A shard's owner tells who the shard's members are, as committed: to the configuration's owner, and to a
     replica that asks."""
 
@@ -190,15 +174,13 @@
     generation: int  # of the placement that the members follow
 
 
-@dataclass(frozen=True, slots=True)
-class MembersRequest:
+class MembersRequest(Struct, frozen=True):
     """A replica that the placement doesn't name asks the group's owner for a `GroupReport`."""
 
     group: str
 
 
-@dataclass(frozen=True, slots=True)
-class OperatorOrder:
+class OperatorOrder(Struct, frozen=True):
     """A call of the operator, forwarded to the configuration's owner."""
 
     number: int
@@ -208,8 +190,7 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class OperatorAnswer:
+class OperatorAnswer(Struct, frozen=True):
     """Its answer, as it goes to the operator. `decided`: False where another node should be asked."""
 
     number: int
@@ -221,8 +202,7 @@
 # ---- queue shards: edge node to owner and back
 
 
-@dataclass(frozen=True, slots=True)
-class Ownership:
+class Ownership(Struct, frozen=True):
     """A storage node owns a shard, or no longer does."""
 
     group: str
@@ -238,23 +218,20 @@
     NOT_READY = 2
 
 
-@dataclass(frozen=True, slots=True)
-class Refused:
+class Refused(Struct, frozen=True):
     """The request did nothing, and never will."""
 
     number: int
     reason: RefusalReason
 
 
-@dataclass(frozen=True, slots=True)
-class Undecided:
+class Undecided(Struct, frozen=True):
     """The request may or may not have been done: the owner lost its shard meanwhile."""
 
     number: int
 
 
-@dataclass(frozen=True, slots=True)
-class AppendRequest:
+class AppendRequest(Struct, frozen=True):
     """Keep this message; done once where the same request id comes again."""
 
     number: int
@@ -262,15 +239,13 @@
     message: Message
 
 
-@dataclass(frozen=True, slots=True)
-class Appended:
+class Appended(Struct, frozen=True):
     """f+1 replicas have it on disk."""
 
     number: int
 
 
-@dataclass(frozen=True, slots=True)
-class Delivery:
+class Delivery(Struct, frozen=True):
     """A lease on a message for the receiving edge node. `message.body` is empty where `body_omitted`."""
 
     group: str
@@ -281,8 +256,7 @@
     message: Message
 
 
-@dataclass(frozen=True, slots=True)
-class EndRequest:
+class EndRequest(Struct, frozen=True):
     """How a delivery under a lease ended."""
 
     number: int
@@ -294,16 +268,14 @@
     retry_after_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class Ended:
+class Ended(Struct, frozen=True):
     """`taken`: the lease was the current one, or this very end was taken before."""
 
     number: int
     taken: bool
 
 
-@dataclass(frozen=True, slots=True)
-class CallbackOrder:
+class CallbackOrder(Struct, frozen=True):
     """The receiving edge node is to tell the client's URL that the message has ended."""
 
     group: str
@@ -313,8 +285,7 @@
     stamp: str
 
 
-@dataclass(frozen=True, slots=True)
-class CallbackReport:
+class CallbackReport(Struct, frozen=True):
     """How that went."""
 
     group: str
@@ -322,8 +293,7 @@
     taken: bool
 
 
-@dataclass(frozen=True, slots=True)
-class StateRequest:
+class StateRequest(Struct, frozen=True):
     """Asks for a message's state, and its body."""
 
     number: int
@@ -332,8 +302,7 @@
     wants_body: bool
 
 
-@dataclass(frozen=True, slots=True)
-class StateAnswer:
+class StateAnswer(Struct, frozen=True):
     """`known` False: the shard has never had it, or has forgotten it."""
 
     number: int
@@ -343,8 +312,7 @@
     body: bytes | None
 
 
-@dataclass(frozen=True, slots=True)
-class PullRequest:
+class PullRequest(Struct, frozen=True):
     """A worker waits for a job of `service` at this node, for so long."""
 
     number: int
@@ -354,16 +322,14 @@
     wait_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class PullCancel:
+class PullCancel(Struct, frozen=True):
     """The worker waits no more; a job on its way comes back as not run."""
 
     number: int
     group: str
 
 
-@dataclass(frozen=True, slots=True)
-class PullAnswer:
+class PullAnswer(Struct, frozen=True):
     """A job under a lease, or None: nothing came in time."""
 
     number: int
@@ -371,8 +337,7 @@
     message: Message | None
 
 
-@dataclass(frozen=True, slots=True)
-class JobsWaiting:
+class JobsWaiting(Struct, frozen=True):
     """So many jobs of a service wait at a shard, and no worker does. `nodes`: edge nodes that are told."""
 
     group: str
@@ -381,8 +346,7 @@
     nodes: int
 
 
-@dataclass(frozen=True, slots=True)
-class ExtendRequest:
+class ExtendRequest(Struct, frozen=True):
     """The worker holds a pulled job still."""
 
     number: int
@@ -394,8 +358,7 @@
 # ---- what operators are shown
 
 
-@dataclass(frozen=True, slots=True)
-class GroupStatus:
+class GroupStatus(Struct, frozen=True):
     """A replica group as one of its members sees it."""
 
     group: str
@@ -409,15 +372,13 @@
     ended: int  # tombstones, dead letters among them
 
 
-@dataclass(frozen=True, slots=True)
-class StatusRequest:
+class StatusRequest(Struct, frozen=True):
     """Asks a node for its status."""
 
     number: int
 
 
-@dataclass(frozen=True, slots=True)
-class StatusAnswer:
+class StatusAnswer(Struct, frozen=True):
     """What a node says of itself. Memory is the peak, in MB."""
 
     number: int
--- a/bitternpath/transport/records.py
+++ b/bitternpath/transport/records.py
@@ -2,20 +2,19 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import IntEnum
 
+from msgspec import Struct
 
-@dataclass(frozen=True, slots=True)
-class Header:
+
+class Header(Struct, frozen=True):
     """One end-to-end header of a client's request."""
 
     name: str
     value: str
 
 
-@dataclass(frozen=True, slots=True)
-class Message:
+class Message(Struct, frozen=True):
     """An accepted request, as it will be delivered. `target` is path and query, byte for byte (Latin-1)."""
 
     request_id: str
--- a/tests/system/test_dispatch.py
+++ b/tests/system/test_dispatch.py
@@ -7,6 +7,7 @@
 from random import Random
 from typing import Any
 
+from msgspec import structs
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
@@ -207,14 +208,14 @@
 
     def test_a_body_is_kept_for_the_first_lease_and_asked_for_after(self) -> None:
         self.bodies.keep(message())
-        self.lease(replace(message(), body=b""), omitted=True)
+        self.lease(structs.replace(message(), body=b""), omitted=True)
         self.assertEqual(self.node.calls[0][1].body, b"body")
-        self.lease(replace(message(), body=b""), omitted=True)
+        self.lease(structs.replace(message(), body=b""), omitted=True)
         self.assertEqual(self.outcome(), AttemptOutcome.NOT_RUN)
 
     def test_the_cache_of_bodies_is_bounded(self) -> None:
         for number in range(50):
-            self.bodies.keep(replace(message(), request_id=f"r{number}"))
+            self.bodies.keep(structs.replace(message(), request_id=f"r{number}"))
         self.assertIsNone(self.bodies.take("r0"))
         self.assertEqual(self.bodies.take("r49"), b"body")
 
--- a/tests/system/test_membership.py
+++ b/tests/system/test_membership.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import unittest
-from dataclasses import replace
 from random import Random
 
+from msgspec.structs import replace
+
 from bitternpath.configuration.placement import (
     desired_members,
     first_placement,
--- a/tests/system/test_membership_reunion.py
+++ b/tests/system/test_membership_reunion.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import unittest
-from dataclasses import replace
 from random import Random
 
+from msgspec.structs import replace
+
 from bitternpath.membership.view import FORGET_AFTER_S, MembershipView
 from tests.system.test_membership import World, node
 
--- a/tests/system/test_queue_campaign.py
+++ b/tests/system/test_queue_campaign.py
@@ -5,6 +5,8 @@
 import unittest
 from dataclasses import dataclass, field, replace
 
+from msgspec import structs
+
 from bitternpath.queue.actions import Action, ProposeCommand
 from bitternpath.queue.ceilings import CeilingShare, TokenBucket
 from bitternpath.queue.commands import AppendMessage, Command, EndAttempt, GrantLease
@@ -38,7 +40,9 @@
     def apply_command(self, index: int, command: Command) -> Result:
         if isinstance(command, AppendMessage) and command.message.order_key:
             message = command.message
-            command = AppendMessage(replace(message, order_key=f"{message.route} {message.order_key}"))
+            command = AppendMessage(
+                structs.replace(message, order_key=f"{message.route} {message.order_key}")
+            )
         return super().apply_command(index, command)
 
 
@@ -72,7 +76,7 @@
         entry = self.find(command.request_id)
         done = entry is not None and entry.state is MessageState.DONE
         late = done and command.outcome is AttemptOutcome.SUCCEEDED
-        return replace(result, taken=result.taken or late)
+        return structs.replace(result, taken=result.taken or late)
 
 
 class EndsForgottenAtRestore(QueueState):
@@ -107,7 +111,7 @@
 
     def _end_attempt(self, command: EndAttempt) -> AttemptTaken:
         if command.outcome is AttemptOutcome.UNKNOWN:
-            command = replace(command, outcome=AttemptOutcome.FAILED)
+            command = structs.replace(command, outcome=AttemptOutcome.FAILED)
         return super()._end_attempt(command)
 
 
@@ -115,7 +119,7 @@
     """Ends a message without the stamp of its run."""
 
     def _end_attempt(self, command: EndAttempt) -> AttemptTaken:
-        return super()._end_attempt(replace(command, stamp="unknown"))
+        return super()._end_attempt(structs.replace(command, stamp="unknown"))
 
 
 class _AnyTableEnds(Placement):
--- a/tests/system/test_queue_state.py
+++ b/tests/system/test_queue_state.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, replace
 from random import Random
 
+from msgspec import structs
+
 from bitternpath.queue.commands import (
     COMMANDS,
     AppendMessage,
@@ -179,7 +181,7 @@
     def test_a_known_request_id_has_no_effect_and_says_so(self) -> None:
         replica = Replica()
         self.assertTrue(replica.apply(AppendMessage(message("m"))).new)
-        other = replace(message("m"), body=b"other")
+        other = structs.replace(message("m"), body=b"other")
         self.assertEqual(
             (replica.apply(AppendMessage(other)).new, replica.entry("m").message.body), (False, b"body")
         )
@@ -245,7 +247,7 @@
     def test_the_route_does_not_matter(self) -> None:
         replica = Replica()
         replica.apply(AppendMessage(message("a", "k")))
-        replica.apply(AppendMessage(replace(message("b", "k"), route="other", target="/y/")))
+        replica.apply(AppendMessage(structs.replace(message("b", "k"), route="other", target="/y/")))
         self.assertFalse(replica.apply(grant("b", "X")).ok)
 
     def test_keys_do_not_hold_one_another(self) -> None:
--- a/tests/system/test_queue_world.py
+++ b/tests/system/test_queue_world.py
@@ -13,6 +13,8 @@
 from itertools import count
 from random import Random
 
+from msgspec import structs
+
 from bitternpath.configuration.documents import Configuration, Route, RoutingTable
 from bitternpath.queue.commands import AppendMessage, EndAttempt
 from bitternpath.queue.results import Added, AttemptTaken, Result
@@ -194,7 +196,7 @@
         if route is None or message.request_id in self.history.accepted or tries == 0:
             return
         edge.bodies[message.request_id] = message.body
-        accepted = replace(message, accepted_version=edge.table.version)
+        accepted = structs.replace(message, accepted_version=edge.table.version)
 
         def applied(result: Result | None) -> None:
             assert isinstance(result, Added)
--- a/tests/system/test_retirement.py
+++ b/tests/system/test_retirement.py
@@ -4,10 +4,11 @@
 
 import json
 import unittest
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any, cast
 from unittest import mock
 
+from msgspec.structs import replace
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import Clock
 
--- a/tests/system/test_sent_once.py
+++ b/tests/system/test_sent_once.py
@@ -8,11 +8,11 @@
 
 import unittest
 from collections.abc import Callable
-from dataclasses import replace
 from enum import Enum
 from typing import Any
 from unittest.mock import patch
 
+from msgspec.structs import replace
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol
 
--- a/tests/system/test_worker_client.py
+++ b/tests/system/test_worker_client.py
@@ -12,6 +12,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec import structs
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError
 from twisted.internet.protocol import Protocol
@@ -35,7 +36,7 @@
 
 
 def message(request_id: str) -> Message:
-    return replace(MESSAGE, request_id=request_id)
+    return structs.replace(MESSAGE, request_id=request_id)
 
 
 def answer(request_id: str = "r1", status: int = 200, headers: bytes = b"X-Server-Stamp: s.1\r\n") -> bytes:
@@ -175,7 +176,7 @@
 
     def test_everything_of_a_message(self) -> None:
         headers = (Header("Content-Type", "a/b"), Header("X-A", "1"), Header("X-A", "\xe9 2"))
-        whole = replace(MESSAGE, method="PUT", headers=headers, order_key="k 1", body=b"\x00\r\n\r\n")
+        whole = structs.replace(MESSAGE, method="PUT", headers=headers, order_key="k 1", body=b"\x00\r\n\r\n")
         expected = (
             b"PUT /p/x HTTP/1.1\r\nHost: a.example\r\nContent-Type: a/b\r\nX-A: 1\r\nX-A: \xe9 2\r\n"
             b"X-Request-Id: r1\r\nX-Order-Key: k 1\r\nX-Deadline-Ms: 750\r\nX-Expect-Instance: i-1\r\n"
@@ -187,7 +188,7 @@
         endpoint = replace(TARGET, instance="")
         for method, body, length in (("POST", b"", b"0"), ("GET", b"", None), ("GET", b"a", b"1")):
             with self.subTest(method=method, body=body):
-                data = request_bytes(endpoint, replace(MESSAGE, method=method, body=body), 5)
+                data = request_bytes(endpoint, structs.replace(MESSAGE, method=method, body=body), 5)
                 self.assertEqual(b"Content-Length: " in data, length is not None)
                 if length is not None:
                     self.assertIn(b"\r\nContent-Length: " + length + b"\r\n", data)
@@ -199,7 +200,7 @@
     def test_target_and_body_are_sent_byte_for_byte(self, target: bytes, body: bytes) -> None:
         self.setUp()
         target = b"/" + bytes(byte for byte in target if byte > 0x20)
-        changed = replace(MESSAGE, target=target.decode("latin-1"), body=body)
+        changed = structs.replace(MESSAGE, target=target.decode("latin-1"), body=body)
         self.client.deliver(TARGET, changed, DEADLINE_MS)
         head, _, rest = self.connect().take().partition(b"\r\n\r\n")
         self.assertEqual(head.split(b"\r\n")[0], b"POST " + target + b" HTTP/1.1")
@@ -281,7 +282,7 @@
 
     def test_head_request(self) -> None:
         results: list[DeliveryResult] = []
-        self.client.deliver(TARGET, replace(MESSAGE, method="HEAD", body=b""), 500).addCallback(
+        self.client.deliver(TARGET, structs.replace(MESSAGE, method="HEAD", body=b""), 500).addCallback(
             results.append
         )
         wire = self.connect()
@@ -645,7 +646,7 @@
         address = self.loopback.listen_with(_Worker)
         client = WorkerClient(self.loopback.reactor)
         target = WorkerTarget(address, "i-1", 1)
-        odd = replace(MESSAGE, target="/p/%2e%2e//\xe9?a=%zz&b")
+        odd = structs.replace(MESSAGE, target="/p/%2e%2e//\xe9?a=%zz&b")
         for _ in range(2):
             result = self.loopback.result(client.deliver(target, odd, 5000))
             self.assertEqual(result.outcome, AttemptOutcome.SUCCEEDED)
