Replication: learners get entries at once

Found by test_repairs: a group was exposed for 0.7 s after a wiped disk instead of 0.5, as the new member was brought up a heartbeat at a time.

--- a/bitternpath/replication/leadership.py
+++ b/bitternpath/replication/leadership.py
@@ -42,7 +42,9 @@
         self._choose_eager()
 
     def _choose_eager(self) -> None:
-        self.eager = choose_eager(self.members.voters, self.peers, self.eager, self.now)
+        """A learner is to catch up: it gets all at once, too."""
+        followers = choose_eager(self.members.voters, self.peers, self.eager, self.now)
+        self.eager = followers.union(self.members.learners).intersection(self.peers)
 
     # ---- rounds
 
--- a/tests/system/test_queue_campaign.py
+++ b/tests/system/test_queue_campaign.py
@@ -103,7 +103,7 @@
     def restore(self, data: bytes) -> None:
         super().restore(data)
         for entry in self:
-            entry.message = replace(entry.message, body=b"")
+            entry.message = structs.replace(entry.message, body=b"")
 
 
 class SilenceCountsAsAttempt(QueueState):
