--- a/bitternpath/queue/entries.py
+++ b/bitternpath/queue/entries.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from sys import intern
 
+from msgspec.structs import replace
+
 from bitternpath.transport.records import AttemptOutcome, Header, Message, MessageState
 
 # A time-of-day clock may step, and clocks of two machines differ; elapsed wall time counts only beyond this,
@@ -101,3 +103,8 @@
     delay = max(0.0, message.delay_ms / 1000)
     passed = elapsed_beyond(DELAY_CLOCK_MARGIN_S, message.accepted_wall_ms, wall_ms)
     return Entry(compact(message), index, accepted=now, due=now + max(0.0, delay - passed))
+
+
+def provisional_entry(message: Message, now: float) -> Entry:
+    """Stands for the entry of a message whose append has been proposed, until it is applied."""
+    return Entry(message, 0, accepted=now, due=now)
--- a/bitternpath/queue/owner.py
+++ b/bitternpath/queue/owner.py
@@ -19,14 +19,14 @@
 from bitternpath.queue.commands import (
     AppendMessage,
     Command,
-    ConfirmCallback,
+    ConfirmCallbacks,
     EndAttempt,
     ExpireMessage,
     ForgetMessages,
     GrantLease,
 )
 from bitternpath.queue.edges import EdgeTable
-from bitternpath.queue.entries import Entry, Lease
+from bitternpath.queue.entries import Entry, Lease, provisional_entry
 from bitternpath.queue.lanes import LaneTable, ServiceLane
 from bitternpath.queue.leases import LeaseTable
 from bitternpath.queue.placement import Placement
@@ -34,7 +34,7 @@
 from bitternpath.queue.results import (
     Added,
     AttemptTaken,
-    CallbackConfirmed,
+    CallbacksConfirmed,
     Expired,
     Forgotten,
     LeaseGranted,
@@ -46,7 +46,7 @@
 from bitternpath.queue.timers import Timer, TimerKind, TimerQueue
 from bitternpath.queue.tombstones import TombstoneQueue
 from bitternpath.queue.tracked import Phase, Tracked
-from bitternpath.transport.records import AttemptOutcome
+from bitternpath.transport.records import AttemptOutcome, Message
 
 PUSH_LEASE_MARGIN_MS = (
     2_000  # beyond the route's time-out: way to the edge node, choice of a worker, way back
@@ -57,7 +57,8 @@
 DEFAULT_RETENTION_S = 90.0  # for tombstones while there is no configuration
 UNLIMITED_ATTEMPTS = 2**31 - 1  # for ends of messages whose route is not known here (yet, or any more)
 
-POLLS_ASKED_EVERY_S = 0.05  # while jobs wait and no worker that pulls does
+# While jobs wait and no worker that pulls does: workers are asked for at this pause, doubled each time.
+POLLS_ASKED_FIRST_S, POLLS_ASKED_MOST_S = 0.05, 0.4
 
 HAND_BACKS_BEFORE_ANOTHER_EDGE = 2  # in a row, not run or without an answer
 
@@ -207,11 +208,48 @@
 
     def callback_report(self, now: float, request_id: str, taken: bool) -> list[Action]:
         """How a call-back went."""
-        self._actions.extend(self._callbacks.report(now, request_id, taken))
+        self._callbacks.report(now, request_id, taken)
         return self._finish(now)
 
     # ---- inputs: the log, time
 
+    def appending(self, now: float, message: Message) -> list[Action]:
+        """A message's append has just been proposed. Where it can be leased at once, its lease goes into the
+        log right behind it: one round of replicas and one sync for both. Empty where it can't; else
+        `append_failed` is to be called should the append surely never be in the log.
+        """
+        if message.request_id in self._tracked or self._state.find(message.request_id) is not None:
+            return []
+        tracked = Tracked(provisional_entry(message, now), accepted_here=True)
+        lane = self._lane_at_once(now, tracked)
+        command = None if lane is None else self._leases.grant(now, lane, tracked)
+        if command is None:
+            self._routes.remove(tracked)
+            return []
+        self._tracked[message.request_id] = tracked
+        tracked.enter(Phase.GRANTING)
+        self._actions.append(ProposeCommand(command))
+        return self._finish(now)
+
+    def append_failed(self, request_id: str) -> None:
+        """An append for which `appending` gave actions is surely not in the log, nor is its lease."""
+        tracked = self._tracked.pop(request_id, None)
+        if tracked is not None:
+            self._leases.release(tracked)
+            self._routes.remove(tracked)
+
+    def _lane_at_once(self, now: float, tracked: Tracked) -> ServiceLane | None:
+        """The lane of a message that nothing holds back, as far as is known before its append is applied. An
+        earlier one of its order key that is being appended too makes the lease void, as it is applied."""
+        message = tracked.entry.message
+        if message.delay_ms > 0 or (message.order_key and self._state.order_head(message.order_key)):
+            return None
+        self._routes.assign(tracked)
+        lane = None if tracked.route is None else self._lanes.find(tracked.route.service)
+        if lane is None or lane.ready.first(now) is not None or lane.next_grant(now) != now:
+            return None
+        return lane
+
     def applied(self, now: float, command: Command, result: Result) -> list[Action]:
         """A command has been applied to the state; to be called after each one, before the next."""
         match result:
@@ -223,9 +261,7 @@
                 self._attempt_ended(now, result)
             case Expired():
                 self._expiry_applied(now, result)
-            case CallbackConfirmed():
-                self._callbacks.confirmed(result.command.request_id)
-            case Forgotten():
+            case CallbacksConfirmed() | Forgotten():
                 for request_id in result.command.request_ids:
                     self._callbacks.confirmed(request_id)
             case _:
@@ -235,13 +271,18 @@
     def proposal_failed(self, now: float, command: Command) -> list[Action]:
         """A proposal of this owner will surely never be in the log, though it still owns the shard."""
         match command:
-            case GrantLease() | ExpireMessage():
+            case GrantLease():
+                tracked = self._tracked.get(command.request_id)
+                lease = None if tracked is None else tracked.lease
+                if tracked is not None and lease is not None and lease.lease_id == command.lease_id:
+                    self._not_granted(now, tracked)
+            case ExpireMessage():
                 tracked = self._tracked.get(command.request_id)
-                if tracked is not None and tracked.phase in (Phase.GRANTING, Phase.ENDING):
-                    self._leases.release(tracked)
-                    self._place(now, tracked)
-            case ConfirmCallback():
-                self._callbacks.reopen(command.request_id)
+                if tracked is not None and tracked.phase is Phase.ENDING:
+                    self._not_granted(now, tracked)
+            case ConfirmCallbacks():
+                for request_id in command.request_ids:
+                    self._callbacks.reopen(request_id)
             case ForgetMessages():
                 for request_id in command.request_ids:
                     entry = self._state.find(request_id)
@@ -256,6 +297,10 @@
                 pass
         return self._finish(now)
 
+    def _not_granted(self, now: float, tracked: Tracked) -> None:
+        self._leases.release(tracked)
+        self._place(now, tracked)
+
     def tick(self, now: float) -> list[Action]:
         """Let everything happen whose time has come."""
         while (timer := self._timers.pop_due(now)) is not None:
@@ -333,6 +378,9 @@
         for lane in self._lanes.take_marked():
             self._grant_ready(now, lane)
         self._actions.extend(self._callbacks.advance(now))
+        proposes = any(isinstance(action, ProposeCommand) for action in self._actions)
+        if (command := self._callbacks.confirmation(now, proposes)) is not None:
+            self._actions.append(ProposeCommand(command))
         actions, self._actions = self._actions, []
         return actions
 
@@ -350,15 +398,19 @@
                 return
             tracked.enter(Phase.GRANTING)
             self._actions.append(ProposeCommand(command))
+        lane.polls_asked_pause = min(lane.polls_asked_pause, POLLS_ASKED_FIRST_S)
 
     def _ask_for_polls(self, now: float, lane: ServiceLane) -> None:
         """Jobs wait for workers that pull, and none waits here: edge nodes may know of some elsewhere."""
         if not lane.service.pull_mode:
             return
-        if now >= lane.polls_asked_at + POLLS_ASKED_EVERY_S:
+        if now >= lane.polls_asked_at + lane.polls_asked_pause:
             lane.polls_asked_at = now
+            lane.polls_asked_pause = min(
+                2 * lane.polls_asked_pause or POLLS_ASKED_FIRST_S, POLLS_ASKED_MOST_S
+            )
             self._actions.append(AskForPolls(lane.service.name, len(lane.ready)))
-        self._lanes.wake_at(lane.polls_asked_at + POLLS_ASKED_EVERY_S, lane)
+        self._lanes.wake_at(lane.polls_asked_at + lane.polls_asked_pause, lane)
 
     def _next_lease_id(self) -> str:
         self._leases_counted += 1
@@ -368,10 +420,15 @@
 
     def _message_added(self, now: float, result: Added) -> None:
         entry = self._state.find(result.command.message.request_id)
-        if entry is not None and not entry.ended:
-            self._state.count_delay_from_now(entry)
-            tracked = self._tracked[entry.message.request_id] = Tracked(entry, accepted_here=True)
-            self._place(now, tracked)
+        if entry is None or entry.ended:
+            return
+        self._state.count_delay_from_now(entry)
+        early = self._tracked.get(entry.message.request_id)
+        if early is not None:
+            early.entry = entry  # its lease is the next command
+            return
+        tracked = self._tracked[entry.message.request_id] = Tracked(entry, accepted_here=True)
+        self._place(now, tracked)
 
     def _lease_granted(self, now: float, result: LeaseGranted) -> None:
         command = result.command
@@ -379,8 +436,7 @@
         if tracked is None or tracked.lease is None or tracked.lease.lease_id != command.lease_id:
             return
         if not result.ok:
-            self._leases.release(tracked)
-            self._place(now, tracked)
+            self._not_granted(now, tracked)
             return
         self._enter_leased(now, tracked, command.duration_ms)
         action = self._leases.hand_out(now, tracked, command)
--- a/bitternpath/roles/node_base.py
+++ b/bitternpath/roles/node_base.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import resource
-from dataclasses import replace
 from typing import Any
 
 import logbook
+from msgspec.structs import replace
 from twisted.internet.error import CannotListenError
 
 from bitternpath.configuration.feed import FeedFollower, FeedListener
@@ -126,6 +126,7 @@
             self.carrier.send,
             self.random,
             bounds=self.machine.compaction(disk_bytes),
+            flushed=self.hub.flush,
         )
         self.carrier.connect(host.hear)
         return host
--- a/bitternpath/roles/shard_runtime.py
+++ b/bitternpath/roles/shard_runtime.py
@@ -6,11 +6,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import replace
 from random import Random
 from typing import Any
 
 import logbook
+from msgspec.structs import replace
 from twisted.python.failure import Failure
 
 from bitternpath.configuration.documents import RoutingTable
@@ -57,6 +57,7 @@
 
 log = logbook.Logger("shard")
 
+LEAST_ASKED, MOST_ASKED = 4, 8  # edge nodes that are asked for workers at once; the next time, others
 PROPOSE_AGAIN_S = 0.1  # an owner that hands over proposes nothing for up to an election's time, and may stay
 
 
@@ -176,9 +177,20 @@
         elif not self._has_room() and self.state.find(request.message.request_id) is None:
             link.send(Refused(request.number, RefusalReason.FULL))
         else:
-            self._propose_for(
-                link, request.number, AppendMessage(request.message), lambda _: Appended(request.number)
-            )
+            self._append(link, request, self.owner)
+
+    def _append(self, link: Link, request: AppendRequest, owner: ShardOwner) -> None:
+        early: list[Action] = []
+
+        def not_proposed() -> None:
+            if early and owner is self.owner:
+                owner.append_failed(request.message.request_id)
+
+        command = AppendMessage(request.message)
+        self._propose_for(link, request.number, command, lambda _: Appended(request.number), not_proposed)
+        if owner is self.owner:
+            early += owner.appending(self.reactor.seconds(), request.message)
+            self._do(early)
 
     def end(self, link: Link, request: EndRequest) -> None:
         """A delivery has ended."""
@@ -258,10 +270,16 @@
     # ---- the log
 
     def _propose_for(
-        self, link: Link, number: int, command: Command, answer: Callable[[object], Any]
+        self,
+        link: Link,
+        number: int,
+        command: Command,
+        answer: Callable[[object], Any],
+        not_proposed: Callable[[], None] = lambda: None,
     ) -> None:
         def failed(failure: Failure) -> None:
             if isinstance(failure.value, NotOwner):
+                not_proposed()
                 link.send(Refused(number, RefusalReason.NOT_OWNER))
             else:
                 link.send(Undecided(number))
@@ -345,8 +363,9 @@
 
     def _ask_for_polls(self, service: str, waiting: int) -> None:
         links = self.edges.links()
-        for link in links:
-            link.send(JobsWaiting(self.group, service, waiting, len(links)))
+        asked = self.random.sample(links, min(max(2 * waiting, LEAST_ASKED), MOST_ASKED, len(links)))
+        for link in asked:
+            link.send(JobsWaiting(self.group, service, waiting, len(asked)))
 
     def _drop_poll(self, poll_id: int) -> None:
         found = self._polls.pop(poll_id, None)
--- a/bitternpath/transport/connections.py
+++ b/bitternpath/transport/connections.py
@@ -17,14 +17,18 @@
 from twisted.internet.protocol import Protocol as TwistedProtocol
 from twisted.python.failure import Failure
 
+from bitternpath.net.writing import write_now
 from bitternpath.transport.codec import CodecError
 from bitternpath.transport.frames import FrameBuffer, frame
 from bitternpath.transport.messages import ANSWER_RECORDS, RECORDS, Hello, NodeDescriptor, Ping, Pong
 
 log = logbook.Logger("transport")
 
-PING_INTERVAL_S = 0.5
-SILENCE_LIMIT_S = 1.6  # without a byte for so long a link is given up
+LOOK_S = 0.5  # all links are looked at together
+# The end that dialled asks for a sign of life after so long without a byte one way or the other; a pair of
+# nodes costs two records in `LOOK_S` beyond that. Sooner where the other end counts who is there.
+ASK_AFTER_S, ASK_SOON_AFTER_S = 0.75, 0.25
+SILENCE_LIMIT_S = 2.4  # without a byte for so long a link is given up: two questions without an answer
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_FIRST_S, RECONNECT_MOST_S = 0.05, 1.0
 USER_TIMEOUT_MS = 2_000  # of the kernel, for bytes that nobody acknowledges
@@ -60,10 +64,9 @@
         self._frames = FrameBuffer()
         self._requests: dict[int, Deferred[Any]] = {}
         self._next_number = 0
-        self._heard_at = 0.0
-        self._ping_timer: Any = None
+        self.ask_after_s = ASK_AFTER_S
+        self._heard_at = self._sent_at = 0.0
         self._outgoing: list[bytes] = []
-        self._flush_planned = False
         self._gone = False
 
     # ---- sending
@@ -72,10 +75,9 @@
         """Queue a record; what one turn of the reactor sends goes out in one write."""
         if self._gone:
             return
+        if not self._outgoing:
+            self.hub.flush_soon(self)
         self._outgoing.append(frame(RECORDS.encode(record)))
-        if not self._flush_planned:
-            self._flush_planned = True
-            self.hub.reactor.callLater(0, self._flush)
 
     def request(self, make: Callable[[int], Any]) -> Deferred[Any]:
         """Send `make(number)`; fires with the record that answers that number, fails with `LinkLost`."""
@@ -96,7 +98,7 @@
     def close(self) -> None:
         """End the connection once all that was sent is written."""
         if self.transport is not None:
-            self._flush()
+            self.flush()
             self.transport.loseConnection()
 
     def abort(self) -> None:
@@ -104,11 +106,12 @@
         if self.transport is not None:
             self.transport.abortConnection()
 
-    def _flush(self) -> None:
-        self._flush_planned = False
+    def flush(self) -> None:
+        """Write what was queued."""
         if self._outgoing and self.transport is not None and not self._gone:
             data, self._outgoing = b"".join(self._outgoing), []
-            self.transport.write(data)
+            self._sent_at = self.hub.reactor.seconds()
+            write_now(self.transport, data)
 
     # ---- the connection's life
 
@@ -117,8 +120,8 @@
         _tune(self.transport.getHandle())
         self.hub.links[self] = None
         self.send(Hello(self.hub.describe()))
-        self._flush()
-        self._ping_timer = self.hub.reactor.callLater(PING_INTERVAL_S, self._ping)
+        self.flush()
+        self.hub.watch()
 
     def dataReceived(self, data: bytes) -> None:
         self._heard_at = self.hub.reactor.seconds()
@@ -132,8 +135,6 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self._gone = True
         self.hub.links.pop(self, None)
-        if self._ping_timer is not None and self._ping_timer.active():
-            self._ping_timer.cancel()
         was_open, self.open = self.open, False
         requests, self._requests = self._requests, {}
         if was_open:
@@ -175,15 +176,16 @@
         self.open = True
         self.hub.handler.link_opened(self)
 
-    def _ping(self) -> None:
-        now = self.hub.reactor.seconds()
+    def look(self, now: float) -> None:
+        """Give the peer up, or ask it for a sign of life where either end has been silent.
+
+        The end that dialled asks; the other one hears the questions.
+        """
         if now - self._heard_at > SILENCE_LIMIT_S:
             log.info("event=link_silent peer={} seconds={:.2f}", self.peer_name, now - self._heard_at)
             self.abort()
-            return
-        if now - self._heard_at >= PING_INTERVAL_S / 2:
+        elif self.dialled and now - min(self._heard_at, self._sent_at) >= self.ask_after_s:
             self.send(Ping(0))
-        self._ping_timer = self.hub.reactor.callLater(PING_INTERVAL_S, self._ping)
 
 
 class Dialler:
@@ -255,6 +257,40 @@
         self.links: dict[Link, None] = {}  # in the order in which they were made
         self._diallers: dict[str, Dialler] = {}
         self._port: Any = None
+        self._watch_timer: Any = None
+        self._unflushed: list[Link] = []
+        self._flush_call: Any = None
+
+    def watch(self) -> None:
+        """Look at all links from now on, together: one timer and one turn for all questions."""
+        if self._watch_timer is None:
+            self._watch_timer = self.reactor.callLater(LOOK_S, self._look)
+
+    def _look(self) -> None:
+        self._watch_timer = None
+        now = self.reactor.seconds()
+        for link in list(self.links):
+            link.look(now)
+        if self.links:
+            self.watch()
+
+    def flush_soon(self, link: Link) -> None:
+        """Have a link written at the end of this turn of the reactor, with all others that have anything."""
+        self._unflushed.append(link)
+        if self._flush_call is None:
+            self._flush_call = self.reactor.callLater(0, self._flush_planned)
+
+    def flush(self) -> None:
+        """Write what all links have queued; whoever knows that nothing follows in this turn calls it."""
+        if self._flush_call is not None:
+            self._flush_call.cancel()
+            self._flush_planned()
+
+    def _flush_planned(self) -> None:
+        self._flush_call = None
+        links, self._unflushed = self._unflushed, []
+        for link in links:
+            link.flush()
 
     def listen(self, host: str, port: int) -> None:
         """Accept links; raises `CannotListenError`."""
@@ -303,6 +339,9 @@
         """Close all."""
         if self._port is not None:
             self._port.stopListening()
+        if self._watch_timer is not None:
+            self._watch_timer.cancel()
+            self._watch_timer = None
         diallers, self._diallers = self._diallers, {}
         for dialler in diallers.values():
             dialler.stop()
--- a/tests/system/test_queue_state.py
+++ b/tests/system/test_queue_state.py
@@ -6,11 +6,13 @@
 from dataclasses import dataclass, replace
 from random import Random
 
+from msgspec import structs
+
 from bitternpath.queue.commands import (
     COMMANDS,
     AppendMessage,
     Command,
-    ConfirmCallback,
+    ConfirmCallbacks,
     EndAttempt,
     ExpireMessage,
     ForgetMessages,
@@ -179,7 +181,7 @@
     def test_a_known_request_id_has_no_effect_and_says_so(self) -> None:
         replica = Replica()
         self.assertTrue(replica.apply(AppendMessage(message("m"))).new)
-        other = replace(message("m"), body=b"other")
+        other = structs.replace(message("m"), body=b"other")
         self.assertEqual(
             (replica.apply(AppendMessage(other)).new, replica.entry("m").message.body), (False, b"body")
         )
@@ -206,10 +208,10 @@
     def test_a_call_back_is_owed_from_the_end_to_its_confirmation(self) -> None:
         replica = Replica()
         replica.apply(AppendMessage(message("m", callback_url="http://10.0.0.9:80/")))
-        self.assertFalse(replica.apply(ConfirmCallback("m")).effective)
+        self.assertEqual(replica.apply(ConfirmCallbacks(("m", "unknown"))).count, 0)
         replica.apply(grant("m", "L"), end("m", "L", REJECTED))
         self.assertTrue(replica.entry("m").callback_pending)
-        self.assertTrue(replica.apply(ConfirmCallback("m")).effective)
+        self.assertEqual(replica.apply(ConfirmCallbacks(("m", "unknown"))).count, 1)
         self.assertFalse(replica.entry("m").callback_pending)
 
     def test_an_expiry_is_fenced_by_the_lease(self) -> None:
@@ -245,7 +247,7 @@
     def test_the_route_does_not_matter(self) -> None:
         replica = Replica()
         replica.apply(AppendMessage(message("a", "k")))
-        replica.apply(AppendMessage(replace(message("b", "k"), route="other", target="/y/")))
+        replica.apply(AppendMessage(structs.replace(message("b", "k"), route="other", target="/y/")))
         self.assertFalse(replica.apply(grant("b", "X")).ok)
 
     def test_keys_do_not_hold_one_another(self) -> None:
@@ -351,7 +353,7 @@
         grant(request_id, lease),
         end(request_id, lease, random.choice(list(AttemptOutcome))),
         ExpireMessage(request_id, random.choice(("", lease))),
-        ConfirmCallback(request_id),
+        ConfirmCallbacks((request_id,)),
         ForgetMessages((request_id,)),
     )
     return random.choices(choices, (30, 30, 30, 2, 3, 1))[0]
