A message goes to the shard where a worker of its own node waits

Hypothesis: a third of the edge nodes hold a waiting worker; a message that one of them takes from a client can meet it without a word to anybody else. Each waiting worker is promised one message.

--- a/bitternpath/roles/edge.py
+++ b/bitternpath/roles/edge.py
@@ -80,8 +80,8 @@
         random = self.base.random
         self.owners = ShardOwners(self._owner_changed)
         self.reports = LeaseReports(reactor, self.owners)
-        self.appender = Appender(reactor, self.owners, settings.zone, random)
         self.pulls = Pulls(reactor, self.owners, self.reports, settings.zone, random)
+        self.appender = Appender(reactor, self.owners, settings.zone, random, self._worker_waits_at)
         self.lookup = MessageLookup(reactor, self.owners)
         self.bodies = BodyCache(BODY_CACHE_BYTES)
         self.worker_client = WorkerClient(reactor)
@@ -140,6 +140,11 @@
         self.bodies.keep(message)
         return self.appender.accept(message, deadline_ms).addCallback(self._accepted, message)
 
+    def _worker_waits_at(self, message: Message) -> str:
+        table = self.routing()
+        route = table.routes.get(message.route) if table is not None else None
+        return "" if route is None or message.delay_ms else self.pulls.promise(route.service)
+
     def _accepted(self, acceptance: Acceptance, message: Message) -> Acceptance:
         if acceptance.result is not AcceptResult.ACCEPTED:
             self.bodies.take(message.request_id)
--- a/bitternpath/shards/appends.py
+++ b/bitternpath/shards/appends.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -29,8 +30,18 @@
 class Appender:
     """Starts appends and counts those under way."""
 
-    def __init__(self, reactor: Any, owners: ShardOwners, zone: str, random: Random) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        owners: ShardOwners,
+        zone: str,
+        random: Random,
+        worker_waits_at: Callable[[Message], str] = lambda message: "",
+    ) -> None:
+        """`worker_waits_at` names a shard's group at which a worker of this node waits for such a message, if
+        any."""
         self.reactor, self.owners, self.zone, self.random = reactor, owners, zone, random
+        self._worker_waits_at = worker_waits_at
         self.shards = 0  # in the system; 0 until the placement is known
         self.open = 0
 
@@ -46,7 +57,8 @@
     def _choose(self, message: Message) -> int | None:
         """The shard of a message; None where it has no owner now.
 
-        Ordered messages have one shard, by their key. Others go to an owner in this zone, or to any.
+        Ordered messages have one shard, by their key. Others go to where a worker waits for them, else to an
+        owner in this zone, or to any.
         """
         if not self.shards:
             return None
@@ -54,6 +66,9 @@
             shard = shard_for(message.order_key, 0, self.shards)
             return shard if self.owners.owner(shard_group(shard)) else None
         groups = self.owners.groups_near(self.zone) or self.owners.owned_groups()
+        waits_at = self._worker_waits_at(message)
+        if waits_at in groups:
+            return shard_of(waits_at)
         return shard_of(self.random.choice(groups)) if groups else None
 
 
--- a/bitternpath/shards/pulls.py
+++ b/bitternpath/shards/pulls.py
@@ -66,6 +66,7 @@
         self._request = 0
         self._attempt = 0  # shards that it has waited at
         self._done = False
+        self.promised = False  # a message was sent to the shard where it waits
         self._timer = pulls.reactor.callLater(wait_s + ANSWER_MARGIN_S, self._finish, None)
 
     def wait_at(self, group: str, owner: Owner) -> None:
@@ -82,6 +83,7 @@
             return PullRequest(number, group, self.service, self._instance, wait_ms)
 
         self._attempt += 1
+        self.promised = False
         request = owner.link.request(make)
         request.addCallbacks(
             self._answered, self._lost, callbackArgs=(group, self._attempt), errbackArgs=(self._attempt,)
@@ -208,6 +210,15 @@
                 return group
         return ""
 
+    def promise(self, service: str) -> str:
+        """The group of a shard at which a worker of this node waits for a job of a service, for a message
+        that goes there now; "" where none does. Each waiting worker is promised one."""
+        for ticket in self._tickets.values():
+            if ticket.service == service and not ticket.promised:
+                ticket.promised = True
+                return ticket.group
+        return ""
+
     def owner_changed(self, group: str) -> None:
         """Workers that wait at a shard wait at its new owner: the earlier one may be stopped or cut off."""
         owner = self.owners.owner(group)
--- a/tests/system/test_broken_builds.py
+++ b/tests/system/test_broken_builds.py
@@ -53,8 +53,8 @@
 
 
 def a_disk_is_lost_while_another_machine_retires_slowly() -> Iterator[RunPlan]:
-    """A storage machine's disk stalls while another one retires, so that its groups are long in changing; then
-    a third loses its disk."""
+    """A storage machine's disk stalls while another one retires, so that its groups are long in changing;
+    then a third loses its disk."""
     for stalled in STORES:
         for victim in STORES:
             events = [
--- a/tests/system/test_shard_runtime.py
+++ b/tests/system/test_shard_runtime.py
@@ -237,9 +237,8 @@
         self.assertTrue(later - first)
 
     def test_mostly_nodes_nearby_are_asked(self) -> None:
-        links = {
-            zone: [EdgeLink(f"{zone}-{number}", zone) for number in range(40)] for zone in ("north", "south")
-        }
+        zones = ("north", "south")
+        links = {zone: [EdgeLink(f"{zone}-{number}", zone) for number in range(40)] for zone in zones}
         for link in links["north"] + links["south"]:
             self.join(link)
         self.append("m", "/jobs/x")
--- a/tests/system/test_shards.py
+++ b/tests/system/test_shards.py
@@ -122,6 +122,18 @@
         self.links[0].answer(Appended(1))
         self.assertEqual(self.result(waiting), Acceptance(AcceptResult.ACCEPTED, message_id(0, "r1")))
 
+    def test_an_unordered_message_goes_to_where_a_worker_of_this_node_waits(self) -> None:
+        self.owners.closed(self.links[0])  # type: ignore[arg-type]
+        for group in (1, 2):
+            appender = Appender(
+                self.clock, self.owners, "z0", Random(1), lambda _, group=group: shard_group(group)
+            )
+            appender.shards = SHARDS
+            before = len(self.links[group].requests)
+            for _ in range(5):
+                appender.accept(message(), 400)
+            self.assertEqual(len(self.links[group].requests), before + 5)
+
     def test_without_one_in_the_zone_it_goes_to_another(self) -> None:
         self.owners.closed(self.links[0])  # type: ignore[arg-type]
         self.accept()
@@ -308,6 +320,19 @@
         self.pulls.pull("s", "i", 1000)
         self.assertEqual(self.waiting_at(2), 0)
 
+    def test_a_message_is_promised_each_waiting_worker_once(self) -> None:
+        self.pulls.pull("s", "i", 1000)
+        self.pulls.pull("other", "i", 1000)
+        self.assertEqual([self.pulls.promise("s") for _ in range(2)], [shard_group(0), ""])
+        self.pulls.pull("s", "i", 1000)
+        self.assertEqual(self.pulls.promise("s"), shard_group(0))
+
+    def test_a_worker_that_has_moved_may_be_promised_another(self) -> None:
+        self.pulls.pull("s", "i", 1000)
+        self.pulls.promise("s")
+        self.pulls.jobs_waiting(JobsWaiting(shard_group(2), "s", 1, 1))
+        self.assertEqual(self.pulls.promise("s"), shard_group(2))
+
     def test_a_job_that_comes_after_the_move_still_goes_to_the_worker_and_a_second_one_back(self) -> None:
         ticket = self.pulls.pull("s", "i", 1000)
         left = self.asked()
