Replication: a voter that refuses a lagging candidate stands soon, not at once; silence is 2.5 heartbeats

A peer was silent after one heartbeat without an answer: those that get entries with the heartbeats answer just before the next one is due, and were only asked where they stand. Candidates that all stand in one moment divide the votes.

--- a/bitternpath/replication/elections.py
+++ b/bitternpath/replication/elections.py
@@ -6,6 +6,8 @@
 from bitternpath.replication.messages import AskVote, Vote
 from bitternpath.replication.records import MEMBERS, Role, members_from
 
+SOON_SHARE = 0.3  # of an election's time: many times a message and a sync
+
 
 class Elections(MemberState):
     """A member as voter and as candidate."""
@@ -26,6 +28,12 @@
         if self._may_stand:
             self._ask_votes(pre=True)
 
+    def _stand_soon(self) -> None:
+        """The leader is silent, and the one that noticed first lacks entries. Not at once: all that have more
+        than it are asked in the same moment, and would divide the votes among them, again and again."""
+        soon = self.now + self.times.election * SOON_SHARE * self.random.random()
+        self._election_at = min(self._election_at, soon)
+
     def _stand(self, leadership_transfer: bool = False) -> None:
         self._set_term(self.term + 1, self.me)
         self._set_election_timer()
@@ -64,7 +72,7 @@
         vote = Vote(asking.term if granted else self.term, True, granted)
         self._after_writes.append((sender, vote))
         if asking.term > self.term and not granted and self.role is Role.FOLLOWER:
-            self._election_timeout()  # the leader is silent, and the one that noticed first lacks entries
+            self._stand_soon()
 
     @property
     def _knows_leader(self) -> bool:
--- a/bitternpath/replication/leadership.py
+++ b/bitternpath/replication/leadership.py
@@ -14,6 +14,7 @@
 BATCH_ENTRIES = 64
 BATCH_BYTES = 256 << 10
 ENTRIES_IN_FLIGHT = 256  # sent to a peer beyond those it has said yes to
+SILENT_HEARTBEATS = 2.5  # without an answer: one heartbeat's answer may come just after the next is due
 
 
 class Leadership(SnapshotTransfer):
@@ -78,7 +79,7 @@
         for name in asked:
             peer = self.peers[name]
             # A peer that says nothing is only asked where it stands. If what was sent is lost, it says no.
-            silent = peer.last_contact < self.now - self.times.heartbeat
+            silent = peer.last_contact < self.now - SILENT_HEARTBEATS * self.times.heartbeat
             if silent and peer.transfer is None:
                 if self._needs_snapshot(peer):  # which snapshot is known when it answers, and where it stands
                     peer.next_index = self.last_index + 1
--- /dev/null
+++ b/tests/system/test_lagging_voters.py
@@ -0,0 +1,88 @@
+"""Elections after the loss of a leader whose followers lack different entries, in virtual time.
+
+A leader sends entries to a majority at once and to the others with its heartbeats, so that in each election
+some members lack entries. Whoever notices the loss first, one that has all of them must soon lead.
+"""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from bitternpath.replication.consensus import Raft
+from bitternpath.replication.host import SYSTEM_TIMES
+from bitternpath.replication.records import CHANGE, Entry, Kept, Members, Role, Snapshot
+
+MEMBERS = Members(("a", "b", "c", "d", "e"), (), 1)
+LATENCY_S = 0.003
+SYNC_S = 0.012
+SEEDS = 200
+LONGEST_S = 4 * SYSTEM_TIMES.election  # of an election, in any of the runs
+
+
+class Election:
+    """Four of five members; the leader `a` is gone. `lengths`: how many entries each has."""
+
+    def __init__(self, seed: int, lengths: dict[str, int]) -> None:
+        self.random = Random(seed)
+        self.now = 0.0
+        self.members: dict[str, Raft] = {}
+        for name, length in lengths.items():
+            entries = [Entry(index, 1, CHANGE, b"x") for index in range(1, length + 1)]
+            kept = Kept(1, "a", Snapshot(members=MEMBERS), (0, 0), entries)
+            raft = Raft(name, kept, Random(self.random.random()), 0.0, SYSTEM_TIMES)
+            self.members[name] = raft
+        self.queue: list[tuple[float, int, str, object]] = []
+        self.count = 0
+
+    def run(self) -> tuple[float, str]:
+        """When there is a leader, and who."""
+        while self.now < 60.0:
+            for name, raft in self.members.items():
+                self._collect(name, raft)
+                if raft.role is Role.LEADER:
+                    return self.now, name
+            self._step()
+        return self.now, ""
+
+    def _collect(self, name: str, raft: Raft) -> None:
+        out = raft.take(self.now)
+        for write in out.writes:
+            self._later(SYNC_S, name, write.number)
+        for receiver, message in out.send:
+            if receiver in self.members:
+                self._later(LATENCY_S * (0.8 + 0.4 * self.random.random()), receiver, (name, message))
+
+    def _later(self, seconds: float, name: str, what: object) -> None:
+        self.count += 1
+        self.queue.append((self.now + seconds, self.count, name, what))
+
+    def _step(self) -> None:
+        alarm = min((raft.alarm, name) for name, raft in self.members.items())
+        self.queue.sort(key=lambda item: item[:2])
+        if self.queue and self.queue[0][0] <= alarm[0]:
+            self.now, _, name, what = self.queue.pop(0)
+            if isinstance(what, tuple):
+                self.members[name].hear(self.now, *what)
+            else:
+                self.members[name].stored(self.now, what)  # type: ignore[arg-type]
+        else:
+            self.now = alarm[0]
+            self.members[alarm[1]].tick(self.now)
+
+
+class LaggingVoters(unittest.TestCase):
+    def test_one_that_has_all_entries_leads_soon(self) -> None:
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                seconds, leader = Election(seed, {"b": 100, "c": 99, "d": 40, "e": 40}).run()
+                self.assertIn(leader, ("b", "c"))
+                self.assertLess(seconds, LONGEST_S)
+
+    def test_one_that_lacks_entries_hastens_those_that_have_them(self) -> None:
+        times = [Election(seed, {"b": 100, "c": 40, "d": 40, "e": 40}).run()[0] for seed in range(SEEDS)]
+        self.assertLess(sum(times) / SEEDS, 1.6 * SYSTEM_TIMES.election)
+
+
+if __name__ == "__main__":
+    unittest.main()
