Pulls: a job is leased before a worker asks for it

Change: a job that no worker waits for is leased right behind its append to whoever asks next, at most 32 of a service in a shard; a worker that comes gets it at once. A successor takes such a job for handed out and waits its lease out. A message that was leased before isn't: its worker may still speak up.

--- a/bitternpath/queue/lanes.py
+++ b/bitternpath/queue/lanes.py
@@ -25,6 +25,7 @@
         self.most_out: int | None = None  # by the slots of its listed workers; None: not known
         self.out = 0  # deliveries out; jobs that workers pull are bounded by the workers
         self.wakeup: float | None = None
+        self.ahead: set[str] = set()  # messages with a lease for whichever worker asks next
         self.polls_asked_at = float("-inf")  # workers that pull were last asked for
         self.polls_asked_pause = 0.0  # until they may be asked for again; grows while jobs wait
 
@@ -63,6 +64,10 @@
         """The lane of a service that is or was configured."""
         return self._lanes.get(service)
 
+    def all(self) -> list[ServiceLane]:
+        """The lanes of all services."""
+        return list(self._lanes.values())
+
     def configure(self, now: float, services: dict[str, Service]) -> None:
         """Take the services of a configuration. New ceilings begin with an empty bucket."""
         for name, service in services.items():
--- a/bitternpath/queue/leases.py
+++ b/bitternpath/queue/leases.py
@@ -49,6 +49,34 @@
             lane.granted(now)
         return command
 
+    def grant_ahead(self, now: float, lane: ServiceLane, tracked: Tracked) -> GrantLease:
+        """The command that leases a message to whichever worker asks next: its lease is in the log before."""
+        lease_id = self._next_lease_id()
+        tracked.lease = OutLease(tracked.request_id, lease_id, "", lane.service.name, now)
+        tracked.ahead = GrantLease(tracked.request_id, lease_id, "", self._pull_duration_ms, True)
+        lane.ahead.add(tracked.request_id)
+        return tracked.ahead
+
+    def hand_out_ahead(self, now: float, lane: ServiceLane, tracked: Tracked) -> AnswerPoll | None:
+        """Give a message whose lease is in the log to a worker that waits; None where none does."""
+        poll, command = self._polls.first(lane.service.name), tracked.ahead
+        if poll is None or command is None:
+            return None
+        self._polls.remove(poll.poll_id)
+        self.forget_ahead(tracked)
+        lane.granted(now)
+        tracked.lease = OutLease(
+            tracked.request_id, command.lease_id, "", lane.service.name, now, poll.poll_id
+        )
+        return AnswerPoll(poll.poll_id, poll.edge, command.lease_id, tracked.entry.message)
+
+    def forget_ahead(self, tracked: Tracked) -> None:
+        """A lease that was granted ahead is handed out, void, or not wanted any more."""
+        if tracked.ahead is not None:
+            tracked.ahead = None
+            for lane in self._lanes.all():
+                lane.ahead.discard(tracked.request_id)
+
     def adopt(self, now: float, tracked: Tracked, lease: Lease) -> None:
         """Count a lease that is in the state but was granted or given up earlier."""
         edge = "" if lease.pulled else lease.holder
--- a/bitternpath/queue/owner.py
+++ b/bitternpath/queue/owner.py
@@ -60,6 +60,10 @@
 # While jobs wait and no worker that pulls does: workers are asked for at this pause, doubled each time.
 POLLS_ASKED_FIRST_S, POLLS_ASKED_MOST_S = 0.05, 0.2
 
+# Jobs of a service in one shard that are leased before a worker asks, so that it needn't wait for a round of
+# replicas. After a take-over they are taken for handed out, and wait until their leases end.
+MOST_AHEAD = 32
+
 HAND_BACKS_BEFORE_ANOTHER_EDGE = 2  # in a row, not run or without an answer
 
 _IDLE = frozenset({Phase.HELD, Phase.BLOCKED, Phase.WAITING, Phase.READY})
@@ -222,7 +226,7 @@
             return []
         tracked = Tracked(provisional_entry(message, now), accepted_here=True)
         lane = self._lane_at_once(now, tracked)
-        command = None if lane is None else self._leases.grant(now, lane, tracked)
+        command = None if lane is None else self._lease_at_once(now, lane, tracked)
         if command is None:
             self._routes.remove(tracked)
             return []
@@ -235,6 +239,7 @@
         """An append for which `appending` gave actions is surely not in the log, nor is its lease."""
         tracked = self._tracked.pop(request_id, None)
         if tracked is not None:
+            self._leases.forget_ahead(tracked)
             self._leases.release(tracked)
             self._routes.remove(tracked)
 
@@ -246,10 +251,24 @@
             return None
         self._routes.assign(tracked)
         lane = None if tracked.route is None else self._lanes.find(tracked.route.service)
-        if lane is None or lane.ready.first(now) is not None or lane.next_grant(now) != now:
-            return None
         return lane
 
+    def _lease_at_once(self, now: float, lane: ServiceLane, tracked: Tracked) -> GrantLease | None:
+        """The command that leases a message that is being appended; None where it has to wait."""
+        if lane.ready.first(now) is None and lane.next_grant(now) == now:
+            command = self._leases.grant(now, lane, tracked)
+            if command is not None:
+                return command
+        if not self._may_grant_ahead(lane):
+            return None
+        command = self._leases.grant_ahead(now, lane, tracked)
+        self._ask_for_polls(now, lane)
+        return command
+
+    @staticmethod
+    def _may_grant_ahead(lane: ServiceLane) -> bool:
+        return lane.service.pull_mode and len(lane.ahead) < MOST_AHEAD
+
     def applied(self, now: float, command: Command, result: Result) -> list[Action]:
         """A command has been applied to the state; to be called after each one, before the next."""
         match result:
@@ -298,6 +317,7 @@
         return self._finish(now)
 
     def _not_granted(self, now: float, tracked: Tracked) -> None:
+        self._leases.forget_ahead(tracked)
         self._leases.release(tracked)
         self._place(now, tracked)
 
@@ -392,14 +412,31 @@
             if when > now:
                 self._lanes.wake_at(when, lane)
                 return
+            if tracked.ahead is not None and lane.service.pull_mode:
+                if not self._hand_out_ahead(now, lane, tracked, tracked.ahead):
+                    return
+                continue
+            self._leases.forget_ahead(tracked)  # the service's workers don't pull any more
             command = self._leases.grant(now, lane, tracked)
             if command is None:
                 self._ask_for_polls(now, lane)
-                return
+                if tracked.entry.leases_granted or not self._may_grant_ahead(lane):
+                    return  # a worker that had it may still say so: a new lease would refuse its word
+                command = self._leases.grant_ahead(now, lane, tracked)
             tracked.enter(Phase.GRANTING)
             self._actions.append(ProposeCommand(command))
         lane.polls_asked_pause = min(lane.polls_asked_pause, POLLS_ASKED_FIRST_S)
 
+    def _hand_out_ahead(self, now: float, lane: ServiceLane, tracked: Tracked, command: GrantLease) -> bool:
+        """Give a message whose lease is in the log to a worker; False where none waits."""
+        action = self._leases.hand_out_ahead(now, lane, tracked)
+        if action is None:
+            self._ask_for_polls(now, lane)
+            return False
+        self._enter_leased(now, tracked, command.duration_ms)
+        self._actions.append(action)
+        return True
+
     def _ask_for_polls(self, now: float, lane: ServiceLane) -> None:
         """Jobs wait for workers that pull, and none waits here: edge nodes may know of some elsewhere."""
         if not lane.service.pull_mode:
@@ -409,7 +446,7 @@
             lane.polls_asked_pause = min(
                 2 * lane.polls_asked_pause or POLLS_ASKED_FIRST_S, POLLS_ASKED_MOST_S
             )
-            self._actions.append(AskForPolls(lane.service.name, len(lane.ready)))
+            self._actions.append(AskForPolls(lane.service.name, max(len(lane.ready), len(lane.ahead), 1)))
         self._lanes.wake_at(lane.polls_asked_at + lane.polls_asked_pause, lane)
 
     def _next_lease_id(self) -> str:
@@ -438,6 +475,10 @@
         if not result.ok:
             self._not_granted(now, tracked)
             return
+        if tracked.ahead is not None and tracked.ahead.lease_id == command.lease_id:
+            tracked.lease = None
+            self._place(now, tracked)
+            return
         self._enter_leased(now, tracked, command.duration_ms)
         action = self._leases.hand_out(now, tracked, command)
         if action is None:
@@ -482,6 +523,7 @@
 
     def _message_ended(self, now: float, tracked: Tracked) -> None:
         """Keep the tombstone, and let the next message of its order key go."""
+        self._leases.forget_ahead(tracked)
         self._leases.release(tracked)
         tracked.enter(Phase.ENDED)
         del self._tracked[tracked.request_id]
--- a/bitternpath/queue/tracked.py
+++ b/bitternpath/queue/tracked.py
@@ -7,6 +7,7 @@
 from math import inf
 
 from bitternpath.configuration.documents import Route
+from bitternpath.queue.commands import GrantLease
 from bitternpath.queue.entries import Entry
 from bitternpath.transport.records import AttemptOutcome
 
@@ -50,6 +51,7 @@
     ends_at: float = 0.0  # of its lease
     retention_timer: float = inf  # when its retention timer fires
     lease: OutLease | None = None
+    ahead: GrantLease | None = None  # in the log or proposed for it, for whichever worker asks next
     last_outcome: AttemptOutcome | None = None
     repetitions: int = 0  # of that outcome in a row, before the last
     avoided_edge: str = ""  # the edge node that did not get it run: it may be cut off from the workers
--- a/tests/system/test_early_leases.py
+++ b/tests/system/test_early_leases.py
@@ -5,10 +5,11 @@
 import unittest
 from typing import Any
 
-from bitternpath.queue.actions import SendDelivery
+from bitternpath.queue.actions import AnswerPoll, SendDelivery
 from bitternpath.queue.commands import AppendMessage, GrantLease
-from bitternpath.transport.records import Message
-from tests.system.test_queue_rig import SUCCEEDED, WALL_MS, Rig, changed, request_ids
+from bitternpath.queue.owner import MOST_AHEAD
+from bitternpath.transport.records import Message, MessageState
+from tests.system.test_queue_rig import PULL_LEASE_S, SUCCEEDED, WALL_MS, Rig, changed, request_ids
 
 
 def message(request_id: str, path: str = "/plain/x", **fields: Any) -> Message:
@@ -62,16 +63,68 @@
         self.commit(self.propose("m", "/jobs/x"))
         self.assertEqual(self.rig.answer().poll_id, 1)
 
-    def test_without_a_worker_a_job_waits(self) -> None:
-        self.assertEqual(len(self.propose("m", "/jobs/x")), 1)
+    def test_without_a_worker_a_job_is_leased_ahead_and_given_to_the_first_at_once(self) -> None:
+        self.commit(self.propose("m", "/jobs/x"))
+        self.assertEqual(self.rig.take_sent(), [])
+        self.rig.poll(1)
+        answer = self.rig.answer()
+        self.assertEqual((answer.poll_id, answer.message.request_id), (1, "m"))
+        self.assertEqual(self.rig.take_proposed(), [])
+        self.assertTrue(self.rig.end(answer, SUCCEEDED))
+
+    def test_a_worker_that_asks_before_the_commit_gets_it_with_the_commit(self) -> None:
+        proposed = self.propose("m", "/jobs/x")
+        self.rig.poll(1)
+        self.assertEqual(self.rig.take_sent(), [])
+        self.commit(proposed)
+        self.assertEqual(self.rig.answer().poll_id, 1)
+
+    def test_a_job_is_given_once(self) -> None:
+        self.commit(self.propose("m", "/jobs/x"))
+        self.rig.poll(1)
+        self.rig.poll(2, wait_s=60.0)
+        self.assertEqual(self.rig.answer().poll_id, 1)
+        self.rig.advance(PULL_LEASE_S + 0.1)
+        (grant,) = self.rig.take_proposed()
+        self.assertIsInstance(grant, GrantLease)
+
+    def test_jobs_leased_ahead_are_bounded(self) -> None:
+        for number in range(MOST_AHEAD + 5):
+            self.commit(self.propose(f"m{number}", "/jobs/x"))
+            self.commit(self.rig.take_proposed())
+        leased = [entry for entry in self.rig.state if entry.lease is not None]
+        self.assertEqual(len(leased), MOST_AHEAD)
+        self.rig.poll(1)
+        self.assertEqual(self.rig.answer().message.request_id, "m0")
+        self.assertEqual(len(self.rig.owner._lanes.find("puller").ahead), MOST_AHEAD - 1)
+
+    def test_after_a_take_over_a_job_leased_ahead_counts_as_handed_out(self) -> None:
+        self.commit(self.propose("m", "/jobs/x"))
+        self.rig.own()
+        self.rig.poll(1, wait_s=60.0)
+        self.rig.advance(PULL_LEASE_S - 0.1)
+        self.assertEqual(self.rig.take_proposed(), [])
+        self.rig.advance(0.2)
+        self.commit(self.rig.take_proposed())
+        self.assertEqual(self.rig.answer().message.request_id, "m")
+
+    def test_a_job_leased_ahead_whose_retention_ends_is_given_to_nobody(self) -> None:
+        self.commit(self.propose("m", "/jobs/x"))
+        self.rig.advance(100.0)
+        self.commit(self.rig.take_proposed())
+        self.assertIs(self.rig.state_of("m"), MessageState.DEAD_LETTER)
+        self.rig.poll(1)
+        self.assertEqual(self.rig.take_sent(AnswerPoll), [])
+        self.assertEqual(self.rig.owner._lanes.find("puller").ahead, set())
 
     def test_a_delayed_message_waits(self) -> None:
         self.assertEqual(len(self.propose("m", delay_ms=1)), 1)
 
     def test_a_message_does_not_overtake_those_that_wait(self) -> None:
-        self.rig.append("first", "/jobs/x")
-        self.rig.take_proposed()
-        self.assertEqual(len(self.propose("m", "/jobs/x")), 1)
+        self.commit(self.propose("first", "/jobs/x"))
+        self.commit(self.propose("m", "/jobs/x"))
+        self.rig.poll(1)
+        self.assertEqual(self.rig.answer().message.request_id, "first")
 
     def test_the_second_of_an_order_key_waits_for_the_first_ones_end(self) -> None:
         first, second = self.propose("m", order_key="k"), self.propose("n", order_key="k")
