--- a/tests/system/test_build.py
+++ b/tests/system/test_build.py
@@ -17,6 +17,7 @@
 REQUIREMENTS = "requirements-system.txt"
 SHELL_TOOLS = ("sh", "cmp", "cp", "mv", "rm")  # all in Debian's essential packages
 PIP = """#!/bin/sh
+case "$*" in *compileall*) echo "$@" >> compiled; exit 0; esac
 echo "$@" >> calls
 [ ! -e pip-fails ] || exit 1
 while [ "$1" != --target ]; do shift; done
@@ -64,6 +65,15 @@
         self.assertIn(f"-r {REQUIREMENTS}", self.calls()[0])
         self.assertTrue((self.folder / "target/deps/library").exists())
 
+    def test_libraries_are_compiled_for_the_level_at_which_the_roles_run(self) -> None:
+        self.build()
+        (compiled,) = (self.folder / "compiled").read_text().splitlines()
+        self.assertEqual("-OO -m compileall -q target/deps", compiled)
+        roles = deploy_file()["roles"]
+        assert isinstance(roles, dict)
+        for role in roles.values():
+            self.assertTrue(role["run"].startswith("python3 -OO -m bitternpath "))
+
     def test_a_second_build_does_nothing(self) -> None:
         self.build()
         self.assertEqual(0, self.build())
