--- a/bitternpath/replication/leadership.py
+++ b/bitternpath/replication/leadership.py
@@ -14,6 +14,7 @@
 BATCH_ENTRIES = 64
 BATCH_BYTES = 256 << 10
 ENTRIES_IN_FLIGHT = 256  # sent to a peer beyond those it has said yes to
+SILENT_HEARTBEATS = 2.5  # without an answer: one heartbeat's answer may come just after the next is due
 
 
 class Leadership(SnapshotTransfer):
@@ -43,7 +44,8 @@
 
     def _choose_eager(self) -> None:
         """A learner is to catch up: it gets all at once, too."""
-        followers = choose_eager(self.members.voters, self.peers, self.eager, self.now)
+        silence = SILENT_HEARTBEATS * self.times.heartbeat
+        followers = choose_eager(self.members.voters, self.peers, self.eager, self.now, silence)
         self.eager = followers.union(self.members.learners).intersection(self.peers)
 
     # ---- rounds
@@ -78,9 +80,10 @@
         for name in asked:
             peer = self.peers[name]
             # A peer that says nothing is only asked where it stands. If what was sent is lost, it says no.
-            silent = peer.last_contact < self.now - self.times.heartbeat
-            if silent and peer.transfer is None:
-                if self._needs_snapshot(peer):  # which snapshot is known when it answers, and where it stands
+            silent = peer.last_contact < self.now - SILENT_HEARTBEATS * self.times.heartbeat
+            lacks_all = self._needs_snapshot(peer)
+            if peer.transfer is None and (silent or (lacks_all and not peer.answered_round)):
+                if lacks_all:  # which snapshot is known when it answers, and where it stands
                     peer.next_index = self.last_index + 1
                 self._send_append(name, peer, ())
             else:
