Links: asked every 2 s at rest, every 0.75 s while an answer is awaited

Change: a link over which nobody awaits an answer is asked after 2 s; a question without an answer ends the link after 1.65 s at the end that has asked, as before (2.4 s of silence less 0.75 s); the other end, which only hears the questions, gives up after 6 s (two questions). Links of the feed are asked as before.

--- a/bitternpath/transport/connections.py
+++ b/bitternpath/transport/connections.py
@@ -25,10 +25,12 @@
 log = logbook.Logger("transport")
 
 LOOK_S = 0.5  # all links are looked at together
-# The end that dialled asks for a sign of life after so long without a byte one way or the other; a pair of
-# nodes costs two records in `LOOK_S` beyond that. Sooner where the other end counts who is there.
-ASK_AFTER_S, ASK_SOON_AFTER_S = 0.75, 0.25
-SILENCE_LIMIT_S = 2.4  # without a byte for so long a link is given up: two questions without an answer
+# The end that dialled asks for a sign of life after so long without a byte one way or the other: a system at
+# rest costs two records a link each time. Sooner while an answer is awaited over the link, and much sooner
+# where the other end counts who is there.
+ASK_AFTER_S, ASK_AWAITED_AFTER_S, ASK_SOON_AFTER_S = 2.0, 0.75, 0.25
+ANSWER_LIMIT_S = 1.65  # the end that has asked gives a link up after so long without a byte
+SILENCE_LIMIT_S = 6.0  # the other end, which hears the questions, does so after two of them have not come
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_FIRST_S, RECONNECT_MOST_S = 0.05, 1.0
 USER_TIMEOUT_MS = 2_000  # of the kernel, for bytes that nobody acknowledges
@@ -66,6 +68,7 @@
         self._next_number = 0
         self.ask_after_s = ASK_AFTER_S
         self._heard_at = self._sent_at = 0.0
+        self._asked_at: float | None = None  # the first question since the peer was last heard
         self._outgoing: list[bytes] = []
         self._gone = False
 
@@ -124,7 +127,7 @@
         self.hub.watch()
 
     def dataReceived(self, data: bytes) -> None:
-        self._heard_at = self.hub.reactor.seconds()
+        self._heard_at, self._asked_at = self.hub.reactor.seconds(), None
         try:
             for payload in self._frames.feed(data):
                 self._handle(RECORDS.decode(payload))
@@ -181,12 +184,19 @@
 
         The end that dialled asks; the other one hears the questions.
         """
-        if now - self._heard_at > SILENCE_LIMIT_S:
-            log.info("event=link_silent peer={} seconds={:.2f}", self.peer_name, now - self._heard_at)
+        silent = now - self._heard_at
+        unanswered = 0.0 if self._asked_at is None else now - self._asked_at
+        if silent > SILENCE_LIMIT_S or unanswered > ANSWER_LIMIT_S:
+            log.info("event=link_silent peer={} seconds={:.2f}", self.peer_name, silent)
             self.abort()
-        elif self.dialled and now - min(self._heard_at, self._sent_at) >= self.ask_after_s:
+        elif self.dialled and now - min(self._heard_at, self._sent_at) >= self._ask_after():
+            if self._asked_at is None:
+                self._asked_at = now
             self.send(Ping(0))
 
+    def _ask_after(self) -> float:
+        return min(self.ask_after_s, ASK_AWAITED_AFTER_S) if self._requests else self.ask_after_s
+
 
 class Dialler:
     """Keeps a link to one address for as long as it is wanted."""
