Replica groups: a heartbeat every 0.2 s instead of 0.1 s

Cause: 19 groups of five members at rest cost 760 heartbeats and as many answers a second; under load, the members that get entries with heartbeats had a message and a sync each 0.1 s. Who waits for a majority doesn't wait for them.

Change: 0.2 s; elections as before (0.5 to 1 s without a leader). A follower counts as silent after 1.5 heartbeats, 0.3 s (was 2.5, 0.25 s), so a slow one is replaced as soon as before.

--- a/bitternpath/replication/host.py
+++ b/bitternpath/replication/host.py
@@ -20,7 +20,7 @@
 
 log = logbook.Logger("replication")
 
-SYSTEM_TIMES = Times(election=0.5, heartbeat=0.1)
+SYSTEM_TIMES = Times(election=0.5, heartbeat=0.2)
 TIMER_GRID_SECONDS = 0.02  # timers of groups fall on multiples of this, so that they fire together
 SHORTEST_TIMER_SECONDS = 0.001  # rounding may put a timer just before its alarm: it must not spin
 
--- a/bitternpath/replication/leadership.py
+++ b/bitternpath/replication/leadership.py
@@ -14,7 +14,7 @@
 BATCH_ENTRIES = 64
 BATCH_BYTES = 256 << 10
 ENTRIES_IN_FLIGHT = 256  # sent to a peer beyond those it has said yes to
-SILENT_HEARTBEATS = 2.5  # without an answer: one heartbeat's answer may come just after the next is due
+SILENT_HEARTBEATS = 1.5  # without an answer: seen at the second heartbeat after the last answer
 
 
 class Leadership(SnapshotTransfer):
--- a/bitternpath/roles/storage.py
+++ b/bitternpath/roles/storage.py
@@ -50,7 +50,7 @@
 log = logbook.Logger("storage")
 
 LOOK_S = 0.25  # how often owners look for what no event tells: silence, and members that are fit again
-HEARD_LATELY_S = 0.3
+HEARD_LATELY_S = 0.5  # two heartbeats of a group, and some
 PREFER_AFTER_S = 6.0  # of being fit without a break, before ownership goes back to the preferred member
 PREFER_MOST_S = 300.0  # doubled up to that by each hand-over of a shard: one that comes back was no gain
 SNAPSHOT_SHARE = 0.7  # of the disk: likewise, of all snapshots and the next of the largest one
