--- a/bitternpath/queue/owner.py
+++ b/bitternpath/queue/owner.py
@@ -13,7 +13,7 @@
 from random import Random
 
 from bitternpath.configuration.documents import RoutingTable
-from bitternpath.queue.actions import Action, AskForPolls, ExpirePoll, ProposeCommand
+from bitternpath.queue.actions import Action, ExpirePoll, ProposeCommand
 from bitternpath.queue.backoff import pause_after
 from bitternpath.queue.callbacks import CallbackQueue
 from bitternpath.queue.commands import (
@@ -27,7 +27,8 @@
 )
 from bitternpath.queue.edges import EdgeTable
 from bitternpath.queue.entries import Entry, Lease, provisional_entry
-from bitternpath.queue.lanes import LaneTable, ServiceLane
+from bitternpath.queue.granting import Granting
+from bitternpath.queue.lanes import LaneTable
 from bitternpath.queue.leases import LeaseTable
 from bitternpath.queue.placement import Placement
 from bitternpath.queue.polls import Poll, PollTable
@@ -48,22 +49,12 @@
 from bitternpath.queue.tracked import Phase, Tracked
 from bitternpath.transport.records import AttemptOutcome, Message
 
-PUSH_LEASE_MARGIN_MS = (
-    2_000  # beyond the route's time-out: way to the edge node, choice of a worker, way back
-)
 PULL_LEASE_MARGIN_MS = (
     500  # beyond `visible_ms`: the worker counts from an answer that is later than the grant
 )
 DEFAULT_RETENTION_S = 90.0  # for tombstones while there is no configuration
 UNLIMITED_ATTEMPTS = 2**31 - 1  # for ends of messages whose route is not known here (yet, or any more)
 
-# While jobs wait and no worker that pulls does: workers are asked for at this pause, doubled each time.
-POLLS_ASKED_FIRST_S, POLLS_ASKED_MOST_S = 0.05, 0.2
-
-# Jobs of a service in one shard that are leased before a worker asks, so that it needn't wait for a round of
-# replicas. After a take-over they are taken for handed out, and wait until their leases end.
-MOST_AHEAD = 32
-
 HAND_BACKS_BEFORE_ANOTHER_EDGE = 2  # in a row, not run or without an answer
 
 _IDLE = frozenset({Phase.HELD, Phase.BLOCKED, Phase.WAITING, Phase.READY})
@@ -100,6 +91,9 @@
         self._leases = LeaseTable(
             self._lanes, self._edges, self._polls, self._next_lease_id, self._pull_duration_ms
         )
+        self._granting = Granting(
+            state, self._routes, self._lanes, self._leases, self._emit, self._enter_leased
+        )
         self._timers = TimerQueue()
         self._placement = Placement(state, self._routes, self._lanes, self._timers)
         self._callbacks = CallbackQueue(self._edges, random)
@@ -225,8 +219,7 @@
         if message.request_id in self._tracked or self._state.find(message.request_id) is not None:
             return []
         tracked = Tracked(provisional_entry(message, now), accepted_here=True)
-        lane = self._lane_at_once(now, tracked)
-        command = None if lane is None else self._lease_at_once(now, lane, tracked)
+        command = self._granting.at_once(now, tracked)
         if command is None:
             self._routes.remove(tracked)
             return []
@@ -243,32 +236,6 @@
             self._leases.release(tracked)
             self._routes.remove(tracked)
 
-    def _lane_at_once(self, now: float, tracked: Tracked) -> ServiceLane | None:
-        """The lane of a message that nothing holds back, as far as is known before its append is applied. An
-        earlier one of its order key that is being appended too makes the lease void, as it is applied."""
-        message = tracked.entry.message
-        if message.delay_ms > 0 or (message.order_key and self._state.order_head(message.order_key)):
-            return None
-        self._routes.assign(tracked)
-        lane = None if tracked.route is None else self._lanes.find(tracked.route.service)
-        return lane
-
-    def _lease_at_once(self, now: float, lane: ServiceLane, tracked: Tracked) -> GrantLease | None:
-        """The command that leases a message that is being appended; None where it has to wait."""
-        if lane.ready.first(now) is None and lane.next_grant(now) == now:
-            command = self._leases.grant(now, lane, tracked)
-            if command is not None:
-                return command
-        if not self._may_grant_ahead(lane):
-            return None
-        command = self._leases.grant_ahead(now, lane, tracked)
-        self._ask_for_polls(now, lane)
-        return command
-
-    @staticmethod
-    def _may_grant_ahead(lane: ServiceLane) -> bool:
-        return lane.service.pull_mode and len(lane.ahead) < MOST_AHEAD
-
     def applied(self, now: float, command: Command, result: Result) -> list[Action]:
         """A command has been applied to the state; to be called after each one, before the next."""
         match result:
@@ -396,7 +363,7 @@
     def _finish(self, now: float) -> list[Action]:
         """Grant what can be granted, send call-backs, and hand over the actions."""
         for lane in self._lanes.take_marked():
-            self._grant_ready(now, lane)
+            self._granting.grant_ready(now, lane)
         self._actions.extend(self._callbacks.advance(now))
         proposes = any(isinstance(action, ProposeCommand) for action in self._actions)
         if (command := self._callbacks.confirmation(now, proposes)) is not None:
@@ -404,50 +371,8 @@
         actions, self._actions = self._actions, []
         return actions
 
-    def _grant_ready(self, now: float, lane: ServiceLane) -> None:
-        while (tracked := lane.ready.first(now)) is not None:
-            when = lane.next_grant(now)
-            if when is None:
-                return
-            if when > now:
-                self._lanes.wake_at(when, lane)
-                return
-            if tracked.ahead is not None and lane.service.pull_mode:
-                if not self._hand_out_ahead(now, lane, tracked, tracked.ahead):
-                    return
-                continue
-            self._leases.forget_ahead(tracked)  # the service's workers don't pull any more
-            command = self._leases.grant(now, lane, tracked)
-            if command is None:
-                self._ask_for_polls(now, lane)
-                if tracked.entry.leases_granted or not self._may_grant_ahead(lane):
-                    return  # a worker that had it may still say so: a new lease would refuse its word
-                command = self._leases.grant_ahead(now, lane, tracked)
-            tracked.enter(Phase.GRANTING)
-            self._actions.append(ProposeCommand(command))
-        lane.polls_asked_pause = min(lane.polls_asked_pause, POLLS_ASKED_FIRST_S)
-
-    def _hand_out_ahead(self, now: float, lane: ServiceLane, tracked: Tracked, command: GrantLease) -> bool:
-        """Give a message whose lease is in the log to a worker; False where none waits."""
-        action = self._leases.hand_out_ahead(now, lane, tracked)
-        if action is None:
-            self._ask_for_polls(now, lane)
-            return False
-        self._enter_leased(now, tracked, command.duration_ms)
+    def _emit(self, action: Action) -> None:
         self._actions.append(action)
-        return True
-
-    def _ask_for_polls(self, now: float, lane: ServiceLane) -> None:
-        """Jobs wait for workers that pull, and none waits here: edge nodes may know of some elsewhere."""
-        if not lane.service.pull_mode:
-            return
-        if now >= lane.polls_asked_at + lane.polls_asked_pause:
-            lane.polls_asked_at = now
-            lane.polls_asked_pause = min(
-                2 * lane.polls_asked_pause or POLLS_ASKED_FIRST_S, POLLS_ASKED_MOST_S
-            )
-            self._actions.append(AskForPolls(lane.service.name, max(len(lane.ready), len(lane.ahead), 1)))
-        self._lanes.wake_at(lane.polls_asked_at + lane.polls_asked_pause, lane)
 
     def _next_lease_id(self) -> str:
         self._leases_counted += 1
--- a/bitternpath/roles/shard_runtime.py
+++ b/bitternpath/roles/shard_runtime.py
@@ -31,6 +31,7 @@
 from bitternpath.replication.host import ReplicaHost
 from bitternpath.replication.interfaces import NotOwner
 from bitternpath.roles.edge_links import EdgeLinks
+from bitternpath.roles.waiting_polls import WaitingPolls
 from bitternpath.transport.connections import Link
 from bitternpath.transport.messages import (
     Appended,
@@ -44,7 +45,6 @@
     JobsWaiting,
     NodeDescriptor,
     Ownership,
-    PullAnswer,
     PullCancel,
     PullRequest,
     RefusalReason,
@@ -87,9 +87,7 @@
         self.table: RoutingTable | None = None
         self.slots: dict[str, int] | None = None
         self._has_room = has_room
-        self._polls: dict[int, tuple[Link, int]] = {}
-        self._poll_ids: dict[tuple[Link, int], int] = {}
-        self._last_poll_id = 0
+        self._polls = WaitingPolls()
         self._timer: Any = None
 
     # ---- GroupListener
@@ -115,10 +113,7 @@
         log.info("event=not_owner group={}", self.group)
         self.owner = None
         self._stop_timer()
-        polls, self._polls = self._polls, {}
-        self._poll_ids.clear()
-        for link, number in polls.values():
-            link.send(PullAnswer(number, "", None))
+        self._polls.answer_all()
         self._announce(self.edges.links())
 
     def applied(self, index: int, command: bytes, result: object) -> None:
@@ -162,8 +157,7 @@
         one of those polls would reach nobody.
         """
         now = self.reactor.seconds()
-        for poll_id in [poll_id for poll_id, (other, _) in self._polls.items() if other is link]:
-            self._drop_poll(poll_id)
+        for poll_id in self._polls.drop_link(link):
             if self.owner is not None:
                 self._do(self.owner.cancel_poll(now, poll_id))
         if name and self.owner is not None:
@@ -228,10 +222,7 @@
         if self.owner is None or link.peer is None:
             link.send(Refused(request.number, RefusalReason.NOT_OWNER))
             return
-        self._last_poll_id += 1
-        poll_id = self._last_poll_id
-        self._polls[poll_id] = link, request.number
-        self._poll_ids[link, request.number] = poll_id
+        poll_id = self._polls.add(link, request.number)
         now = self.reactor.seconds()
         self._do(
             self.owner.poll(
@@ -241,10 +232,10 @@
 
     def cancel_pull(self, link: Link, request: PullCancel) -> None:
         """It waits no more. Its request is answered all the same: the link keeps it until then."""
-        poll_id = self._poll_ids.get((link, request.number))
+        poll_id = self._polls.find(link, request.number)
         if poll_id is None:
             return
-        self._answer_poll(poll_id, "", None)
+        self._polls.answer(poll_id)
         if self.owner is not None:
             self._do(self.owner.cancel_poll(self.reactor.seconds(), poll_id))
 
@@ -316,9 +307,9 @@
                 case SendDelivery():
                     self._deliver(action)
                 case AnswerPoll(poll_id, _, lease_id, message):
-                    self._answer_poll(poll_id, lease_id, message)
+                    self._polls.answer(poll_id, lease_id, message)
                 case ExpirePoll(poll_id, _):
-                    self._answer_poll(poll_id, "", None)
+                    self._polls.answer(poll_id)
                 case AskForPolls(service, waiting):
                     self._ask_for_polls(service, waiting)
                 case SendCallback():
@@ -350,13 +341,6 @@
             )
             self._propose(command)
 
-    def _answer_poll(self, poll_id: int, lease_id: str, message: Any) -> None:
-        found = self._polls.get(poll_id)
-        self._drop_poll(poll_id)
-        if found is not None:
-            link, number = found
-            link.send(PullAnswer(number, lease_id, message))
-
     def _call_back(self, action: SendCallback) -> None:
         link = self.edges.link(action.edge)
         if link is not None:
@@ -370,11 +354,6 @@
         for link in asked:
             link.send(JobsWaiting(self.group, service, waiting, len(asked)))
 
-    def _drop_poll(self, poll_id: int) -> None:
-        found = self._polls.pop(poll_id, None)
-        if found is not None:
-            self._poll_ids.pop(found, None)
-
     def _announce(self, links: Iterable[Link]) -> None:
         told = Ownership(self.group, self.epoch, self.owner is not None)
         for link in links:
--- a/tests/system/test_early_leases.py
+++ b/tests/system/test_early_leases.py
@@ -7,7 +7,7 @@
 
 from bitternpath.queue.actions import AnswerPoll, SendDelivery
 from bitternpath.queue.commands import AppendMessage, GrantLease
-from bitternpath.queue.owner import MOST_AHEAD
+from bitternpath.queue.granting import MOST_AHEAD
 from bitternpath.transport.records import Message, MessageState
 from tests.system.test_queue_rig import PULL_LEASE_S, SUCCEEDED, WALL_MS, Rig, changed, request_ids
 
--- a/tests/system/test_queue_owner.py
+++ b/tests/system/test_queue_owner.py
@@ -10,8 +10,8 @@
     GrantLease,
 )
 from bitternpath.queue.edges import MAX_LEASES_PER_EDGE
+from bitternpath.queue.granting import POLLS_ASKED_FIRST_S, POLLS_ASKED_MOST_S
 from bitternpath.queue.leases import PUSH_LEASE_MARGIN_MS
-from bitternpath.queue.owner import POLLS_ASKED_FIRST_S, POLLS_ASKED_MOST_S
 from bitternpath.queue.placement import UNROUTED_GRACE_S
 from bitternpath.queue.ready import LATE_LIMIT_S
 from bitternpath.transport.records import MessageState
--- a/tests/system/test_queue_pulls.py
+++ b/tests/system/test_queue_pulls.py
@@ -13,7 +13,7 @@
 from bitternpath.queue.commands import (
     GrantLease,
 )
-from bitternpath.queue.owner import POLLS_ASKED_FIRST_S
+from bitternpath.queue.granting import POLLS_ASKED_FIRST_S
 from tests.system.test_queue_rig import NOT_RUN, PULL_LEASE_S, SUCCEEDED, Rig
 
 
