Ceilings: over many shards most of a rate is lent where messages wait

Cause: with 19 shards each had 1.48 messages a second of an endpoint's 32, and a burst of 1. An ordered key has one shard, a hot endpoint some 12 keys: 14% of its customer's ordered messages are in shards whose share their keys overload, 5% more than passes (computed for 60 endpoints, 700 keys and the customer's skews, 200 draws). A rate of 2 over 300 shards was no rate at all.

Change: from 8 shards on, where an equal share is below 16 tokens a window, each shard has 0.15 of the rate in equal shares, and the rest is a pool at the owner of the service's home shard. A shard whose messages wait for nothing but a token asks for some (0.15 to 0.4 s between requests); they lapse 0.4 s after that. A lender must have a lease, which counts from when a majority was asked, so that a frozen one lends nothing.

--- a/bitternpath/queue/actions.py
+++ b/bitternpath/queue/actions.py
@@ -48,6 +48,13 @@
     waiting: int
 
 
+class BorrowTokens(Struct, frozen=True):
+    """Ask the home shard of a service with a rate for tokens, for messages that wait here."""
+
+    service: str
+    wanted: int
+
+
 class SendCallback(Struct, frozen=True):
     """Have an edge node tell the client's URL that a message has ended."""
 
@@ -58,4 +65,4 @@
     stamp: str
 
 
-Action = ProposeCommand | SendDelivery | AnswerPoll | ExpirePoll | AskForPolls | SendCallback
+Action = ProposeCommand | SendDelivery | AnswerPoll | ExpirePoll | AskForPolls | BorrowTokens | SendCallback
--- a/bitternpath/queue/ceilings.py
+++ b/bitternpath/queue/ceilings.py
@@ -7,6 +7,15 @@
     shards * (refill * (window_s + SEND_LAG_S) + burst) <= rate * window_s * over + 5.
 
 A bucket starts empty when a shard gets a new owner: its predecessor may just have spent its burst.
+
+Where equal shares are small, a shard whose keys belong to a busy service has too little while others have too
+much. Then each shard has a smaller one, and the rest is a pool: a bucket at the owner of the service's home
+shard, which lends tokens to the shards where messages wait. A lent token lapses `LOAN_S` after it was asked
+for. An owner of the home shard lends only while it surely leads, and for at most `LEND_LAG_S` beside its
+successor, whose pool starts empty. So the pool's tokens arrive within `POOL_LAG_S`, and the bound is
+
+    shards * (refill * (window_s + SEND_LAG_S) + burst)
+        + pool refill * (window_s + POOL_LAG_S) + pool burst <= rate * window_s * over + 5.
 """
 
 from __future__ import annotations
@@ -17,6 +26,14 @@
 EDGE_SEND_LAG_S = 0.5  # an edge node sends within this time of receiving a lease, or hands it back
 GRANT_LAG_S = 0.25  # a lease whose grant takes longer to commit is handed back unsent
 SEND_LAG_S = EDGE_SEND_LAG_S + GRANT_LAG_S
+# A ceiling is pooled over so many shards where an equal share is below so many tokens in a window: chance
+# then loads shards too unevenly. Else equal shares are better: they use nearly all of the rate.
+POOLED_FROM_SHARDS, POOLED_BELOW = 8, 16.0
+BASE_PART = 0.15  # of a pooled service's rate that is shared equally
+LOAN_S = 0.4  # a lent token is spent within this time of being asked for, or lapses
+LEND_LAG_S = 0.5  # a former owner of the home shard may lend for so long beside its successor
+POOL_LAG_S = SEND_LAG_S + LOAN_S + LEND_LAG_S
+_POOL_BURST = 6.0  # tokens, at least where the bound allows it: shards ask ten times a second at most
 _LEAST_BURST = 1.0  # a smaller bucket never holds a whole token
 _ROUNDING = 1e-9  # tokens; keeps sums of small refills from missing a whole token
 
@@ -44,6 +61,41 @@
     return CeilingShare(refill, max(_LEAST_BURST, allowed - refill * span))
 
 
+@dataclass(frozen=True, slots=True)
+class CeilingSplit:
+    """What each shard has for itself, and the pool from which the shards borrow."""
+
+    base: CeilingShare
+    pool: CeilingShare
+
+    @property
+    def is_pooled(self) -> bool:
+        """Whether there is a pool."""
+        return self.pool.refill_per_s > 0.0
+
+
+NO_SHARE = CeilingShare(0.0, 0.0)
+
+
+def split_ceiling(rate_per_s: float, shards: int, window_s: float, over: float) -> CeilingSplit:
+    """Equal shares where they are large, else a part in equal shares and the rest in a pool.
+
+    Where equal shares of a part would take half of what the bound allows, all is in the pool.
+    """
+    allowed = rate_per_s * window_s * over + ALLOWED_EXCESS
+    if shards < POOLED_FROM_SHARDS or allowed / shards >= POOLED_BELOW:
+        return CeilingSplit(ceiling_share(rate_per_s, shards, window_s, over), NO_SHARE)
+    base = CeilingShare(BASE_PART * rate_per_s / shards, _LEAST_BURST)
+    taken = shards * (base.refill_per_s * (window_s + SEND_LAG_S) + base.burst)
+    if taken > allowed / 2:
+        base, taken = NO_SHARE, 0.0
+    span = window_s + POOL_LAG_S
+    left = allowed - taken
+    burst = min(_POOL_BURST, left / 2)
+    refill = min(rate_per_s - shards * base.refill_per_s, (left - burst) / span)
+    return CeilingSplit(base, CeilingShare(refill, left - refill * span))
+
+
 class TokenBucket:
     """Tokens of one service in one shard; empty at first."""
 
@@ -67,6 +119,17 @@
         """Take a token that `ready` has found."""
         self._tokens -= 1.0
 
+    def tokens(self, now: float) -> int:
+        """How many whole tokens are there."""
+        self._refill(now)
+        return int(self._tokens + _ROUNDING)
+
+    def take(self, now: float, most: int) -> int:
+        """Take tokens, `most` at most; how many."""
+        taken = min(most, self.tokens(now))
+        self._tokens -= taken
+        return taken
+
     def next_ready(self, now: float) -> float | None:
         """When the next token will be there; None where there is no refill."""
         self._refill(now)
--- a/bitternpath/queue/granting.py
+++ b/bitternpath/queue/granting.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Callable
 
-from bitternpath.queue.actions import Action, AskForPolls, ProposeCommand
+from bitternpath.queue.actions import Action, AskForPolls, BorrowTokens, ProposeCommand
 from bitternpath.queue.commands import GrantLease
 from bitternpath.queue.lanes import LaneTable, ServiceLane
 from bitternpath.queue.leases import LeaseTable
+from bitternpath.queue.loans import MOST_BORROWED
 from bitternpath.queue.routes import RouteIndex
 from bitternpath.queue.state import QueueState
 from bitternpath.queue.tracked import Phase, Tracked
@@ -58,10 +59,8 @@
         """Grant what can be granted of one service."""
         while (tracked := lane.ready.first(now)) is not None:
             when = lane.next_grant(now)
-            if when is None:
-                return
-            if when > now:
-                self._lanes.wake_at(when, lane)
+            if when != now:
+                self._wait(now, lane, when)
                 return
             if tracked.ahead is not None and lane.service.pull_mode:
                 granted = self._hand_out_ahead(now, lane, tracked, tracked.ahead)
@@ -71,6 +70,17 @@
                 return
         lane.polls_asked_pause = min(lane.polls_asked_pause, POLLS_ASKED_FIRST_S)
 
+    def _wait(self, now: float, lane: ServiceLane, when: float | None) -> None:
+        """Nothing of a service can be granted now; `when`: but then, or None: after a lease has ended."""
+        if when is not None:
+            self._lanes.wake_at(when, lane)
+        if lane.loan is None or not lane.awaits_token(now):
+            return
+        if now >= lane.loan.ask_at:
+            lane.loan.asked(now)
+            self._emit(BorrowTokens(lane.service.name, min(len(lane.ready), MOST_BORROWED)))
+        self._lanes.wake_at(lane.loan.ask_at, lane)
+
     def _lane_at_once(self, tracked: Tracked) -> ServiceLane | None:
         """The lane of a message that nothing holds back, as far as is known before its append is applied. An
         earlier one of its order key that is being appended too makes the lease void, as it is applied."""
--- a/bitternpath/queue/lanes.py
+++ b/bitternpath/queue/lanes.py
@@ -7,7 +7,8 @@
 
 from bitternpath.configuration.documents import Service
 from bitternpath.queue.backoff import RetryBudget
-from bitternpath.queue.ceilings import CeilingShare, TokenBucket, ceiling_share
+from bitternpath.queue.ceilings import CeilingShare, TokenBucket, split_ceiling
+from bitternpath.queue.loans import Loan
 from bitternpath.queue.ready import ReadyQueue
 
 SLOT_FACTOR = 2.0  # leases out for each slot: a lease also covers the way there and back, and the log
@@ -22,6 +23,7 @@
         self.ready = ReadyQueue()
         self.budget = RetryBudget()
         self.bucket: TokenBucket | None = None
+        self.loan: Loan | None = None  # beside the bucket, where the service's ceiling is pooled
         self.most_out: int | None = None  # by the slots of its listed workers; None: not known
         self.out = 0  # deliveries out; jobs that workers pull are bounded by the workers
         self.wakeup: float | None = None
@@ -31,19 +33,36 @@
 
     def next_grant(self, now: float) -> float | None:
         """When a lease may be granted (`now`: at once); None: only after a lease has ended."""
-        when: float | None = now
-        if not self.service.pull_mode:
-            if self.most_out is not None and self.out >= self.most_out:
-                return None
-            when = self.budget.next_grant(now, self.out)
+        when = self._next_turn(now)
         if when is None or self.bucket is None:
             return when
-        token = self.bucket.next_ready(now)
+        token = self._next_token(now, self.bucket)
         return None if token is None else max(when, token)
 
+    def awaits_token(self, now: float) -> bool:
+        """Whether nothing but a token is wanted, and one may be borrowed."""
+        if self.bucket is None or self.loan is None or self._next_turn(now) != now:
+            return False
+        return self._next_token(now, self.bucket) != now
+
+    def _next_turn(self, now: float) -> float | None:
+        """When a lease may be granted as far as slots and the retry budget go."""
+        if self.service.pull_mode:
+            return now
+        if self.most_out is not None and self.out >= self.most_out:
+            return None
+        return self.budget.next_grant(now, self.out)
+
+    def _next_token(self, now: float, bucket: TokenBucket) -> float | None:
+        if self.loan is not None and self.loan.tokens(now):
+            return now
+        return bucket.next_ready(now)
+
     def granted(self, now: float) -> None:
         """A lease goes out."""
-        if self.bucket is not None:
+        if self.loan is not None and self.loan.tokens(now):
+            self.loan.spend()
+        elif self.bucket is not None:
             self.bucket.spend()
         if not self.service.pull_mode:
             self.budget.granted(now)
@@ -92,13 +111,17 @@
     def _configure_ceiling(self, now: float, lane: ServiceLane) -> None:
         rate = lane.service.rate_per_s
         if rate <= 0:
-            lane.bucket = None
+            lane.bucket = lane.loan = None
             return
-        share = ceiling_share(rate, self._shards, self._window_s, self._over)
+        split = split_ceiling(rate, self._shards, self._window_s, self._over)
         if lane.bucket is None:
-            lane.bucket = self.new_bucket(now, lane.service.name, share)
+            lane.bucket = self.new_bucket(now, lane.service.name, split.base)
         else:
-            lane.bucket.configure(now, share)
+            lane.bucket.configure(now, split.base)
+        if not split.is_pooled:
+            lane.loan = None
+        elif lane.loan is None:
+            lane.loan = Loan()
 
     def new_bucket(self, now: float, service: str, share: CeilingShare) -> TokenBucket:
         """The bucket of a service that this owner has not limited before."""
--- a/bitternpath/queue/owner.py
+++ b/bitternpath/queue/owner.py
@@ -30,6 +30,7 @@
 from bitternpath.queue.granting import Granting
 from bitternpath.queue.lanes import LaneTable
 from bitternpath.queue.leases import LeaseTable
+from bitternpath.queue.loans import TokenPools
 from bitternpath.queue.placement import Placement
 from bitternpath.queue.polls import Poll, PollTable
 from bitternpath.queue.results import (
@@ -85,6 +86,7 @@
         self._tracked: dict[str, Tracked] = {}
         self._routes = RouteIndex()
         self._lanes = LaneTable(shards, bounds.ceiling_window_s, bounds.origin_rate_over)
+        self._pools = TokenPools(shard, shards, bounds.ceiling_window_s, bounds.origin_rate_over)
         self._edges = EdgeTable(zone, random)
         self._polls = PollTable()
         self._pull_duration_ms = bounds.visible_ms + PULL_LEASE_MARGIN_MS
@@ -117,6 +119,7 @@
         if self._routes.table is not None and table.version < self._routes.table.version:
             return []
         self._lanes.configure(now, table.services)
+        self._pools.configure(now, table.services)
         for tracked in self._routes.configure(table):
             if tracked.phase in _IDLE:
                 self._place(now, tracked)
@@ -127,6 +130,19 @@
         self._lanes.set_capacities(slots)
         return self._finish(now)
 
+    def lend_tokens(self, now: float, service: str, wanted: int) -> int:
+        """Tokens for another shard, or this one, of a service whose home is here. The caller knows that this
+        owner has no successor yet."""
+        return self._pools.lend(now, service, wanted)
+
+    def tokens_lent(self, now: float, service: str, tokens: int, asked_at: float) -> list[Action]:
+        """The answer to `BorrowTokens`, which was handed over at `asked_at`."""
+        lane = self._lanes.find(service)
+        if lane is not None and lane.loan is not None:
+            lane.loan.lent(now, tokens, asked_at)
+            self._lanes.mark(service)
+        return self._finish(now)
+
     def edge_joined(self, now: float, name: str, zone: str) -> list[Action]:
         """An edge node is connected. Of a new life, call `edge_lost` for the old one first."""
         edge = self._edges.find(name)
--- a/bitternpath/queue/sharding.py
+++ b/bitternpath/queue/sharding.py
@@ -17,9 +17,16 @@
 
     The route takes no part, since a route may move to another service while messages of a key wait.
     """
-    if not order_key:
-        return preferred % shards
-    digest = blake2b(order_key.encode("utf-8", "surrogatepass"), digest_size=8).digest()
+    return _shard_by_hash(order_key, shards) if order_key else preferred % shards
+
+
+def home_shard(service: str, shards: int) -> int:
+    """The shard whose owner holds the pool of a service's tokens."""
+    return _shard_by_hash(service, shards)
+
+
+def _shard_by_hash(text: str, shards: int) -> int:
+    digest = blake2b(text.encode("utf-8", "surrogatepass"), digest_size=8).digest()
     return int.from_bytes(digest, "big") % shards
 
 
--- a/bitternpath/replication/host.py
+++ b/bitternpath/replication/host.py
@@ -186,6 +186,12 @@
         found = self.groups.get(group)
         return found is not None and found.has_lease(self._reactor.seconds())
 
+    def surely_leads(self, group: str) -> bool:
+        """Whether this replica owns the group and nobody else can have been elected. Unlike `has_lease` it
+        counts from when a majority was asked, so that it holds for a process that stood still, too."""
+        found = self.groups.get(group)
+        return found is not None and found.is_owner and found.raft.has_lease(self._reactor.seconds())
+
     def epoch(self, group: str) -> int:
         """The highest term that this replica knows; 0 for a group not open here."""
         found = self.groups.get(group)
--- a/bitternpath/replication/leadership.py
+++ b/bitternpath/replication/leadership.py
@@ -14,6 +14,7 @@
 BATCH_ENTRIES = 64
 BATCH_BYTES = 256 << 10
 ENTRIES_IN_FLIGHT = 256  # sent to a peer beyond those it has said yes to
+LEASE_PART = 0.95  # of an election's time, for clocks that differ
 SILENT_HEARTBEATS = 1.5  # without an answer: seen at the second heartbeat after the last answer
 
 
@@ -25,6 +26,8 @@
     def _become_leader(self) -> None:
         self.role, self.leader, self.elected_at = Role.LEADER, self.me, self.now
         self.round = self.confirmed_round = 0
+        self.confirmed_at = float("-inf")
+        self._rounds.clear()
         self.votes.clear()
         self._piece_at = float("inf")
         self.committed_before = self._committed_at_heartbeat = self.commit_index
@@ -76,6 +79,7 @@
         """Ask a majority or more whether this member leads still. A round without an answer is made up for by
         the next heartbeat, which asks all."""
         self.round += 1
+        self._rounds.append((self.round, self.now))
         self._round_wanted = False
         for name in asked:
             peer = self.peers[name]
@@ -195,7 +199,20 @@
         self._commit_upto(_of_majority([peer.match_index for peer in peers] + own_match))
         if self.role is Role.LEADER:
             answered = _of_majority([peer.answered_round for peer in peers] + own_round)
-            self.confirmed_round = max(self.confirmed_round, answered)
+            self._confirm_rounds(max(self.confirmed_round, answered))
+
+    def _confirm_rounds(self, number: int) -> None:
+        self.confirmed_round = number
+        while self._rounds and self._rounds[0][0] <= number:
+            self.confirmed_at = self._rounds.popleft()[1]
+
+    def has_lease(self, now: float) -> bool:
+        """Whether nobody else can have been elected yet: a majority has heard this leader since a round began
+        less than an election's time ago, and gives no vote for so long (T 6.4.1). Leadership that is being
+        passed on has none."""
+        if self.role is not Role.LEADER or self.transfer_target:
+            return False
+        return now < self.confirmed_at + LEASE_PART * self.times.election
 
     def _commit_upto(self, index: int) -> None:
         """Entries of earlier terms only together with one of its own (fig. 8)."""
--- a/bitternpath/replication/member.py
+++ b/bitternpath/replication/member.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections import deque
 from random import Random
 
 from bitternpath.replication.bandwidth import TransferBudget, Unbounded
@@ -44,6 +45,8 @@
         self._round_wanted = False
         # Of a leader; they mean nothing in another role.
         self.round = self.confirmed_round = 0  # the last one begun, and the last one that a majority answered
+        self.confirmed_at = float("-inf")  # when the last confirmed round began
+        self._rounds: deque[tuple[int, float]] = deque()  # begun and not confirmed, and when
         self.first_own_index = 0  # of the first entry that it wrote in its term
         self.elected_at = 0.0
         self.committed_before = 0  # commit index at the last heartbeat but one
--- a/bitternpath/roles/shard_runtime.py
+++ b/bitternpath/roles/shard_runtime.py
@@ -11,14 +11,16 @@
 
 import logbook
 from msgspec.structs import replace
+from twisted.internet.defer import Deferred, succeed
 from twisted.python.failure import Failure
 
 from bitternpath.configuration.documents import RoutingTable
-from bitternpath.configuration.placement import shard_of
+from bitternpath.configuration.placement import shard_group, shard_of
 from bitternpath.queue.actions import (
     Action,
     AnswerPoll,
     AskForPolls,
+    BorrowTokens,
     ExpirePoll,
     ProposeCommand,
     SendCallback,
@@ -27,6 +29,7 @@
 from bitternpath.queue.commands import COMMANDS, AppendMessage, Command
 from bitternpath.queue.owner import OwnerBounds, ShardOwner
 from bitternpath.queue.results import AttemptTaken, Result
+from bitternpath.queue.sharding import home_shard
 from bitternpath.queue.state import QueueState
 from bitternpath.replication.host import ReplicaHost
 from bitternpath.replication.interfaces import NotOwner
@@ -51,6 +54,8 @@
     Refused,
     StateAnswer,
     StateRequest,
+    TokenAnswer,
+    TokenRequest,
     Undecided,
 )
 from bitternpath.transport.records import AttemptOutcome, MessageState
@@ -62,6 +67,13 @@
 PROPOSE_AGAIN_S = 0.1  # an owner that hands over proposes nothing for up to an election's time, and may stay
 
 
+Borrow = Callable[[str, str, int], "Deferred[int]"]
+
+
+def _lent_nothing(group: str, service: str, wanted: int) -> Deferred[int]:
+    return succeed(0)
+
+
 class ShardRuntime:
     """Replica and, at times, owner of one shard. Implements `replication.interfaces.GroupListener`."""
 
@@ -77,7 +89,9 @@
         has_room: Callable[[], bool],
         random: Random,
         wall_ms: Callable[[], int],
+        borrow: Borrow = _lent_nothing,
     ) -> None:
+        """`borrow(group, service, wanted)` fires with the tokens that the owner of another shard lends."""
         self.reactor, self.host, self.group = reactor, host, group
         self.shards, self.zone, self.bounds = shards, zone, bounds
         self.edges, self.random = edges, random
@@ -87,6 +101,7 @@
         self.table: RoutingTable | None = None
         self.slots: dict[str, int] | None = None
         self._has_room = has_room
+        self._borrow_from = borrow
         self._polls = WaitingPolls()
         self._timer: Any = None
 
@@ -239,6 +254,19 @@
         if self.owner is not None:
             self._do(self.owner.cancel_poll(self.reactor.seconds(), poll_id))
 
+    def lend(self, service: str, wanted: int) -> int:
+        """Tokens of a service whose home is this shard; none from an owner that may have a successor."""
+        if self.owner is None or not self.host.surely_leads(self.group):
+            return 0
+        return self.owner.lend_tokens(self.reactor.seconds(), service, wanted)
+
+    def tokens_asked(self, link: Link, request: TokenRequest) -> None:
+        """Another shard wants tokens."""
+        if self.owner is None:
+            link.send(Refused(request.number, RefusalReason.NOT_OWNER))
+        else:
+            link.send(TokenAnswer(request.number, self.lend(request.service, request.wanted)))
+
     def callback_report(self, report: CallbackReport) -> None:
         """How a call-back went."""
         if self.owner is not None:
@@ -312,6 +340,8 @@
                     self._polls.answer(poll_id)
                 case AskForPolls(service, waiting):
                     self._ask_for_polls(service, waiting)
+                case BorrowTokens(service, wanted):
+                    self._borrow(service, wanted)
                 case SendCallback():
                     self._call_back(action)
         self._plan_tick()
@@ -341,6 +371,16 @@
             )
             self._propose(command)
 
+    def _borrow(self, service: str, wanted: int) -> None:
+        owner, asked_at = self.owner, self.reactor.seconds()
+
+        def lent(tokens: int) -> None:
+            if owner is not None and owner is self.owner:
+                self._do(owner.tokens_lent(self.reactor.seconds(), service, tokens, asked_at))
+
+        home = shard_group(home_shard(service, self.shards))
+        self._borrow_from(home, service, wanted).addCallback(lent)
+
     def _call_back(self, action: SendCallback) -> None:
         link = self.edges.link(action.edge)
         if link is not None:
--- a/bitternpath/roles/storage.py
+++ b/bitternpath/roles/storage.py
@@ -15,6 +15,7 @@
 from bitternpath.replication.member_changes import MemberChanges
 from bitternpath.replication.records import Members
 from bitternpath.roles.edge_links import EdgeLinks
+from bitternpath.roles.lenders import Lenders
 from bitternpath.roles.machine import LocalMachine, Machine
 from bitternpath.roles.node_base import NodeBase
 from bitternpath.roles.replica_closing import ReplicaClosing
@@ -45,6 +46,7 @@
     Refused,
     StateRequest,
     StatusRequest,
+    TokenRequest,
 )
 
 log = logbook.Logger("storage")
@@ -77,6 +79,7 @@
         self.stopping = False
         self.changes = MemberChanges(self.host, self._report)
         self.closing = ReplicaClosing(reactor, self.base.hub, self.host, self.placements, self._close)
+        self.lenders = Lenders(reactor, self.base.hub, self.host, self.placements, self.shards)
         self._cache = DocumentWriter(reactor, settings.data_dir / CACHE_NAME, self._disk)
         self._slots: dict[str, int] | None = None
         self._patience: dict[str, float] = {}
@@ -168,6 +171,7 @@
             self._has_room,
             self.base.random,
             self.base.wall_clock.wall_ms,
+            self.lenders.borrow,
         )
         self.shards[placement.group] = shard
         if self.base.feed.table is not None:
@@ -224,6 +228,7 @@
             PullRequest: self._for_shard(ShardRuntime.pull),
             PullCancel: self._for_shard(ShardRuntime.cancel_pull),
             StateRequest: self._for_shard(ShardRuntime.find),
+            TokenRequest: self._for_shard(ShardRuntime.tokens_asked),
             StatusRequest: self._status,
             MembersRequest: self._members_asked,
             GroupReport: lambda link, record: self.closing.reported(record),
--- a/bitternpath/transport/messages.py
+++ b/bitternpath/transport/messages.py
@@ -391,6 +391,22 @@
     known: tuple[NodeDescriptor, ...]  # its view of the system
 
 
+class TokenRequest(Struct, frozen=True):
+    """A shard wants tokens of a service whose home is `group`."""
+
+    number: int
+    group: str
+    service: str
+    wanted: int
+
+
+class TokenAnswer(Struct, frozen=True):
+    """How many it gets; they lapse `ceilings.LOAN_S` after the request went out."""
+
+    number: int
+    tokens: int
+
+
 RECORDS = RecordSet(
     Hello,
     Ping,
@@ -427,6 +443,8 @@
     StatusAnswer,
     GroupReport,
     MembersRequest,
+    TokenRequest,
+    TokenAnswer,
 )
 
 ANSWER_RECORDS = (
@@ -438,4 +456,5 @@
     StateAnswer,
     PullAnswer,
     StatusAnswer,
+    TokenAnswer,
 )
--- /dev/null
+++ b/tests/system/test_lenders.py
@@ -0,0 +1,181 @@
+"""Who is asked for tokens, and what the owner of a home shard says."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from bitternpath.configuration.documents import Configuration, Route, RoutingTable, Service
+from bitternpath.configuration.placement import shard_group
+from bitternpath.queue.ceilings import LOAN_S
+from bitternpath.queue.owner import OwnerBounds
+from bitternpath.queue.sharding import home_shard
+from bitternpath.roles.edge_links import EdgeLinks
+from bitternpath.roles.lenders import Lenders
+from bitternpath.roles.shard_runtime import ShardRuntime
+from bitternpath.transport.connections import LinkLost
+from bitternpath.transport.messages import (
+    GroupPlacement,
+    MemberAddress,
+    RefusalReason,
+    Refused,
+    TokenAnswer,
+    TokenRequest,
+)
+
+SHARDS = 19
+HOME = home_shard("limited", SHARDS)
+GROUP = shard_group(HOME)
+ROUTES = (Route("limited", "a.example", "/limited/", "limited", 1_000),)
+TABLE = RoutingTable(Configuration(5, ROUTES, (Service("limited", rate_per_s=32.0),)))
+MEMBERS = tuple(MemberAddress(f"node-{n}/x", f"node-{n}", f"10.0.0.{n}:1", "north") for n in (1, 2, 3))
+
+
+class FakeLink:
+    """Keeps requests; the test answers."""
+
+    def __init__(self) -> None:
+        self.requests: list[tuple[TokenRequest, Deferred[Any]]] = []
+        self.sent: list[Any] = []
+
+    def request(self, make: Callable[[int], TokenRequest]) -> Deferred[Any]:
+        answer: Deferred[Any] = Deferred()
+        self.requests.append((make(len(self.requests) + 1), answer))
+        return answer
+
+    def send(self, record: Any) -> None:
+        self.sent.append(record)
+
+
+class FakeHub:
+    """Links by address; those dialled are remembered."""
+
+    def __init__(self) -> None:
+        self.links = {member.address: FakeLink() for member in MEMBERS}
+        self.dialled: list[str] = []
+
+    def dial(self, address: str, user: str) -> None:
+        self.dialled.append(address)
+
+    def link_to(self, address: str) -> FakeLink | None:
+        return self.links.get(address)
+
+
+class FakeHost:
+    """What replicas here know."""
+
+    member_id = "node-9/x"
+
+    def __init__(self) -> None:
+        self.known_leader, self.lease = "", True
+
+    def leader(self, group: str) -> str:
+        return self.known_leader
+
+    def surely_leads(self, group: str) -> bool:
+        return self.lease
+
+
+class LendersCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock, self.hub, self.host = Clock(), FakeHub(), FakeHost()
+        self.shards: dict[str, ShardRuntime] = {}
+        placements = {GROUP: GroupPlacement(GROUP, 1, MEMBERS)}
+        self.lenders = Lenders(self.clock, self.hub, self.host, placements, self.shards)  # type: ignore[arg-type]
+
+    def borrow(self) -> list[int]:
+        found: list[int] = []
+        self.lenders.borrow(GROUP, "limited", 4).addCallback(found.append)
+        return found
+
+    def open_requests(self, node: int) -> list[tuple[TokenRequest, Deferred[Any]]]:
+        return self.hub.links[f"10.0.0.{node}:1"].requests
+
+    def test_the_preferred_member_is_asked_and_answers(self) -> None:
+        found = self.borrow()
+        ((request, answer),) = self.open_requests(1)
+        self.assertEqual(request, TokenRequest(1, GROUP, "limited", 4))
+        answer.callback(TokenAnswer(1, 3))
+        self.assertEqual(found, [3])
+
+    def test_a_leader_that_a_replica_here_knows_is_asked(self) -> None:
+        self.host.known_leader = "node-3/x"
+        self.borrow()
+        self.assertEqual(len(self.open_requests(3)), 1)
+
+    def test_another_member_is_asked_after_a_refusal_and_after_a_lost_link(self) -> None:
+        found = self.borrow()
+        self.open_requests(1)[0][1].callback(Refused(1, RefusalReason.NOT_OWNER))
+        found += self.borrow()
+        self.open_requests(2)[0][1].errback(LinkLost())
+        self.borrow()
+        self.assertEqual(len(self.open_requests(3)), 1)
+        self.assertEqual(found, [0])
+
+    def test_another_member_is_asked_where_one_says_nothing(self) -> None:
+        self.borrow()
+        self.clock.advance(LOAN_S / 2)
+        self.borrow()
+        self.assertEqual(len(self.open_requests(1)), 2)
+        self.clock.advance(LOAN_S)
+        self.borrow()
+        self.assertEqual(len(self.open_requests(2)), 1)
+
+    def test_without_a_link_or_a_placement_nothing_is_lent(self) -> None:
+        self.hub.links.clear()
+        self.assertEqual(self.borrow(), [0])
+        self.assertEqual(self.hub.dialled, ["10.0.0.1:1"])
+        found: list[int] = []
+        self.lenders.borrow("shard-99", "limited", 4).addCallback(found.append)
+        self.assertEqual(found, [0])
+
+
+class OwnerCase(unittest.TestCase):
+    """The owner of the home shard."""
+
+    def setUp(self) -> None:
+        self.clock, self.host, self.link = Clock(), FakeHost(), FakeLink()
+        self.clock.advance(100.0)
+        self.runtime = ShardRuntime(
+            self.clock,
+            self.host,  # type: ignore[arg-type]
+            GROUP,
+            SHARDS,
+            "north",
+            OwnerBounds(),
+            EdgeLinks(),
+            lambda: True,
+            Random(1),
+            lambda: 0,
+        )
+        self.runtime.configure(TABLE)
+
+    def ask(self) -> Any:
+        self.runtime.tokens_asked(self.link, TokenRequest(7, GROUP, "limited", 2))  # type: ignore[arg-type]
+        return self.link.sent.pop()
+
+    def test_it_lends_while_it_surely_leads(self) -> None:
+        self.runtime.became_owner(1)
+        self.assertEqual(self.ask(), TokenAnswer(7, 0))  # the pool begins empty
+        self.clock.advance(1.0)
+        self.assertEqual(self.ask(), TokenAnswer(7, 2))
+        self.host.lease = False
+        self.assertEqual(self.ask(), TokenAnswer(7, 0))
+        self.runtime.lost_ownership()
+        self.assertEqual(self.ask(), Refused(7, RefusalReason.NOT_OWNER))
+
+    def test_a_new_owner_begins_with_an_empty_pool(self) -> None:
+        self.runtime.became_owner(1)
+        self.clock.advance(10.0)
+        self.runtime.lost_ownership()
+        self.runtime.became_owner(2)
+        self.assertEqual(self.ask(), TokenAnswer(7, 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/system/test_lending.py
@@ -0,0 +1,284 @@
+"""Ceilings whose tokens are lent: the split, loans, and the bound over many shards with take-overs."""
+
+from __future__ import annotations
+
+import heapq
+import unittest
+from collections.abc import Iterable
+from itertools import count
+from math import ceil
+from random import Random
+from unittest.mock import patch
+
+from bitternpath.configuration.documents import Configuration, Route, RoutingTable, Service
+from bitternpath.queue import loans
+from bitternpath.queue.actions import BorrowTokens, SendDelivery
+from bitternpath.queue.ceilings import (
+    ALLOWED_EXCESS,
+    LEND_LAG_S,
+    LOAN_S,
+    POOL_LAG_S,
+    SEND_LAG_S,
+    CeilingShare,
+    TokenBucket,
+    ceiling_share,
+    split_ceiling,
+)
+from bitternpath.queue.loans import BORROW_FIRST_S, BORROW_MOST_S, MOST_BORROWED, Loan, TokenPools
+from bitternpath.queue.owner import OwnerBounds, ShardOwner
+from bitternpath.queue.sharding import home_shard
+from tests.system.test_queue_rig import SUCCEEDED, Rig
+
+SHARDS, RATE, WINDOW_S, OVER = 19, 32.0, 5.0, 1.1
+ALLOWED = RATE * WINDOW_S * OVER + ALLOWED_EXCESS
+ROUTES = (Route("limited", "a.example", "/limited/", "limited", 1_000),)
+TABLE = RoutingTable(Configuration(5, ROUTES, (Service("limited", rate_per_s=RATE),)))
+STEP_S = 0.02
+
+
+class Splits(unittest.TestCase):
+    def test_base_and_pool_keep_the_bound(self) -> None:
+        for rate in (0.1, 0.5, 2.0, 19.5, 32.0, 400.0):
+            for shards in (1, 2, 3, 7, 12, 19, 40, 300, 2_000):
+                for window_s, over in ((5.0, 1.1), (1.0, 1.0), (10.0, 1.5)):
+                    with self.subTest(rate=rate, shards=shards, window_s=window_s, over=over):
+                        split = split_ceiling(rate, shards, window_s, over)
+                        base, pool = split.base, split.pool
+                        spent = shards * (base.refill_per_s * (window_s + SEND_LAG_S) + base.burst)
+                        lent = pool.refill_per_s * (window_s + POOL_LAG_S) + pool.burst
+                        self.assertLessEqual(spent + lent, rate * window_s * over + ALLOWED_EXCESS + 1e-6)
+                        self.assertLessEqual(shards * base.refill_per_s + pool.refill_per_s, rate + 1e-9)
+
+    def test_a_rate_is_not_lost_over_many_shards(self) -> None:
+        for rate, shards in ((32.0, 19), (32.0, 300), (2.0, 300), (19.5, 2_000)):
+            with self.subTest(rate=rate, shards=shards):
+                split = split_ceiling(rate, shards, WINDOW_S, OVER)
+                self.assertTrue(split.is_pooled)
+                whole = shards * split.base.refill_per_s + split.pool.refill_per_s
+                self.assertGreater(whole, 0.75 * rate)
+
+    def test_few_shards_have_equal_shares_and_nothing_is_lent(self) -> None:
+        for rate, shards in ((19.5, 3), (2.0, 1), (0.5, 7), (32.0, 7), (400.0, 19)):
+            with self.subTest(rate=rate, shards=shards):
+                split = split_ceiling(rate, shards, WINDOW_S, OVER)
+                self.assertFalse(split.is_pooled)
+                self.assertEqual(split.base, ceiling_share(rate, shards, WINDOW_S, OVER))
+
+
+class Loans(unittest.TestCase):
+    def test_tokens_lapse_by_when_they_were_asked_for(self) -> None:
+        loan = Loan()
+        loan.lent(100.3, 3, asked_at=100.0)
+        self.assertEqual(loan.tokens(100.0 + LOAN_S - 0.01), 3)
+        self.assertEqual(loan.tokens(100.0 + LOAN_S), 0)
+        loan.lent(101.0, 5, asked_at=100.5)  # the answer came too late
+        self.assertEqual(loan.tokens(101.0), 0)
+
+    def test_tokens_of_two_requests_lapse_with_those_of_the_earlier_one(self) -> None:
+        loan = Loan()
+        loan.lent(100.1, 3, asked_at=100.0)
+        loan.lent(100.2, 2, asked_at=100.1)
+        self.assertEqual(loan.tokens(100.2), 5)
+        self.assertEqual(loan.tokens(100.0 + LOAN_S), 0)
+
+    def test_pauses_double_while_nothing_is_lent(self) -> None:
+        loan, now, pauses = Loan(), 100.0, []
+        for _ in range(6):
+            loan.asked(now)
+            pauses.append(round(loan.ask_at - now, 6))
+            now = loan.ask_at
+        self.assertEqual(pauses, [0.15, 0.3, 0.4, 0.4, 0.4, 0.4])
+        loan.lent(now, 1, asked_at=now - 0.01)
+        loan.asked(now)
+        self.assertAlmostEqual(loan.ask_at, now + BORROW_FIRST_S)
+        self.assertEqual(pauses[-1], BORROW_MOST_S)
+
+    def test_a_pool_begins_empty_and_lends_what_it_has(self) -> None:
+        home = home_shard("limited", SHARDS)
+        pools = TokenPools(home, SHARDS, WINDOW_S, OVER)
+        pools.configure(100.0, TABLE.services)
+        self.assertEqual(pools.lend(100.0, "limited", 5), 0)
+        pool = split_ceiling(RATE, SHARDS, WINDOW_S, OVER).pool
+        there = int(0.2 * pool.refill_per_s)
+        self.assertEqual(pools.lend(100.2, "limited", 100), ceil(there / 2))
+        self.assertEqual(pools.lend(105.0, "limited", 100), ceil(int(pool.burst) / 2))
+        self.assertEqual(pools.lend(105.0, "limited", 1), 1)
+        self.assertEqual(pools.lend(101.0, "other", 5), 0)
+
+    def test_only_the_home_shard_has_a_pool(self) -> None:
+        for shard in range(SHARDS):
+            pools = TokenPools(shard, SHARDS, WINDOW_S, OVER)
+            pools.configure(100.0, TABLE.services)
+            lent = pools.lend(200.0, "limited", 1)
+            self.assertEqual(lent, int(shard == home_shard("limited", SHARDS)))
+
+
+class ShardRig(Rig):
+    """One shard of many."""
+
+    def __init__(self, shard: int) -> None:
+        self.shard = shard
+        super().__init__(TABLE)
+
+    def own(self, routing: RoutingTable | None = TABLE, edges: Iterable[str] = ("edge-1",)) -> None:
+        self.proposed, self.sent, self.asked = [], [], []
+        self.owner = ShardOwner(self.state, self.shard, SHARDS, "north", OwnerBounds(), Random(self.shard))
+        self.do(self.owner.take_over(self.now, 1 + self.index))
+        for edge in edges:
+            self.do(self.owner.edge_joined(self.now, edge, "north"))
+        self.configure(TABLE)
+
+
+class Shards:
+    """All shards of a service, requests for tokens that take a while, and a home that changes its owner."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = Random(seed)
+        self.rigs = [ShardRig(shard) for shard in range(SHARDS)]
+        self.home = home_shard("limited", SHARDS)
+        self.former: tuple[float, ShardOwner] | None = None  # until when it still lends, and who
+        self.arrivals: list[float] = []
+        self.begun = [0] * SHARDS
+        self.messages = count()
+        self.events: list[tuple[float, int, object]] = []
+        self.order = count()
+
+    def append(self, shard: int, messages: int) -> None:
+        for _ in range(messages):
+            self.rigs[shard].append(f"m{next(self.messages)}", "/limited/x")
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP_S)):
+            now = self.rigs[0].now
+            while self.events and self.events[0][0] <= now:
+                heapq.heappop(self.events)[2]()  # type: ignore[operator]
+            for rig in self.rigs:
+                self._act(rig)
+                rig.advance(STEP_S)
+
+    def take_over(self, shard: int) -> None:
+        """Another owner; a former one of the home lends for a while, as one does that hasn't heard of it."""
+        rig = self.rigs[shard]
+        if shard == self.home:
+            self.former = rig.now + LEND_LAG_S, rig.owner
+        rig.own()
+
+    def _act(self, rig: ShardRig) -> None:
+        for action in rig.take_sent():
+            if isinstance(action, BorrowTokens):
+                self._borrow(rig, action)
+                continue
+            self.begun[rig.shard] += 1
+            self.arrivals.append(rig.now + self.random.uniform(0.0, SEND_LAG_S - 0.25))
+            rig.end(action, SUCCEEDED)
+
+    def _borrow(self, rig: ShardRig, asked: BorrowTokens) -> None:
+        asked_at, owner = rig.now, rig.owner
+
+        def lend() -> None:
+            now, lender = rig.now, self.rigs[self.home].owner
+            if self.former is not None and now < self.former[0] and self.random.random() < 0.7:
+                lender = self.former[1]
+            tokens = lender.lend_tokens(now, asked.service, asked.wanted)
+            self._later(self.random.uniform(0.0, 0.2), lambda: answer(tokens))
+
+        def answer(tokens: int) -> None:
+            if owner is rig.owner:
+                rig.do(owner.tokens_lent(rig.now, asked.service, tokens, asked_at))
+
+        self._later(self.random.uniform(0.0, 0.2), lend)
+
+    def _later(self, seconds: float, call: object) -> None:
+        heapq.heappush(self.events, (self.rigs[0].now + seconds, next(self.order), call))
+
+    def most_in_a_window(self) -> int:
+        arrivals = sorted(self.arrivals)
+        most = first = 0
+        for last, at in enumerate(arrivals):
+            while arrivals[first] <= at - WINDOW_S:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+
+def restless(seed: int) -> int:
+    """The most arrivals in a window, with messages everywhere and take-overs now and then."""
+    shards = Shards(seed)
+    for shard in range(SHARDS):
+        shards.append(shard, 40)
+    for _ in range(8):
+        shards.run(shards.random.uniform(0.5, 4.0))
+        shards.take_over(shards.home if shards.random.random() < 0.6 else shards.random.randrange(SHARDS))
+    return shards.most_in_a_window()
+
+
+def restless_home(seed: int) -> int:
+    """Likewise, with take-overs of the home as fast as elections allow; former owners have no lease."""
+    shards = Shards(seed)
+    for shard in range(SHARDS):
+        shards.append(shard, 40)
+    for _ in range(20):
+        shards.run(0.4)
+        shards.take_over(shards.home)
+        shards.former = None
+    return shards.most_in_a_window()
+
+
+class ManyShards(unittest.TestCase):
+    def test_a_busy_shard_gets_what_the_others_do_not_use(self) -> None:
+        shards = Shards(1)
+        busy = (shards.home + 1) % SHARDS
+        shards.append(busy, 400)
+        shards.run(10.0)
+        equal = 10.0 * ceiling_share(RATE, SHARDS, WINDOW_S, OVER).refill_per_s
+        self.assertGreater(shards.begun[busy], 6 * equal)
+        self.assertLessEqual(shards.most_in_a_window(), ALLOWED)
+
+    def test_busy_shards_share_the_pool(self) -> None:
+        shards = Shards(2)
+        for shard in range(6):
+            shards.append(shard, 200)
+        shards.run(10.0)
+        self.assertGreater(min(shards.begun[:6]), 0.5 * max(shards.begun[:6]))
+        self.assertGreater(sum(shards.begun), 10.0 * 0.6 * RATE)
+
+    def test_the_bound_holds_over_take_overs(self) -> None:
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                self.assertLessEqual(restless(seed), ALLOWED)
+
+    def test_a_shard_that_is_not_short_asks_for_nothing(self) -> None:
+        rig = ShardRig(0)
+        rig.advance(5.0)
+        rig.append("m", "/limited/x")
+        self.assertEqual([type(action) for action in rig.take_sent()], [SendDelivery])
+
+    def test_broken_builds_break_the_bound(self) -> None:
+        begin = TokenBucket.__init__
+
+        def full_at_first(bucket: TokenBucket, share: CeilingShare, now: float) -> None:
+            begin(bucket, share, now - 1_000.0)
+
+        self.assertLessEqual(restless_home(1), ALLOWED)
+        with patch.object(TokenBucket, "__init__", full_at_first):
+            self.assertGreater(restless_home(1), ALLOWED)
+        self.assertLessEqual(hoarded(), ALLOWED)
+        with patch.object(loans, "LOAN_S", 1_000.0):
+            self.assertGreater(hoarded(), ALLOWED)
+
+
+def hoarded() -> int:
+    """The most arrivals in a window where each shard has borrowed and then had nothing to send for long."""
+    shards = Shards(3)
+    for rig in shards.rigs:
+        lane = rig.owner._lanes.find("limited")
+        lane.loan.lent(rig.now, MOST_BORROWED, rig.now)
+    shards.run(2.0)
+    for shard in range(SHARDS):
+        shards.append(shard, 40)
+    shards.run(6.0)
+    return shards.most_in_a_window()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/system/test_old_members.py
+++ b/tests/system/test_old_members.py
@@ -6,6 +6,7 @@
 from unittest.mock import patch
 
 from bitternpath.replication.consensus import Raft
+from bitternpath.replication.host import SYSTEM_TIMES
 from bitternpath.replication.messages import AskVote, Install, Vote
 from bitternpath.replication.records import Kept, Members, Snapshot
 from bitternpath.replication.wire import decode_message
@@ -112,7 +113,7 @@
         host = Host("a")
         host.open(TRIO)
         host.lead()
-        beat = host.run(0.15)  # a heartbeat, whose answers come late
+        beat = host.run(1.5 * SYSTEM_TIMES.heartbeat)  # a heartbeat, whose answers come late
         self.assertTrue(beat)
         host.clock.rightNow += FROZEN_SECONDS  # no timer has run meanwhile
         host.answer("b", beat)
@@ -129,6 +130,34 @@
         with patch.object(Raft, "want_round", lambda self: self.confirmed_round):
             self.assertEqual(self.read_on_waking(), (True, None))
 
+    def test_a_lease_counts_from_when_a_majority_was_asked(self) -> None:
+        host = Host("a")
+        host.open(TRIO)
+        host.lead()
+        host.answer("b", host.run(1.5 * SYSTEM_TIMES.heartbeat))
+        self.assertTrue(host.host.surely_leads("g"))
+        beat = host.run(1.1 * SYSTEM_TIMES.heartbeat)
+        self.assertTrue(beat)
+        host.clock.rightNow += FROZEN_SECONDS
+        host.answer("b", beat)
+        host.turn()
+        self.assertTrue(host.host.has_lease("g"), "by when the answers came")
+        self.assertFalse(host.host.surely_leads("g"))
+
+    def test_a_lease_ends_without_answers_and_with_a_transfer(self) -> None:
+        host = Host("a")
+        host.open(TRIO)
+        host.lead()
+        host.answer("b", host.run(1.5 * SYSTEM_TIMES.heartbeat))
+        host.run(0.8 * SYSTEM_TIMES.election)
+        self.assertFalse(host.host.surely_leads("g"))
+        other = Host("a")
+        other.open(TRIO)
+        other.lead()
+        other.answer("b", other.run(1.5 * SYSTEM_TIMES.heartbeat))
+        self.assertTrue(other.host.hand_over("g", "b"))
+        self.assertFalse(other.host.surely_leads("g"))
+
     def test_a_frozen_owner_in_a_group_reads_nothing_old(self) -> None:
         """The checker holds what a read gives against what was acknowledged before it was asked."""
         for seed in range(FREEZES):
--- a/tests/system/test_queue_campaign.py
+++ b/tests/system/test_queue_campaign.py
@@ -8,7 +8,7 @@
 from msgspec import structs
 
 from bitternpath.queue.actions import Action, ProposeCommand
-from bitternpath.queue.ceilings import CeilingShare, TokenBucket
+from bitternpath.queue.ceilings import CeilingShare, TokenBucket, split_ceiling
 from bitternpath.queue.commands import AppendMessage, Command, EndAttempt, GrantLease
 from bitternpath.queue.entries import Entry
 from bitternpath.queue.lanes import LaneTable
@@ -208,6 +208,13 @@
                 world = World(seed, faults=RESTLESS)
                 self.assertEqual(check_all(world.run(), world.terms), [])
 
+    def test_with_tokens_that_are_lent(self) -> None:
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                world = World(seed, shards=10)
+                self.assertTrue(split_ceiling(2.0, 10, 5.0, 1.1).is_pooled)
+                self.assertEqual(check_all(world.run(), world.terms), [])
+
     def test_without_faults(self) -> None:
         world = World(1, faults=CALM)
         self.assertEqual(check_all(world.run(), world.terms), [])
--- a/tests/system/test_queue_nodes.py
+++ b/tests/system/test_queue_nodes.py
@@ -15,6 +15,7 @@
 from bitternpath.queue.actions import (
     Action,
     AnswerPoll,
+    BorrowTokens,
     ExpirePoll,
     ProposeCommand,
     SendCallback,
@@ -23,6 +24,7 @@
 from bitternpath.queue.commands import COMMANDS, Command
 from bitternpath.queue.owner import OwnerBounds, ShardOwner
 from bitternpath.queue.results import AttemptTaken, Expired, Result
+from bitternpath.queue.sharding import home_shard
 from bitternpath.queue.state import QueueState
 from bitternpath.transport.records import AttemptOutcome
 from tests.system.test_queue_checkers import (
@@ -230,10 +232,29 @@
                     self.world.edge(action.edge).expect_answer(self, action)
                 case ExpirePoll():
                     self.world.polls.pop(action.poll_id, None)
+                case BorrowTokens():
+                    self._borrow(action)
                 case SendCallback():
                     self.world.edge(action.edge).expect_callback(self, action)
         self._set_wakeup()
 
+    def _borrow(self, action: BorrowTokens) -> None:
+        """Ask the home shard for tokens; the call or its answer may be lost or late."""
+        world, epoch, asked_at = self.world, self.epoch, self.world.simulation.now
+
+        def lend() -> None:
+            home = world.shards[home_shard(action.service, world.shards_count)].owner
+            if home is not None and not world.lost():
+                tokens = home.lend_tokens(world.simulation.now, action.service, action.wanted)
+                late = world.random.uniform(0.0, 0.6) if world.lost() else world.network_delay()
+                world.simulation.after(late, lambda: answer(tokens))
+
+        def answer(tokens: int) -> None:
+            if epoch == self.epoch:
+                self.input(lambda owner, now: owner.tokens_lent(now, action.service, tokens, asked_at))
+
+        world.simulation.after(world.network_delay(), lend)
+
     def _set_wakeup(self) -> None:
         now = self.world.simulation.now
         when = None if self.owner is None else self.owner.next_wakeup(now)
