--- a/bitternpath/replication/group.py
+++ b/bitternpath/replication/group.py
@@ -24,10 +24,6 @@
 COMPACTION_SPREAD = 0.25  # the bounds grow by up to this share, so that replicas don't compact together
 ENTRY_OVERHEAD_BYTES = 64  # of an entry besides its data, roughly
 GROWTH = 2  # entries between snapshots may exceed their bound by this where the state is large
-# Commands that come while a batch is on its way to a majority go out together once it is committed: each
-# batch costs a message, a sync and an answer at each follower. For no longer than this after the batch went
-# out, should another command come: a slow batch doesn't hold up those behind it.
-GATHER_S = 0.03
 CAUGHT_UP_ENTRIES = 64  # a learner that lacks no more than these is close to the leader
 
 
@@ -90,7 +86,6 @@
         self._times = times
         self._proposals: list[_Proposal] = []
         self._outstanding: deque[tuple[int, _Proposal]] = deque()  # by index, of this ownership
-        self._gather_until = now
         self._new_barriers: list[_Barrier] = []
         self._barriers: deque[_Barrier] = deque()
         self._applied = kept.snapshot.index
@@ -210,30 +205,23 @@
             self._apply(out)
             self._update_ownership()
             self._answer_barriers()
-            if not self._put_proposals(now) and not self._compact():
+            if not self._compact():
                 break
         effects.messages = without_repeated_answers(effects.messages)
         return effects
 
-    def _put_proposals(self, now: float) -> bool:
-        """Propose what is queued, unless it is to wait for the batch under way; whether anything was put."""
-        if not self._proposals or self._gathers(now):
-            return False
+    def _put_proposals(self, now: float) -> None:
         proposals, self._proposals = self._proposals, []
+        if not proposals:
+            return
         first = None
         if self.is_owner:
             first = self.raft.propose_many(now, [proposal.command for proposal in proposals])
         if first is None:
             for proposal in proposals:
                 proposal.result.errback(NotOwner())
-            return False
-        self._outstanding.extend(enumerate(proposals, first))
-        self._gather_until = now + GATHER_S
-        return True
-
-    def _gathers(self, now: float) -> bool:
-        """Whether commands wait for those before them: for a commit, or until `_gather_until`."""
-        return bool(self._outstanding) and self.is_owner and now < self._gather_until
+        else:
+            self._outstanding.extend(enumerate(proposals, first))
 
     def _put_barriers(self) -> None:
         barriers, self._new_barriers = self._new_barriers, []
