Lenders: members that nobody asks any more aren't dialled

A member that had gone (retired, a lost disk) would have been dialled once a second for ever by each node that had asked it for tokens. Found on reading the change again. Test: seen to fail without the hang-up.

--- a/bitternpath/roles/lenders.py
+++ b/bitternpath/roles/lenders.py
@@ -32,6 +32,7 @@
         self._reactor, self._hub, self._host = reactor, hub, host
         self._placements, self._shards = placements, shards
         self._turns: Counter[str] = Counter()  # by group: which member is asked
+        self._dialled: dict[str, str] = {}  # by group: the address that is asked
         self._unanswered: dict[str, float] = {}  # by group: when the first request without an answer went out
 
     def borrow(self, group: str, service: str, wanted: int) -> Deferred[int]:
@@ -52,9 +53,17 @@
         if member is None or member.member == self._host.member_id:
             self._turns[group] += 1
             return None
-        self._hub.dial(member.address, LENDERS_USER)
+        self._dial(group, member.address)
         return self._hub.link_to(member.address)
 
+    def _dial(self, group: str, address: str) -> None:
+        """Have a link to the member that is asked, and to none that nobody asks any more: it may be gone."""
+        before = self._dialled.get(group, address)
+        self._dialled[group] = address
+        if before not in self._dialled.values():
+            self._hub.hang_up(before, LENDERS_USER)
+        self._hub.dial(address, LENDERS_USER)
+
     def _member(self, group: str) -> MemberAddress | None:
         placement = self._placements.get(group)
         if placement is None or not placement.members:
--- a/tests/system/test_lenders.py
+++ b/tests/system/test_lenders.py
@@ -60,7 +60,11 @@
         self.dialled: list[str] = []
 
     def dial(self, address: str, user: str) -> None:
-        self.dialled.append(address)
+        if address not in self.dialled:
+            self.dialled.append(address)
+
+    def hang_up(self, address: str, user: str) -> None:
+        self.dialled.remove(address)
 
     def link_to(self, address: str) -> FakeLink | None:
         return self.links.get(address)
@@ -126,6 +130,14 @@
         self.borrow()
         self.assertEqual(len(self.open_requests(2)), 1)
 
+    def test_only_members_that_are_asked_stay_dialled(self) -> None:
+        self.borrow()
+        self.borrow()
+        self.assertEqual(self.hub.dialled, ["10.0.0.1:1"])
+        self.open_requests(1)[0][1].callback(Refused(1, RefusalReason.NOT_OWNER))
+        self.borrow()
+        self.assertEqual(self.hub.dialled, ["10.0.0.2:1"])
+
     def test_without_a_link_or_a_placement_nothing_is_lent(self) -> None:
         self.hub.links.clear()
         self.assertEqual(self.borrow(), [0])
