--- a/tests/system/test_build.py
+++ b/tests/system/test_build.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import re
+import shlex
 import shutil
 import subprocess
 import tempfile
@@ -15,7 +16,25 @@
 
 ROOT = Path(__file__).parents[2]
 REQUIREMENTS = "requirements-system.txt"
-SHELL_TOOLS = ("sh", "cmp", "cp", "mv", "rm")  # all in Debian's essential packages
+SHELL_TOOLS = ("sh", "cmp", "cp", "mv", "rm")
+SHELL = "sh"
+SHELL_BUILTINS = frozenset(("test", "trap", "exec"))
+PACKAGE_OF_PROGRAM = {
+    "cmp": "diffutils",
+    "cp": "coreutils",
+    "mv": "coreutils",
+    "rm": "coreutils",
+    "python3": "python3",
+    "sh": "dash",
+}
+PACKAGE_OF_MODULE = {
+    "bitternpath": "",
+    "compileall": "python3",
+    "pip": "python3-pip",
+    "venv": "python3-venv",
+}  # "": ours
+PACKAGES_OF_DOWNLOADS = frozenset(("ca-certificates",))  # of a command that calls pip
+PACKAGES_OF_WHEELS = frozenset(("libgcc-s1",))  # what compiled libraries in target/deps are linked to
 PIP = """#!/bin/sh
 case "$*" in *compileall*) echo "$@" >> compiled; exit 0; esac
 echo "$@" >> calls
@@ -25,9 +44,44 @@
 """
 
 
-def deploy_file() -> dict[str, object]:
-    """`deploy/system.toml`, parsed."""
-    return tomllib.loads((ROOT / "deploy/system.toml").read_text())
+def deploy_file(name: str = "system.toml") -> dict[str, object]:
+    """A file of `deploy/`, parsed."""
+    return tomllib.loads((ROOT / "deploy" / name).read_text())
+
+
+def simple_commands(script: str) -> list[list[str]]:
+    """The words of each simple command of a shell script that uses `&&`, `||`, `;` and parentheses only."""
+    lexer = shlex.shlex(script, posix=True, punctuation_chars="();&|")
+    lexer.whitespace_split = True
+    commands: list[list[str]] = [[]]
+    for token in lexer:
+        if token and set(token) <= set("();&|"):
+            commands.append([])
+        else:
+            commands[-1].append(token)
+    return [command for command in commands if command]
+
+
+def packages_needed(scripts: list[str]) -> set[str]:
+    """The Debian packages of the programs and Python modules that shell scripts start.
+
+    Raises:
+        KeyError: a program or module of which no package is known here.
+    """
+    packages = {PACKAGE_OF_PROGRAM[SHELL]}
+    for words in (command for script in scripts for command in simple_commands(script)):
+        program, *arguments = words[1:] if words[0] == "exec" else words
+        if program in SHELL_BUILTINS:
+            continue
+        if program.startswith(".venv/"):  # made by `python3 -m venv`
+            packages |= PACKAGES_OF_DOWNLOADS if program.endswith("/pip") else set()
+        else:
+            packages.add(PACKAGE_OF_PROGRAM[program])
+        if "-m" in arguments:
+            module = arguments[arguments.index("-m") + 1].partition(".")[0]
+            packages.add(PACKAGE_OF_MODULE[module])
+            packages |= PACKAGES_OF_DOWNLOADS if module == "pip" else set()
+    return packages - {""}
 
 
 class BuildCommandTest(unittest.TestCase):
@@ -115,6 +169,28 @@
         assert isinstance(packages, list)
         self.assertEqual([], [each for each in packages if not re.fullmatch(r"[a-z0-9][a-z0-9.+-]+", each)])
 
+    def test_packages_of_the_system_are_those_of_the_programs_that_build_and_run_start(self) -> None:
+        deployment = deploy_file()
+        roles = deployment["roles"]
+        assert isinstance(roles, dict)
+        scripts = [str(deployment["build"]), *(role["run"] for role in roles.values())]
+        self.assertEqual(sorted(packages_needed(scripts) | PACKAGES_OF_WHEELS), deployment["packages"])
+
+    def test_packages_of_the_balancer_are_those_of_the_programs_that_its_commands_start(self) -> None:
+        deployment = deploy_file("balancer.toml")
+        scripts = [str(deployment[key]) for key in ("build", "run", "sim")]
+        self.assertEqual(sorted(packages_needed(scripts)), deployment["packages"])
+
+    def test_a_program_of_which_no_package_is_known_is_found(self) -> None:
+        for script in (
+            "tar -x && rm a",
+            "(test -d a || install b)",
+            "python3 -m ensurepip",
+            "exec env -i sh",
+        ):
+            with self.subTest(script), self.assertRaises(KeyError):
+                packages_needed([script])
+
     def test_every_requirement_has_one_version(self) -> None:
         lines = (ROOT / REQUIREMENTS).read_text().splitlines()
         named = [line for line in lines if line and not line.startswith("#")]
