fleet: the first lease is renewed by its length, not a second after the request for it

Cause: the request for a first lease plans the next one a second on, as no length is known; the lease that came didn't bring that forward. A lease of a second or less ended before its first renewal, unless a change of the record came first: that is what test_fleet_nodes a_change_and_a_ban met beside load (joined, lost, joined).

--- a/bitternpath/balancer/fleet/lease_holder.py
+++ b/bitternpath/balancer/fleet/lease_holder.py
@@ -210,6 +210,15 @@
         self._renew_at = now + (self.length * RENEWAL_SHARE if self.length else FIRST_RENEWAL_INTERVAL)
         self._answer_by = min(self._answer_by, now + ANSWER_WITHIN)
 
+    def _renew_by(self, at: float) -> None:
+        """Renew at `at` if nothing was planned sooner.
+
+        The request for the first lease was sent before its length was known: the interval after it may be
+        longer than that lease.
+        """
+        if self.connected:
+            self._renew_at = min(self._renew_at, at)
+
     def _report(self) -> None:
         """What was done and is not acknowledged, the oldest process first."""
         for audit_log in [*self.older, self.audit_log][:OLDER_AT_ONCE]:
@@ -249,6 +258,7 @@
             return  # what is released is not in hand any more: ask again
         self.length, self.withheld = lease.length, ""
         self.until = max(self.until, lease.sent + lease.length)
+        self._renew_by(lease.sent + lease.length * RENEWAL_SHARE)
         if joins:
             self.fencing_token = lease.fencing_token
             self._act(now, audit.JOINED)
--- /dev/null
+++ b/tests/test_fleet_lease_renewal.py
@@ -0,0 +1,65 @@
+"""When a node's process renews its lease, by the pure `LeaseHolder`."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from bitternpath.balancer.fleet import messages as m
+from bitternpath.balancer.fleet import plan as p
+from bitternpath.balancer.fleet.lease_holder import RENEWAL_SHARE, LeaseHolder, ProcessIdentity
+
+TOKEN = 7
+
+
+def connected_holder(now: float) -> LeaseHolder:
+    """A holder that has asked its one server for a lease at `now`."""
+    who = ProcessIdentity("n0", "b007", "", (1,))
+    holder = LeaseHolder(who, ["S1"], Random(1), now, lambda: now, lambda plan: "")
+    holder.dial = None
+    holder.up(now, "S1")
+    return holder
+
+
+def requests(holder: LeaseHolder) -> list[m.RenewLease]:
+    """Requests since the last call."""
+    sent, holder.sends = holder.sends, []
+    return [message for message in sent if isinstance(message, m.RenewLease)]
+
+
+def granted(sent: float, length: float) -> m.Lease:
+    """A lease on the empty plan."""
+    return m.Lease(sent, length, TOKEN, 0, p.Plan().digest)
+
+
+@pytest.mark.parametrize("length", [0.4, 1.0, 3.0, 30.0])
+def test_the_first_lease_is_renewed_long_before_it_ends(length: float) -> None:
+    holder = connected_holder(100.0)
+    (first,) = requests(holder)
+    holder.receive(100.0 + length / 10, granted(first.sent, length))
+    assert holder.alarm <= 100.0 + length * RENEWAL_SHARE
+    holder.tick(100.0 + length * RENEWAL_SHARE)
+    (renewal,) = requests(holder)
+    assert renewal.fencing_token == TOKEN
+
+
+@pytest.mark.parametrize("length", [0.4, 1.0, 3.0])
+def test_a_lease_that_became_shorter_is_renewed_by_its_new_length(length: float) -> None:
+    holder = connected_holder(100.0)
+    holder.receive(100.0, granted(100.0, 30.0))
+    holder.tick(101.0)
+    requests(holder)
+    holder.receive(101.1, granted(101.0, length))
+    assert holder.alarm <= 101.0 + length * RENEWAL_SHARE
+
+
+def test_a_lease_that_comes_when_the_connection_is_lost_plans_no_renewal() -> None:
+    holder = connected_holder(100.0)
+    holder.lost(100.1)
+    requests(holder)
+    holder.receive(100.2, granted(100.0, 1.0))
+    dial_at = holder.alarm
+    holder.tick(dial_at)
+    assert not requests(holder)
+    assert dial_at > 100.1
