Simulation: quotas, halves, herds, overlapping losses, stepped clocks, lost packets; coverage

The campaign prints which pairs of faults crossed and which changes of owners, members, bootstrap and retirement a crash fell into.

--- a/bitternpath/cli/campaign.py
+++ b/bitternpath/cli/campaign.py
@@ -10,40 +10,53 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from concurrent.futures import ProcessPoolExecutor, ThreadPoolExecutor
-from typing import Any
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
 
 import click
 
 from bitternpath.cli.lab import needs_lab
 
+if TYPE_CHECKING:
+    from bitternpath.testing.simulation.runs.coverage import Coverage
+
 REPORT_EACH = ("days", "search")  # ways of which each outcome is reported
 DEFAULT_FAULTS = 20
 FAULTS_OF_A_DAY = 5  # with real processes
 CORES_OF_A_DAY = 2  # that a run with real processes keeps busy
 
 
-def _run(seed: int, faults: int) -> tuple[bool, str]:
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What became of one seed; `coverage` where the way counts it."""
+
+    kept: bool
+    summary: str
+    coverage: Coverage | None = None
+
+
+def _run(seed: int, faults: int) -> Outcome:
     from bitternpath.testing.emulator.fleet.campaign import play
 
     outcome = play(seed, faults)
-    return outcome.kept, str(outcome)
+    return Outcome(outcome.kept, str(outcome))
 
 
-def _walk(seed: int, _: int) -> tuple[bool, str]:
+def _walk(seed: int, _: int) -> Outcome:
     from bitternpath.testing.emulator.fleet.random_schedule import walk
 
     broken = walk(seed).broken
-    return not broken, f"seed {seed}: {broken[0] if broken else 'rules kept'}"
+    return Outcome(not broken, f"seed {seed}: {broken[0] if broken else 'rules kept'}")
 
 
-def _day(seed: int, faults: int) -> tuple[bool, str]:
+def _day(seed: int, faults: int) -> Outcome:
     """In a process of its own: a reactor runs once."""
     code = f"import sys; from bitternpath.cli.campaign import one_day; sys.exit(one_day({seed}, {faults}))"
     run = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=False)
-    return run.returncode == 0, f"seed {seed}: {run.stdout.strip() or run.stderr.strip()}"
+    return Outcome(run.returncode == 0, f"seed {seed}: {run.stdout.strip() or run.stderr.strip()}")
 
 
-def _search(number: int, most: int) -> tuple[bool, str]:
+def _search(number: int, most: int) -> Outcome:
     from bitternpath.testing.emulator.fleet.search.explore import search
     from bitternpath.testing.emulator.fleet.search.scopes import SCOPES, begun
 
@@ -51,16 +64,18 @@
     summary = f"{found.broken}, after {'; '.join(found.trail)}" if found.broken else "rules kept"
     coverage = "all" if found.whole else "the first"
     searched = f"{coverage} {found.states} states, {found.moves} moves"
-    return not found.broken, f"{SCOPES[number]}: {summary} in {searched}"
+    return Outcome(not found.broken, f"{SCOPES[number]}: {summary} in {searched}")
 
 
-def _system(seed: int, _: int) -> tuple[bool, str]:
+def _system(seed: int, _: int) -> Outcome:
     """One run of the whole service; a failing one is shrunk and written down."""
     from bitternpath.testing.simulation.runs.single_run import describe, run_seed, shrink_and_save
 
     report = run_seed(seed)
     summary = describe(report)
-    return report.kept, summary if report.kept else f"{summary}\n  shrunk: {shrink_and_save(report)}"
+    if not report.kept:
+        summary = f"{summary}\n  shrunk: {shrink_and_save(report)}"
+    return Outcome(report.kept, summary, report.coverage)
 
 
 def one_day(seed: int, faults: int) -> int:
@@ -83,7 +98,20 @@
     return 0 if result.kept else 1
 
 
-WAYS: dict[str, Callable[[int, int], tuple[bool, str]]] = {
+def _report_coverage(coverages: list[Coverage]) -> None:
+    """Print what all runs together met."""
+    from bitternpath.testing.simulation.runs.coverage import Coverage
+
+    if not coverages:
+        return
+    total = Coverage()
+    for coverage in coverages:
+        total.add(coverage)
+    for line in total.lines():
+        click.echo(line)
+
+
+WAYS: dict[str, Callable[[int, int], Outcome]] = {
     "runs": _run, "walks": _walk, "days": _day, "search": _search, "system": _system,
 }  # fmt: skip
 
@@ -117,22 +145,26 @@
     faults = faults if faults is not None else (FAULTS_OF_A_DAY if way == "days" else DEFAULT_FAULTS)
     cores = jobs or os.cpu_count() or 1
     begun, done, bad, void = time.monotonic(), 0, 0, 0
+    coverages: list[Coverage] = []
     pool: Any = (
         ThreadPoolExecutor(max(cores // CORES_OF_A_DAY, 1)) if way == "days" else ProcessPoolExecutor(cores)
     )
     with pool:
-        outcomes: Iterable[tuple[bool, str]] = pool.map(
+        outcomes: Iterable[Outcome] = pool.map(
             WAYS[way], range(first, first + many), [faults] * many,
             **({} if way in REPORT_EACH else {"chunksize": max(min(many // cores // 4, 50), 1)}),
         )  # fmt: skip
-        for kept, summary in outcomes:
+        for outcome in outcomes:
             done += 1
-            bad += not kept
-            void += "void" in summary
-            if not kept or way in REPORT_EACH:
-                click.echo(summary)
+            bad += not outcome.kept
+            void += "void" in outcome.summary
+            if outcome.coverage is not None:
+                coverages.append(outcome.coverage)
+            if not outcome.kept or way in REPORT_EACH:
+                click.echo(outcome.summary)
             elif done % max(many // 20, 1) == 0:
                 click.echo(f"{done} of {many}, {time.monotonic() - begun:.0f} s")
+    _report_coverage(coverages)
     voids = f", {void} of them void" if void else ""
     click.echo(f"{done} {way}{voids}: {bad} broke a rule or got stuck, {time.monotonic() - begun:.0f} s")
     click.get_current_context().exit(1 if bad else 0)
--- a/bitternpath/testing/simulation/actors/machine_faults.py
+++ b/bitternpath/testing/simulation/actors/machine_faults.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from bitternpath.testing.fault_injection.records import Outage
 from bitternpath.testing.simulation.actors.node_directory import NodeDirectory
 from bitternpath.testing.simulation.checks.history import Disruption, DisruptionKind, SystemHistory
@@ -16,6 +18,7 @@
 GRACE_S = 6.0  # `grace_s`: after a SIGTERM
 RESTART_WITHIN_S = 1.0  # after a process has ended
 SLOW_FACTOR = 20.0
+LOST_SHARE = 0.05  # of packets on lossy links
 SHORTEST_DOWN_S = 0.3
 
 
@@ -26,6 +29,7 @@
         self._world = world
         self._history = history
         self._directory = directory
+        self._lossy: set[str] = set()  # names of machines
         self._plays: dict[FaultKind, Callable[[Fault, str], None]] = {
             FaultKind.KILL: self._kill,
             FaultKind.POWER: self._power,
@@ -43,10 +47,21 @@
             FaultKind.TERM: self._terminate,
             FaultKind.ALL_KILLED: self._kill,
             FaultKind.ALL_POWER: self._power,
+            FaultKind.HERD_KILLED: self._kill,
+            FaultKind.CLOCK_STEP: self._step_clock,
+            FaultKind.LOSSY: self._lose_packets,
         }
 
     def play(self, fault: Fault) -> None:
-        """Inject a fault now."""
+        """Inject a fault now; the later parts of one that comes in steps follow by themselves."""
+        if fault.kind is FaultKind.HALVES:
+            self._cut_into_halves(fault)
+        elif fault.kind is FaultKind.POWER_CHAIN:
+            self._power_chain(fault)
+        else:
+            self._play_at_once(fault)
+
+    def _play_at_once(self, fault: Fault) -> None:
         for planned in fault.nodes or ("",):
             name = self._directory.name(planned) if planned and fault.kind is not FaultKind.ADD else planned
             if planned in fault.wiped:
@@ -65,6 +80,8 @@
         for node in list(self._world.nodes.values()):
             self._world.thaw(node.name)
             self._world.rejoin(node.name)
+            if node.name in self._lossy:
+                self._restore_links(node.name)
             if node.factor != 1.0:
                 self._world.slow(node.name, 1.0)
 
@@ -139,6 +156,45 @@
         self._history.outages.append(Outage(name, self._world.now, self._world.now + until, planned=True))
         self._disrupt(DisruptionKind.LEAVING, name, until)
 
+    def _step_clock(self, fault: Fault, name: str) -> None:
+        self._world.step_clock(name, fault.step_ms)
+        self._note(DisruptionKind.CLOCK, name, 0.0)
+
+    def _lose_packets(self, fault: Fault, name: str) -> None:
+        self._lossy.add(name)
+        for other in self._others(name):
+            self._world.lossy(name, other, LOST_SHARE)
+        self._later(fault.lasts, self._restore_links, name)
+        self._note(DisruptionKind.LOSSY, name, fault.lasts)
+
+    def _restore_links(self, name: str) -> None:
+        self._lossy.discard(name)
+        for other in self._others(name):
+            self._world.lossy(name, other, 0.0)
+
+    def _cut_into_halves(self, fault: Fault) -> None:
+        """Cut `fault.nodes` from the other machines that count; all others reach both halves (NEWS-22)."""
+        half = {self._directory.name(planned) for planned in fault.nodes}
+        counted = [node.name for node in (*self._world.edges(), *self._world.storages()) if node.counted]
+        for name in half:
+            for other in counted:
+                if other not in half:
+                    self._world.cut(name, other)
+                    self._world.at(self._world.now + fault.lasts, self._world.join, name, other)
+        for name in counted:
+            self._note(DisruptionKind.CUT, name, fault.lasts)
+
+    def _power_chain(self, fault: Fault) -> None:
+        """Each machine loses power `gap_s` after the one before, while those before may still be off."""
+        for place, planned in enumerate(fault.nodes):
+            link = msgspec.structs.replace(
+                fault,
+                kind=FaultKind.WIPE if planned in fault.wiped else FaultKind.POWER,
+                nodes=(planned,),
+                wiped=(),
+            )
+            self._world.at(self._world.now + place * fault.gap_s, self._play_at_once, link)
+
     # ---- parts
 
     def _restore_speed(self, name: str) -> None:
--- a/bitternpath/testing/simulation/checks/history.py
+++ b/bitternpath/testing/simulation/checks/history.py
@@ -99,6 +99,8 @@
     CUT = "cut"  # from all or some others, in one direction or both
     SLOWED = "slowed"
     NEW = "new"  # started on an empty machine
+    CLOCK = "clock"  # its time of day was stepped
+    LOSSY = "lossy"  # its links lose packets
 
 
 @dataclass(frozen=True, slots=True)
--- a/bitternpath/testing/simulation/events.py
+++ b/bitternpath/testing/simulation/events.py
@@ -35,6 +35,11 @@
     TERM = "term"
     ALL_KILLED = "all_killed"
     ALL_POWER = "all_power"
+    HALVES = "halves"  # `nodes` are cut off from the other machines that count
+    HERD_KILLED = "herd_killed"  # the processes of `nodes` at the same moment
+    POWER_CHAIN = "power_chain"  # `nodes` lose power one after the other, more than may be lost at one time
+    CLOCK_STEP = "clock_step"  # of the time of day
+    LOSSY = "lossy"  # its links lose packets
 
 
 class Fault(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="fault"):
@@ -46,6 +51,8 @@
     nodes: tuple[str, ...] = ()
     lasts: float = 0.0
     wiped: tuple[str, ...] = ()  # of those that lose power together: these lose their disks too
+    gap_s: float = 0.0  # POWER_CHAIN: between one machine and the next
+    step_ms: int = 0  # CLOCK_STEP
 
 
 class OrderStyle(Enum):
@@ -146,6 +153,7 @@
     storages: int = 3
     tolerated: int = 1  # machines that may be lost at one time
     small_logs: bool = False  # shortened every few entries; the usual sizes are never reached in a short run
+    processor_share: float = 1.0  # of each tenth of a second that a process may run, at full speed
 
 
 class RunPlan(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/bitternpath/testing/simulation/processes.py
+++ b/bitternpath/testing/simulation/processes.py
@@ -19,13 +19,15 @@
 from bitternpath.testing.simulation.file_system import SimulatedFileSystem
 from bitternpath.testing.simulation.group_invariants import GroupInvariantChecker
 from bitternpath.testing.simulation.network import Host, Network
-from bitternpath.testing.simulation.reactor import VirtualReactor
+from bitternpath.testing.simulation.reactor import Suspension, VirtualReactor
+from bitternpath.testing.simulation.scheduler import Scheduler
 from bitternpath.testing.simulation.settings import LogSizes, Place
 
 START_WALL_MS = 1_765_000_000_000  # time of day when a run begins
 RESTART_DELAY_S = 0.4  # after a process that ended by itself
 MIN_SYNC_S = 0.001
 MAX_SYNC_S = 0.005
+QUOTA_PERIOD_S = 0.1  # DEPLOY (NEWS-24): full speed until the share is spent, then nothing for the rest of it
 
 
 class NodeState(Enum):
@@ -78,6 +80,27 @@
     document: dict[str, Any]
     skew_ms: int
     logs: LogSizes
+    processor_share: float = 1.0
+
+
+class ProcessorQuota:
+    """A share of the processor as a quota: a process runs in the first part of each period only.
+
+    The share counts as spent whatever the process does: virtual time doesn't pass while code runs.
+    """
+
+    def __init__(self, scheduler: Scheduler, share: float) -> None:
+        self._scheduler = scheduler
+        self._run_s = QUOTA_PERIOD_S * share
+
+    def apply(self, reactor: VirtualReactor) -> None:
+        """Throttle a process from now until its end; its first period begins now."""
+        if reactor.ended:
+            return
+        reactor.thaw(Suspension.THROTTLED)
+        now = self._scheduler.now
+        self._scheduler.push(now + self._run_s, reactor.freeze, Suspension.THROTTLED)
+        self._scheduler.push(now + QUOTA_PERIOD_S, self.apply, reactor)
 
 
 class SimulatedNode:
@@ -116,6 +139,9 @@
         self._machine: SimulatedEnvironment | None = None
         self._life: RoleLifecycle | None = None
         self._restart_timer: Any = None  # timer
+        self._quota: ProcessorQuota | None = None
+        if setup.processor_share < 1.0:
+            self._quota = ProcessorQuota(network.scheduler, setup.processor_share)
 
     @property
     def process(self) -> Any:
@@ -140,6 +166,8 @@
         self._machine = SimulatedEnvironment(self, reactor, Random(self._random.getrandbits(64)))
         reactor.stopped = self._stopped
         reactor.run(self._build, reactor, self._machine)
+        if self._quota is not None:
+            self._quota.apply(reactor)
         self.document["bootstrap"] = False  # it is true at the first start only
 
     def start_after(self, seconds: float) -> None:
--- a/bitternpath/testing/simulation/reactor.py
+++ b/bitternpath/testing/simulation/reactor.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum
 from typing import Any
 
 from twisted.internet.address import IPv4Address
@@ -27,6 +28,14 @@
 from bitternpath.testing.simulation.interfaces import SimulatedHost
 from bitternpath.testing.simulation.scheduler import Call
 
+
+class Suspension(Enum):
+    """Why no code of a process runs."""
+
+    FROZEN = "frozen"  # a fault
+    THROTTLED = "throttled"  # its processor quota is spent
+
+
 THREAD_SECONDS = 0.002  # that work in another thread takes, where its caller doesn't say
 
 
@@ -152,6 +161,7 @@
         self.scheduler = host.network.scheduler
         self._recorder = host.network.recorder
         self.frozen = self.ended = False
+        self._suspended_by: set[Suspension] = set()
         self.held: list[Call] = []  # timers that fell due while it was frozen
         self.readable: list[Call] = []  # sockets with something to read, likewise
         self.sockets: dict[Any, None] = {}  # ports and connections that are open, in their order
@@ -265,13 +275,15 @@
 
     # ---- state of the process
 
-    def freeze(self) -> None:
-        """Run no code of the process until `thaw`."""
+    def freeze(self, cause: Suspension = Suspension.FROZEN) -> None:
+        """Run no code of the process until `thaw` with the same cause."""
+        self._suspended_by.add(cause)
         self.frozen = True
 
-    def thaw(self) -> None:
-        """Run the process again: timers that fell due first, then unread sockets."""
-        if not self.frozen:
+    def thaw(self, cause: Suspension = Suspension.FROZEN) -> None:
+        """Run the process again unless there is another cause: due timers first, then unread sockets."""
+        self._suspended_by.discard(cause)
+        if not self.frozen or self._suspended_by:
             return
         self.frozen = False
         held = self.held
--- a/bitternpath/testing/simulation/recorder.py
+++ b/bitternpath/testing/simulation/recorder.py
@@ -10,7 +10,9 @@
 from twisted.logger import ILogObserver, LogLevel, globalLogPublisher
 from twisted.python.failure import Failure
 
+from bitternpath.replication.records import Members
 from bitternpath.testing.simulation.scheduler import Scheduler
+from bitternpath.testing.simulation.transitions import Transition, membership_changes
 
 OUTSIDE = "-"  # where no host's code runs
 
@@ -46,6 +48,7 @@
         self.log: list[str] = []
         self.failures: list[HostFailure] = []
         self.ownerships: list[Ownership] = []
+        self.membership_changes: list[Transition] = []  # when they were proposed
         self._checksum = 0
         self._observer = cast("ILogObserver", self._observe)
         self._handlers = _LogHandler(self), _Silence(logbook.INFO if keep_log else logbook.ERROR)
@@ -72,6 +75,11 @@
         self.ownerships.append(Ownership(self._scheduler.now, node, group, epoch, gained))
         self.event("owner" if gained else "not_owner", f"{node} {group} epoch={epoch}")
 
+    def membership_change(self, before: Members, after: Members) -> None:
+        """An owner proposed a membership of its group. Not in the trace: its entry is among the bytes."""
+        now = self._scheduler.now
+        self.membership_changes += [Transition(now, kind) for kind in membership_changes(before, after)]
+
     @property
     def digest(self) -> str:
         """Covers the trace and every byte that arrived, in their order."""
--- /dev/null
+++ b/bitternpath/testing/simulation/runs/coverage.py
@@ -0,0 +1,124 @@
+"""What the faults of runs met: pairs of faults at one time, and changes of the system that a crash fell into.
+
+A campaign adds up the coverage of its runs. What was never met has to be drawn on purpose.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from itertools import combinations_with_replacement
+
+from bitternpath.testing.simulation.checks.history import RetireCall, Retirement, SystemHistory
+from bitternpath.testing.simulation.events import Fault, FaultKind, RunPlan
+from bitternpath.testing.simulation.recorder import Ownership, Recorder
+from bitternpath.testing.simulation.runs.draw import CATCH_UP_S
+from bitternpath.testing.simulation.transitions import Transition, TransitionKind
+
+NEAR_S = 0.3  # a crash at most so long before or after a change falls into it
+CRASH_EVENTS = frozenset(("kill", "power_loss", "wipe", "remove", "exit"))  # of the trace
+
+
+Pair = tuple[FaultKind, FaultKind]
+
+
+@dataclass
+class Coverage:
+    """Counts over runs. Pairs are in the order in which `FaultKind` lists their members."""
+
+    pairs: Counter[Pair] = field(default_factory=Counter)
+    crashes: Counter[TransitionKind] = field(default_factory=Counter)  # that fell into a change
+    transitions: Counter[TransitionKind] = field(default_factory=Counter)
+    runs: int = 0
+
+    def add(self, other: Coverage) -> None:
+        """Add the counts of other runs."""
+        self.pairs += other.pairs
+        self.crashes += other.crashes
+        self.transitions += other.transitions
+        self.runs += other.runs
+
+    def lines(self) -> Iterator[str]:
+        """A report: each kind of fault with those that it crossed and never crossed, each transition."""
+        yield f"coverage of {self.runs} runs"
+        for kind in FaultKind:
+            crossed = {other: self._crossed(kind, other) for other in FaultKind}
+            met = ", ".join(f"{other.value} {count}" for other, count in crossed.items() if count)
+            yield f"  {kind.value} crossed: {met or 'nothing'}"
+            missed = ", ".join(other.value for other, count in crossed.items() if not count)
+            yield f"    never: {missed or '-'}"
+        for transition in TransitionKind:
+            met_by, of = self.crashes[transition], self.transitions[transition]
+            yield f"  {transition.value}: {of}, a crash fell into {met_by}"
+
+    def never_crossed(self) -> list[Pair]:
+        """Pairs of kinds that no run had at one time."""
+        return [pair for pair in combinations_with_replacement(FaultKind, 2) if not self.pairs[pair]]
+
+    def _crossed(self, kind: FaultKind, other: FaultKind) -> int:
+        return self.pairs[_ordered(kind, other)]
+
+
+def coverage_of(plan: RunPlan, recorder: Recorder, history: SystemHistory) -> Coverage:
+    """The coverage of one run, by its plan, what the world recorded and what operators saw."""
+    coverage = Coverage(runs=1)
+    coverage.pairs.update(_crossed_pairs(plan))
+    crashes = [at for at, event in _trace_events(recorder) if event in CRASH_EVENTS]
+    for change in (
+        *_ownership_changes(recorder.ownerships),
+        *recorder.membership_changes,
+        *_retirements(history.retirements),
+    ):
+        coverage.transitions[change.kind] += 1
+        coverage.crashes[change.kind] += any(abs(change.at - crash) <= NEAR_S for crash in crashes)
+    return coverage
+
+
+def _crossed_pairs(plan: RunPlan) -> Iterator[Pair]:
+    faults = [event for event in plan.events if isinstance(event, Fault)]
+    for place, fault in enumerate(faults):
+        for other in faults[place + 1 :]:
+            if other.at <= _until(fault) and fault.at <= _until(other):
+                yield _ordered(fault.kind, other.kind)
+
+
+def _until(fault: Fault) -> float:
+    """When the machines of a fault have caught up."""
+    return fault.at + fault.lasts + fault.gap_s * len(fault.nodes) + CATCH_UP_S
+
+
+def _ordered(kind: FaultKind, other: FaultKind) -> Pair:
+    kinds = list(FaultKind)
+    return (kind, other) if kinds.index(kind) <= kinds.index(other) else (other, kind)
+
+
+def _trace_events(recorder: Recorder) -> Iterator[tuple[float, str]]:
+    for line in recorder.trace:
+        at, event, _ = line.split(" ", 2)
+        yield float(at), event
+
+
+def _ownership_changes(ownerships: Sequence[Ownership]) -> Iterator[Transition]:
+    groups: set[str] = set()
+    for change in ownerships:
+        if not change.gained:
+            yield Transition(change.at, TransitionKind.OWNER_LOST)
+        elif change.group in groups:
+            yield Transition(change.at, TransitionKind.OWNER_GAINED)
+        else:
+            groups.add(change.group)
+            yield Transition(change.at, TransitionKind.BOOTSTRAP)
+
+
+def _retirements(calls: Sequence[Retirement]) -> Iterator[Transition]:
+    """The first call of each kind that succeeded, by machine."""
+    seen: set[tuple[str, TransitionKind]] = set()
+    for call in calls:
+        if call.status != 200 or (call.call is RetireCall.READ and call.state != "done"):
+            continue
+        ordered = call.call is RetireCall.ORDER
+        kind = TransitionKind.RETIREMENT_ORDERED if ordered else TransitionKind.RETIREMENT_DONE
+        if (call.machine, kind) not in seen:
+            seen.add((call.machine, kind))
+            yield Transition(call.ended_at, kind)
--- a/bitternpath/testing/simulation/runs/play.py
+++ b/bitternpath/testing/simulation/runs/play.py
@@ -43,6 +43,7 @@
     WorkerFault,
     WorkerLeaves,
 )
+from bitternpath.testing.simulation.runs.coverage import Coverage, coverage_of
 from bitternpath.testing.simulation.settings import SMALL_LOGS, LogSizes, Plan
 from bitternpath.testing.simulation.world import World
 
@@ -67,6 +68,7 @@
     events: int = 0  # of the world
     accepted: int = 0
     acknowledged: int = 0
+    coverage: Coverage = field(default_factory=Coverage)
 
     @property
     def kept(self) -> bool:
@@ -95,6 +97,7 @@
                 tolerated_machines=layout.tolerated,
                 keep_log=keep_log,
                 logs=SMALL_LOGS if layout.small_logs else LogSizes(),
+                processor_share=layout.processor_share,
             ),
         )
         self.history = SystemHistory()
@@ -109,6 +112,7 @@
             self._judge()
         self._add_internal_violations()
         report = self.report
+        report.coverage = coverage_of(self.plan, self.world.recorder, self.history)
         report.digest = self.world.digest()
         report.seconds = self.world.now
         report.events = self.world.scheduler.played
--- a/bitternpath/testing/simulation/settings.py
+++ b/bitternpath/testing/simulation/settings.py
@@ -45,6 +45,7 @@
     skew_ms: int = 50  # at most, between a machine's time of day and the true one
     keep_log: bool = False
     logs: LogSizes = field(default_factory=LogSizes)
+    processor_share: float = 1.0  # below 1: a quota, see `processes.ProcessorQuota`
     bounds: dict[str, float] = field(default_factory=lambda: dict(BOUNDS))
 
 
--- a/bitternpath/testing/simulation/world.py
+++ b/bitternpath/testing/simulation/world.py
@@ -180,7 +180,7 @@
         random = self.random(place.name)
         document = settings_document(self.plan, place, self.current_seeds(), bootstrap)
         skew_ms = random.randint(-self.plan.skew_ms, self.plan.skew_ms)
-        setup = NodeSetup(place, document, skew_ms, self.plan.logs)
+        setup = NodeSetup(place, document, skew_ms, self.plan.logs, self.plan.processor_share)
         node = SimulatedNode(self.network, self.invariants, setup, random)
         self.nodes[place.name] = node
         return node
