Retirement: an owner in its first seconds refuses nothing for good

Cause: POST /retire is decided by the committed roster and the subscribers. A storage machine that joined just before the configuration's owner was lost is in neither, and the new owner said 409, too few nodes, which an operator doesn't repeat. 404 had the guard of 3 s, 409 hadn't, nor had a proposal that another retirement met.

--- a/bitternpath/roles/retirements.py
+++ b/bitternpath/roles/retirements.py
@@ -79,15 +79,29 @@
         match decision.check:
             case RetireCheck.REPEATED:
                 return OperatorResult(ResultCode.RETIRING, state_body(retirement_state(self._state, node)))
-            case RetireCheck.UNKNOWN_NODE if self._nodes.owned_for() < FOLLOWERS_KNOWN_AFTER_S:
-                return operator_result(ResultCode.NOT_OWNER, "this owner doesn't know all nodes yet")
             case RetireCheck.UNKNOWN_NODE:
-                return operator_result(ResultCode.UNKNOWN_NODE, decision.check.value)
+                return self._refuse(ResultCode.UNKNOWN_NODE, decision.check)
             case _:
-                return operator_result(ResultCode.TOO_FEW_NODES, decision.check.value)
+                return self._refuse(ResultCode.TOO_FEW_NODES, decision.check)
 
     def _accept(self, command: RetireNode) -> Deferred[OperatorResult]:
-        return self._group.propose(COMMANDS.encode(command)).addCallbacks(_accepted, _outcome_unknown)
+        return self._group.propose(COMMANDS.encode(command)).addCallbacks(self._applied, _outcome_unknown)
+
+    def _applied(self, accepted: object) -> OperatorResult:
+        """By the committed state: of two retirements at once, one may leave too few nodes for the other."""
+        if accepted:
+            return OperatorResult(ResultCode.RETIRING, state_body(RetireState.RUNNING))
+        return self._refuse(ResultCode.TOO_FEW_NODES, RetireCheck.TOO_FEW_LEFT)
+
+    def _refuse(self, code: ResultCode, check: RetireCheck) -> OperatorResult:
+        """Refuse for good only what no node that this owner hasn't heard of could make valid.
+
+        An operator doesn't send a call again that ended with 404 or 409. A node that joined just before this
+        node became the owner is neither in the committed state nor subscribed here yet.
+        """
+        if self._nodes.owned_for() < FOLLOWERS_KNOWN_AFTER_S:
+            return operator_result(ResultCode.NOT_OWNER, "this owner doesn't know all nodes yet")
+        return operator_result(code, check.value)
 
     def progress(self, node: str) -> Deferred[OperatorResult]:
         """The progress of a node's retirement; fires with the result for the operator, and never fails."""
@@ -100,13 +114,6 @@
         return OperatorResult(ResultCode.RETIRING, state_body(state))
 
 
-def _accepted(applied: object) -> OperatorResult:
-    """By the committed state: of two retirements at once, one may leave too few nodes for the other."""
-    if applied:
-        return OperatorResult(ResultCode.RETIRING, state_body(RetireState.RUNNING))
-    return operator_result(ResultCode.TOO_FEW_NODES, RetireCheck.TOO_FEW_LEFT.value)
-
-
 def _outcome_unknown(failure: Failure) -> OperatorResult:
     return operator_result(ResultCode.OUTCOME_UNKNOWN, str(failure.value))
 
