Log: role_changed and ownership_lost say their cause

Cause: of a lost ownership the log didn't say whether a majority was silent, another member stood, or the owner had handed over itself. No decision depends on it.

--- a/bitternpath/replication/consensus.py
+++ b/bitternpath/replication/consensus.py
@@ -10,7 +10,8 @@
 `elections`, `leadership` (the leader's side of replication), `follower`, `snapshots`; `member` has the state
 that they share.
 
-The life of a member, by `MemberRole` (`ReplicaHost` logs what a turn changed as `role_changed`, old and new):
+The life of a member, by `MemberRole` (`ReplicaHost` logs what a turn changed as `role_changed`, old, new and
+the `RoleChangeCause`):
 
     FROM            INPUT                                                         TO
     FOLLOWER        election timeout, may stand                                   PRE_CANDIDATE
@@ -63,7 +64,14 @@
     RequestVoteResponse,
     TimeoutNow,
 )
-from bitternpath.replication.records import Entry, EntryKind, MemberRole, Snapshot, StorageWrite
+from bitternpath.replication.records import (
+    Entry,
+    EntryKind,
+    MemberRole,
+    RoleChangeCause,
+    Snapshot,
+    StorageWrite,
+)
 
 _COMMAND_KIND = int(EntryKind.COMMAND)  # an enum member's look-up costs as much as the rest of an append
 
@@ -136,7 +144,7 @@
 
     def _on_response(self, sender: str, response: AppendEntriesResponse | InstallSnapshotResponse) -> None:
         if response.term > self.term:
-            self._become_follower(response.term)
+            self._become_follower(response.term, RoleChangeCause.HIGHER_TERM)
         elif self.role is MemberRole.LEADER and response.term == self.term and sender in self.peers:
             self._on_peer_response(sender, response)
 
--- a/bitternpath/replication/elections.py
+++ b/bitternpath/replication/elections.py
@@ -4,7 +4,7 @@
 
 from bitternpath.replication.member import MemberState
 from bitternpath.replication.messages import RequestVote, RequestVoteResponse
-from bitternpath.replication.records import EntryKind, MemberRole, members_from
+from bitternpath.replication.records import EntryKind, MemberRole, RoleChangeCause, members_from
 
 # Share of the election timeout within which a member stands that has more of the log than a pre-candidate.
 # The time is many times that of a message and a sync.
@@ -60,6 +60,10 @@
         self.votes.clear()
         self.leader = ""
         self.role = MemberRole.PRE_CANDIDATE if pre_vote else MemberRole.CANDIDATE
+        if leadership_transfer:
+            self.role_cause = RoleChangeCause.TRANSFER_RECEIVED
+        else:
+            self.role_cause = RoleChangeCause.ELECTION_TIMEOUT
         term = self.term + 1 if pre_vote else self.term
         request = RequestVote(term, self.log.last_index, self.log.last_term, pre_vote, leadership_transfer)
         # This member's own vote counts like any other: once it is on disk.
@@ -70,7 +74,7 @@
 
     def _on_vote_response(self, sender: str, response: RequestVoteResponse) -> None:
         if response.term > self.term and not (response.pre_vote and response.granted):
-            self._become_follower(response.term)
+            self._become_follower(response.term, RoleChangeCause.HIGHER_TERM)
             return
         requested_term = self.term + 1 if response.pre_vote else self.term
         role = MemberRole.PRE_CANDIDATE if response.pre_vote else MemberRole.CANDIDATE
@@ -96,7 +100,7 @@
             self._on_pre_vote_request(sender, request)
             return
         if request.term > self.term:
-            self._become_follower(request.term)
+            self._become_follower(request.term, RoleChangeCause.HIGHER_TERM)
         granted = (
             request.term == self.term
             and self._is_up_to_date(request)
--- a/bitternpath/replication/follower.py
+++ b/bitternpath/replication/follower.py
@@ -4,7 +4,7 @@
 
 from bitternpath.replication.errors import CommittedEntryConflictError
 from bitternpath.replication.messages import AppendEntries, AppendEntriesResponse
-from bitternpath.replication.records import Entry, MemberRole
+from bitternpath.replication.records import Entry, MemberRole, RoleChangeCause
 from bitternpath.replication.snapshots import SnapshotTransfer
 
 
@@ -18,7 +18,9 @@
             self._messages_awaiting_next_write.append((sender, response))
             return False
         if term > self.term or self.role is not MemberRole.FOLLOWER:
-            self._become_follower(term, sender)
+            higher = term > self.term
+            cause = RoleChangeCause.HIGHER_TERM if higher else RoleChangeCause.LEADER_HEARD
+            self._become_follower(term, cause, sender)
         self.leader = sender
         self.last_contact = self.now
         self._set_election_timer()
--- a/bitternpath/replication/group.py
+++ b/bitternpath/replication/group.py
@@ -23,6 +23,7 @@
     MemberRole,
     Members,
     PersistentState,
+    RoleChangeCause,
     StorageWrite,
 )
 from bitternpath.replication.response_coalescing import coalesce_append_responses
@@ -68,10 +69,11 @@
 
 
 class RoleTransition(NamedTuple):
-    """What a member's role was after the flush before, and what it is now."""
+    """What a member's role was after the flush before, what it is now, and why."""
 
     old: MemberRole
     new: MemberRole
+    cause: RoleChangeCause
 
 
 class MembershipProgress(NamedTuple):
@@ -206,7 +208,7 @@
         if old is new:
             return None
         self._role_seen = new
-        return RoleTransition(old, new)
+        return RoleTransition(old, new, self.raft.role_cause)
 
     # ---- effects
 
@@ -271,16 +273,16 @@
         if owned == self.owned_epoch:
             return
         if self.owned_epoch:
-            self._lose_ownership()
+            self._lose_ownership(self.raft.role_cause)
         self.owned_epoch = owned
         if owned:
             self._listener.became_owner(owned)
 
-    def _lose_ownership(self) -> None:
+    def _lose_ownership(self, cause: RoleChangeCause) -> None:
         self.owned_epoch = 0
         self._proposals.fail_in_flight()
         self._reads.fail_started()
-        self._listener.lost_ownership()
+        self._listener.lost_ownership(cause)
 
     def _compact(self) -> bool:
         """Replace applied entries by a snapshot if due. Returns whether it was."""
@@ -299,4 +301,4 @@
             proposal.result.errback(NotOwnerError())
         self._reads.fail_queued()
         if self.owned_epoch:
-            self._lose_ownership()
+            self._lose_ownership(RoleChangeCause.CLOSED)
--- a/bitternpath/replication/host.py
+++ b/bitternpath/replication/host.py
@@ -313,11 +313,12 @@
         if transition is None:
             return
         log.debug(
-            "event=role_changed group={} term={} old={} new={}",
+            "event=role_changed group={} term={} old={} new={} cause={!r}",
             name,
             group.raft.term,
             transition.old.value,
             transition.new.value,
+            transition.cause.value,
         )
 
     def _notify_watcher(self, name: str, group: ReplicaGroup) -> None:
--- a/bitternpath/replication/interfaces.py
+++ b/bitternpath/replication/interfaces.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from bitternpath.replication.records import PersistentState, StorageWrite
+from bitternpath.replication.records import PersistentState, RoleChangeCause, StorageWrite
 
 SendMessage = Callable[[str, str, bytes], None]
 """Sends an encoded message: group, receiver, body. May lose it; keeps the order of those that it doesn't."""
@@ -68,8 +68,8 @@
     def became_owner(self, epoch: int) -> None:
         """This replica leads and has applied all that was committed before; `epoch` is its term."""
 
-    def lost_ownership(self) -> None:
-        """This replica no longer owns the group (also called on close)."""
+    def lost_ownership(self, cause: RoleChangeCause) -> None:
+        """This replica no longer owns the group (also called on close, with `CLOSED`)."""
 
     def applied(self, index: int, command: bytes, result: object) -> None:
         """A command was applied; on each replica."""
--- a/bitternpath/replication/leadership.py
+++ b/bitternpath/replication/leadership.py
@@ -17,7 +17,7 @@
     TimeoutNow,
 )
 from bitternpath.replication.progress import Progress
-from bitternpath.replication.records import Entry, EntryKind, MemberRole
+from bitternpath.replication.records import Entry, EntryKind, MemberRole, RoleChangeCause
 from bitternpath.replication.replication_targets import choose_replication_targets
 from bitternpath.replication.snapshots import SnapshotTransfer
 
@@ -36,6 +36,7 @@
 
     def _become_leader(self) -> None:
         self.role = MemberRole.LEADER
+        self.role_cause = RoleChangeCause.VOTES
         self.leader = self.member_id
         self.elected_at = self.now
         self.heartbeat_round = 0
@@ -89,7 +90,7 @@
         """Become a follower if no majority responded within an election timeout (T 6.2); whether it did."""
         if self._hears_quorum:
             return False
-        self._become_follower(self.term)
+        self._become_follower(self.term, RoleChangeCause.QUORUM_SILENT)
         return True
 
     @property
@@ -262,7 +263,7 @@
         # A leader that became a learner steps down, too: nobody else would make it a voter again.
         if self.log.members_index <= index and not self.is_voter:
             self._send_commit_index()
-            self._become_follower(self.term)
+            self._become_follower(self.term, RoleChangeCause.NO_VOTER)
 
     def _send_commit_index(self) -> None:
         """Tell the peers the commit index before this leader, no voter any more, steps down (T 4.2.2)."""
--- a/bitternpath/replication/member.py
+++ b/bitternpath/replication/member.py
@@ -19,6 +19,7 @@
     Members,
     PersistentState,
     RaftTiming,
+    RoleChangeCause,
     Snapshot,
     StorageWrite,
 )
@@ -88,6 +89,7 @@
         self.commit_index = state.snapshot.index
         self.last_applied = state.snapshot.index
         self.role = MemberRole.FOLLOWER
+        self.role_cause = RoleChangeCause.STARTED
         self.leader = ""  # "" where none is known
         self.last_contact = now - 2 * self.timing.election_timeout  # of a follower: with its leader
 
@@ -174,11 +176,13 @@
         self.vote = vote
         self.log.changed = True
 
-    def _become_follower(self, term: int, leader: str = "") -> None:
+    def _become_follower(self, term: int, cause: RoleChangeCause, leader: str = "") -> None:
         if term > self.term:
             self._set_term(term, "")
         if self.role is not MemberRole.FOLLOWER:
             self._set_election_timer()
+            transferred = cause is RoleChangeCause.HIGHER_TERM and self.leadership_transfer_target
+            self.role_cause = RoleChangeCause.TRANSFERRED if transferred else cause
         self.role = MemberRole.FOLLOWER
         self.leader = leader
         self.leadership_transfer_target = ""
--- a/bitternpath/replication/records.py
+++ b/bitternpath/replication/records.py
@@ -110,6 +110,21 @@
     LEADER = "leader"
 
 
+class RoleChangeCause(Enum):
+    """Why a member has the role that it has. The values are texts of log events."""
+
+    STARTED = "started"
+    ELECTION_TIMEOUT = "election timeout"  # no leader was heard for so long, or an election failed
+    TRANSFER_RECEIVED = "transfer received"  # the leader asked this member to take over
+    VOTES = "votes"  # of a majority
+    LEADER_HEARD = "leader heard"  # another member leads in this term
+    HIGHER_TERM = "higher term"  # of another member: it stands, or leads already
+    TRANSFERRED = "transferred"  # a higher term, after this leader began to transfer its leadership
+    QUORUM_SILENT = "quorum silent"  # no majority responded within an election timeout
+    NO_VOTER = "no voter any more"  # a membership is committed in which it doesn't vote
+    CLOSED = "closed"  # the process ends, or gives the replica up
+
+
 def members_from(data: bytes) -> Members:
     """Decode the membership that an entry of the kind `EntryKind.MEMBERS` carries."""
     return msgspec.msgpack.decode(data, type=Members)
--- a/bitternpath/roles/configuration_member.py
+++ b/bitternpath/roles/configuration_member.py
@@ -26,7 +26,7 @@
 from bitternpath.net.reactor import NodeReactor
 from bitternpath.replication.host import ReplicaHost
 from bitternpath.replication.reconfiguration import node_of
-from bitternpath.replication.records import Members
+from bitternpath.replication.records import Members, RoleChangeCause
 from bitternpath.roles.bootstrap import MEMBER_LINK_USER, NO_DECISION, BootstrapNotifier, BootstrapState
 from bitternpath.roles.configuration_voters import ConfigurationVoters
 from bitternpath.roles.live_nodes import LiveNodes
@@ -197,9 +197,9 @@
         self.feed.begin(epoch)
         self._endpoint_poller.start()
 
-    def lost_ownership(self) -> None:
+    def lost_ownership(self, cause: RoleChangeCause) -> None:
         """This replica no longer leads the group."""
-        log.info("event=ownership_lost group={}", CONFIGURATION_GROUP)
+        log.info("event=ownership_lost group={} cause={!r}", CONFIGURATION_GROUP, cause.value)
         self._endpoint_poller.stop()
         self.feed.end(self._refusal())
 
--- a/bitternpath/roles/shard_runtime.py
+++ b/bitternpath/roles/shard_runtime.py
@@ -15,6 +15,7 @@
 from bitternpath.queue.owner import OwnedShard, ShardOwner
 from bitternpath.queue.results import Result
 from bitternpath.queue.state import QueueState
+from bitternpath.replication.records import RoleChangeCause
 from bitternpath.roles.pending_polls import PendingPolls
 from bitternpath.roles.shard_context import ShardContext
 from bitternpath.roles.shard_ownership import ShardOwnership
@@ -72,9 +73,9 @@
             ownership.execute(owner.edge_connected(now, node.name, node.zone))
         self._announce_ownership(context.edges.links())
 
-    def lost_ownership(self) -> None:
+    def lost_ownership(self, cause: RoleChangeCause) -> None:
         """This replica no longer leads the group."""
-        log.info("event=ownership_lost group={}", self.group)
+        log.info("event=ownership_lost group={} cause={!r}", self.group, cause.value)
         if self.ownership is not None:
             self.ownership.end()
             self.ownership = None
--- a/bitternpath/testing/simulation/group_invariants.py
+++ b/bitternpath/testing/simulation/group_invariants.py
@@ -11,7 +11,7 @@
 
 from bitternpath.replication.host import ReplicaHost
 from bitternpath.replication.interfaces import GroupListener, StateMachine
-from bitternpath.replication.records import Members
+from bitternpath.replication.records import Members, RoleChangeCause
 from bitternpath.testing.simulation.recorder import Recorder
 
 
@@ -94,9 +94,9 @@
         self._checker.became_owner(self._node, self._group, epoch)
         self._listener.became_owner(epoch)
 
-    def lost_ownership(self) -> None:
+    def lost_ownership(self, cause: RoleChangeCause) -> None:
         self._checker.recorder.ownership(self._node, self._group, self._epoch, False)
-        self._listener.lost_ownership()
+        self._listener.lost_ownership(cause)
 
     def applied(self, index: int, command: bytes, result: object) -> None:
         self._checker.applied(self._node, self._group, index, command)
--- a/bitternpath/testing/simulation/replica_checker.py
+++ b/bitternpath/testing/simulation/replica_checker.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from bitternpath.replication.records import RoleChangeCause
+
 
 class InvariantViolationError(AssertionError):
     """An invariant is violated: the program under test is at fault."""
@@ -104,7 +106,7 @@
         """Report the new owner."""
         self.checker.owns(epoch, self.node, len(self.register.commands))
 
-    def lost_ownership(self) -> None:
+    def lost_ownership(self, cause: RoleChangeCause) -> None:
         """Ignored: only the next owner is checked."""
 
     def applied(self, index: int, command: bytes, result: object) -> None:
--- a/tests/system/replication/scripted_peers.py
+++ b/tests/system/replication/scripted_peers.py
@@ -20,7 +20,7 @@
     RequestVote,
     RequestVoteResponse,
 )
-from bitternpath.replication.records import Members
+from bitternpath.replication.records import Members, RoleChangeCause
 from bitternpath.replication.wire import decode_message, encode_message
 from bitternpath.storage.journal import Journal
 from bitternpath.storage.segments import SegmentLog
@@ -58,7 +58,7 @@
     def became_owner(self, epoch: int) -> None:
         self.seen.append(("owner", epoch))
 
-    def lost_ownership(self) -> None:
+    def lost_ownership(self, cause: RoleChangeCause) -> None:
         self.seen.append(("lost",))
 
     def applied(self, index: int, command: bytes, result: object) -> None:
--- a/tests/system/replication/stateless_machine.py
+++ b/tests/system/replication/stateless_machine.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from bitternpath.replication.records import RoleChangeCause
+
 
 class StatelessMachine:
     """A state machine without a state, and a listener."""
@@ -18,7 +20,7 @@
     def became_owner(self, epoch: int) -> None:
         """Ignored."""
 
-    def lost_ownership(self) -> None:
+    def lost_ownership(self, cause: RoleChangeCause) -> None:
         """Ignored."""
 
     def applied(self, index: int, command: bytes, result: object) -> None:
--- /dev/null
+++ b/tests/system/replication/test_role_change_causes.py
@@ -0,0 +1,114 @@
+"""Why a member changed its role: what `role_changed` and `ownership_lost` say."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+import msgspec
+
+from bitternpath.replication.consensus import Raft
+from bitternpath.replication.messages import (
+    AppendEntries,
+    AppendEntriesResponse,
+    RequestVote,
+    RequestVoteResponse,
+    TimeoutNow,
+)
+from bitternpath.replication.records import (
+    EntryKind,
+    MemberRole,
+    Members,
+    PersistentState,
+    RaftTiming,
+    RoleChangeCause,
+    Snapshot,
+)
+
+TIMING = RaftTiming()
+FOUNDERS = Members(("a", "b", "c"))
+
+
+def complete(member: Raft, now: float) -> None:
+    """Do all writes of a member."""
+    while writes := member.take_effects(now).writes:
+        for write in writes:
+            member.write_completed(now, write.number)
+
+
+class RoleChangeCauses(unittest.TestCase):
+    def setUp(self) -> None:
+        self.member = Raft("a", PersistentState(snapshot=Snapshot(members=FOUNDERS)), Random(1), 0.0)
+        self.now = 0.0
+
+    def elect(self) -> None:
+        self.now = 3 * TIMING.election_timeout
+        self.member.tick(self.now)
+        complete(self.member, self.now)
+        for pre_vote in (True, False):
+            term = self.member.term + pre_vote
+            self.member.receive(self.now, "b", RequestVoteResponse(term, pre_vote, True))
+            complete(self.member, self.now)
+        self.assertIs(self.member.role, MemberRole.LEADER)
+
+    def check(self, role: MemberRole, cause: RoleChangeCause) -> None:
+        self.assertEqual((self.member.role, self.member.role_cause), (role, cause))
+
+    def test_started(self) -> None:
+        self.check(MemberRole.FOLLOWER, RoleChangeCause.STARTED)
+
+    def test_an_election_timeout(self) -> None:
+        self.member.tick(3 * TIMING.election_timeout)
+        self.check(MemberRole.PRE_CANDIDATE, RoleChangeCause.ELECTION_TIMEOUT)
+
+    def test_votes(self) -> None:
+        self.elect()
+        self.check(MemberRole.LEADER, RoleChangeCause.VOTES)
+
+    def test_another_member_leads_in_this_term(self) -> None:
+        self.member.tick(3 * TIMING.election_timeout)
+        self.member.receive(self.now, "b", AppendEntries(self.member.term, 0, 0, (), 0, 1))
+        self.check(MemberRole.FOLLOWER, RoleChangeCause.LEADER_HEARD)
+
+    def test_a_higher_term(self) -> None:
+        self.elect()
+        self.member.receive(self.now, "b", AppendEntries(self.member.term + 1, 0, 0, (), 0, 1))
+        self.check(MemberRole.FOLLOWER, RoleChangeCause.HIGHER_TERM)
+
+    def test_no_majority_responds(self) -> None:
+        self.elect()
+        for _ in range(100):
+            self.now += TIMING.heartbeat_interval
+            self.member.tick(self.now)
+            if self.member.role is MemberRole.FOLLOWER:
+                break
+        self.check(MemberRole.FOLLOWER, RoleChangeCause.QUORUM_SILENT)
+
+    def test_a_transfer_on_both_sides(self) -> None:
+        self.elect()
+        self.assertTrue(self.member.transfer_leadership(self.now, "b"))
+        request = RequestVote(self.member.term + 1, 99, self.member.term, False, True)
+        self.member.receive(self.now, "b", request)
+        self.check(MemberRole.FOLLOWER, RoleChangeCause.TRANSFERRED)
+        self.member.receive(self.now, "b", AppendEntries(self.member.term, 0, 0, (), 0, 1))
+        self.member.receive(self.now, "b", TimeoutNow(self.member.term))
+        self.check(MemberRole.CANDIDATE, RoleChangeCause.TRANSFER_RECEIVED)
+
+    def test_a_leader_that_is_no_voter_any_more(self) -> None:
+        self.elect()
+        self.commit()
+        data = msgspec.msgpack.encode(Members(("b", "c"), ("a",), 1))
+        self.assertIsNotNone(self.member.propose(self.now, EntryKind.MEMBERS, data))
+        self.commit()
+        self.check(MemberRole.FOLLOWER, RoleChangeCause.NO_VOTER)
+
+    def commit(self) -> None:
+        """All peers confirm all entries."""
+        complete(self.member, self.now)
+        for peer in ("b", "c"):
+            response = AppendEntriesResponse(self.member.term, True, self.member.last_index, 1)
+            self.member.receive(self.now, peer, response)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/system/roles/test_quota_borrowing.py
+++ b/tests/system/roles/test_quota_borrowing.py
@@ -16,6 +16,7 @@
 from bitternpath.queue.owner import OwnerSettings
 from bitternpath.queue.rate_limits import QUOTA_LEASE_S
 from bitternpath.queue.sharding import home_shard
+from bitternpath.replication.records import RoleChangeCause
 from bitternpath.roles.edge_links import EdgeLinks
 from bitternpath.roles.quota_borrowing import QuotaBorrower
 from bitternpath.roles.shard_context import ShardContext
@@ -181,13 +182,13 @@
         self.assertEqual(self.request_tokens(), TokenResponse(7, 2))
         self.host.lease = False
         self.assertEqual(self.request_tokens(), TokenResponse(7, 0))
-        self.runtime.lost_ownership()
+        self.runtime.lost_ownership(RoleChangeCause.HIGHER_TERM)
         self.assertEqual(self.request_tokens(), Refused(7, RefusalReason.NOT_OWNER))
 
     def test_a_new_owner_begins_without_tokens(self) -> None:
         self.runtime.became_owner(1)
         self.clock.advance(10.0)
-        self.runtime.lost_ownership()
+        self.runtime.lost_ownership(RoleChangeCause.HIGHER_TERM)
         self.runtime.became_owner(2)
         self.assertEqual(self.request_tokens(), TokenResponse(7, 0))
 
--- a/tests/system/roles/test_shard_runtime.py
+++ b/tests/system/roles/test_shard_runtime.py
@@ -15,6 +15,7 @@
 from bitternpath.queue.commands import COMMANDS, Command, EndAttempt, GrantLease
 from bitternpath.queue.owner import OwnerSettings
 from bitternpath.replication.errors import NotOwnerError, OutcomeUnknownError
+from bitternpath.replication.records import RoleChangeCause
 from bitternpath.roles.edge_links import EdgeLinks
 from bitternpath.roles.shard_context import ShardContext
 from bitternpath.roles.shard_ownership import MAX_EDGES_QUERIED, MIN_EDGES_QUERIED
@@ -227,7 +228,7 @@
         self.append("n")
         self.propose(GrantLease("m", "0-1-1", "edge-1", 1_000, False))
         self.host.transferring = False
-        self.runtime.lost_ownership()
+        self.runtime.lost_ownership(RoleChangeCause.HIGHER_TERM)
         self.runtime.became_owner(2)
         proposals = self.host.proposals
         self.clock.advance(1.0)
@@ -295,7 +296,7 @@
     def test_a_read_barrier_that_passes_after_the_ownership_ended(self) -> None:
         job = self.job()
         self.send(self.requests.extend, ExtendRequest(8, GROUP, "m", job.lease_id))
-        self.runtime.lost_ownership()
+        self.runtime.lost_ownership(RoleChangeCause.HIGHER_TERM)
         self.host.barriers.pop().callback(None)
         self.assertEqual(len(self.link.take(Refused)), 1)
 
--- a/tests/system/storage/state_machines.py
+++ b/tests/system/storage/state_machines.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from bitternpath.replication.records import RoleChangeCause
+
 
 class LastCommands:
     """`replication.interfaces.StateMachine` whose state is the last commands, a fixed number of them."""
@@ -29,6 +31,6 @@
 
     def became_owner(self, epoch: int) -> None: ...
 
-    def lost_ownership(self) -> None: ...
+    def lost_ownership(self, cause: RoleChangeCause) -> None: ...
 
     def applied(self, index: int, command: bytes, result: object) -> None: ...
