Consensus: a leader that is refused sends none of its queued requests; checked in every simulated run

Cause: NEWS-24: a machine that was refused since another used a higher fence orders nothing more with its own. A leader that heard of a higher term in the turn in which it had made requests still sent them with the old term. Change: a member whose term rises drops the leader's requests that wait. RefusedFenceChecker watches all consensus messages of the simulation, by the identity of the disk, so also over restarts.

--- a/bitternpath/replication/member.py
+++ b/bitternpath/replication/member.py
@@ -10,7 +10,7 @@
 
 from bitternpath.replication.bandwidth import TransferBudget, UnlimitedTransferBudget
 from bitternpath.replication.log import ReplicatedLog
-from bitternpath.replication.messages import Message
+from bitternpath.replication.messages import LeaderRequest, Message
 from bitternpath.replication.progress import Progress
 from bitternpath.replication.records import (
     DEFAULT_TIMING,
@@ -179,6 +179,7 @@
     def _become_follower(self, term: int, cause: RoleChangeCause, leader: str = "") -> None:
         if term > self.term:
             self._set_term(term, "")
+            self._drop_leader_requests()
         if self.role is not MemberRole.FOLLOWER:
             self._set_election_timer()
             transferred = cause is RoleChangeCause.HIGHER_TERM and self.leadership_transfer_target
@@ -192,6 +193,17 @@
 
     # ---- outputs
 
+    def _drop_leader_requests(self) -> None:
+        """Send nothing more for a term that is over: its leader has just been told of a higher one.
+
+        Followers would reject it; but an owner that knows that it was replaced orders nothing any more.
+        """
+        self._messages = [
+            (receiver, message)
+            for receiver, message in self._messages
+            if not isinstance(message, LeaderRequest)
+        ]
+
     def _take_writes(self) -> list[StorageWrite]:
         """Give out all changes as writes, and hold the messages that wait for them until they are done.
 
--- a/bitternpath/replication/messages.py
+++ b/bitternpath/replication/messages.py
@@ -81,6 +81,8 @@
     term: int
 
 
+LeaderRequest = AppendEntries | InstallSnapshot | TimeoutNow  # what a leader asks of others in its term
+
 Message = (
     RequestVote
     | RequestVoteResponse
--- a/bitternpath/testing/simulation/group_invariants.py
+++ b/bitternpath/testing/simulation/group_invariants.py
@@ -1,4 +1,5 @@
-"""Invariants of replica groups: at most one owner for each epoch, and no committed entry is lost or changed.
+"""Invariants of replica groups: at most one owner for each epoch, no committed entry is lost or changed, and
+no fence is used again that was refused.
 
 The checker observes what each replica applies, through its `GroupListener`.
 """
@@ -13,6 +14,7 @@
 from bitternpath.replication.interfaces import GroupListener, StateMachine
 from bitternpath.replication.records import Members, RoleChangeCause
 from bitternpath.testing.simulation.recorder import Recorder
+from bitternpath.testing.simulation.refused_fences import RefusedFenceChecker
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +35,9 @@
         self.violations: list[Violation] = []
         self._owners: dict[tuple[str, int], str] = {}
         self._applied: dict[str, dict[int, int]] = {}
+        self._refused_fences = RefusedFenceChecker(
+            lambda text: self._broken("refused fence used again", text)
+        )
 
     def observe(self, node: str, host: ReplicaHost) -> None:
         """Watch the groups that a process will open."""
@@ -42,9 +47,11 @@
             group: str, machine: StateMachine, founders: Members | None, listener: GroupListener
         ) -> None:
             open_group(group, machine, founders, _Listener(self, node, group, listener))
+            self._refused_fences.observe_group(host.member_id, group, host.groups[group])
 
         host.open_group = observed  # type: ignore[method-assign]
         self._observe_membership(host)
+        self._refused_fences.observe(host)
 
     def _observe_membership(self, host: ReplicaHost) -> None:
         change_members = host.change_members
--- /dev/null
+++ b/tests/system/replication/test_refused_terms.py
@@ -0,0 +1,181 @@
+"""A term that was refused in favour of a higher one is never used again (NEWS-24); and the check of it."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Iterator
+from contextlib import contextmanager
+from random import Random
+from typing import Any
+from unittest.mock import patch
+
+import msgspec
+
+from bitternpath.replication.consensus import Raft
+from bitternpath.replication.member import MemberState
+from bitternpath.replication.messages import (
+    AppendEntries,
+    AppendEntriesResponse,
+    InstallSnapshot,
+    LeaderRequest,
+    Message,
+    RequestVote,
+    RequestVoteResponse,
+    TimeoutNow,
+)
+from bitternpath.replication.records import (
+    EntryKind,
+    MemberRole,
+    Members,
+    PersistentState,
+    RaftTiming,
+    RoleChangeCause,
+    Snapshot,
+)
+from bitternpath.testing.fault_injection.records import Kind
+from bitternpath.testing.simulation.events import Fault, FaultKind, RunPlan
+from bitternpath.testing.simulation.events import Message as Sent
+from bitternpath.testing.simulation.refused_fences import RefusedFenceChecker, refusing_term
+from bitternpath.testing.simulation.runs.play import play
+
+FOUNDERS = Members(("a", "b", "c"))
+ELECTED_AT = 3 * RaftTiming().election_timeout
+HIGHER = 9  # a term that another member has
+
+
+def take(member: Raft) -> list[Message]:
+    """Do all writes; the messages that were sent."""
+    messages: list[Message] = []
+    while True:
+        effects = member.take_effects(ELECTED_AT)
+        messages += [message for _, message in effects.messages]
+        if not effects.writes:
+            return messages
+        for write in effects.writes:
+            member.write_completed(ELECTED_AT, write.number)
+
+
+def leader() -> Raft:
+    """A leader that has sent all that it had."""
+    member = Raft("a", PersistentState(snapshot=Snapshot(members=FOUNDERS)), Random(1), 0.0)
+    member.tick(ELECTED_AT)
+    take(member)
+    for pre_vote in (True, False):
+        member.receive(ELECTED_AT, "b", RequestVoteResponse(member.term + pre_vote, pre_vote, True))
+        take(member)
+    assert member.role is MemberRole.LEADER
+    return member
+
+
+class QueuedRequests(unittest.TestCase):
+    """Requests that a leader has made and not sent yet when it is refused, in the same turn."""
+
+    def test_none_is_sent_after_any_message_of_a_higher_term(self) -> None:
+        refusals: list[Message] = [
+            AppendEntriesResponse(HIGHER, False, 0, 1),
+            RequestVoteResponse(HIGHER, False, False),
+            AppendEntries(HIGHER, 0, 0, (), 0, 1),
+            RequestVote(HIGHER, 99, HIGHER - 1, False, True),
+        ]
+        for refusal in refusals:
+            with self.subTest(refusal=type(refusal).__name__):
+                member = leader()
+                self.assertIsNotNone(member.propose(ELECTED_AT, EntryKind.COMMAND, b"x"))
+                member.receive(ELECTED_AT, "b", refusal)
+                self.assertEqual(member.term, HIGHER)
+                self.assertFalse([message for message in take(member) if isinstance(message, LeaderRequest)])
+
+    def test_a_transfer_that_had_begun_isnt_ordered_any_more(self) -> None:
+        member = leader()
+        self.assertTrue(member.transfer_leadership(ELECTED_AT, "b"))
+        member.receive(ELECTED_AT, "c", AppendEntriesResponse(HIGHER, False, 0, 1))
+        self.assertFalse([message for message in take(member) if isinstance(message, TimeoutNow)])
+
+    def test_a_leader_that_is_no_voter_any_more_still_tells_what_is_committed(self) -> None:
+        """It isn't refused: its term goes on without it, and its last word lets the others commit."""
+        member = leader()
+        for peer in "bc":
+            member.receive(ELECTED_AT, peer, AppendEntriesResponse(member.term, True, member.last_index, 1))
+        take(member)
+        members = msgspec.msgpack.encode(Members(("b", "c"), ("a",), 1))
+        self.assertIsNotNone(member.propose(ELECTED_AT, EntryKind.MEMBERS, members))
+        take(member)
+        for peer in "bc":
+            member.receive(ELECTED_AT, peer, AppendEntriesResponse(member.term, True, member.last_index, 1))
+        self.assertIs(member.role, MemberRole.FOLLOWER)
+        self.assertTrue([message for message in take(member) if isinstance(message, AppendEntries)])
+
+
+class Checker(unittest.TestCase):
+    """What `RefusedFenceChecker` says."""
+
+    def setUp(self) -> None:
+        self.found: list[str] = []
+        self.checker = RefusedFenceChecker(self.found.append)
+
+    def test_a_request_of_a_refused_term_is_found(self) -> None:
+        requests: list[Message] = [
+            AppendEntries(4, 0, 0, (), 0, 1),
+            InstallSnapshot(4, 1, 1, FOUNDERS, 0, b"", 0, True, 1),
+            TimeoutNow(4),
+        ]
+        for request in requests:
+            self.checker.sent("a/1", "queue-0", request)
+        self.assertEqual(self.found, [])
+        self.checker.received("a/1", "queue-0", AppendEntriesResponse(5, False, 0, 1))
+        for request in requests:
+            self.checker.sent("a/1", "queue-0", request)
+        self.assertEqual(len(self.found), len(requests))
+
+    def test_other_members_groups_and_terms_arent_concerned(self) -> None:
+        self.checker.received("a/1", "queue-0", AppendEntriesResponse(5, False, 0, 1))
+        for member, group, term in (("b/1", "queue-0", 4), ("a/1", "queue-1", 4), ("a/1", "queue-0", 5)):
+            self.checker.sent(member, group, AppendEntries(term, 0, 0, (), 0, 1))
+        self.assertEqual(self.found, [])
+
+    def test_a_pre_vote_refuses_nothing(self) -> None:
+        self.assertEqual(refusing_term(RequestVoteResponse(7, True, True)), 0)
+        self.assertEqual(refusing_term(RequestVote(7, 0, 0, False)), 0)
+        self.assertEqual(refusing_term(RequestVoteResponse(7, True, False)), 7)
+
+
+def owners_hand_over_in_turn() -> RunPlan:
+    """Each storage machine is asked to end, so that it transfers its shards; messages come meanwhile."""
+    faults = [
+        Fault(number=number, at=8.0 * number - 6.0, kind=FaultKind.TERM, nodes=(f"s{number}",))
+        for number in (1, 2, 3)
+    ]
+    messages = [Sent(number=100 + number, at=0.1 * number, kind=Kind.LISTED) for number in range(120)]
+    return RunPlan(seed=3, scenario="named", seconds=24.0, events=(*faults, *messages))
+
+
+@contextmanager
+def keeps_its_term() -> Iterator[None]:
+    """A leader that hears of a higher term leads on in its own."""
+    become_follower = MemberState._become_follower
+
+    def leads_on(member: Any, term: int, cause: RoleChangeCause, leader: str = "") -> None:
+        if member.role is not MemberRole.LEADER or cause is not RoleChangeCause.HIGHER_TERM:
+            become_follower(member, term, cause, leader)
+
+    with patch.object(MemberState, "_become_follower", leads_on):
+        yield
+
+
+class WholeService(unittest.TestCase):
+    """The check in the whole service."""
+
+    longest_test_s = 12
+
+    def test_a_build_that_keeps_a_refused_term_is_caught(self) -> None:
+        with keeps_its_term():
+            report = play(owners_hand_over_in_turn())
+        self.assertIn("refused fence used again", "\n".join(map(str, report.found)))
+
+    def test_the_program_passes_the_same_run(self) -> None:
+        report = play(owners_hand_over_in_turn())
+        self.assertEqual([*map(str, report.found), *report.errors], [])
+
+
+if __name__ == "__main__":
+    unittest.main()
