Checker of TWICE: an outage between the success and the repeat is an excuse, as RULES says

The checker asked for an outage within contact_ms before the repeat; RULES ask for one from contact_ms before the run with the success to the repeat. Change: that interval. It is stricter where an outage falls behind the success only, and looser where one fell between the two long before the repeat; the case of an outage at the success is replaced by two of the new bounds.

--- a/bitternpath/testing/fault_injection/checker.py
+++ b/bitternpath/testing/fault_injection/checker.py
@@ -144,14 +144,19 @@
 
 
 def check_runs_again(history: History, parameters: RuleParameters) -> Iterator[Violation]:
-    """No run follows a success that its sender has read, unless there was an unplanned outage."""
+    """No run follows a success that its sender has read, unless there was an unplanned outage.
+
+    That is: from `contact_ms` before the run with the success to the next arrival. An outage between the two
+    may have taken the process that knew of the success.
+    """
     unplanned = [outage for outage in history.outages if not outage.planned]
-    done = _acknowledged_successes(history, parameters)
+    successes = _acknowledged_successes(history, parameters)
     for run in history.runs:
-        if run.at <= done.get(run.request_id, inf):
+        success = successes.get(run.request_id)
+        if success is None or run.at <= success.read_at:
             continue
-        if not _overlaps_outage(unplanned, run.at - parameters.contact_s, run.at):
-            text = f"ran at {run.at:.3f} after its success at {done[run.request_id]:.3f}"
+        if not _overlaps_outage(unplanned, success.run_at - parameters.contact_s, run.at):
+            text = f"ran at {run.at:.3f} after its success at {success.read_at:.3f}"
             yield Violation(Rule.TWICE, run.request_id, text)
 
 
@@ -269,21 +274,30 @@
     return 200 <= end.status < 300
 
 
-def _acknowledged_successes(history: History, parameters: RuleParameters) -> dict[str, float]:
-    """When the sender of each message had read a success, well before its time-out."""
+@dataclass(frozen=True, slots=True)
+class _Success:
+    """When the run with a success began, and when its sender had read the answer."""
+
+    run_at: float
+    read_at: float
+
+
+def _acknowledged_successes(history: History, parameters: RuleParameters) -> dict[str, _Success]:
+    """The first success of each message that its sender has read well before the time-out."""
     began: dict[str, float] = {}
     events: list[Run | Answer] = sorted([*history.runs, *history.answers], key=lambda event: event.at)
-    done: dict[str, float] = {}
+    done: dict[str, _Success] = {}
     for event in events:
         if isinstance(event, Run):
             began[event.request_id] = event.at
             continue
         in_time = event.at <= began.get(event.request_id, -inf) + parameters.timeout_s - READ_MARGIN_S
         if event.status == 200 and event.read and in_time and not event.lease_id:
-            done.setdefault(event.request_id, event.at)
+            done.setdefault(event.request_id, _Success(began[event.request_id], event.at))
+    leased = {run.lease_id: run.at for run in history.runs if run.lease_id}
     for end in history.ends:
         if end.taken and _succeeded(end):
-            done.setdefault(end.request_id, end.at)
+            done.setdefault(end.request_id, _Success(leased.get(end.lease_id, end.at), end.at))
     return done
 
 
