--- a/bitternpath/balancer/config/logs.py
+++ b/bitternpath/balancer/config/logs.py
@@ -47,13 +47,15 @@
 class Bound:
     """At most so many lines of one event in a second: strangers can provoke some of them at will.
 
-    Where lines were left out, the event's next one says how many, as `left_out`."""
+    Where lines were left out, the event's next one says how many, as `left_out`.
+    """
 
     def __init__(self, per_second: int, clock: Callable[[], float] = monotonic) -> None:
         self.per_second, self.clock = per_second, clock
         self._seen: dict[str, tuple[int, int, int]] = {}  # event: second, lines in it, left out since
 
     def __call__(self, logger: Any, method: str, line: Line) -> Line:
+        """Pass a line on, or raise `structlog.DropEvent`."""
         event, second = str(line.get("event")), int(self.clock())
         at, count, left_out = self._seen.get(event, (second, 0, 0))
         if at != second:
@@ -90,6 +92,7 @@
 
 
 def start(level: str, form: str = "kv", per_second: int = 50, stream: TextIO = sys.stderr) -> None:
+    """Write log lines from `level` on, at most `per_second` of one event, and Twisted's errors."""
     from twisted.logger import globalLogBeginner
 
     structlog.configure(
--- a/bitternpath/balancer/config/operator.py
+++ b/bitternpath/balancer/config/operator.py
@@ -172,6 +172,7 @@
             yield f"{path} = {msgspec.json.encode(shown).decode()} ({self.origin.get(path, 'default')})"
 
     def value(self, path: str) -> Any:
+        """The value of a key, which is named `section.key`."""
         section, _, key = path.partition(".")
         return getattr(getattr(self.settings, section), key)
 
@@ -191,10 +192,12 @@
 
 
 def variable(path: str) -> str:
+    """The environment variable that sets a key."""
     return PREFIX + path.replace(".", "_").upper()
 
 
 def flag(path: str) -> str:
+    """The command's option that sets a key."""
     return "--" + path.replace(".", "-").replace("_", "-")
 
 
--- a/bitternpath/balancer/config/platform.py
+++ b/bitternpath/balancer/config/platform.py
@@ -28,6 +28,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Config:
+    """What the platform's file and the PROXY_ variables say, checked."""
+
     name: str
     listen: Address
     discovery: Address
@@ -43,6 +45,7 @@
 
 
 def address(text: str) -> Address:
+    """Read `host:port`, an IPv6 host in brackets; ValueError where it isn't one."""
     host, colon, port = text.rpartition(":")
     if not colon or not host or not port.isdigit() or not 0 <= int(port) < 65536:
         raise ValueError(f"not an address: {text!r}")
@@ -72,7 +75,8 @@
     """Read the file again. PROXY_DISCOVERY holds at the start: what the file says anew wins over it.
 
     A file that lacks a key that the one in use has is cut, not changed, also where the environment or a
-    default could stand in for it."""
+    default could stand in for it.
+    """
     told = load(environ, path)
     lacks = sorted(running.keys - told.keys)
     if lacks:
--- a/bitternpath/balancer/core/broker.py
+++ b/bitternpath/balancer/core/broker.py
@@ -138,7 +138,8 @@
         """Whether a call that has not begun may begin: its client still waits for the answer.
 
         Covers a client that disconnected while the call waited for a connection, or while this process was
-        suspended."""
+        suspended.
+        """
         request = call.request
         if call.finished or request.answered:
             return False
@@ -161,7 +162,8 @@
         """Take an endpoint's call-back: in any order, perhaps a duplicate, perhaps of an unknown request.
 
         Returns whether the request is in progress here. Only endpoints that discovery lists call back; other
-        protocols report their calls on the connection that carries them."""
+        protocols report their calls on the connection that carries them.
+        """
         found = self.in_progress.get(report.id)
         state = report.state
         attempts = found.calls if found else []
@@ -263,18 +265,16 @@
             case CallEnded(call, how, result):
                 return self._end_call(call, how, result, now)
             case CallUnusable(call):
-                if not call.finished and not call.request.answered:
-                    self._answer(call.request, call.request.client.failed, "failed")
-                # For the module the client has left: the endpoint is not at fault.
-                return self._end_call(call, m.How.CANCELLED, b"", now)
+                return self._end_unusable_call(call, now)
             case CallProgress(call, share):
                 return None if call.finished else m.JobNote(call.id, call.number, call.endpoint, share)
-            case EndpointsChanged(listing, kind):
-                return m.WorkerList(kind, [_entry(p) for p in listing.members])
-            case TimerExpired(label):
-                return m.Alarm(label)
-            case SettingsChanged(settings):
-                return m.NewSettings(settings)
+        return _translate_change(event)
+
+    def _end_unusable_call(self, call: UpstreamCall, now: float) -> m.Event | None:
+        if not call.finished and not call.request.answered:
+            self._answer(call.request, call.request.client.failed, "failed")
+        # For the module the client has left: the endpoint is not at fault.
+        return self._end_call(call, m.How.CANCELLED, b"", now)
 
     def _end_call(self, call: UpstreamCall, how: m.How, result: bytes, now: float) -> m.Event | None:
         if call.finished:
@@ -338,12 +338,7 @@
                 if (owed := self._find_unanswered(id)) is not None:
                     self._answer(owed, owed.client.failed, "failed")
             case m.Cancel(id, number):
-                request = self.in_progress.get(id)
-                if request is not None and number < len(request.calls):
-                    call = request.calls[number]
-                    if not call.finished:
-                        self.upstream_clients[call.protocol].give_up(call)
-                        self._append(CallEnded(call, m.How.CANCELLED))
+                self._cancel(id, number)
             case m.Watch():
                 self.subscribe()
             case m.Wake(label, delay):
@@ -351,6 +346,16 @@
             case _:
                 log.debug("action_not_supported", action=type(action).__name__)
 
+    def _cancel(self, id: str, number: int) -> None:
+        """Give up one attempt at a request, if it is still in flight."""
+        request = self.in_progress.get(id)
+        if request is None or number >= len(request.calls):
+            return
+        call = request.calls[number]
+        if not call.finished:
+            self.upstream_clients[call.protocol].give_up(call)
+            self._append(CallEnded(call, m.How.CANCELLED))
+
     def _find_unanswered(self, id: str) -> AcceptedRequest | None:
         request = self.in_progress.get(id)
         return request if request is not None and not request.answered else None
@@ -388,6 +393,17 @@
             self._append(CallEnded(call, m.How.TIMEOUT))
 
 
+def _translate_change(event: EndpointsChanged | TimerExpired | SettingsChanged) -> m.Event:
+    """An event that is about no request, as the module takes it."""
+    match event:
+        case EndpointsChanged(listing, kind):
+            return m.WorkerList(kind, [_entry(p) for p in listing.members])
+        case TimerExpired(label):
+            return m.Alarm(label)
+        case SettingsChanged(settings):
+            return m.NewSettings(settings)
+
+
 def _entry(endpoint: Endpoint) -> m.Entry:
     return m.Entry(
         endpoint.id,
--- a/bitternpath/balancer/core/clock.py
+++ b/bitternpath/balancer/core/clock.py
@@ -10,7 +10,8 @@
 class Later(Protocol):
     """The part of a reactor that a part without I/O needs."""
 
-    def callLater(self, delay: float, callable: Callable[..., object], *args: Any) -> Any: ...
+    def callLater(self, delay: float, callable: Callable[..., object], *args: Any) -> Any:
+        """Call after `delay` seconds; the result can be cancelled."""
 
 
 class Clock:
@@ -20,4 +21,5 @@
         self._anchor = (time() - monotonic()) * 1000.0
 
     def __call__(self) -> float:
+        """The time now, in ms."""
         return self._anchor + monotonic() * 1000.0
--- a/bitternpath/balancer/core/endpoint_registry.py
+++ b/bitternpath/balancer/core/endpoint_registry.py
@@ -49,7 +49,8 @@
 
     `endpoints` is the list in force: an ejected endpoint counts as draining, whatever its source reports.
     `on_change` is called with every change after it has been applied; `on_ejection_change(id, by, ejected)`
-    for every ejection and reinstatement, with the party that asked for it."""
+    for every ejection and reinstatement, with the party that asked for it.
+    """
 
     def __init__(self, known: Listing) -> None:
         self.revision = known.revision
@@ -61,8 +62,8 @@
             str, float
         ] = {}  # draining or gone: the start time that was reported with it
         self.endpoints = dict(self._reported)
-        self.on_change: Callable[[Listing], None] = lambda listing: None
-        self.on_ejection_change: Callable[[str, str, bool], None] = lambda id, by, ejected_since: None
+        self.on_change: Callable[[Listing], None] = _ignore_listing
+        self.on_ejection_change: Callable[[str, str, bool], None] = _ignore_ejection
 
     # ---- out
 
@@ -106,7 +107,8 @@
 
     def _effective(self, reported: Endpoint) -> Endpoint:
         """What holds of an endpoint. Those who take one out start it anew before they call it back, and its
-        source tells of that late: one of which no start since is known may have started at the call back."""
+        source tells of that late: one of which no start since is known may have started at the call back.
+        """
         if reported.id in self.ejected_since and reported.state is m.State.SERVING:
             return replace(reported, state=m.State.DRAINING)
         return self._with_assumed_start(reported)
@@ -122,7 +124,8 @@
         """A source speaks of its own endpoints; those of others are not touched, whatever it says.
 
         False for changes older than the list in hand, which are passed over, unless they are the answer
-        (`full_resync`) of a discovery that was asked for all it has."""
+        (`full_resync`) of a discovery that was asked for all it has.
+        """
         if listing.source == DISCOVERY:
             if not (listing.complete or full_resync) and listing.revision <= self.revision:
                 return listing.revision == self.revision or not listing.members
@@ -173,7 +176,8 @@
 
     def _keep_leaving(self, listing: Listing) -> Listing:
         """A whole list older than the one in hand, from a discovery that lags or counts anew: what was told
-        of those that drain or are gone stays told, until they start anew or a newer list has them back."""
+        of those that drain or are gone stays told, until they start anew or a newer list has them back.
+        """
         members = (
             replace(reported, state=m.State.DRAINING)
             if reported.state is m.State.SERVING
@@ -198,3 +202,11 @@
         """The endpoint, if it takes new calls."""
         found = self.endpoints.get(endpoint)
         return found if found is not None and found.state is m.State.SERVING else None
+
+
+def _ignore_listing(_listing: Listing) -> None:
+    """Nobody follows the list."""
+
+
+def _ignore_ejection(_id: str, _by: str, _ejected: bool) -> None:
+    """Nobody follows the ejections."""
--- a/bitternpath/balancer/core/lifecycle.py
+++ b/bitternpath/balancer/core/lifecycle.py
@@ -21,15 +21,17 @@
 
 
 def answer_time_after_stop(longest: float) -> float:
-    """ms by which all that arrives later is answered, whatever its deadline: 0.2 s before a kill may come.
+    """Ms by which all that arrives later is answered, whatever its deadline: 0.2 s before a kill may come.
 
-    `longest` is the longest deadline in ms."""
+    `longest` is the longest deadline in ms.
+    """
     return min(longest, DEADLINE_CAP) + KILL_GRACE - 200.0
 
 
 def hold_time_after_stop(longest: float) -> float:
-    """ms for which a process with a successor keeps connections open that clients hold but do not use: a
-    close that crosses a request is a loss, and each answer moves one over. The rest is for the end."""
+    """Ms for which a process with a successor keeps connections open that clients hold but do not use: a
+    close that crosses a request is a loss, and each answer moves one over. The rest is for the end.
+    """
     return answer_time_after_stop(longest) - 200.0
 
 
@@ -99,6 +101,7 @@
 
     @property
     def behavior(self) -> PhaseBehavior:
+        """What a node does in the current phase."""
         return BEHAVIOR[self.phase]
 
     @property
--- a/bitternpath/balancer/core/requests.py
+++ b/bitternpath/balancer/core/requests.py
@@ -41,7 +41,8 @@
     """What an upstream client sends on: a request in the platform's form (PROTOCOL, 'Clients to nodes').
 
     `target` is the path with its query, `/CLASS` and what follows; `headers` has lower-case names:
-    `x-call-class`, `x-route-hash`, `x-again`, `x-call-info`, `content-type`, where the client gave them."""
+    `x-call-class`, `x-route-hash`, `x-again`, `x-call-info`, `content-type`, where the client gave them.
+    """
 
     method: bytes
     target: bytes
@@ -112,6 +113,7 @@
 
     @property
     def id(self) -> str:
+        """The id of the request that this is an attempt at."""
         return self.request.id
 
 
--- a/bitternpath/testing/simulation/actors/operators.py
+++ b/bitternpath/testing/simulation/actors/operators.py
@@ -71,7 +71,7 @@
         self.newest: dict[str, Any] = {"version": 0, "routes": []}
         self.documents: list[dict[str, Any]] = []  # that were sent, in order
         self._in_flight = InFlight(run.failed)
-        self.on_retired: Callable[[str], object] = lambda planned: None
+        self.on_retired: Callable[[str], object] = _ignore_retirement
 
     @property
     def open(self) -> int:
@@ -246,3 +246,7 @@
 
     def _nodes(self) -> list[NodeAddress]:
         return list(self._directory.lagging())
+
+
+def _ignore_retirement(_planned: str) -> None:
+    """Nobody removes the machine."""
--- a/bitternpath/testing/simulation/checks/messages.py
+++ b/bitternpath/testing/simulation/checks/messages.py
@@ -10,7 +10,12 @@
 from bitternpath.testing.fault_injection.checker import Rule, Violation, ended_times
 from bitternpath.testing.fault_injection.plan import HOSTS
 from bitternpath.testing.simulation.checks.connectivity import Connectivity
-from bitternpath.testing.simulation.checks.history import SystemHistory, SystemRule, SystemRuleParameters
+from bitternpath.testing.simulation.checks.history import (
+    StateRead,
+    SystemHistory,
+    SystemRule,
+    SystemRuleParameters,
+)
 
 GONE = (404, 410)
 ENDED = ("done", "dead_letter")
@@ -99,16 +104,21 @@
         if at < read.sent_at and (state, stamp) != (read.state, read.stamp):
             text = f"said to be {state!r} at {at:.3f}, and {read.state!r} at {read.ended_at:.3f}"
             yield Violation(Rule.MIXED, read.request_id, text)
-        if read.state == "done" and read.stamp not in stamps[read.request_id]:
-            text = f"{read.node} said that it is done, with the stamp {read.stamp!r} of no run"
-            yield Violation(Rule.MIXED, read.request_id, text)
-        if read.state == "dead_letter" and ended.get(read.request_id, inf) > read.ended_at:
-            text = f"{read.node} said that it is dead at {read.ended_at:.3f}, before its end"
-            yield Violation(Rule.MIXED, read.request_id, text)
+        yield from _check_final_state(read, stamps[read.request_id], ended.get(read.request_id, inf))
         if read.state in ENDED:
             final.setdefault(read.request_id, (read.ended_at, read.state, read.stamp))
 
 
+def _check_final_state(read: StateRead, stamps: set[str], ended_at: float) -> Iterator[Violation]:
+    """`stamps`: of the message's runs. `ended_at`: when it had certainly ended."""
+    if read.state == "done" and read.stamp not in stamps:
+        text = f"{read.node} said that it is done, with the stamp {read.stamp!r} of no run"
+        yield Violation(Rule.MIXED, read.request_id, text)
+    if read.state == "dead_letter" and ended_at > read.ended_at:
+        text = f"{read.node} said that it is dead at {read.ended_at:.3f}, before its end"
+        yield Violation(Rule.MIXED, read.request_id, text)
+
+
 def check_one_holder(history: SystemHistory, parameters: SystemRuleParameters) -> Iterator[Violation]:
     """A lease is handed to one worker, for one message."""
     holders: dict[str, tuple[str, str]] = {}
--- a/bitternpath/testing/simulation/disk.py
+++ b/bitternpath/testing/simulation/disk.py
@@ -41,9 +41,11 @@
     # ---- NodeDisk
 
     def load_identity(self) -> str:
+        """The disk's identity; an empty disk gets a new one."""
         return load_identity(Path(), self._disk, lambda: f"{self._random.getrandbits(IDENTITY_BITS):08x}")
 
     def open_journal(self, reactor: Any, checkpoint_bytes: int) -> Journal:
+        """The journal, read from the disk; its writes take virtual time."""
         log = SegmentLog(
             self._disk,
             lambda: self._random.getrandbits(SALT_BITS),
@@ -54,15 +56,19 @@
         return Journal(log, self._journal_writer)
 
     def read_document(self, name: str) -> bytes | None:
+        """A document's content; None where there is none. Raises `CorruptDocumentError`."""
         return load_document(self._disk, name)
 
     def write_document(self, name: str, content: bytes) -> None:
+        """Replace a document, durably."""
         store_document(self._disk, name, content)
 
     def remove_document(self, name: str) -> None:
+        """Remove a document, durably; no error where there is none."""
         remove_document(self._disk, name)
 
     def was_quarantined(self) -> bool:
+        """Whether a damaged content was moved away at some time."""
         return any(path.startswith(SET_ASIDE) for path in self._disk.paths())
 
     def quarantine_content(self, max_bytes: int | None) -> str:
--- a/bitternpath/testing/simulation/processes.py
+++ b/bitternpath/testing/simulation/processes.py
@@ -50,15 +50,19 @@
 
     @property
     def random(self) -> Random:
+        """The source of all that the process draws."""
         return self._random
 
     def compaction(self, disk_bytes: int) -> CompactionBounds:
+        """When logs are shortened: as the run has it, whatever the disk's size."""
         return self._node.logs.compaction
 
     def wall_ms(self) -> int:
+        """The machine's time of day."""
         return START_WALL_MS + int(self._reactor.seconds() * 1000) + self._node.skew_ms
 
     def disk(self, data_dir: Path) -> SimulatedNodeDisk:
+        """The machine's disk, opened by this process; it has one folder."""
         if self.node_disk is None:
             chance = Random(self._random.getrandbits(64))
             seconds = self._node.sync_seconds * self._node.factor
@@ -69,6 +73,7 @@
         return self.node_disk
 
     def load_settings(self) -> Settings:
+        """The settings file, as it is now."""
         return read_settings(self._node.document)
 
 
--- a/bitternpath/testing/simulation/reactor.py
+++ b/bitternpath/testing/simulation/reactor.py
@@ -55,12 +55,15 @@
         self._keywords = keywords
 
     def getTime(self) -> float:
+        """When it is due."""
         return self._time
 
     def active(self) -> bool:
+        """Whether it is still to come."""
         return self._call is not None
 
     def cancel(self) -> None:
+        """It doesn't come; an error where it has come or was cancelled."""
         self._check()
         self._call = None
         self._arguments = ()
