transport: records of links have types, Record and Response, in place of Any

Change: two unions, held to the wire's numbering by a test; links, owners, lookups, appends and pulls name them. Only the table of handlers by class keeps Any.

--- a/bitternpath/roles/edge.py
+++ b/bitternpath/roles/edge.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import logbook
 from twisted.internet.defer import Deferred
 
@@ -58,6 +56,7 @@
     MembershipReport,
 )
 from bitternpath.transport.links import Link
+from bitternpath.transport.messages import Record
 from bitternpath.transport.node_messages import NodeKind
 from bitternpath.transport.operator_messages import OperatorRequest, OperatorResponse, StatusRequest
 from bitternpath.transport.records import Message
@@ -225,7 +224,7 @@
         if self.member is not None:
             self.member.feed.link_closed(link)
 
-    def received(self, link: Link, record: Any) -> None:
+    def received(self, link: Link, record: Record) -> None:
         """Pass a record of another node on to its handler; ignore kinds that have none in this role."""
         handle = self._handlers.get(type(record))
         if handle is not None:
--- a/bitternpath/roles/operator_calls.py
+++ b/bitternpath/roles/operator_calls.py
@@ -20,6 +20,7 @@
 from bitternpath.ingress.interfaces import OperatorReply
 from bitternpath.net.clock import Clock
 from bitternpath.roles.configuration_member import ConfigurationMember
+from bitternpath.transport.messages import Response
 from bitternpath.transport.operator_messages import OperatorRequest, OperatorResponse
 
 ANSWER_TIMEOUT_S = 0.8  # the operator turns to another node after a second without an answer
@@ -77,7 +78,7 @@
     return OperatorReply(decided.status, decided.body)
 
 
-def _forwarded_reply(answer: Any) -> OperatorReply:
+def _forwarded_reply(answer: Response) -> OperatorReply:
     if isinstance(answer, OperatorResponse):
         return OperatorReply(answer.status, answer.body)
     return _reply(
--- a/bitternpath/roles/quota_borrowing.py
+++ b/bitternpath/roles/quota_borrowing.py
@@ -8,7 +8,6 @@
 
 from collections import Counter
 from collections.abc import Mapping
-from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
 
@@ -19,6 +18,7 @@
 from bitternpath.transport.group_messages import GroupPlacement, MemberAddress
 from bitternpath.transport.hub import NodeHub
 from bitternpath.transport.links import Link
+from bitternpath.transport.messages import Response
 from bitternpath.transport.quota_messages import TokenRequest, TokenResponse
 
 QUOTA_LINK_USER = "tokens"  # of the hub's links
@@ -100,7 +100,7 @@
         if since is not None and self._reactor.seconds() - since > QUOTA_LEASE_S:
             self._failed(group)
 
-    def _answered(self, record: Any, group: str) -> int:
+    def _answered(self, record: Response, group: str) -> int:
         if isinstance(record, TokenResponse):
             self._unanswered_since.pop(group, None)
             return record.tokens
--- a/bitternpath/roles/storage.py
+++ b/bitternpath/roles/storage.py
@@ -40,6 +40,7 @@
     MembershipRequest,
 )
 from bitternpath.transport.links import Link
+from bitternpath.transport.messages import Record
 from bitternpath.transport.node_messages import NodeKind
 from bitternpath.transport.operator_messages import StatusRequest
 from bitternpath.transport.quota_messages import TokenRequest
@@ -187,7 +188,7 @@
         name = self._edges.closed(link)
         self.shards.edge_link_closed(name, link)
 
-    def received(self, link: Link, record: Any) -> None:
+    def received(self, link: Link, record: Record) -> None:
         """Pass a record of another node on to its handler; ignore kinds that have none in this role."""
         handle = self._handlers.get(type(record))
         if handle is not None:
--- a/bitternpath/shards/appends.py
+++ b/bitternpath/shards/appends.py
@@ -19,6 +19,7 @@
 from bitternpath.net.clock import Clock, cancel_if_active
 from bitternpath.queue.sharding import message_id, shard_for
 from bitternpath.shards.owners import ShardOwners
+from bitternpath.transport.messages import Response
 from bitternpath.transport.records import Message
 from bitternpath.transport.shard_messages import AppendRequest, AppendResponse, Refused
 
@@ -104,7 +105,7 @@
         else:
             response.addCallbacks(self._responded, self._response_lost)
 
-    def _responded(self, record: object) -> None:
+    def _responded(self, record: Response) -> None:
         if self._done:
             return
         match record:
--- a/bitternpath/shards/lease_requests.py
+++ b/bitternpath/shards/lease_requests.py
@@ -9,11 +9,12 @@
 from bitternpath.ingress.interfaces import LeaseAnswer
 from bitternpath.net.clock import Clock
 from bitternpath.shards.owners import ShardOwners
+from bitternpath.transport.messages import Record, Response
 from bitternpath.transport.shard_messages import EndAttemptResponse
 
 RETRY_INTERVAL_S = 0.1  # between attempts while the shard has no owner or the outcome is unknown
 
-LeaseRecord = Callable[[int], object]  # makes the record to send from its request number
+LeaseRecord = Callable[[int], Record]  # makes the record to send from its request number
 
 
 class LeaseRequest:
@@ -46,7 +47,7 @@
         else:
             response.addCallbacks(self._responded, lambda _: self._retry())
 
-    def _responded(self, record: object) -> None:
+    def _responded(self, record: Response) -> None:
         if isinstance(record, EndAttemptResponse):
             self.result.callback(LeaseAnswer.ACKNOWLEDGED if record.accepted else LeaseAnswer.NOT_CURRENT)
         else:  # refused by a node that isn't the owner, or its outcome is unknown
--- a/bitternpath/shards/lookups.py
+++ b/bitternpath/shards/lookups.py
@@ -12,6 +12,7 @@
 from bitternpath.net.clock import Clock, cancel_if_active
 from bitternpath.queue.sharding import split_message_id
 from bitternpath.shards.owners import ShardOwners
+from bitternpath.transport.messages import Response
 from bitternpath.transport.shard_messages import StateRequest, StateResponse
 
 LOOKUP_TIMEOUT_S = 1.5  # clients wait for two seconds, including the way there and back
@@ -99,7 +100,7 @@
         else:
             response.addCallbacks(self._responded, self._response_lost)
 
-    def _responded(self, record: object) -> None:
+    def _responded(self, record: Response) -> None:
         if not isinstance(record, StateResponse):
             self._retry()
         elif record.known:
--- a/bitternpath/shards/owners.py
+++ b/bitternpath/shards/owners.py
@@ -10,6 +10,7 @@
 
 from bitternpath.transport.errors import LinkLostError
 from bitternpath.transport.links import Link
+from bitternpath.transport.messages import Record, Response
 from bitternpath.transport.shard_messages import Ownership
 
 
@@ -27,11 +28,11 @@
 
     def __init__(self, link: Link, pending: dict[_PendingRequest, None]) -> None:
         self.link = link
-        self.response: Deferred[object] = Deferred()
+        self.response: Deferred[Response] = Deferred()
         self._pending = pending
         pending[self] = None
 
-    def complete(self, record: object) -> None:
+    def complete(self, record: Response) -> None:
         """Pass the owner's response on; one that arrives after the end is dropped."""
         if self._end():
             self.response.callback(record)
@@ -63,7 +64,7 @@
         self._pending: dict[str, dict[_PendingRequest, None]] = {}  # by group; in the order of sending
         self._owner_changed = owner_changed
 
-    def request(self, group: str, make: Callable[[int], object]) -> Deferred[object] | None:
+    def request(self, group: str, make: Callable[[int], Record]) -> Deferred[Response] | None:
         """Send the record `make(request number)` to the group's owner; None where the group has no owner.
 
         The result fires with the response record. It fails with `LinkLostError` when the link ends, and as
--- a/bitternpath/shards/waiting_pulls.py
+++ b/bitternpath/shards/waiting_pulls.py
@@ -16,6 +16,7 @@
 from bitternpath.ingress.interfaces import PulledJob
 from bitternpath.net.clock import Clock, cancel_if_active
 from bitternpath.shards.owners import Owner
+from bitternpath.transport.messages import Response
 from bitternpath.transport.shard_messages import PullCancel, PullRequest, PullResponse
 
 RESPONSE_MARGIN_S = 0.5  # beyond the worker's wait, for the owner's response
@@ -94,7 +95,7 @@
             self._owner.link.send(PullCancel(self._request_number, self.group))
             self._owner = None
 
-    def _responded(self, record: object, group: str, move: int) -> None:
+    def _responded(self, record: Response, group: str, move: int) -> None:
         if isinstance(record, PullResponse) and record.message is not None:
             job = PulledJob(record.lease_id, record.message)
             if self._done:
--- a/bitternpath/transport/links.py
+++ b/bitternpath/transport/links.py
@@ -32,7 +32,7 @@
 from bitternpath.transport.errors import CodecError, LinkLostError
 from bitternpath.transport.frames import FrameBuffer, frame
 from bitternpath.transport.link_liveness import LinkLiveness, LivenessAction
-from bitternpath.transport.messages import RECORDS, RESPONSE_RECORDS
+from bitternpath.transport.messages import RECORDS, RESPONSE_RECORDS, Record, Response
 from bitternpath.transport.node_messages import Hello, NodeDescriptor, Ping, Pong
 
 log = logbook.Logger("transport")
@@ -63,7 +63,7 @@
     def link_closed(self, link: Link) -> None:
         """A link that was open has closed."""
 
-    def received(self, link: Link, record: Any) -> None:
+    def received(self, link: Link, record: Record) -> None:
         """A record has come that is no response to a request of ours."""
 
 
@@ -107,7 +107,7 @@
         self._state = LinkState.CONNECTING
         self._liveness = LinkLiveness()
         self._frames = FrameBuffer()
-        self._requests: dict[int, Deferred[Any]] = {}  # those without a response, by number
+        self._requests: dict[int, Deferred[Response]] = {}  # those without a response, by number
         self._last_number = 0
         self._outgoing: list[bytes] = []  # frames of this turn of the reactor
 
@@ -142,7 +142,7 @@
 
     # ---- sending
 
-    def send(self, record: Any) -> None:
+    def send(self, record: Record) -> None:
         """Queue a record; what one turn of the reactor sends goes out in one write."""
         if self._state is _CLOSED:
             return
@@ -150,12 +150,12 @@
             self._hub.schedule_flush(self)
         self._outgoing.append(frame(RECORDS.encode(record)))
 
-    def request(self, make: Callable[[int], Any]) -> Deferred[Any]:
+    def request(self, make: Callable[[int], Record]) -> Deferred[Response]:
         """Send the record `make(number)`; fires with the response that has that number.
 
         The Deferred fails with `LinkLostError` where the link closes before that, or is closed already.
         """
-        response: Deferred[Any] = Deferred()
+        response: Deferred[Response] = Deferred()
         if self._state is _CLOSED:
             response.errback(LinkLostError())
             return response
@@ -220,7 +220,7 @@
 
     # ---- receiving
 
-    def _handle(self, record: Any) -> None:
+    def _handle(self, record: Record) -> None:
         if self._state is _CLOSED:
             return
         match record:
@@ -231,10 +231,8 @@
             case Hello(node):
                 self._greeted(node)
             case _:
-                is_response = type(record) in RESPONSE_RECORDS
-                response = self._requests.pop(record.number, None) if is_response else None
-                if response is not None:
-                    response.callback(record)
+                if isinstance(record, RESPONSE_RECORDS) and record.number in self._requests:
+                    self._requests.pop(record.number).callback(record)
                 elif self._state is _OPEN:
                     self._hub.handler.received(self, record)
 
--- a/bitternpath/transport/messages.py
+++ b/bitternpath/transport/messages.py
@@ -110,3 +110,55 @@
     StatusResponse,
     TokenResponse,
 )
+
+# What a link carries, and what answers a request, for type checkers.
+Record = (
+    Hello
+    | Ping
+    | Pong
+    | ShuffleRequest
+    | ShuffleResponse
+    | GroupMessage
+    | BootstrapDecision
+    | BootstrapDecisionStored
+    | FeedSubscribe
+    | FeedUpdate
+    | FeedRefused
+    | CatalogueUpdate
+    | OperatorRequest
+    | OperatorResponse
+    | Ownership
+    | Refused
+    | RequestOutcomeUnknown
+    | AppendRequest
+    | AppendResponse
+    | LeaseGrant
+    | EndAttemptRequest
+    | EndAttemptResponse
+    | CallbackRequest
+    | CallbackReport
+    | StateRequest
+    | StateResponse
+    | PullRequest
+    | PullCancel
+    | PullResponse
+    | ExtendRequest
+    | WorkAvailable
+    | StatusRequest
+    | StatusResponse
+    | MembershipReport
+    | MembershipRequest
+    | TokenRequest
+    | TokenResponse
+)
+Response = (
+    OperatorResponse
+    | Refused
+    | RequestOutcomeUnknown
+    | AppendResponse
+    | EndAttemptResponse
+    | StateResponse
+    | PullResponse
+    | StatusResponse
+    | TokenResponse
+)
--- /dev/null
+++ b/tests/system/transport/test_record_types.py
@@ -0,0 +1,22 @@
+"""The types that checkers know of records are those that links carry."""
+
+from __future__ import annotations
+
+import unittest
+from typing import get_args
+
+from bitternpath.transport.messages import RECORDS, RESPONSE_RECORDS, Record, Response
+
+
+class RecordTypes(unittest.TestCase):
+    def test_the_unions_are_the_records_in_their_order(self) -> None:
+        self.assertEqual(get_args(Record), tuple(RECORDS._numbers))
+        self.assertEqual(get_args(Response), RESPONSE_RECORDS)
+
+    def test_every_response_brings_its_request_s_number_back(self) -> None:
+        for record in RESPONSE_RECORDS:
+            self.assertIn("number", record.__struct_fields__)
+
+
+if __name__ == "__main__":
+    unittest.main()
