--- a/bitternpath/ingress/client_api.py
+++ b/bitternpath/ingress/client_api.py
@@ -17,9 +17,10 @@
 from twisted.python.failure import Failure
 
 from bitternpath.ingress.http_requests import RETRY_SOON_S, HttpRequest
-from bitternpath.ingress.interfaces import FoundMessage, LeaseAnswer, LookupFailure, NodeService
+from bitternpath.ingress.interfaces import NodeService
 from bitternpath.ingress.pull_calls import PullCall
 from bitternpath.net.clock import Clock
+from bitternpath.shards.results import FoundMessage, LeaseAnswer, LookupFailure
 from bitternpath.transport.records import MessageState
 
 LOOKUP_TIMEOUT_S = 1.6  # clients wait for two seconds, including the way there and back
--- a/bitternpath/ingress/messages.py
+++ b/bitternpath/ingress/messages.py
@@ -11,10 +11,11 @@
 from twisted.web.server import NOT_DONE_YET
 
 from bitternpath.ingress.http_requests import HttpRequest
-from bitternpath.ingress.interfaces import Acceptance, AcceptResult, NodeService
+from bitternpath.ingress.interfaces import NodeService
 from bitternpath.ingress.message_parser import ClientRequest, Origin, ParsedMessage, Rejection, parse_message
 from bitternpath.net.clock import Clock, cancel_if_active
 from bitternpath.queue.sharding import is_valid_message_id
+from bitternpath.shards.results import Acceptance, AcceptResult
 
 ACCEPT_GRACE_MS = 50  # the node's result may be so much later than asked before the client gets 504
 
--- a/bitternpath/ingress/pull_calls.py
+++ b/bitternpath/ingress/pull_calls.py
@@ -6,8 +6,9 @@
 from twisted.python.failure import Failure
 
 from bitternpath.ingress.http_requests import HttpRequest
-from bitternpath.ingress.interfaces import NodeService, PendingPull, PulledJob
+from bitternpath.ingress.interfaces import NodeService, PendingPull
 from bitternpath.net.clock import Clock, Timer, cancel_if_active
+from bitternpath.shards.results import PulledJob
 from bitternpath.transport.records import Message
 
 PULL_GRACE_S = 0.5  # the node's result may be so much later than the worker waits
--- a/bitternpath/roles/edge.py
+++ b/bitternpath/roles/edge.py
@@ -17,15 +17,7 @@
 from bitternpath.dispatch.body_cache import BodyCache
 from bitternpath.dispatch.callbacks import CallbackDispatcher
 from bitternpath.dispatch.deliveries import DeliveryDispatcher, DeliveryParts
-from bitternpath.ingress.interfaces import (
-    Acceptance,
-    AcceptResult,
-    FoundMessage,
-    LeaseAnswer,
-    LookupFailure,
-    OperatorReply,
-    PendingPull,
-)
+from bitternpath.ingress.interfaces import OperatorReply, PendingPull
 from bitternpath.membership.bootstrap import CONFIGURATION_GROUP
 from bitternpath.net.reactor import NodeReactor
 from bitternpath.roles.bootstrap import BootstrapCoordinator
@@ -41,6 +33,7 @@
 from bitternpath.shards.owners import ShardOwners
 from bitternpath.shards.pulls import PullRouter
 from bitternpath.shards.reports import AttemptReporter
+from bitternpath.shards.results import Acceptance, AcceptResult, FoundMessage, LeaseAnswer, LookupFailure
 from bitternpath.transport.feed_messages import (
     CatalogueEntry,
     CatalogueUpdate,
--- a/bitternpath/shards/appends.py
+++ b/bitternpath/shards/appends.py
@@ -15,10 +15,10 @@
 from twisted.python.failure import Failure
 
 from bitternpath.configuration.placement import shard_group, shard_of
-from bitternpath.ingress.interfaces import Acceptance, AcceptResult
 from bitternpath.net.clock import Clock, cancel_if_active
 from bitternpath.queue.sharding import message_id, shard_for
 from bitternpath.shards.owners import ShardOwners
+from bitternpath.shards.results import Acceptance, AcceptResult
 from bitternpath.transport.messages import Response
 from bitternpath.transport.records import Message
 from bitternpath.transport.shard_messages import AppendRequest, AppendResponse, Refused
--- a/bitternpath/shards/lease_requests.py
+++ b/bitternpath/shards/lease_requests.py
@@ -6,9 +6,9 @@
 
 from twisted.internet.defer import Deferred
 
-from bitternpath.ingress.interfaces import LeaseAnswer
 from bitternpath.net.clock import Clock
 from bitternpath.shards.owners import ShardOwners
+from bitternpath.shards.results import LeaseAnswer
 from bitternpath.transport.messages import Record, Response
 from bitternpath.transport.shard_messages import EndAttemptResponse
 
--- a/bitternpath/shards/lookups.py
+++ b/bitternpath/shards/lookups.py
@@ -8,10 +8,10 @@
 from twisted.python.failure import Failure
 
 from bitternpath.configuration.placement import shard_group
-from bitternpath.ingress.interfaces import FoundMessage, LookupFailure
 from bitternpath.net.clock import Clock, cancel_if_active
 from bitternpath.queue.sharding import split_message_id
 from bitternpath.shards.owners import ShardOwners
+from bitternpath.shards.results import FoundMessage, LookupFailure
 from bitternpath.transport.messages import Response
 from bitternpath.transport.shard_messages import StateRequest, StateResponse
 
--- a/bitternpath/shards/pulls.py
+++ b/bitternpath/shards/pulls.py
@@ -13,13 +13,13 @@
 from twisted.internet.defer import Deferred, succeed
 
 from bitternpath.configuration.placement import shard_group
-from bitternpath.ingress.interfaces import LeaseAnswer
 from bitternpath.net.clock import Clock
 from bitternpath.queue.sharding import shard_of_lease
 from bitternpath.shards.job_results import outcome_of
 from bitternpath.shards.lease_requests import LeaseRequest
 from bitternpath.shards.owners import ShardOwners
 from bitternpath.shards.reports import AttemptReport, AttemptReporter
+from bitternpath.shards.results import LeaseAnswer
 from bitternpath.shards.waiting_pulls import PullTerms, UnroutedPull, WaitingPull
 from bitternpath.transport.records import AttemptOutcome
 from bitternpath.transport.shard_messages import ExtendRequest, WorkAvailable
--- a/bitternpath/shards/reports.py
+++ b/bitternpath/shards/reports.py
@@ -6,10 +6,10 @@
 
 from twisted.internet.defer import Deferred
 
-from bitternpath.ingress.interfaces import LeaseAnswer
 from bitternpath.net.clock import Clock
 from bitternpath.shards.lease_requests import LeaseRequest
 from bitternpath.shards.owners import ShardOwners
+from bitternpath.shards.results import LeaseAnswer
 from bitternpath.transport.records import AttemptOutcome
 from bitternpath.transport.shard_messages import EndAttemptRequest
 
--- a/bitternpath/shards/waiting_pulls.py
+++ b/bitternpath/shards/waiting_pulls.py
@@ -13,9 +13,9 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from bitternpath.ingress.interfaces import PulledJob
 from bitternpath.net.clock import Clock, cancel_if_active
 from bitternpath.shards.owners import Owner
+from bitternpath.shards.results import PulledJob
 from bitternpath.transport.messages import Response
 from bitternpath.transport.shard_messages import PullCancel, PullRequest, PullResponse
 
--- a/tests/system/ingress/server_case.py
+++ b/tests/system/ingress/server_case.py
@@ -14,17 +14,17 @@
 
 from bitternpath.configuration.routing_table import RoutingTable
 from bitternpath.configuration.validation import parse_configuration
-from bitternpath.ingress.interfaces import (
+from bitternpath.ingress.interfaces import OperatorReply
+from bitternpath.ingress.servers import build_client_server
+from bitternpath.net.http1 import Response, ResponseReader
+from bitternpath.shards.results import (
     Acceptance,
     AcceptResult,
     FoundMessage,
     LeaseAnswer,
     LookupFailure,
-    OperatorReply,
     PulledJob,
 )
-from bitternpath.ingress.servers import build_client_server
-from bitternpath.net.http1 import Response, ResponseReader
 from bitternpath.transport.records import Message
 
 ROUTES = [
--- a/tests/system/ingress/test_client_api.py
+++ b/tests/system/ingress/test_client_api.py
@@ -7,12 +7,8 @@
 from twisted.internet.defer import succeed
 
 from bitternpath.ingress.client_api import LEASE_CALL_TIMEOUT_S, LOOKUP_TIMEOUT_S
-from bitternpath.ingress.interfaces import (
-    FoundMessage,
-    LeaseAnswer,
-    LookupFailure,
-)
 from bitternpath.ingress.pull_calls import PULL_GRACE_S
+from bitternpath.shards.results import FoundMessage, LeaseAnswer, LookupFailure
 from bitternpath.transport.records import MessageState
 from tests.system.ingress.server_case import (
     Client,
--- a/tests/system/ingress/test_closing.py
+++ b/tests/system/ingress/test_closing.py
@@ -5,11 +5,8 @@
 import socket
 import unittest
 
-from bitternpath.ingress.interfaces import (
-    Acceptance,
-    AcceptResult,
-)
 from bitternpath.ingress.servers import build_client_server
+from bitternpath.shards.results import Acceptance, AcceptResult
 from tests.system import Loopback
 from tests.system.ingress.server_case import (
     HEAD,
--- a/tests/system/ingress/test_messages.py
+++ b/tests/system/ingress/test_messages.py
@@ -10,10 +10,7 @@
 from bitternpath.configuration.routing_table import RoutingTable
 from bitternpath.configuration.validation import parse_configuration
 from bitternpath.ingress.channel import LINGER_S
-from bitternpath.ingress.interfaces import (
-    Acceptance,
-    AcceptResult,
-)
+from bitternpath.shards.results import Acceptance, AcceptResult
 from bitternpath.transport.records import Header, Message
 from tests.system.ingress.server_case import (
     HEAD,
--- a/tests/system/ingress/test_operator_api.py
+++ b/tests/system/ingress/test_operator_api.py
@@ -7,9 +7,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from bitternpath.ingress.interfaces import (
-    OperatorReply,
-)
+from bitternpath.ingress.interfaces import OperatorReply
 from bitternpath.ingress.servers import build_operator_server, build_readiness_server
 from tests.system.ingress.server_case import (
     Client,
--- a/tests/system/ingress/test_order_key.py
+++ b/tests/system/ingress/test_order_key.py
@@ -8,11 +8,11 @@
 
 from bitternpath.delivery.requests import request_bytes
 from bitternpath.delivery.results import WorkerTarget
-from bitternpath.ingress.interfaces import Acceptance, AcceptResult, PulledJob
 from bitternpath.ingress.servers import build_client_server
 from bitternpath.net.http1 import RequestReader, ResponseReader
 from bitternpath.queue.commands import COMMANDS, AppendMessage
 from bitternpath.queue.state import QueueState
+from bitternpath.shards.results import Acceptance, AcceptResult, PulledJob
 from bitternpath.transport.records import Message
 from tests.system.ingress.server_case import Client, FakeNode
 
--- a/tests/system/shards/test_appends.py
+++ b/tests/system/shards/test_appends.py
@@ -9,9 +9,9 @@
 from twisted.internet.defer import Deferred
 
 from bitternpath.configuration.placement import shard_group
-from bitternpath.ingress.interfaces import Acceptance, AcceptResult
 from bitternpath.queue.sharding import message_id, shard_for
 from bitternpath.shards.appends import Appender
+from bitternpath.shards.results import Acceptance, AcceptResult
 from bitternpath.transport.shard_messages import (
     AppendResponse,
     RefusalReason,
--- a/tests/system/shards/test_lookups.py
+++ b/tests/system/shards/test_lookups.py
@@ -4,9 +4,9 @@
 
 import unittest
 
-from bitternpath.ingress.interfaces import FoundMessage, LookupFailure
 from bitternpath.queue.sharding import message_id
 from bitternpath.shards.lookups import MessageLookup
+from bitternpath.shards.results import FoundMessage, LookupFailure
 from bitternpath.transport.records import MessageState
 from bitternpath.transport.shard_messages import (
     RefusalReason,
--- a/tests/system/shards/test_owner_changes.py
+++ b/tests/system/shards/test_owner_changes.py
@@ -5,12 +5,12 @@
 from random import Random
 
 from bitternpath.configuration.placement import shard_group
-from bitternpath.ingress.interfaces import Acceptance, AcceptResult, FoundMessage, LeaseAnswer, LookupFailure
 from bitternpath.queue.sharding import lease_id, message_id
 from bitternpath.shards.appends import Appender
 from bitternpath.shards.lookups import LOOKUP_TIMEOUT_S, MessageLookup
 from bitternpath.shards.pulls import PullRouter
 from bitternpath.shards.reports import AttemptReport, AttemptReporter
+from bitternpath.shards.results import Acceptance, AcceptResult, FoundMessage, LeaseAnswer, LookupFailure
 from bitternpath.transport.records import AttemptOutcome, MessageState
 from bitternpath.transport.shard_messages import (
     AppendRequest,
--- a/tests/system/shards/test_pulls.py
+++ b/tests/system/shards/test_pulls.py
@@ -6,11 +6,11 @@
 from random import Random
 
 from bitternpath.configuration.placement import shard_group
-from bitternpath.ingress.interfaces import LeaseAnswer
 from bitternpath.queue.sharding import lease_id
 from bitternpath.shards.job_results import outcome_of
 from bitternpath.shards.pulls import DEMAND_TTL_S, PullRouter
 from bitternpath.shards.reports import AttemptReporter
+from bitternpath.shards.results import LeaseAnswer
 from bitternpath.transport.records import AttemptOutcome
 from bitternpath.transport.shard_messages import (
     EndAttemptRequest,
--- a/tests/system/shards/test_reports.py
+++ b/tests/system/shards/test_reports.py
@@ -5,8 +5,8 @@
 import unittest
 
 from bitternpath.configuration.placement import shard_group
-from bitternpath.ingress.interfaces import LeaseAnswer
 from bitternpath.shards.reports import AttemptReport, AttemptReporter
+from bitternpath.shards.results import LeaseAnswer
 from bitternpath.transport.records import AttemptOutcome
 from bitternpath.transport.shard_messages import (
     EndAttemptResponse,
--- a/tests/system/test_import_graph.py
+++ b/tests/system/test_import_graph.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import ast
+import re
 import unittest
 from collections.abc import Iterable, Mapping
 from pathlib import Path
@@ -109,6 +110,26 @@
     return groups
 
 
+def layers_of(page: str) -> dict[str, int]:
+    """The number of each package's row, from 0 at the top, in the table under the heading "Layers"."""
+    section = page.partition("## Layers")[2].partition("\n## ")[0]
+    rows = [line.split("|")[1] for line in section.splitlines() if line.startswith("| `")]
+    return {name: row for row, cell in enumerate(rows) for name in re.findall(r"`(\w+)/`", cell)}
+
+
+def misdirected(graph: Graph, layers: Mapping[str, int]) -> list[str]:
+    """Imports between packages of the table that don't point down."""
+    found = []
+    for module, targets in graph.items():
+        for target in targets:
+            package, imported = (name.split(".")[1] if "." in name else "" for name in (module, target))
+            if package == imported or package not in layers or imported not in layers:
+                continue
+            if layers[imported] <= layers[package]:
+                found.append(f"{module} imports {target}")
+    return sorted(found)
+
+
 class ImportGraphTest(unittest.TestCase):
     """The program's own imports."""
 
@@ -131,6 +152,28 @@
         self.assertEqual([], circles(package_graph(self.graph, self.modules)))
 
 
+class LayersTest(unittest.TestCase):
+    """The table "Layers" of docs/ARCHITECTURE.md."""
+
+    def test_no_import_points_up_or_sideways(self) -> None:
+        page = Path(bitternpath.__file__).parents[1] / "docs/ARCHITECTURE.md"
+        layers = layers_of(page.read_text())
+        modules = module_files(Path(bitternpath.__file__).parent, PROGRAM)
+        self.assertLessEqual(set(layers), {name.split(".")[1] for name in modules if "." in name})
+        self.assertGreater(len(layers), 10)
+        self.assertEqual([], misdirected(module_graph(modules), layers))
+
+    def test_what_counts(self) -> None:
+        layers = {"cli": 0, "roles": 1, "shards": 2, "ingress": 2, "net": 3}
+        graph = {
+            "p.roles.edge": frozenset(("p.cli.system", "p.net.clock", "p.roles.storage", "p.testing.world")),
+            "p.shards.appends": frozenset(("p.ingress.interfaces", "p.net.clock")),
+            "p.testing.world": frozenset(("p.cli.system",)),
+        }
+        expected = ["p.roles.edge imports p.cli.system", "p.shards.appends imports p.ingress.interfaces"]
+        self.assertEqual(expected, misdirected(graph, layers))
+
+
 class CirclesTest(unittest.TestCase):
     """The search itself, on small graphs."""
 
--- a/tests/system/test_last_answers.py
+++ b/tests/system/test_last_answers.py
@@ -8,8 +8,8 @@
 from twisted.internet.defer import Deferred
 
 from bitternpath.configuration.placement import shard_group
-from bitternpath.ingress.interfaces import Acceptance, AcceptResult, FoundMessage, LookupFailure
 from bitternpath.roles.edge_process import EXIT_RESERVE_S, FINAL_ANSWERS_LEAD_S, EdgeProcess
+from bitternpath.shards.results import Acceptance, AcceptResult, FoundMessage, LookupFailure
 from bitternpath.transport.shard_messages import Ownership
 from tests.system.ingress.server_case import HEAD, Client, ClientServerCase, routing
 from tests.system.roles.node_case import DiskCase, FakeReactor
