--- a/bitternpath/roles/process.py
+++ b/bitternpath/roles/process.py
@@ -101,7 +101,7 @@
             case LifecycleState.WAITING_FOR_PORTS:
                 self._end(ExitCode.STOPPED)
             case LifecycleState.RUNNING:
-                self.state = LifecycleState.STOPPING
+                self._enter(LifecycleState.STOPPING)
                 self.role.shut_down(self._reactor.stop)
             case LifecycleState.STOPPING:
                 pass
@@ -117,7 +117,7 @@
             self._start()
 
     def _start(self) -> None:
-        self.state = LifecycleState.RUNNING
+        self._enter(LifecycleState.RUNNING)
         try:
             self.role.start()
         except Exception:
@@ -138,11 +138,20 @@
         self._retry = self._reactor.callLater(PORT_RETRY_S, self._listen)
 
     def _end(self, code: ExitCode) -> None:
-        self.state = LifecycleState.STOPPING
         self.exit_code = code
+        self._enter(LifecycleState.STOPPING)
         cancel_if_active(self._retry)
         self._reactor.stop()
 
+    def _enter(self, state: LifecycleState) -> None:
+        log.info(
+            "event=process_state_changed old={!r} new={!r} exit_code={}",
+            self.state.value,
+            state.value,
+            int(self.exit_code),
+        )
+        self.state = state
+
 
 def run_role(name: str) -> int:
     """Run the role `edge` or `storage` until it is stopped; the process's exit code."""
--- a/tests/system/roles/test_process.py
+++ b/tests/system/roles/test_process.py
@@ -34,6 +34,8 @@
 from bitternpath.transport.shard_messages import RefusalReason, Refused
 from tests.system.roles.node_case import ME, OLD, SEGMENT, DiskCase, FakeReactor, flip
 
+STATE_CHANGED = "event=process_state_changed"
+
 
 class FakeRole:
     """A role whose port is taken for the first `taken` attempts, and whose start raises `fault`."""
@@ -83,7 +85,9 @@
         self.assertEqual(role.calls, [])
         self.reactor.pump([0.1] * 10)
         self.assertEqual((role.calls, self.reactor.stops), (["listen", "start"], 0))
-        self.assertEqual((lifecycle.exit_code, self.events()), (ExitCode.STOPPED, ["event=listen_retrying"]))
+        self.assertEqual(
+            (lifecycle.exit_code, self.events()), (ExitCode.STOPPED, ["event=listen_retrying", STATE_CHANGED])
+        )
 
     def test_a_port_that_stays_taken_ends_the_process(self) -> None:
         role = FakeRole(taken=float("inf"))
@@ -93,8 +97,9 @@
         self.reactor.pump([0.1] * 10)
         self.assertEqual((role.calls, self.reactor.stops), ([], 1))
         self.assertEqual(lifecycle.exit_code, ExitCode.NO_PORT)
-        self.assertEqual(self.events(), ["event=listen_retrying", "event=listen_failed"])
-        self.assertIn("address=127.0.0.1:8069", self.logged.records[-1].message)
+        self.assertEqual(self.events(), ["event=listen_retrying", "event=listen_failed", STATE_CHANGED])
+        self.assertIn("address=127.0.0.1:8069", self.logged.records[-2].message)
+        self.assertIn(f"exit_code={int(ExitCode.NO_PORT)}", self.logged.records[-1].message)
         self.assertEqual(self.reactor.getDelayedCalls(), [])
 
     def test_a_fault_at_the_start_ends_the_process(self) -> None:
@@ -104,7 +109,7 @@
                 self.setUp()
                 lifecycle = self.begin(FakeRole(fault=fault))
                 self.assertEqual((lifecycle.exit_code, self.reactor.stops), (ExitCode.FAULT, 1))
-                self.assertEqual(self.events(), ["event=role_start_failed"])
+                self.assertEqual(self.events(), [STATE_CHANGED, "event=role_start_failed", STATE_CHANGED])
                 self.assertEqual(self.reactor.getDelayedCalls(), [])
 
     def test_sigterm_while_listening_is_retried(self) -> None:
@@ -122,6 +127,14 @@
         lifecycle.stop()
         self.assertEqual(role.calls, ["listen", "start", "shut_down"])
         self.assertEqual(self.reactor.stops, 1)
+        changes = [str(record.message) for record in self.logged.records]
+        self.assertEqual(
+            changes,
+            [
+                f"{STATE_CHANGED} old='waiting for ports' new='running' exit_code=0",
+                f"{STATE_CHANGED} old='running' new='stopping' exit_code=0",
+            ],
+        )
 
 
 DAMAGE: list[tuple[str, int, str]] = [
