Consensus: until its first heartbeat a new leader sends entries to all followers at once

Cause: found by benchmarks/takeovers.py: 0.2 s lay between a shard's new owner and its first 202. A new leader has measured nobody, so its one replication target was the first by name, often the leader that was just lost; nothing was committed until the next heartbeat chose another. Change: all voters are targets until the first heartbeat after the election.

--- a/bitternpath/replication/leadership.py
+++ b/bitternpath/replication/leadership.py
@@ -64,11 +64,18 @@
         self._choose_replication_targets()
 
     def _choose_replication_targets(self) -> None:
-        """Learners are targets, too: they are to catch up."""
-        silence = SILENT_HEARTBEATS * self.timing.heartbeat_interval
-        targets = choose_replication_targets(
-            self.members.voters, self.peers, self.replication_targets, self.now, silence
-        )
+        """Learners are targets, too: they are to catch up.
+
+        So are all voters until the first heartbeat after the election: nothing was measured yet, and one of
+        them is the former leader, which perhaps is gone. If it were the only target, nothing would be
+        committed until that heartbeat.
+        """
+        targets = frozenset(self.members.voters)
+        if self.now >= self.elected_at + self.timing.heartbeat_interval:
+            silence = SILENT_HEARTBEATS * self.timing.heartbeat_interval
+            targets = choose_replication_targets(
+                self.members.voters, self.peers, self.replication_targets, self.now, silence
+            )
         self.replication_targets = targets.union(self.members.learners).intersection(self.peers)
 
     # ---- heartbeat rounds
--- a/bitternpath/replication/replication_targets.py
+++ b/bitternpath/replication/replication_targets.py
@@ -3,7 +3,8 @@
 Targets are as many followers as a majority needs, the fastest to confirm. The others get entries in
 batches with the heartbeats: an entry costs a message, a sync and a response at each follower that it is sent
 to alone, and only a majority's responses are waited for. A target that becomes slow or silent is replaced at
-the next heartbeat, which is also when entries that still lack a majority reach all followers.
+the next heartbeat, which is also when entries that still lack a majority reach all followers. Until the first
+heartbeat of a term, when nothing is measured yet, all followers are targets (`leadership`).
 """
 
 from __future__ import annotations
