--- a/bitternpath/cli/system.py
+++ b/bitternpath/cli/system.py
@@ -65,11 +65,12 @@
 def show(
     node: Annotated[str, typer.Argument(help="ip:port of any node's internal listener.")],
     seconds: Annotated[float, typer.Option(help="How long to wait for answers.", min=0.2, max=60)] = 3.0,
+    events: Annotated[bool, typer.Option("--events", help="Also counts of log events, by cause.")] = False,
 ) -> None:
     """Show a running system: nodes, configuration versions, shards with their owners, and backlog."""
     from bitternpath.cli.system_show import show_system
 
-    if not show_system(node, seconds):
+    if not show_system(node, seconds, events=events):
         raise typer.Exit(EXIT_FAILED)
 
 
--- a/bitternpath/cli/system_show.py
+++ b/bitternpath/cli/system_show.py
@@ -4,15 +4,23 @@
 
 import random
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from functools import partial
 from typing import Any, NamedTuple
 
 from twisted.internet import reactor as _reactor
 
 from bitternpath.transport.hub import NodeHub
 from bitternpath.transport.links import Link
+from bitternpath.transport.messages import Response
 from bitternpath.transport.node_messages import NodeDescriptor, NodeKind
-from bitternpath.transport.operator_messages import GroupStatus, StatusRequest, StatusResponse
+from bitternpath.transport.operator_messages import (
+    EventCountsRequest,
+    EventCountsResponse,
+    GroupStatus,
+    StatusRequest,
+    StatusResponse,
+)
 
 reactor: Any = _reactor
 
@@ -26,12 +34,15 @@
 
     Attributes:
         known: all nodes that any answer names, by name.
+        events: counts of log events of each node that was asked and has answered, by name.
         answers: the status of each node that has answered, by name.
     """
 
-    def __init__(self, first_address: str) -> None:
+    def __init__(self, first_address: str, *, wants_events: bool = False) -> None:
         """`first_address` is the internal address of any node, `ip:port`."""
         self.answers: dict[str, StatusResponse] = {}
+        self.events: dict[str, EventCountsResponse] = {}
+        self._wants_events = wants_events
         self.known: dict[str, NodeDescriptor] = {}
         me = NodeDescriptor("tool", "", NodeKind.TOOL, "", False, "", int(time.time() * 1000), 0)
         self.hub = NodeHub(reactor, self, lambda: me, random.Random())
@@ -40,6 +51,10 @@
     def link_opened(self, link: Link) -> None:
         """A node has introduced itself: query it."""
         link.request(StatusRequest).addCallbacks(self._answered, lambda _: None)
+        if self._wants_events and link.peer is not None:
+            link.request(EventCountsRequest).addCallbacks(
+                partial(self._counted, link.peer.name), lambda _: None
+            )
 
     def link_closed(self, _link: Link) -> None:
         """A link has ended; the hub dials again."""
@@ -47,7 +62,13 @@
     def received(self, _link: Link, _record: Any) -> None:
         """Ignore records that aren't answers."""
 
-    def _answered(self, answer: StatusResponse) -> None:
+    def _counted(self, name: str, answer: Response) -> None:
+        if isinstance(answer, EventCountsResponse):
+            self.events[name] = answer
+
+    def _answered(self, answer: Response) -> None:
+        if not isinstance(answer, StatusResponse):
+            return
         self.answers[answer.node.name] = answer
         for node in (answer.node, *answer.known):
             if node.name not in self.known:
@@ -56,15 +77,19 @@
 
     def is_complete(self) -> bool:
         """Whether all known nodes have answered."""
-        return bool(self.answers) and all(name in self.answers for name in self.known)
+        answered = set(self.answers) & set(self.events) if self._wants_events else set(self.answers)
+        return bool(self.answers) and answered >= set(self.known)
 
 
-def show_system(address: str, seconds: float) -> bool:
+def show_system(address: str, seconds: float, *, events: bool = False) -> bool:
     """Print the system as its nodes describe it; False where the first node doesn't answer.
 
+    `events`: also how often each log event came at each node, by cause. Nodes of an earlier revision don't
+    know that question and close the tool's link: they are shown as `no answer`, or without counts.
+
     Runs the reactor until all known nodes have answered, for `seconds` at most.
     """
-    survey = StatusSurvey(address)
+    survey = StatusSurvey(address, wants_events=events)
     give_up_at = reactor.seconds() + seconds
 
     def poll() -> None:
@@ -95,7 +120,23 @@
         "replica groups",
         *(_group_line(groups[name]) for name in sorted(groups)),
         f"total queued={queued} dead_letters={dead} configuration_versions={versions}",
+        *_event_lines(survey.events),
+    ]
+
+
+def _event_lines(events: Mapping[str, EventCountsResponse]) -> list[str]:
+    """Each event and cause, with its count at each node that has it."""
+    found: dict[tuple[str, str], list[str]] = {}
+    for name, answer in sorted(events.items()):
+        for each in answer.counts:
+            found.setdefault((each.event, each.cause), []).append(f"{name}={each.count}")
+    if not found:
+        return []
+    lines = [
+        f"  {event}{f' cause={cause!r}' if cause else ''}: {' '.join(counts)}"
+        for (event, cause), counts in sorted(found.items())
     ]
+    return ["log events since each process started", *lines]
 
 
 class _MemberStatus(NamedTuple):
--- a/bitternpath/roles/edge.py
+++ b/bitternpath/roles/edge.py
@@ -27,7 +27,7 @@
 from bitternpath.roles.node_base import NodeBase, ProcessContext, RecordHandler
 from bitternpath.roles.operator_calls import OperatorCalls
 from bitternpath.roles.settings import Settings
-from bitternpath.roles.status import group_status, node_status
+from bitternpath.roles.status import event_counts, group_status, node_status
 from bitternpath.shards.appends import Appender
 from bitternpath.shards.lookups import MessageLookup
 from bitternpath.shards.owners import ShardOwners
@@ -51,7 +51,12 @@
 from bitternpath.transport.links import Link
 from bitternpath.transport.messages import Record
 from bitternpath.transport.node_messages import NodeKind
-from bitternpath.transport.operator_messages import OperatorRequest, OperatorResponse, StatusRequest
+from bitternpath.transport.operator_messages import (
+    EventCountsRequest,
+    OperatorRequest,
+    OperatorResponse,
+    StatusRequest,
+)
 from bitternpath.transport.records import Message
 from bitternpath.transport.shard_messages import CallbackRequest, LeaseGrant, Ownership, WorkAvailable
 
@@ -236,6 +241,7 @@
             CatalogueUpdate: lambda _link, record: self.catalogue_updated(record),
             BootstrapDecisionStored: self._bootstrap_acknowledged,
             StatusRequest: self._send_status,
+            EventCountsRequest: lambda link, request: link.send(event_counts(request)),
             OperatorRequest: self._forwarded_call,
         }
         if self.member is not None:
--- a/bitternpath/roles/logs.py
+++ b/bitternpath/roles/logs.py
@@ -14,6 +14,7 @@
 import logbook
 from twisted.logger import ILogObserver, LogLevel, globalLogBeginner
 
+from bitternpath.roles.event_counts import of_this_process
 from bitternpath.roles.settings_reader import SettingsError
 
 LEVEL_VARIABLE = "BITTERNPATH_LOG"
@@ -21,7 +22,12 @@
 
 
 class _Stream(logbook.StreamHandler):  # type: ignore[misc]
-    """Writes without a lock: only the reactor's thread logs."""
+    """Writes without a lock: only the reactor's thread logs. Counts what it writes."""
+
+    def emit(self, record: Any) -> None:
+        """Count and write a line; `record` is logbook's."""
+        of_this_process.add(record.message)
+        super().emit(record)
 
     def format(self, record: Any) -> str:
         """One log line; `record` is logbook's."""
--- a/bitternpath/roles/status.py
+++ b/bitternpath/roles/status.py
@@ -6,8 +6,14 @@
 
 from bitternpath.queue.state import QueueState
 from bitternpath.replication.host import ReplicaHost
+from bitternpath.roles.event_counts import of_this_process
 from bitternpath.roles.node_base import NodeBase
-from bitternpath.transport.operator_messages import GroupStatus, StatusResponse
+from bitternpath.transport.operator_messages import (
+    EventCountsRequest,
+    EventCountsResponse,
+    GroupStatus,
+    StatusResponse,
+)
 from bitternpath.transport.records import MessageState
 
 
@@ -34,6 +40,11 @@
     )
 
 
+def event_counts(request: EventCountsRequest) -> EventCountsResponse:
+    """The response to a request for the counts of this process's log events."""
+    return EventCountsResponse(request.number, of_this_process.counts())
+
+
 def node_status(base: NodeBase, number: int, *, ready: bool, groups: Sequence[GroupStatus]) -> StatusResponse:
     """The response to `StatusRequest` `number`. `ready`: whether the node takes requests."""
     return StatusResponse(
--- a/bitternpath/roles/storage.py
+++ b/bitternpath/roles/storage.py
@@ -31,7 +31,7 @@
 from bitternpath.roles.settings_reader import SettingsError
 from bitternpath.roles.shard_context import ShardContext
 from bitternpath.roles.shard_requests import ShardRequests
-from bitternpath.roles.status import group_status, node_status
+from bitternpath.roles.status import event_counts, group_status, node_status
 from bitternpath.transport.feed_messages import CatalogueUpdate, FeedRefused, FeedSubscribe, FeedUpdate
 from bitternpath.transport.group_messages import (
     GroupMessage,
@@ -42,7 +42,7 @@
 from bitternpath.transport.links import Link
 from bitternpath.transport.messages import Record
 from bitternpath.transport.node_messages import NodeKind
-from bitternpath.transport.operator_messages import StatusRequest
+from bitternpath.transport.operator_messages import EventCountsRequest, StatusRequest
 from bitternpath.transport.quota_messages import TokenRequest
 from bitternpath.transport.shard_messages import (
     AppendRequest,
@@ -210,6 +210,7 @@
             StateRequest: self._for_shard(ShardRequests.find),
             TokenRequest: self._for_shard(ShardRequests.lend_tokens),
             StatusRequest: self._send_status,
+            EventCountsRequest: lambda link, request: link.send(event_counts(request)),
             MembershipRequest: self._membership_requested,
             MembershipReport: lambda _link, record: self._garbage_collector.reported(record),
             CallbackReport: self._callback_reported,
--- a/bitternpath/transport/messages.py
+++ b/bitternpath/transport/messages.py
@@ -29,15 +29,14 @@
     ShuffleResponse,
 )
 from bitternpath.transport.operator_messages import (
+    EventCountsRequest,
+    EventCountsResponse,
     OperatorRequest,
     OperatorResponse,
     StatusRequest,
     StatusResponse,
 )
-from bitternpath.transport.quota_messages import (
-    TokenRequest,
-    TokenResponse,
-)
+from bitternpath.transport.quota_messages import TokenRequest, TokenResponse
 from bitternpath.transport.shard_messages import (
     AppendRequest,
     AppendResponse,
@@ -96,6 +95,8 @@
     MembershipRequest,
     TokenRequest,
     TokenResponse,
+    EventCountsRequest,
+    EventCountsResponse,
 )
 
 # Records that a `Link` matches with the request of the same `number`.
@@ -109,6 +110,7 @@
     PullResponse,
     StatusResponse,
     TokenResponse,
+    EventCountsResponse,
 )
 
 # What a link carries, and what answers a request, for type checkers.
@@ -150,6 +152,8 @@
     | MembershipRequest
     | TokenRequest
     | TokenResponse
+    | EventCountsRequest
+    | EventCountsResponse
 )
 Response = (
     OperatorResponse
@@ -161,4 +165,5 @@
     | PullResponse
     | StatusResponse
     | TokenResponse
+    | EventCountsResponse
 )
--- a/bitternpath/transport/operator_messages.py
+++ b/bitternpath/transport/operator_messages.py
@@ -67,6 +67,38 @@
     ended: int
 
 
+class EventCount(Struct, frozen=True):
+    """How often a log event came, for one cause.
+
+    Attributes:
+        event: its name.
+        cause: what its line says as cause, reason or error; empty where it says none.
+        count: since the process started.
+    """
+
+    event: str
+    cause: str
+    count: int
+
+
+class EventCountsRequest(Struct, frozen=True):
+    """Asks a node how often its log events came."""
+
+    number: int
+
+
+class EventCountsResponse(Struct, frozen=True):
+    """The counts of a node's process; those of the levels that it logs.
+
+    Attributes:
+        number: of the request.
+        counts: by event and cause.
+    """
+
+    number: int
+    counts: tuple[EventCount, ...]
+
+
 class StatusRequest(Struct, frozen=True):
     """Asks a node for its status."""
 
