--- a/tests/system/replication/test_member_changes.py
+++ b/tests/system/replication/test_member_changes.py
@@ -193,6 +193,7 @@
         ("then the old one goes", Members(("a", "b", "c", "d")), "abd", "", Members(("a", "b", "d"))),
         ("a learner that isn't wanted goes", Members(("a", "b"), ("x",)), "ab", "x", Members(("a", "b"))),
         ("the last voter stays", Members(("a",)), "", "", None),
+        ("of two voters one goes, with one desired (f = 0)", Members(("a", "b")), "b", "", Members(("b",))),
     )
 
     def test_steps(self) -> None:
