--- /dev/null
+++ b/tests/system/replication/single_member.py
@@ -0,0 +1,48 @@
+"""One member of a group of three, "a", by itself: a test answers for the others."""
+
+from __future__ import annotations
+
+from random import Random
+
+from bitternpath.replication.consensus import Raft
+from bitternpath.replication.messages import AppendEntriesResponse, Message, RequestVoteResponse
+from bitternpath.replication.records import MemberRole, Members, PersistentState, RaftTiming, Snapshot
+
+FOUNDERS = Members(("a", "b", "c"))
+ELECTED_AT = 3 * RaftTiming().election_timeout
+
+
+def follower() -> Raft:
+    """A member that has heard nobody yet, at time 0."""
+    return Raft("a", PersistentState(snapshot=Snapshot(members=FOUNDERS)), Random(1), 0.0)
+
+
+def take_messages(member: Raft, now: float = ELECTED_AT) -> list[Message]:
+    """Do all writes of a member; the messages that it sent."""
+    messages: list[Message] = []
+    while True:
+        effects = member.take_effects(now)
+        messages += [message for _, message in effects.messages]
+        if not effects.writes:
+            return messages
+        for write in effects.writes:
+            member.write_completed(now, write.number)
+
+
+def leader() -> Raft:
+    """A leader by the vote of "b", at `ELECTED_AT`, that has sent all that it had."""
+    member = follower()
+    member.tick(ELECTED_AT)
+    take_messages(member)
+    for pre_vote in (True, False):
+        member.receive(ELECTED_AT, "b", RequestVoteResponse(member.term + pre_vote, pre_vote, True))
+        take_messages(member)
+    assert member.role is MemberRole.LEADER
+    return member
+
+
+def confirm_all(member: Raft, now: float = ELECTED_AT) -> None:
+    """Have both others confirm all entries of a leader."""
+    take_messages(member, now)
+    for peer in "bc":
+        member.receive(now, peer, AppendEntriesResponse(member.term, True, member.last_index, 1))
--- a/tests/system/replication/test_refused_terms.py
+++ b/tests/system/replication/test_refused_terms.py
@@ -5,13 +5,11 @@
 import unittest
 from collections.abc import Iterator
 from contextlib import contextmanager
-from random import Random
 from typing import Any
 from unittest.mock import patch
 
 import msgspec
 
-from bitternpath.replication.consensus import Raft
 from bitternpath.replication.member import MemberState
 from bitternpath.replication.messages import (
     AppendEntries,
@@ -27,46 +25,18 @@
     EntryKind,
     MemberRole,
     Members,
-    PersistentState,
-    RaftTiming,
     RoleChangeCause,
-    Snapshot,
 )
 from bitternpath.testing.fault_injection.records import Kind
 from bitternpath.testing.simulation.events import Fault, FaultKind, RunPlan
 from bitternpath.testing.simulation.events import Message as Sent
 from bitternpath.testing.simulation.refused_fences import RefusedFenceChecker, refusing_term
 from bitternpath.testing.simulation.runs.play import play
+from tests.system.replication.single_member import ELECTED_AT, FOUNDERS, confirm_all, leader, take_messages
 
-FOUNDERS = Members(("a", "b", "c"))
-ELECTED_AT = 3 * RaftTiming().election_timeout
 HIGHER = 9  # a term that another member has
 
 
-def take(member: Raft) -> list[Message]:
-    """Do all writes; the messages that were sent."""
-    messages: list[Message] = []
-    while True:
-        effects = member.take_effects(ELECTED_AT)
-        messages += [message for _, message in effects.messages]
-        if not effects.writes:
-            return messages
-        for write in effects.writes:
-            member.write_completed(ELECTED_AT, write.number)
-
-
-def leader() -> Raft:
-    """A leader that has sent all that it had."""
-    member = Raft("a", PersistentState(snapshot=Snapshot(members=FOUNDERS)), Random(1), 0.0)
-    member.tick(ELECTED_AT)
-    take(member)
-    for pre_vote in (True, False):
-        member.receive(ELECTED_AT, "b", RequestVoteResponse(member.term + pre_vote, pre_vote, True))
-        take(member)
-    assert member.role is MemberRole.LEADER
-    return member
-
-
 class QueuedRequests(unittest.TestCase):
     """Requests that a leader has made and not sent yet when it is refused, in the same turn."""
 
@@ -83,27 +53,26 @@
                 self.assertIsNotNone(member.propose(ELECTED_AT, EntryKind.COMMAND, b"x"))
                 member.receive(ELECTED_AT, "b", refusal)
                 self.assertEqual(member.term, HIGHER)
-                self.assertFalse([message for message in take(member) if isinstance(message, LeaderRequest)])
+                self.assertFalse(
+                    [message for message in take_messages(member) if isinstance(message, LeaderRequest)]
+                )
 
     def test_a_transfer_that_had_begun_isnt_ordered_any_more(self) -> None:
         member = leader()
         self.assertTrue(member.transfer_leadership(ELECTED_AT, "b"))
         member.receive(ELECTED_AT, "c", AppendEntriesResponse(HIGHER, False, 0, 1))
-        self.assertFalse([message for message in take(member) if isinstance(message, TimeoutNow)])
+        self.assertFalse([message for message in take_messages(member) if isinstance(message, TimeoutNow)])
 
     def test_a_leader_that_is_no_voter_any_more_still_tells_what_is_committed(self) -> None:
         """It isn't refused: its term goes on without it, and its last word lets the others commit."""
         member = leader()
-        for peer in "bc":
-            member.receive(ELECTED_AT, peer, AppendEntriesResponse(member.term, True, member.last_index, 1))
-        take(member)
+        confirm_all(member)
+        take_messages(member)
         members = msgspec.msgpack.encode(Members(("b", "c"), ("a",), 1))
         self.assertIsNotNone(member.propose(ELECTED_AT, EntryKind.MEMBERS, members))
-        take(member)
-        for peer in "bc":
-            member.receive(ELECTED_AT, peer, AppendEntriesResponse(member.term, True, member.last_index, 1))
+        confirm_all(member)
         self.assertIs(member.role, MemberRole.FOLLOWER)
-        self.assertTrue([message for message in take(member) if isinstance(message, AppendEntries)])
+        self.assertTrue([message for message in take_messages(member) if isinstance(message, AppendEntries)])
 
 
 class Checker(unittest.TestCase):
--- a/tests/system/replication/test_role_change_causes.py
+++ b/tests/system/replication/test_role_change_causes.py
@@ -3,53 +3,33 @@
 from __future__ import annotations
 
 import unittest
-from random import Random
 
 import msgspec
 
-from bitternpath.replication.consensus import Raft
 from bitternpath.replication.messages import (
     AppendEntries,
-    AppendEntriesResponse,
     RequestVote,
-    RequestVoteResponse,
     TimeoutNow,
 )
 from bitternpath.replication.records import (
     EntryKind,
     MemberRole,
     Members,
-    PersistentState,
     RaftTiming,
     RoleChangeCause,
-    Snapshot,
 )
+from tests.system.replication.single_member import ELECTED_AT, confirm_all, follower, leader
 
 TIMING = RaftTiming()
-FOUNDERS = Members(("a", "b", "c"))
-
-
-def complete(member: Raft, now: float) -> None:
-    """Do all writes of a member."""
-    while writes := member.take_effects(now).writes:
-        for write in writes:
-            member.write_completed(now, write.number)
 
 
 class RoleChangeCauses(unittest.TestCase):
     def setUp(self) -> None:
-        self.member = Raft("a", PersistentState(snapshot=Snapshot(members=FOUNDERS)), Random(1), 0.0)
+        self.member = follower()
         self.now = 0.0
 
     def elect(self) -> None:
-        self.now = 3 * TIMING.election_timeout
-        self.member.tick(self.now)
-        complete(self.member, self.now)
-        for pre_vote in (True, False):
-            term = self.member.term + pre_vote
-            self.member.receive(self.now, "b", RequestVoteResponse(term, pre_vote, True))
-            complete(self.member, self.now)
-        self.assertIs(self.member.role, MemberRole.LEADER)
+        self.member, self.now = leader(), ELECTED_AT
 
     def check(self, role: MemberRole, cause: RoleChangeCause) -> None:
         self.assertEqual((self.member.role, self.member.role_cause), (role, cause))
@@ -96,19 +76,12 @@
 
     def test_a_leader_that_is_no_voter_any_more(self) -> None:
         self.elect()
-        self.commit()
+        confirm_all(self.member)
         data = msgspec.msgpack.encode(Members(("b", "c"), ("a",), 1))
         self.assertIsNotNone(self.member.propose(self.now, EntryKind.MEMBERS, data))
-        self.commit()
+        confirm_all(self.member)
         self.check(MemberRole.FOLLOWER, RoleChangeCause.NO_VOTER)
 
-    def commit(self) -> None:
-        """All peers confirm all entries."""
-        complete(self.member, self.now)
-        for peer in ("b", "c"):
-            response = AppendEntriesResponse(self.member.term, True, self.member.last_index, 1)
-            self.member.receive(self.now, peer, response)
-
 
 if __name__ == "__main__":
     unittest.main()
