--- a/tests/system/roles/test_process.py
+++ b/tests/system/roles/test_process.py
@@ -220,6 +220,32 @@
         self.assertEqual(quarantine_folders(self.data), ["damaged-1"])
         self.check_new_identity(node)
 
+    def test_a_quarantine_that_fits_is_kept(self) -> None:
+        self.make_disk()
+        before = self.contents(self.data)
+        size = sum(map(len, before.values()))
+        self.assertEqual(quarantine_content(self.data, max_bytes=size), "damaged-1")
+        self.assertEqual(self.contents(self.data / "damaged-1"), before)
+
+    def test_the_folder_of_a_quarantine_is_on_disk_before_anything_moves_there(self) -> None:
+        self.make_disk()
+        done: list[str] = []
+        original = os.rename
+
+        def rename(old: Any, new: Any) -> None:
+            done.append("rename")
+            original(old, new)
+
+        def fsync_directory(path: Any) -> None:
+            done.append(f"sync {path}")
+
+        with (
+            patch("os.rename", rename),
+            patch("bitternpath.storage.quarantine.fsync_directory", fsync_directory),
+        ):
+            quarantine_content(self.data)
+        self.assertEqual(done[:2], [f"sync {self.data}", "rename"])
+
     def test_a_quarantine_that_is_killed_is_finished_by_the_next_start(self) -> None:
         original = os.rename
         for kill_at in range(1, 7):
--- a/tests/system/shards/test_lookups.py
+++ b/tests/system/shards/test_lookups.py
@@ -30,6 +30,14 @@
         self.links[2].answer(StateResponse(1, True, MessageState.DONE, "stamp", b"x"))
         self.assertEqual(self.result(waiting), FoundMessage(MessageState.DONE, "stamp", b"x"))
 
+    def test_an_id_of_a_shard_that_the_system_doesnt_have_is_sought_everywhere_at_once(self) -> None:
+        """A client's request id that looks so; that shard would be sought until the look-up gives up."""
+        waiting = self.lookup.find(message_id(SHARDS, "r1"), wants_body=False)
+        self.assertEqual([len(link.requests) for link in self.links], [1] * SHARDS)
+        for link in self.links:
+            link.answer(StateResponse(1, False, MessageState.QUEUED, "", None))
+        self.assertEqual(self.result(waiting), LookupFailure.UNKNOWN_MESSAGE)
+
     def test_a_request_id_queries_all_shards(self) -> None:
         waiting = self.lookup.find("r1", wants_body=False)
         for shard, link in enumerate(self.links):
--- a/tests/system/shards/test_pulls.py
+++ b/tests/system/shards/test_pulls.py
@@ -141,6 +141,17 @@
         left.answer(PullResponse(1, "", None))
         self.assertFalse(ticket.result.called)
 
+    def test_a_link_that_is_lost_ends_the_wait_only_of_those_who_wait_there(self) -> None:
+        ticket = self.pulls.pull("s", "i", 1000)
+        left = self.pulled_link()
+        target = next(number for number, link in enumerate(self.links) if link is not left)
+        self.pulls.work_available(WorkAvailable(shard_group(target), "s", 1, 1))
+        left.lose()
+        self.assertFalse(ticket.result.called)
+        self.links[target].lose()
+        self.assertIsNone(self.result(ticket.result))
+        self.assertTrue(ticket.result.called)
+
     def test_without_an_owner_a_worker_waits_for_its_full_time(self) -> None:
         for link in self.links:
             self.owners.link_closed(link)  # type: ignore[arg-type]
--- a/tests/system/storage/test_scrub.py
+++ b/tests/system/storage/test_scrub.py
@@ -4,6 +4,7 @@
 
 import tempfile
 import threading
+import unittest
 from pathlib import Path
 from random import Random
 from unittest.mock import patch
@@ -19,9 +20,12 @@
 from bitternpath.storage.files import FileSystem, LocalFileSystem
 from bitternpath.storage.journal import Journal
 from bitternpath.storage.journal_writer_thread import JournalWriterThread
+from bitternpath.storage.record_format import SEGMENT_HEADER_BYTES
+from bitternpath.storage.scrub import SegmentVerifier
 from bitternpath.storage.segments import SegmentLog
 from bitternpath.testing.simulation.file_system import SimulatedFileSystem
 from bitternpath.testing.simulation.journal_writer import VirtualTimeJournalWriter
+from tests.system.storage import log_samples
 from tests.system.storage.quiet import QuietTestCase
 from tests.system.storage.state_machines import LastCommands, SilentListener
 
@@ -100,6 +104,26 @@
             self.assert_repaired(path, 500)
 
 
+class ChunkedFiles(unittest.TestCase):
+    """A segment that comes in chunks, whichever bytes each of them has."""
+
+    def test_a_segment_is_intact_or_not_whatever_its_chunks_are(self) -> None:
+        disk = SimulatedFileSystem()
+        log = log_samples.open_segment_log(disk)
+        for first in range(1, 6):
+            log.write(log_samples.batch(("g", log_samples.storage_write(first))))
+        path = log_samples.FIRST_SEGMENT
+        content = disk.read(path)
+        damaged = content[:-3] + bytes((content[-3] ^ 1,)) + content[-2:]
+        for size in (1, 7, SEGMENT_HEADER_BYTES, SEGMENT_HEADER_BYTES + 1, 100, len(content)):
+            for data, expected in ((content, True), (damaged, False)):
+                with self.subTest(size=size, expected=expected):
+                    verifier = SegmentVerifier(path)
+                    for offset in range(0, len(data), size):
+                        verifier.update(data[offset : offset + size])
+                    self.assertEqual(verifier.is_intact(), expected)
+
+
 class Reactor:
     """Takes calls from threads, and hands them out."""
 
