Older node: the end waits for an answer that was given in its own turn

A stopping node plans its end when it is idle; a request that came meanwhile and was answered in the very turn of the end was counted as served, and the reactor stopped before the socket had the answer. Change: the end waits while an answer of less than a second ago isn't on its socket.

--- a/bitternpath/balancer/http/client_connection.py
+++ b/bitternpath/balancer/http/client_connection.py
@@ -15,6 +15,7 @@
 from bitternpath.balancer.core.requests import AcceptedRequest
 from bitternpath.net import http1
 from bitternpath.net.sockets import peek
+from bitternpath.net.writing import has_unsent
 
 log = structlog.get_logger(part="listener")
 
@@ -191,6 +192,10 @@
         else:
             self.close()
 
+    def has_unsent_answer(self) -> bool:
+        """Whether an answer was written of which the socket hasn't taken all."""
+        return self.answered and has_unsent(self.transport)
+
     def close(self) -> None:
         """Close after an answer: what the client still sends is read and discarded for a while."""
         if self.open:
--- a/bitternpath/balancer/node_shutdown.py
+++ b/bitternpath/balancer/node_shutdown.py
@@ -11,6 +11,7 @@
 from bitternpath.balancer.http.listener import Listener
 
 FLUSH_DELAY = 0.1  # s for the last answers and DELETEs to be written
+UNSENT_ANSWER_LIMIT = 1000.0  # ms: a client that doesn't read its answer for longer doesn't delay the end
 PARTIAL_REQUEST_LIMIT = 2000.0  # ms: a request that began to arrive longer ago does not delay the end
 
 
@@ -63,9 +64,14 @@
         begun = any(c.reader.begun and c.begun_at > since for c in self.listener.connections)
         return begun or bool(self.broker.unanswered or self.broker.in_progress)
 
+    def _has_unsent_answers(self) -> bool:
+        """Whether the end would lose an answer: given in this very turn, or to a client that reads slowly."""
+        since = self.clock() - UNSENT_ANSWER_LIMIT
+        return any(c.has_unsent_answer() and c.idle_since > since for c in self.listener.connections)
+
     def _close_now(self) -> None:
         self._closing = False
-        if self._has_pending_work():
+        if self._has_pending_work() or self._has_unsent_answers():
             self.reactor.callLater(FLUSH_DELAY, self._close_if_idle)
             return
         self.close()
