Reading the change again: a dear look-up, records listed twice, messages decoded twice, names

- transport/messages: RECORDS and RESPONSE_RECORDS come from the unions Record and Response, no second list.
- simulation: refused terms are checked on the messages that a group gives out, not on bytes decoded again; no private member is reached into any more. draw: no slice of a tuple says which kinds came later.

--- a/bitternpath/balancer/core/broker.py
+++ b/bitternpath/balancer/core/broker.py
@@ -16,7 +16,7 @@
 
 from bitternpath.balancer import messages as m
 from bitternpath.balancer.core.clock import Later
-from bitternpath.balancer.core.endpoint_registry import Endpoint, EndpointRegistry, Listing
+from bitternpath.balancer.core.endpoint_registry import EndpointRegistry, Listing
 from bitternpath.balancer.core.events import (
     CallEnded,
     CallProgress,
@@ -28,6 +28,7 @@
     SettingsChanged,
     TimerExpired,
 )
+from bitternpath.balancer.core.module_events import module_event
 from bitternpath.balancer.core.requests import (
     CALLS_BACK,
     AcceptedRequest,
@@ -268,7 +269,7 @@
                 return self._end_unusable_call(call, now)
             case CallProgress(call, share):
                 return None if call.finished else m.JobNote(call.id, call.number, call.endpoint, share)
-        return _translate_change(event)
+        return module_event(event)
 
     def _end_unusable_call(self, call: UpstreamCall, now: float) -> m.Event | None:
         if not call.finished and not call.request.answered:
@@ -391,28 +392,3 @@
         if not call.finished:
             self.upstream_clients[call.protocol].give_up(call)
             self._append(CallEnded(call, m.How.TIMEOUT))
-
-
-def _translate_change(event: EndpointsChanged | TimerExpired | SettingsChanged) -> m.Event:
-    """An event that is about no request, as the module takes it."""
-    match event:
-        case EndpointsChanged(listing, kind):
-            return m.WorkerList(kind, [_entry(p) for p in listing.members])
-        case TimerExpired(label):
-            return m.Alarm(label)
-        case SettingsChanged(settings):
-            return m.NewSettings(settings)
-
-
-def _entry(endpoint: Endpoint) -> m.Entry:
-    return m.Entry(
-        endpoint.id,
-        endpoint.zone,
-        endpoint.kind,
-        endpoint.cell,
-        endpoint.state,
-        endpoint.size,
-        endpoint.up_since,
-        endpoint.serves,
-        endpoint.slots,
-    )
--- a/bitternpath/replication/leadership.py
+++ b/bitternpath/replication/leadership.py
@@ -97,7 +97,7 @@
         """Become a follower if no majority responded within an election timeout (T 6.2); whether it did."""
         if self._hears_quorum:
             return False
-        self._become_follower(self.term, RoleChangeCause.QUORUM_SILENT)
+        self._become_follower(self.term, RoleChangeCause.QUORUM_LOST)
         return True
 
     @property
--- a/bitternpath/replication/records.py
+++ b/bitternpath/replication/records.py
@@ -120,7 +120,7 @@
     LEADER_HEARD = "leader heard"  # another member leads in this term
     HIGHER_TERM = "higher term"  # of another member: it stands, or leads already
     TRANSFERRED = "transferred"  # a higher term, after this leader began to transfer its leadership
-    QUORUM_SILENT = "quorum silent"  # no majority responded within an election timeout
+    QUORUM_LOST = "quorum lost"  # no majority responded within an election timeout
     NO_VOTER = "no voter any more"  # a membership is committed in which it doesn't vote
     CLOSED = "closed"  # the process ends, or gives the replica up
 
--- a/bitternpath/testing/simulation/actors/machine_faults.py
+++ b/bitternpath/testing/simulation/actors/machine_faults.py
@@ -55,13 +55,13 @@
     def play(self, fault: Fault) -> None:
         """Inject a fault now; the later parts of one that comes in steps follow by themselves."""
         if fault.kind is FaultKind.HALVES:
-            self._cut_into_halves(fault)
+            self._partition_halves(fault)
         elif fault.kind is FaultKind.POWER_CHAIN:
             self._power_chain(fault)
         else:
-            self._play_at_once(fault)
+            self._inject(fault)
 
-    def _play_at_once(self, fault: Fault) -> None:
+    def _inject(self, fault: Fault) -> None:
         for planned in fault.nodes or ("",):
             name = self._directory.name(planned) if planned and fault.kind is not FaultKind.ADD else planned
             if planned in fault.wiped:
@@ -172,7 +172,7 @@
         for other in self._others(name):
             self._world.lossy(name, other, 0.0)
 
-    def _cut_into_halves(self, fault: Fault) -> None:
+    def _partition_halves(self, fault: Fault) -> None:
         """Cut `fault.nodes` from the other machines that count; all others reach both halves (NEWS-22)."""
         half = {self._directory.name(planned) for planned in fault.nodes}
         counted = [node.name for node in (*self._world.edges(), *self._world.storages()) if node.counted]
@@ -186,14 +186,14 @@
 
     def _power_chain(self, fault: Fault) -> None:
         """Each machine loses power `gap_s` after the one before, while those before may still be off."""
-        for place, planned in enumerate(fault.nodes):
+        for position, planned in enumerate(fault.nodes):
             link = msgspec.structs.replace(
                 fault,
                 kind=FaultKind.WIPE if planned in fault.wiped else FaultKind.POWER,
                 nodes=(planned,),
                 wiped=(),
             )
-            self._world.at(self._world.now + place * fault.gap_s, self._play_at_once, link)
+            self._world.at(self._world.now + position * fault.gap_s, self._inject, link)
 
     # ---- parts
 
--- a/bitternpath/testing/simulation/group_invariants.py
+++ b/bitternpath/testing/simulation/group_invariants.py
@@ -14,7 +14,7 @@
 from bitternpath.replication.interfaces import GroupListener, StateMachine
 from bitternpath.replication.records import Members, RoleChangeCause
 from bitternpath.testing.simulation.recorder import Recorder
-from bitternpath.testing.simulation.refused_fences import RefusedFenceChecker
+from bitternpath.testing.simulation.refused_terms import RefusedTermChecker
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,9 +35,7 @@
         self.violations: list[Violation] = []
         self._owners: dict[tuple[str, int], str] = {}
         self._applied: dict[str, dict[int, int]] = {}
-        self._refused_fences = RefusedFenceChecker(
-            lambda text: self._broken("refused fence used again", text)
-        )
+        self._refused_terms = RefusedTermChecker(lambda text: self._broken("refused term used again", text))
 
     def observe(self, node: str, host: ReplicaHost) -> None:
         """Watch the groups that a process will open."""
@@ -47,11 +45,10 @@
             group: str, machine: StateMachine, founders: Members | None, listener: GroupListener
         ) -> None:
             open_group(group, machine, founders, _Listener(self, node, group, listener))
-            self._refused_fences.observe_group(host.member_id, group, host.groups[group])
+            self._refused_terms.observe(host.member_id, group, host.groups[group])
 
         host.open_group = observed  # type: ignore[method-assign]
         self._observe_membership(host)
-        self._refused_fences.observe(host)
 
     def _observe_membership(self, host: ReplicaHost) -> None:
         change_members = host.change_members
--- a/bitternpath/testing/simulation/refused_fences.py
+++ b/bitternpath/testing/simulation/refused_terms.py
@@ -9,9 +9,7 @@
 
 from collections.abc import Callable
 
-from bitternpath.replication.group import ReplicaGroup
-from bitternpath.replication.host import ReplicaHost
-from bitternpath.replication.interfaces import MessageTransport
+from bitternpath.replication.group import GroupEffects, ReplicaGroup
 from bitternpath.replication.messages import (
     AppendEntries,
     AppendEntriesResponse,
@@ -21,7 +19,6 @@
     Message,
     RequestVoteResponse,
 )
-from bitternpath.replication.wire import decode_message
 
 
 def refusing_term(message: Message) -> int:
@@ -39,7 +36,7 @@
     return 0
 
 
-class RefusedFenceChecker:
+class RefusedTermChecker:
     """Watches the consensus messages of all members; a member is known by the identity of its disk."""
 
     def __init__(self, broken: Callable[[str], object]) -> None:
@@ -47,25 +44,23 @@
         self._broken = broken
         self._refused_upto: dict[tuple[str, str], int] = {}  # terms below, by member and group
 
-    def observe_group(self, member: str, name: str, group: ReplicaGroup) -> None:
-        """Watch what an open group receives from now on."""
+    def observe(self, member: str, name: str, group: ReplicaGroup) -> None:
+        """Watch what an open group receives and sends from now on."""
         receive = group.receive
+        flush = group.flush
 
         def received(now: float, sender: str, message: Message) -> None:
             self.received(member, name, message)
             receive(now, sender, message)
 
-        group.receive = received  # type: ignore[method-assign]
-
-    def observe(self, host: ReplicaHost) -> None:
-        """Watch what a process sends from now on."""
-        transport = host._transport
+        def flushed(now: float) -> GroupEffects:
+            effects = flush(now)
+            for _, message in effects.messages:
+                self.sent(member, name, message)
+            return effects
 
-        def send(group: str, receiver: str, body: bytes) -> None:
-            self.sent(host.member_id, group, decode_message(body))
-            transport.send(group, receiver, body)
-
-        host._transport = MessageTransport(send, transport.turn_ended)
+        group.receive = received  # type: ignore[method-assign]
+        group.flush = flushed  # type: ignore[method-assign]
 
     def received(self, member: str, group: str, message: Message) -> None:
         """A member gets a message of a group in which it takes part."""
--- a/bitternpath/testing/simulation/runs/coverage.py
+++ b/bitternpath/testing/simulation/runs/coverage.py
@@ -77,8 +77,8 @@
 
 def _crossed_pairs(plan: RunPlan) -> Iterator[Pair]:
     faults = [event for event in plan.events if isinstance(event, Fault)]
-    for place, fault in enumerate(faults):
-        for other in faults[place + 1 :]:
+    for index, fault in enumerate(faults):
+        for other in faults[index + 1 :]:
             if other.at <= _until(fault) and fault.at <= _until(other):
                 yield _ordered(fault.kind, other.kind)
 
--- a/bitternpath/testing/simulation/runs/draw.py
+++ b/bitternpath/testing/simulation/runs/draw.py
@@ -70,9 +70,6 @@
     FaultKind.HERD_KILLED,
     FaultKind.POWER_CHAIN,
 )
-LATER_KINDS = frozenset(
-    (*MASS_KINDS[2:], FaultKind.CLOCK_STEP, FaultKind.LOSSY)
-)  # not in `_ALL`: seeds keep their draws
 HERD_SHARES = (0.4, 0.7, 1.0)  # of all machines
 SHORTEST_CHAIN_GAP_S, LONGEST_CHAIN_GAP_S = 0.1, 1.5
 STEPS_MS = (-6_000, -1_500, -100, 100, 1_500, 6_000)
@@ -98,8 +95,11 @@
     final: float = 0.2  # share of runs that end with the loss of all machines
 
 
+# Not the kinds with scenarios of their own: `mixed` and the others keep what their seeds draw.
 _ALL: dict[FaultKind, float] = {
-    kind: 1.0 for kind in FaultKind if kind not in (FaultKind.ADD, *MASS_KINDS, *LATER_KINDS)
+    kind: 1.0
+    for kind in FaultKind
+    if kind not in (FaultKind.ADD, FaultKind.CLOCK_STEP, FaultKind.LOSSY, *MASS_KINDS)
 }
 _ALL |= {FaultKind.ADD: 0.3, FaultKind.ALL_KILLED: 0.4, FaultKind.ALL_POWER: 0.4}
 _CUTS = (FaultKind.CUT, FaultKind.CUT_IN, FaultKind.CUT_OUT, FaultKind.CUT_SEEDS, FaultKind.FREEZE)
--- a/bitternpath/transport/links.py
+++ b/bitternpath/transport/links.py
@@ -19,7 +19,7 @@
 from collections.abc import Callable
 from enum import Enum
 from random import Random
-from typing import Any, Protocol
+from typing import Any, Protocol, cast
 
 import logbook
 from twisted.internet.defer import Deferred
@@ -231,11 +231,18 @@
             case Hello(node):
                 self._greeted(node)
             case _:
-                if isinstance(record, RESPONSE_RECORDS) and record.number in self._requests:
-                    self._requests.pop(record.number).callback(record)
-                elif self._state is _OPEN:
+                if type(record) in RESPONSE_RECORDS and self._answers_request(cast("Response", record)):
+                    return
+                if self._state is _OPEN:
                     self._hub.handler.received(self, record)
 
+    def _answers_request(self, response: Response) -> bool:
+        """Whether a request waited for this response; then it has it now."""
+        request = self._requests.pop(response.number, None)
+        if request is not None:
+            request.callback(response)
+        return request is not None
+
     def _greeted(self, node: NodeDescriptor) -> None:
         self.peer = node
         self._state = _OPEN
--- a/bitternpath/transport/messages.py
+++ b/bitternpath/transport/messages.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from typing import get_args
+
 from bitternpath.transport.codec import RecordSet
 from bitternpath.transport.feed_messages import (
     CatalogueUpdate,
@@ -57,63 +59,7 @@
     WorkAvailable,
 )
 
-RECORDS = RecordSet(
-    Hello,
-    Ping,
-    Pong,
-    ShuffleRequest,
-    ShuffleResponse,
-    GroupMessage,
-    BootstrapDecision,
-    BootstrapDecisionStored,
-    FeedSubscribe,
-    FeedUpdate,
-    FeedRefused,
-    CatalogueUpdate,
-    OperatorRequest,
-    OperatorResponse,
-    Ownership,
-    Refused,
-    RequestOutcomeUnknown,
-    AppendRequest,
-    AppendResponse,
-    LeaseGrant,
-    EndAttemptRequest,
-    EndAttemptResponse,
-    CallbackRequest,
-    CallbackReport,
-    StateRequest,
-    StateResponse,
-    PullRequest,
-    PullCancel,
-    PullResponse,
-    ExtendRequest,
-    WorkAvailable,
-    StatusRequest,
-    StatusResponse,
-    MembershipReport,
-    MembershipRequest,
-    TokenRequest,
-    TokenResponse,
-    EventCountsRequest,
-    EventCountsResponse,
-)
-
-# Records that a `Link` matches with the request of the same `number`.
-RESPONSE_RECORDS = (
-    OperatorResponse,
-    Refused,
-    RequestOutcomeUnknown,
-    AppendResponse,
-    EndAttemptResponse,
-    StateResponse,
-    PullResponse,
-    StatusResponse,
-    TokenResponse,
-    EventCountsResponse,
-)
-
-# What a link carries, and what answers a request, for type checkers.
+# All records that a link carries; the place of a class is its number on the wire.
 Record = (
     Hello
     | Ping
@@ -155,6 +101,9 @@
     | EventCountsRequest
     | EventCountsResponse
 )
+RECORDS = RecordSet(*get_args(Record))
+
+# Records that a `Link` matches with the request of the same `number`.
 Response = (
     OperatorResponse
     | Refused
@@ -167,3 +116,4 @@
     | TokenResponse
     | EventCountsResponse
 )
+RESPONSE_RECORDS: frozenset[type] = frozenset(get_args(Response))
--- a/tests/system/replication/test_refused_terms.py
+++ b/tests/system/replication/test_refused_terms.py
@@ -30,7 +30,7 @@
 from bitternpath.testing.fault_injection.records import Kind
 from bitternpath.testing.simulation.events import Fault, FaultKind, RunPlan
 from bitternpath.testing.simulation.events import Message as Sent
-from bitternpath.testing.simulation.refused_fences import RefusedFenceChecker, refusing_term
+from bitternpath.testing.simulation.refused_terms import RefusedTermChecker, refusing_term
 from bitternpath.testing.simulation.runs.play import play
 from tests.system.replication.single_member import ELECTED_AT, FOUNDERS, confirm_all, leader, take_messages
 
@@ -76,11 +76,11 @@
 
 
 class Checker(unittest.TestCase):
-    """What `RefusedFenceChecker` says."""
+    """What `RefusedTermChecker` says."""
 
     def setUp(self) -> None:
         self.found: list[str] = []
-        self.checker = RefusedFenceChecker(self.found.append)
+        self.checker = RefusedTermChecker(self.found.append)
 
     def test_a_request_of_a_refused_term_is_found(self) -> None:
         requests: list[Message] = [
@@ -139,7 +139,7 @@
     def test_a_build_that_keeps_a_refused_term_is_caught(self) -> None:
         with keeps_its_term():
             report = play(owners_hand_over_in_turn())
-        self.assertIn("refused fence used again", "\n".join(map(str, report.found)))
+        self.assertIn("refused term used again", "\n".join(map(str, report.found)))
 
     def test_the_program_passes_the_same_run(self) -> None:
         report = play(owners_hand_over_in_turn())
--- a/tests/system/replication/test_role_change_causes.py
+++ b/tests/system/replication/test_role_change_causes.py
@@ -62,7 +62,7 @@
             self.member.tick(self.now)
             if self.member.role is MemberRole.FOLLOWER:
                 break
-        self.check(MemberRole.FOLLOWER, RoleChangeCause.QUORUM_SILENT)
+        self.check(MemberRole.FOLLOWER, RoleChangeCause.QUORUM_LOST)
 
     def test_a_transfer_on_both_sides(self) -> None:
         self.elect()
--- a/tests/system/roles/test_event_counts.py
+++ b/tests/system/roles/test_event_counts.py
@@ -26,8 +26,8 @@
 
     def test_by_event_and_cause(self) -> None:
         found = self.add(
-            "event=ownership_lost group=queue-1 cause='quorum silent'",
-            "event=ownership_lost group=queue-2 cause='quorum silent'",
+            "event=ownership_lost group=queue-1 cause='quorum lost'",
+            "event=ownership_lost group=queue-2 cause='quorum lost'",
             "event=ownership_lost group=queue-2 cause='higher term'",
             "event=listening node=a",
             "event=disk_quarantined reason=checksum file=x",
@@ -36,7 +36,7 @@
             EventCount("disk_quarantined", "checksum", 1),
             EventCount("listening", "", 1),
             EventCount("ownership_lost", "higher term", 1),
-            EventCount("ownership_lost", "quorum silent", 2),
+            EventCount("ownership_lost", "quorum lost", 2),
         ]
         self.assertEqual(found, expected)
 
--- a/tests/system/transport/test_record_types.py
+++ b/tests/system/transport/test_record_types.py
@@ -11,7 +11,7 @@
 class RecordTypes(unittest.TestCase):
     def test_the_unions_are_the_records_in_their_order(self) -> None:
         self.assertEqual(get_args(Record), tuple(RECORDS._numbers))
-        self.assertEqual(get_args(Response), RESPONSE_RECORDS)
+        self.assertEqual(set(get_args(Response)), RESPONSE_RECORDS)
 
     def test_every_response_brings_its_request_s_number_back(self) -> None:
         for record in RESPONSE_RECORDS:
