Review: the second case with a platform that is slow, not down

Cause: a platform that answers each call for the list after 1 s has the same effect as one that is down: the list is never read, as each call is broken off after 0.8 s. The cases 1 and 3 are as before, but for the stand-in.

--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -472,7 +472,7 @@
     def __init__(self, record):
         self._record = record
         self.entries = []
-        self.answers = True  # False: it is down, and says nothing
+        self.answers_after_s = 0.0  # it is slow: each call is answered, whole, after this time
         self._server = None
         self.calls = 0
 
@@ -482,10 +482,9 @@
 
     async def _answer(self, method, path, headers, body):
         self.calls += 1
-        if not self.answers:
-            await asyncio.sleep(60)
-            return None
+        await asyncio.sleep(self.answers_after_s)
         document = {"instances": self.entries, "next_page_token": None}
+        self._record("list", answered_after=f"{self.answers_after_s:.1f}", workers=len(self.entries))
         return 200, {"Content-Type": "application/json"}, json.dumps(document).encode()
 
 
